--- /dev/null
+++ b/core/model/resources.go
@@ -0,0 +1,66 @@
+package model
+
+import "fmt"
+
+// Resources is an amount of a worker's capacity, in the three dimensions that
+// are committed: thousandths of a processor, mebibytes of memory, and whole
+// accelerators.
+type Resources struct {
+	MilliCPU     int64 `json:"milliCPU"`
+	MemoryMB     int64 `json:"memoryMB"`
+	Accelerators int64 `json:"accelerators,omitempty"`
+}
+
+// Dimension names one of the three kinds of capacity.
+type Dimension string
+
+// The dimensions of Resources.
+const (
+	DimensionCPU          Dimension = "cpu"
+	DimensionMemory       Dimension = "memory"
+	DimensionAccelerators Dimension = "accelerators"
+)
+
+// Add returns r plus o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{
+		MilliCPU:     r.MilliCPU + o.MilliCPU,
+		MemoryMB:     r.MemoryMB + o.MemoryMB,
+		Accelerators: r.Accelerators + o.Accelerators,
+	}
+}
+
+// Sub returns r less o; a dimension may become negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{
+		MilliCPU:     r.MilliCPU - o.MilliCPU,
+		MemoryMB:     r.MemoryMB - o.MemoryMB,
+		Accelerators: r.Accelerators - o.Accelerators,
+	}
+}
+
+// Fits reports whether r fits within room in every dimension.
+func (r Resources) Fits(room Resources) bool {
+	return r.MilliCPU <= room.MilliCPU &&
+		r.MemoryMB <= room.MemoryMB &&
+		r.Accelerators <= room.Accelerators
+}
+
+// Exceeds returns the first dimension in which r is larger than room, and
+// whether there is one.
+func (r Resources) Exceeds(room Resources) (Dimension, bool) {
+	switch {
+	case r.MilliCPU > room.MilliCPU:
+		return DimensionCPU, true
+	case r.MemoryMB > room.MemoryMB:
+		return DimensionMemory, true
+	case r.Accelerators > room.Accelerators:
+		return DimensionAccelerators, true
+	}
+	return "", false
+}
+
+// String formats r for logs and time lines.
+func (r Resources) String() string {
+	return fmt.Sprintf("%dm/%dMB/%d", r.MilliCPU, r.MemoryMB, r.Accelerators)
+}
