--- /dev/null
+++ b/adapter/adminapi/client.go
@@ -0,0 +1,158 @@
+package adminapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/timeline"
+	"github.com/guavarill/guavarill/daemon"
+)
+
+// Client reaches one daemon's operators' interface.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the daemon at address, host:port or a URL.
+func NewClient(address string, transport http.RoundTripper) *Client {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	return &Client{base: strings.TrimRight(address, "/"), http: &http.Client{Transport: transport}}
+}
+
+// Address returns the daemon's URL.
+func (c *Client) Address() string { return c.base }
+
+// CallError is a call that brought no answer that could be understood. For a
+// change its effect is then not known.
+type CallError struct {
+	Daemon string
+	Cause  error
+}
+
+// Error implements error.
+func (e *CallError) Error() string { return fmt.Sprintf("daemon %s: %v", e.Daemon, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
+// AnswerError is an answer that is an error.
+type AnswerError struct {
+	Status  int
+	Problem Problem
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("status %d: %s: %s", e.Status, e.Problem.Kind, e.Problem.Detail)
+}
+
+// Apply sends a manifest. An error is a *CallError.
+func (c *Client) Apply(ctx context.Context, document []byte, base *model.Revision, dryRun bool) (ChangeResult, error) {
+	query := url.Values{}
+	if base != nil {
+		query.Set("base", strconv.FormatUint(uint64(*base), 10))
+	}
+	if dryRun {
+		query.Set("dryRun", "true")
+	}
+	return c.change(ctx, "/v1/manifest?"+query.Encode(), document)
+}
+
+// Cancel cancels workloads. An error is a *CallError.
+func (c *Client) Cancel(ctx context.Context, request CancelRequest) (ChangeResult, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return ChangeResult{}, &CallError{Daemon: c.base, Cause: err}
+	}
+	return c.change(ctx, "/v1/cancel", body)
+}
+
+func (c *Client) change(ctx context.Context, path string, body []byte) (ChangeResult, error) {
+	var result ChangeResult
+	status, answer, err := c.do(ctx, http.MethodPost, path, body)
+	if err != nil {
+		return result, err
+	}
+	if err := json.Unmarshal(answer, &result); err != nil || result.Outcome == "" {
+		return result, &CallError{Daemon: c.base, Cause: answerError(status, answer)}
+	}
+	return result, nil
+}
+
+// Status returns the daemon's status. An error is a *CallError.
+func (c *Client) Status(ctx context.Context) (daemon.Status, error) {
+	return get[daemon.Status](ctx, c, "/v1/status")
+}
+
+// Tasks returns the tasks of the daemon's shards. An error is a *CallError.
+func (c *Client) Tasks(ctx context.Context) ([]daemon.TaskStatus, error) {
+	return get[[]daemon.TaskStatus](ctx, c, "/v1/tasks")
+}
+
+// Timeline returns the events that the daemon holds. An error is a *CallError.
+func (c *Client) Timeline(ctx context.Context) ([]timeline.Event, error) {
+	return get[[]timeline.Event](ctx, c, "/v1/timeline")
+}
+
+// Drain begins a planned stop. An error is a *CallError.
+func (c *Client) Drain(ctx context.Context) error {
+	status, answer, err := c.do(ctx, http.MethodPost, "/v1/drain", nil)
+	if err == nil && status != http.StatusAccepted {
+		err = &CallError{Daemon: c.base, Cause: answerError(status, answer)}
+	}
+	return err
+}
+
+func get[T any](ctx context.Context, c *Client, path string) (T, error) {
+	var value T
+	status, answer, err := c.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return value, err
+	}
+	if status != http.StatusOK {
+		return value, &CallError{Daemon: c.base, Cause: answerError(status, answer)}
+	}
+	if err := json.Unmarshal(answer, &value); err != nil {
+		return value, &CallError{Daemon: c.base, Cause: err}
+	}
+	return value, nil
+}
+
+func answerError(status int, answer []byte) *AnswerError {
+	e := &AnswerError{Status: status}
+	if json.Unmarshal(answer, &e.Problem) != nil {
+		e.Problem.Detail = string(answer)
+	}
+	return e
+}
+
+// maxAnswerBytes bounds what is read of an answer; a fleet's tasks fit.
+const maxAnswerBytes = 256 << 20
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, &CallError{Daemon: c.base, Cause: err}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, &CallError{Daemon: c.base, Cause: err}
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return 0, nil, &CallError{Daemon: c.base, Cause: err}
+	}
+	return resp.StatusCode, answer, nil
+}
--- /dev/null
+++ b/adapter/adminapi/doc.go
@@ -0,0 +1,17 @@
+// Package adminapi is the operators' HTTP interface of a daemon.
+//
+//	POST /v1/manifest    accept the manifest in the body; query: base, dryRun
+//	GET  /v1/manifest    the manifest in force here
+//	POST /v1/cancel      cancel workloads; body: CancelRequest
+//	GET  /v1/status      daemon.Status
+//	GET  /v1/tasks       tasks of the shards that this daemon owns
+//	GET  /v1/timeline    events that this daemon holds
+//	POST /v1/drain       begin a planned stop
+//	GET  /metrics        Prometheus metrics
+//	GET  /livez          200 while the process works
+//	GET  /readyz         200 while requests are taken, else 503 and the reason
+//
+// A change answers with ChangeResult and the status of its outcome: 200
+// accepted or unchanged, 409 conflict, 422 refused, 503 certainly not made,
+// 502 unknown. An error answers with Problem.
+package adminapi
--- /dev/null
+++ b/adapter/adminapi/server.go
@@ -0,0 +1,229 @@
+package adminapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/guavarill/guavarill/core/config"
+	"github.com/guavarill/guavarill/core/manifest"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/timeline"
+	"github.com/guavarill/guavarill/daemon"
+	"github.com/guavarill/guavarill/port"
+)
+
+// Daemon is what the interface asks of a daemon.
+type Daemon interface {
+	Apply(ctx context.Context, request config.ApplyRequest) (config.ApplyResult, error)
+	Status(ctx context.Context) (daemon.Status, error)
+	Tasks(ctx context.Context) ([]daemon.TaskStatus, error)
+	Config(ctx context.Context) (*config.Accepted, error)
+	Timeline() []timeline.Event
+}
+
+// Options configures a Server.
+type Options struct {
+	Daemon   Daemon
+	Gatherer prometheus.Gatherer
+	// Ready returns why requests are not taken, nil when they are.
+	Ready func() error
+	// Drain begins a planned stop and returns at once.
+	Drain func()
+}
+
+// The bounds on an operator's request.
+const (
+	// maxManifestBytes is larger than what can be accepted, so that a manifest
+	// that is a little too large is refused with a list of its problems.
+	maxManifestBytes  = 4 * port.MaxValueBytes
+	readHeaderTimeout = 5 * time.Second
+	requestTimeout    = 30 * time.Second
+)
+
+// Server is the operators' interface.
+type Server struct {
+	o      Options
+	server *http.Server
+}
+
+// New returns a server that does not listen yet.
+func New(o Options) *Server {
+	s := &Server{o: o}
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.POST("/v1/manifest", s.apply)
+	e.GET("/v1/manifest", s.manifest)
+	e.POST("/v1/cancel", s.cancel)
+	e.GET("/v1/status", s.status)
+	e.GET("/v1/tasks", s.tasks)
+	e.GET("/v1/timeline", s.timeline)
+	e.POST("/v1/drain", s.drain)
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(o.Gatherer, promhttp.HandlerOpts{})))
+	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "live\n") })
+	e.GET("/readyz", s.ready)
+	s.server = &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       requestTimeout,
+		WriteTimeout:      2 * requestTimeout,
+		ErrorLog:          stdlog.New(io.Discard, "", 0),
+	}
+	return s
+}
+
+// Serve answers until Close.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Close waits for answers in progress until ctx ends.
+func (s *Server) Close(ctx context.Context) error { return s.server.Shutdown(ctx) }
+
+func problem(c echo.Context, status int, kind ProblemKind, err error) error {
+	return c.JSON(status, Problem{Kind: kind, Detail: detail(err)})
+}
+
+// base reads the revision that the operator means to replace; nil is any.
+func base(c echo.Context) (*model.Revision, error) {
+	text := c.QueryParam("base")
+	if text == "" {
+		return nil, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	revision := model.Revision(n)
+	return &revision, nil
+}
+
+func (s *Server) apply(c echo.Context) error {
+	replaces, err := base(c)
+	if err != nil {
+		return problem(c, http.StatusBadRequest, BadQuery, err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxManifestBytes))
+	if err != nil {
+		return problem(c, http.StatusBadRequest, BadBody, err)
+	}
+	m, err := manifest.Parse(body)
+	if err != nil {
+		return c.JSON(http.StatusUnprocessableEntity, refusal(err))
+	}
+	if c.QueryParam("dryRun") == "true" {
+		return s.dryRun(c, m, replaces)
+	}
+	return s.change(c, config.ApplyRequest{Manifest: m, Base: replaces})
+}
+
+func refusal(err error) ChangeResult {
+	result := ChangeResult{Outcome: Refused, Detail: err.Error()}
+	var invalid *manifest.InvalidError
+	if errors.As(err, &invalid) {
+		result.Problems = invalid.Problems
+	}
+	return result
+}
+
+// dryRun says what an apply would do to the configuration in force here.
+func (s *Server) dryRun(c echo.Context, m *manifest.Manifest, replaces *model.Revision) error {
+	current, err := s.o.Daemon.Config(c.Request().Context())
+	if err != nil {
+		return problem(c, http.StatusServiceUnavailable, Unavailable, err)
+	}
+	if replaces != nil {
+		if err := config.CheckBase(current, *replaces); err != nil {
+			return c.JSON(http.StatusConflict, ChangeResult{Outcome: Conflict, Detail: err.Error()})
+		}
+	}
+	next, diff, err := config.Accept(current, m, 1, "dry-run")
+	if err != nil {
+		return c.JSON(http.StatusUnprocessableEntity, refusal(err))
+	}
+	if diff.Empty() {
+		return c.JSON(http.StatusOK, ChangeResult{Outcome: NoChange, Revision: next.Revision})
+	}
+	return c.JSON(http.StatusOK, ChangeResult{Outcome: WouldMake, Revision: next.Revision, Diff: diff})
+}
+
+func (s *Server) cancel(c echo.Context) error {
+	var request CancelRequest
+	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxManifestBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&request); err != nil {
+		return problem(c, http.StatusBadRequest, BadBody, err)
+	}
+	return s.change(c, config.ApplyRequest{Cancel: request.Workloads, Base: request.Base})
+}
+
+func (s *Server) change(c echo.Context, request config.ApplyRequest) error {
+	request.Writer = uuid.NewString()
+	result, err := s.o.Daemon.Apply(c.Request().Context(), request)
+	if err != nil {
+		return c.JSON(http.StatusBadGateway, ChangeResult{
+			Outcome: Unknown, Writer: request.Writer, Detail: err.Error(),
+		})
+	}
+	status, answer := changeResult(result)
+	return c.JSON(status, answer)
+}
+
+func (s *Server) manifest(c echo.Context) error {
+	current, err := s.o.Daemon.Config(c.Request().Context())
+	if err != nil {
+		return problem(c, http.StatusServiceUnavailable, Unavailable, err)
+	}
+	if current == nil {
+		return problem(c, http.StatusNotFound, NoManifest, nil)
+	}
+	c.Response().Header().Set("Guavarill-Revision", strconv.FormatUint(uint64(current.Revision), 10))
+	return c.JSONBlob(http.StatusOK, current.Manifest.Canonical())
+}
+
+func (s *Server) status(c echo.Context) error {
+	st, err := s.o.Daemon.Status(c.Request().Context())
+	if err != nil {
+		return problem(c, http.StatusServiceUnavailable, Unavailable, err)
+	}
+	return c.JSON(http.StatusOK, st)
+}
+
+func (s *Server) tasks(c echo.Context) error {
+	list, err := s.o.Daemon.Tasks(c.Request().Context())
+	if err != nil {
+		return problem(c, http.StatusServiceUnavailable, Unavailable, err)
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
+func (s *Server) timeline(c echo.Context) error {
+	return c.JSON(http.StatusOK, s.o.Daemon.Timeline())
+}
+
+func (s *Server) drain(c echo.Context) error {
+	s.o.Drain()
+	return c.NoContent(http.StatusAccepted)
+}
+
+func (s *Server) ready(c echo.Context) error {
+	if err := s.o.Ready(); err != nil {
+		return c.String(http.StatusServiceUnavailable, err.Error()+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
--- /dev/null
+++ b/adapter/callerapi/answer.go
@@ -0,0 +1,129 @@
+package callerapi
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/guavarill/guavarill/core/fate"
+	"github.com/guavarill/guavarill/traffic"
+)
+
+// errorBody is the JSON of an error.
+type errorBody struct {
+	Fate             string      `json:"fate"`
+	Reason           fate.Reason `json:"reason"`
+	Detail           string      `json:"detail,omitempty"`
+	RetryAfterMillis int64       `json:"retryAfterMillis,omitempty"`
+	RequestID        string      `json:"requestId,omitempty"`
+}
+
+// writeAnswer passes a target's answer on. Its length is declared, so that a
+// caller can tell a connection that breaks half way from a whole answer.
+func writeAnswer(c echo.Context, resp *traffic.Response) error {
+	h := c.Response().Header()
+	for name, values := range passedHeader(resp.Header) {
+		h[name] = values
+	}
+	setOwn(h, fate.Answered.String(), resp.RequestID)
+	if bodyAllowed(c.Request().Method, resp.Status) {
+		h["Content-Length"] = []string{strconv.Itoa(len(resp.Body))}
+	} else if declared := resp.Header["Content-Length"]; c.Request().Method == http.MethodHead && declared != nil {
+		h["Content-Length"] = declared
+	}
+	c.Response().WriteHeader(resp.Status)
+	if len(resp.Body) == 0 {
+		return nil
+	}
+	// A caller that has gone away is the only failure, and has no use for an
+	// error.
+	_, _ = c.Response().Write(resp.Body)
+	return nil
+}
+
+func bodyAllowed(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// handleError answers what did not end in a target's answer.
+func (s *Server) handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var f *fate.Error
+	if !errors.As(err, &f) {
+		f = fromRouter(err)
+	}
+	h := c.Response().Header()
+	setOwn(h, f.Fate.String(), f.RequestID)
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+	}
+	// As above: a caller that has gone away has no use for an error.
+	_ = c.JSON(statusOf(f), errorBody{
+		Fate:             f.Fate.String(),
+		Reason:           f.Reason,
+		Detail:           detailOf(f),
+		RetryAfterMillis: int64(f.RetryAfter / time.Millisecond),
+		RequestID:        f.RequestID,
+	})
+}
+
+// fromRouter types the errors of echo itself, none of which came as far as a
+// target.
+func fromRouter(err error) *fate.Error {
+	f := &fate.Error{Fate: fate.NotRun, Reason: fate.ReasonInternal, Cause: err}
+	var h *echo.HTTPError
+	if !errors.As(err, &h) {
+		// A failure of the handler itself: what it had sent is not known.
+		f.Fate = fate.Unknown
+		return f
+	}
+	f.Reason = fate.ReasonInvalidRequest
+	if h.Code == http.StatusNotFound {
+		f.Reason = fate.ReasonNoRoute
+	}
+	return f
+}
+
+func detailOf(f *fate.Error) string {
+	if f.Cause == nil {
+		return ""
+	}
+	return f.Cause.Error()
+}
+
+// statusOf returns the HTTP status of an error, as the package comment lists
+// them.
+func statusOf(f *fate.Error) int {
+	if f.Fate == fate.Unknown {
+		return statusOfUnknown(f)
+	}
+	switch f.Reason {
+	case fate.ReasonInvalidRequest:
+		return http.StatusBadRequest
+	case fate.ReasonUnknownService, fate.ReasonNoRoute:
+		return http.StatusNotFound
+	case fate.ReasonRequestTooLarge:
+		return http.StatusRequestEntityTooLarge
+	}
+	if f.Reason.Shed() {
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+func statusOfUnknown(f *fate.Error) int {
+	switch {
+	case f.Reason == fate.ReasonClaimMismatch:
+		return http.StatusUnprocessableEntity
+	case f.Reason == fate.ReasonDeadline, f.Reason == fate.ReasonSilent, errors.Is(f.Cause, context.DeadlineExceeded):
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
--- /dev/null
+++ b/adapter/callerapi/call.go
@@ -0,0 +1,144 @@
+package callerapi
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/guavarill/guavarill/core/fate"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/traffic"
+)
+
+// maxRequestIDBytes bounds a request id, which homes hash and logs may carry.
+const maxRequestIDBytes = 128
+
+func (s *Server) call(c echo.Context) error {
+	if s.stopping.Load() {
+		// Callers then open no further request on a connection that Shutdown
+		// would close under it.
+		c.Response().Header().Set("Connection", "close")
+	}
+	req, err := s.readRequest(c)
+	if err != nil {
+		return err
+	}
+	resp, err := s.o.Engine.Do(c.Request().Context(), req)
+	if err != nil {
+		return err
+	}
+	return writeAnswer(c, resp)
+}
+
+// readRequest takes the request in whole before anything is done for it, so
+// that a caller that stops sending half way costs no target anything.
+func (s *Server) readRequest(c echo.Context) (*traffic.Request, error) {
+	r := c.Request()
+	req := &traffic.Request{
+		Service:    c.Param("service"),
+		ID:         r.Header.Get(traffic.HeaderRequestID),
+		Method:     r.Method,
+		Path:       targetPath(r),
+		Query:      r.URL.RawQuery,
+		Header:     passedHeader(r.Header),
+		Idempotent: idempotentMethod(r.Method),
+		Priority:   model.PriorityNormal,
+	}
+	if err := readOptions(req, r.Header); err != nil {
+		return nil, err
+	}
+	body, err := s.readBody(c, req)
+	if err != nil {
+		return nil, err
+	}
+	req.Body = body
+	return req, nil
+}
+
+func (s *Server) readBody(c echo.Context, req *traffic.Request) ([]byte, error) {
+	r := c.Request()
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), r.Body, s.o.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refusal(req, fate.ReasonRequestTooLarge, err)
+	case err != nil && r.Context().Err() != nil:
+		return nil, refusal(req, fate.ReasonCallerGone, err)
+	case err != nil:
+		return nil, refusal(req, fate.ReasonInvalidRequest, err)
+	}
+	return body, nil
+}
+
+// readOptions takes the caller's headers over. One that cannot be read refuses
+// the request: a guess at idempotence could run it twice.
+func readOptions(req *traffic.Request, h http.Header) error {
+	if len(req.ID) > maxRequestIDBytes {
+		return invalidHeader(req, traffic.HeaderRequestID)
+	}
+	switch h.Get(traffic.HeaderIdempotent) {
+	case "":
+	case "true":
+		req.Idempotent = true
+	case "false":
+		req.Idempotent = false
+	default:
+		return invalidHeader(req, traffic.HeaderIdempotent)
+	}
+	if v := h.Get(traffic.HeaderTimeout); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil || d <= 0 {
+			return invalidHeader(req, traffic.HeaderTimeout)
+		}
+		req.Timeout = d
+	}
+	if v := h.Get(traffic.HeaderPriority); v != "" {
+		p, ok := model.ParsePriority(v)
+		if !ok {
+			return invalidHeader(req, traffic.HeaderPriority)
+		}
+		req.Priority = p
+	}
+	return nil
+}
+
+// HeaderError is a header of the caller that cannot be read.
+type HeaderError struct{ Name string }
+
+// Error implements error.
+func (e *HeaderError) Error() string { return fmt.Sprintf("header %s cannot be read", e.Name) }
+
+func invalidHeader(req *traffic.Request, name string) error {
+	return refusal(req, fate.ReasonInvalidRequest, &HeaderError{Name: name})
+}
+
+// refusal is the error of a request that never came to the engine.
+func refusal(req *traffic.Request, reason fate.Reason, cause error) *fate.Error {
+	return &fate.Error{Fate: fate.NotRun, Reason: reason, Service: req.Service, RequestID: req.ID, Cause: cause}
+}
+
+func idempotentMethod(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+// targetPath returns what follows the call segment, as the caller wrote it.
+func targetPath(r *http.Request) string {
+	const segments = 4 // of /v1/services/{service}/call
+	path := r.URL.EscapedPath()
+	for range segments {
+		next := strings.IndexByte(path[1:], '/')
+		if next < 0 {
+			return "/"
+		}
+		path = path[1+next:]
+	}
+	return path
+}
--- /dev/null
+++ b/adapter/etcdstore/helper_test.go
@@ -0,0 +1,94 @@
+package etcdstore_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/adapter/etcdstore"
+	"github.com/guavarill/guavarill/port"
+	"github.com/guavarill/guavarill/standin/store"
+)
+
+// patience is how long a test waits for something that must happen.
+const patience = 30 * time.Second
+
+func startServer(t testing.TB, o store.Options) (*store.Server, string) {
+	t.Helper()
+	server := store.New(o)
+	addr, err := server.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	return server, addr
+}
+
+func newStore(t testing.TB, o etcdstore.Options) *etcdstore.Store {
+	t.Helper()
+	s, err := etcdstore.New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// connect starts a stand-in and a store whose connection is already open and
+// does not ping.
+func connect(t testing.TB, timeout time.Duration) (*store.Server, *etcdstore.Store) {
+	t.Helper()
+	server, addr := startServer(t, store.Options{})
+	s := newStore(t, etcdstore.Options{
+		Endpoint: addr, CallTimeout: timeout, ReconnectAfter: time.Nanosecond, PingTime: time.Hour,
+	})
+	await(t, "the first answer", func() bool {
+		_, err := s.Get(context.Background(), "warm")
+		return err == nil
+	})
+	return server, s
+}
+
+func await(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.After(patience)
+	poll := time.NewTicker(5 * time.Millisecond)
+	defer poll.Stop()
+	for !holds() {
+		select {
+		case <-poll.C:
+		case <-deadline:
+			t.Fatalf("%s did not come", what)
+		}
+	}
+}
+
+func receive(t testing.TB, events <-chan port.WatchEvent) port.WatchEvent {
+	t.Helper()
+	select {
+	case ev, ok := <-events:
+		if !ok {
+			t.Fatal("the watch ended without an event")
+		}
+		return ev
+	case <-time.After(patience):
+		t.Fatal("no event came")
+	}
+	return port.WatchEvent{}
+}
+
+func put(key, value string) []port.Op {
+	return []port.Op{{Key: key, Value: []byte(value)}}
+}
+
+func wantFailure(t testing.TB, err error, kind port.StoreErrorKind, outcome port.Outcome) {
+	t.Helper()
+	var failure *port.StoreError
+	if !errors.As(err, &failure) {
+		t.Fatalf("error %v is no StoreError", err)
+	}
+	if failure.Kind != kind || failure.Outcome != outcome {
+		t.Errorf("got %q (%v), want %q (%v)", failure.Kind, failure, kind, outcome)
+	}
+}
--- /dev/null
+++ b/adapter/etcdstore/property_test.go
@@ -0,0 +1,256 @@
+package etcdstore_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/guavarill/guavarill/adapter/etcdstore"
+	"github.com/guavarill/guavarill/port"
+	"github.com/guavarill/guavarill/standin/store"
+)
+
+// The property test's figures.
+const (
+	propertySeed  = 20260101
+	propertyRuns  = 200
+	propertySteps = 12
+	propertyKeys  = 4
+)
+
+// fault is what happens to one transaction.
+type fault int
+
+const (
+	faultNone fault = iota
+	faultLoseByBreak
+	faultLoseByHang
+	faultDropByBreak
+	faultDropByHang
+	faultDown
+	faultBroken
+	faultSilent
+	faultTooLarge
+	faultCount
+)
+
+// step is one transaction: puts and a deletion under a condition that may
+// hold or not.
+type step struct {
+	fault  int
+	key    int
+	other  int
+	delete bool
+	stale  bool
+}
+
+func genStep() gopter.Gen {
+	return gopter.CombineGens(
+		gen.IntRange(0, int(faultCount)-1), gen.IntRange(0, propertyKeys-1),
+		gen.IntRange(0, propertyKeys-1), gen.Bool(), gen.Bool(),
+	).Map(func(v []any) step {
+		return step{fault: v[0].(int), key: v[1].(int), other: v[2].(int), delete: v[3].(bool), stale: v[4].(bool)}
+	})
+}
+
+// contents is the model: what the store holds, by key.
+type contents map[string]string
+
+func read(server *store.Server) (contents, map[string]int64) {
+	kvs, _, _ := server.Local().List(context.Background(), "k/")
+	values, revisions := make(contents), make(map[string]int64)
+	for _, kv := range kvs {
+		values[kv.Key], revisions[kv.Key] = string(kv.Value), kv.ModRevision
+	}
+	return values, revisions
+}
+
+func (s step) txn(n int, revisions map[string]int64) ([]port.Condition, []port.Op) {
+	key, other := fmt.Sprintf("k/%d", s.key), fmt.Sprintf("k/%d", s.other)
+	condition := port.Condition{Key: key, Kind: port.CompareModRevision, Revision: revisions[key]}
+	if s.stale {
+		condition.Revision++
+	}
+	changes := put(key, fmt.Sprintf("value %d", n))
+	if s.delete && other != key {
+		changes = append(changes, port.Op{Key: other, Delete: true})
+	}
+	if fault(s.fault) == faultTooLarge {
+		changes[0].Value = make([]byte, port.MaxValueBytes+1)
+	}
+	return []port.Condition{condition}, changes
+}
+
+// after is the contents if the changes are made.
+func (c contents) after(changes []port.Op) contents {
+	next := maps.Clone(c)
+	for _, op := range changes {
+		if op.Delete {
+			delete(next, op.Key)
+			continue
+		}
+		next[op.Key] = string(op.Value)
+	}
+	return next
+}
+
+func arm(server *store.Server, f fault) {
+	switch f {
+	case faultLoseByBreak:
+		server.LoseAnswer(1, store.LossBreak)
+	case faultLoseByHang:
+		server.LoseAnswer(1, store.LossHang)
+	case faultDropByBreak:
+		server.DropBefore(1, store.LossBreak)
+	case faultDropByHang:
+		server.DropBefore(1, store.LossHang)
+	case faultDown:
+		server.Down()
+	case faultBroken:
+		server.BreakConnections()
+	case faultSilent:
+		server.SilenceConnections()
+	}
+}
+
+// cancelOnceUnanswered gives a call up as soon as it is certain that no answer
+// comes. Waiting for a timeout instead would let a busy machine run into it
+// before the call has arrived.
+func cancelOnceUnanswered(server *store.Server, cancel context.CancelFunc, done <-chan struct{}) <-chan struct{} {
+	settled := make(chan struct{})
+	go func() {
+		defer close(settled)
+		poll := time.NewTicker(time.Millisecond)
+		defer poll.Stop()
+		for server.Withheld() == 0 && server.Swallowed() == 0 {
+			select {
+			case <-poll.C:
+			case <-done:
+				return
+			}
+		}
+		cancel()
+	}()
+	return settled
+}
+
+// recoverFrom ends what is left of a step's fault and opens a connection for
+// the next one. A call that was given up does not make the store leave a
+// silent connection.
+func recoverFrom(server *store.Server, s *etcdstore.Store) error {
+	server.Up()
+	server.ClearFaults()
+	_, err := s.Get(etcdstore.WithFreshConnection(context.Background()), "k/")
+	return err
+}
+
+// Symptom: a change that was made is made again, or one that was not made is
+// taken as made.
+// Sequence: any transactions, with any of the faults at any of them.
+// Cause: the adapter said that a change was not made when it was, said that it
+// was made when it was not, or sent it twice.
+func TestOutcomesAreHonest(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(propertySeed)
+	parameters.MinSuccessfulTests = propertyRuns
+	parameters.MaxSize = propertySteps
+	properties := gopter.NewProperties(parameters)
+	properties.Property("outcome agrees with the model", prop.ForAll(runSteps, gen.SliceOf(genStep())))
+	properties.TestingRun(t)
+}
+
+// runSteps returns what went wrong, or an empty string.
+func runSteps(steps []step) string {
+	server := store.New(store.Options{})
+	addr, err := server.Start()
+	if err != nil {
+		return err.Error()
+	}
+	defer server.Close()
+	s, err := etcdstore.New(etcdstore.Options{
+		Endpoint: addr, CallTimeout: patience, ReconnectAfter: time.Nanosecond,
+	})
+	if err != nil {
+		return err.Error()
+	}
+	defer s.Close()
+	if err := recoverFrom(server, s); err != nil {
+		return err.Error()
+	}
+	refused := make(map[string]bool)
+	for n, st := range steps {
+		if wrong := runStep(server, s, n, st, refused); wrong != "" {
+			return fmt.Sprintf("step %d %+v: %s", n, st, wrong)
+		}
+	}
+	return madeLater(server, refused)
+}
+
+func runStep(server *store.Server, s *etcdstore.Store, n int, st step, refused map[string]bool) string {
+	before, revisions := read(server)
+	conditions, changes := st.txn(n, revisions)
+	server.ResetCounts()
+	arm(server, fault(st.fault))
+	ctx, cancel := context.WithCancel(context.Background())
+	settled := cancelOnceUnanswered(server, cancel, ctx.Done())
+	result, err := s.Txn(ctx, conditions, changes)
+	cancel()
+	<-settled
+	if err := recoverFrom(server, s); err != nil {
+		return "no recovery: " + err.Error()
+	}
+	if calls := server.Calls(store.MethodTxn); calls > 1 {
+		return fmt.Sprintf("%d calls", calls)
+	}
+	got, _ := read(server)
+	made := before.after(changes)
+	changed := !maps.Equal(got, before)
+	if changed && (st.stale || !maps.Equal(got, made)) {
+		return fmt.Sprintf("contents %v from %v", got, before)
+	}
+	if err == nil {
+		if result.Succeeded == st.stale || result.Succeeded != changed {
+			return fmt.Sprintf("said succeeded %v, changed %v", result.Succeeded, changed)
+		}
+		return ""
+	}
+	var failure *port.StoreError
+	if !errors.As(err, &failure) {
+		return "error without a type: " + err.Error()
+	}
+	if failure.Outcome == port.OutcomeNotDone {
+		refused[string(changes[0].Value)] = true
+		if changed {
+			return "made although " + err.Error()
+		}
+	}
+	if failure.Outcome == port.OutcomeDone {
+		return "done and failed: " + err.Error()
+	}
+	return ""
+}
+
+// madeLater looks through all that ever happened for a change that was
+// reported as not made.
+func madeLater(server *store.Server, refused map[string]bool) string {
+	events, err := server.Local().Watch(context.Background(), "k/", 0)
+	if err != nil {
+		return err.Error()
+	}
+	for {
+		select {
+		case ev := <-events:
+			if !ev.Deleted && refused[string(ev.KeyValue.Value)] {
+				return fmt.Sprintf("%q was made after all", ev.KeyValue.Value)
+			}
+		default:
+			return ""
+		}
+	}
+}
--- /dev/null
+++ b/adapter/etcdstore/watch.go
@@ -0,0 +1,162 @@
+package etcdstore
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/guavarill/guavarill/adapter/etcdstore/etcdwire"
+	etcdv3 "github.com/guavarill/guavarill/api/etcd/v3"
+	"github.com/guavarill/guavarill/port"
+)
+
+type watchStream = grpc.BidiStreamingClient[etcdv3.WatchRequest, etcdv3.WatchResponse]
+
+// watch is one open watch: one stream with one watch on it.
+type watch struct {
+	store  *Store
+	conn   *connection
+	stream watchStream
+	cancel context.CancelFunc
+	events chan port.WatchEvent
+}
+
+// Watch implements port.Store. The channel is closed after the watch's last
+// event: at once when ctx ends, after an event with Err when the watch breaks.
+func (s *Store) Watch(ctx context.Context, prefix string, after int64) (<-chan port.WatchEvent, error) {
+	if err := s.gate.admit(ctx, callWatch); err != nil {
+		s.metrics.count(callWatch.name, err)
+		return nil, err
+	}
+	w, err := s.openWatch(ctx, prefix, after)
+	s.gate.observe(ctx, callWatch, err)
+	s.metrics.count(callWatch.name, err)
+	if err != nil {
+		return nil, err
+	}
+	s.metrics.watches.Inc()
+	go w.run(ctx)
+	return w.events, nil
+}
+
+func (s *Store) openWatch(ctx context.Context, prefix string, after int64) (*watch, error) {
+	conn, err := s.conns.acquire(wantsFresh(ctx))
+	if err != nil {
+		return nil, classify(ctx, callWatch, err, false)
+	}
+	streamCtx, cancel := context.WithCancel(ctx)
+	w := &watch{store: s, conn: conn, cancel: cancel, events: make(chan port.WatchEvent)}
+	started := s.clock.Now()
+	timer := time.AfterFunc(s.timeout, cancel)
+	err = w.create(streamCtx, prefix, after)
+	if timer.Stop() && err == nil {
+		s.conns.heard(conn)
+		return w, nil
+	}
+	timedOut := streamCtx.Err() != nil && ctx.Err() == nil
+	failure := openFailure(ctx, err, timedOut)
+	if timedOut {
+		s.conns.timedOut(conn, started)
+	}
+	w.end()
+	return nil, failure
+}
+
+// create asks for the watch and waits until the store has it.
+func (w *watch) create(ctx context.Context, prefix string, after int64) error {
+	stream, err := etcdv3.NewWatchClient(w.conn.cc).Watch(ctx)
+	if err != nil {
+		return err
+	}
+	w.stream = stream
+	if err := stream.Send(etcdwire.WatchRequest(prefix, after)); err != nil {
+		_, err = stream.Recv()
+		return err
+	}
+	resp, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if !resp.GetCreated() {
+		return &AnswerError{Reason: "the first answer does not create the watch"}
+	}
+	if resp.GetCanceled() {
+		return canceledWatch(resp)
+	}
+	return nil
+}
+
+func openFailure(ctx context.Context, err error, timedOut bool) *port.StoreError {
+	if timedOut {
+		return &port.StoreError{Call: callWatch.name, Kind: port.StoreTimeout, Outcome: port.OutcomeNotDone, Cause: err}
+	}
+	switch failure := err.(type) {
+	case *port.StoreError:
+		return failure
+	case *AnswerError:
+		return badAnswer(callWatch, failure.Reason)
+	default:
+		return classify(ctx, callWatch, err, true)
+	}
+}
+
+// canceledWatch is the store's own end of a watch.
+func canceledWatch(resp *etcdv3.WatchResponse) *port.StoreError {
+	failure := &port.StoreError{Call: callWatch.name, Kind: port.StoreWatchBroken, Outcome: port.OutcomeNotDone}
+	if resp.GetCompactRevision() > 0 {
+		failure.Kind = port.StoreCompacted
+	}
+	if resp.GetCancelReason() != "" {
+		failure.Cause = &AnswerError{Reason: resp.GetCancelReason()}
+	}
+	return failure
+}
+
+// run passes events on until the watch ends.
+func (w *watch) run(ctx context.Context) {
+	defer close(w.events)
+	defer w.store.metrics.watches.Dec()
+	defer w.end()
+	failure := w.receive(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	w.store.metrics.brokenWatches.Inc()
+	w.deliver(ctx, port.WatchEvent{Err: failure})
+}
+
+func (w *watch) receive(ctx context.Context) *port.StoreError {
+	for {
+		resp, err := w.stream.Recv()
+		if err != nil {
+			return &port.StoreError{
+				Call: callWatch.name, Kind: port.StoreWatchBroken, Outcome: port.OutcomeNotDone, Cause: err,
+			}
+		}
+		w.store.conns.heard(w.conn)
+		if resp.GetCanceled() {
+			return canceledWatch(resp)
+		}
+		for _, ev := range resp.GetEvents() {
+			if !w.deliver(ctx, etcdwire.WatchEvent(ev)) {
+				return nil
+			}
+		}
+	}
+}
+
+// deliver hands over one event; false means that nobody wants it any more.
+func (w *watch) deliver(ctx context.Context, ev port.WatchEvent) bool {
+	select {
+	case w.events <- ev:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (w *watch) end() {
+	w.cancel()
+	w.store.conns.release(w.conn)
+}
--- /dev/null
+++ b/adapter/etcdstore/watch_test.go
@@ -0,0 +1,177 @@
+package etcdstore_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/adapter/etcdstore"
+	"github.com/guavarill/guavarill/port"
+	"github.com/guavarill/guavarill/standin/store"
+)
+
+func openWatch(t *testing.T, s *etcdstore.Store, prefix string, after int64) <-chan port.WatchEvent {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	events, err := s.Watch(ctx, prefix, after)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return events
+}
+
+func mustPut(t *testing.T, s port.Store, key, value string) int64 {
+	t.Helper()
+	result, err := s.Txn(context.Background(), nil, put(key, value))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result.Revision
+}
+
+// wantEnd reads events until the watch's end.
+func wantEnd(t *testing.T, events <-chan port.WatchEvent, kind port.StoreErrorKind) {
+	t.Helper()
+	for {
+		ev := receive(t, events)
+		if ev.Err != nil {
+			wantFailure(t, ev.Err, kind, port.OutcomeNotDone)
+			break
+		}
+	}
+	if _, open := <-events; open {
+		t.Error("something followed the end of the watch")
+	}
+}
+
+func TestWatchTellsChangesAfterItsRevision(t *testing.T) {
+	server, s := connect(t, patience)
+	first := mustPut(t, s, "a/1", "one")
+	mustPut(t, s, "a/2", "two")
+	mustPut(t, s, "b/1", "other")
+	events := openWatch(t, s, "a/", first)
+	if ev := receive(t, events); ev.KeyValue.Key != "a/2" || ev.Deleted || ev.Revision != first+1 {
+		t.Errorf("first event %+v", ev)
+	}
+	deletion := []port.Op{{Key: "a/", RangeEnd: "a0", Delete: true}}
+	if _, err := s.Txn(context.Background(), nil, deletion); err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range []string{"a/1", "a/2"} {
+		if ev := receive(t, events); ev.KeyValue.Key != key || !ev.Deleted || ev.Revision != server.Revision() {
+			t.Errorf("deletion %+v, want of %s", ev, key)
+		}
+	}
+}
+
+func TestWatchEndsQuietlyWithItsContext(t *testing.T) {
+	_, s := connect(t, patience)
+	ctx, cancel := context.WithCancel(context.Background())
+	events, err := s.Watch(ctx, "a/", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	select {
+	case ev, open := <-events:
+		if open {
+			t.Errorf("event %+v after the context ended", ev)
+		}
+	case <-time.After(patience):
+		t.Fatal("the watch did not end")
+	}
+}
+
+func TestWatchFromCompactedRevision(t *testing.T) {
+	server, s := connect(t, patience)
+	first := mustPut(t, s, "a/1", "one")
+	last := mustPut(t, s, "a/1", "two")
+	server.Compact(last)
+	wantEnd(t, openWatch(t, s, "a/", first), port.StoreCompacted)
+}
+
+func TestWatchEndsWhenItsConnectionBreaks(t *testing.T) {
+	server, s := connect(t, patience)
+	events := openWatch(t, s, "a/", 0)
+	server.BreakConnections()
+	wantEnd(t, events, port.StoreWatchBroken)
+}
+
+func TestFrozenWatchTellsAllOnceThawed(t *testing.T) {
+	server, s := connect(t, patience)
+	events := openWatch(t, s, "a/", 0)
+	server.FreezeWatches()
+	mustPut(t, s, "a/1", "one")
+	mustPut(t, s, "a/1", "two")
+	select {
+	case ev := <-events:
+		t.Fatalf("frozen watch told %+v", ev)
+	default:
+	}
+	server.ThawWatches()
+	for _, value := range []string{"one", "two"} {
+		if ev := receive(t, events); string(ev.KeyValue.Value) != value {
+			t.Errorf("event %+v, want %s", ev, value)
+		}
+	}
+}
+
+// Symptom: all calls of a daemon time out although the store works, and a
+// watch tells nothing any more.
+// Sequence: something between the two ends loses track of the connection;
+// calls on it go nowhere, nobody closes it.
+// Cause: later calls kept to the silent connection.
+func TestCallsLeaveSilentConnection(t *testing.T) {
+	t.Parallel()
+	server, s := connect(t, shortTimeout)
+	events := openWatch(t, s, "a/", 0)
+	server.SilenceConnections()
+	_, err := s.Txn(context.Background(), nil, put("a/1", "one"))
+	wantFailure(t, err, port.StoreTimeout, port.OutcomeUnknown)
+	await(t, "an answer on a new connection", func() bool {
+		_, err := s.Get(context.Background(), "a/1")
+		return err == nil
+	})
+	wantEnd(t, events, port.StoreWatchBroken)
+}
+
+// Symptom: a daemon follows its configuration no more and does not know it.
+// Sequence: the connection that carries only a watch goes silent.
+// Cause: nothing was sent on it that could have failed to be answered.
+func TestPingsFindSilentWatch(t *testing.T) {
+	t.Parallel()
+	server, addr := startServer(t, store.Options{})
+	s := newStore(t, etcdstore.Options{Endpoint: addr, CallTimeout: patience, PingTimeout: time.Second})
+	events := openWatch(t, s, "a/", 0)
+	server.SilenceConnections()
+	wantEnd(t, events, port.StoreWatchBroken)
+}
+
+// Symptom: a poll does not see what a silent watch missed.
+// Sequence: the connection goes silent; a poll is made on it and times out.
+// Cause: the poll was made on the connection that it was to check.
+func TestPollOnFreshConnection(t *testing.T) {
+	server, s := connect(t, patience)
+	server.SilenceConnections()
+	ctx := etcdstore.WithFreshConnection(context.Background())
+	if _, err := s.Get(ctx, "a/1"); err != nil {
+		t.Fatal(err)
+	}
+	s.Reconnect()
+	if _, err := s.Get(context.Background(), "a/1"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestClosedStoreMakesNoCalls(t *testing.T) {
+	_, s := connect(t, patience)
+	s.Close()
+	_, err := s.Get(context.Background(), "k")
+	wantFailure(t, err, port.StoreUnavailable, port.OutcomeNotDone)
+	var closed etcdstore.ClosedError
+	if !errors.As(err, &closed) {
+		t.Errorf("cause of %v is not ClosedError", err)
+	}
+}
--- /dev/null
+++ b/adapter/grpcpeer/server.go
@@ -0,0 +1,190 @@
+package grpcpeer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	peerv1 "github.com/guavarill/guavarill/api/peer/v1"
+	"github.com/guavarill/guavarill/port"
+)
+
+// Handler answers the requests of other daemons. It is called from many
+// goroutines at once. An error should be a *port.PeerError; its kind decides
+// what the caller sees, any other error is a refusal.
+type Handler interface {
+	Exchange(ctx context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error)
+	Claim(ctx context.Context, req *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error)
+}
+
+// ServerOptions configures a Server. A field left zero takes its default.
+type ServerOptions struct {
+	// Cluster is the only cluster whose calls are taken.
+	Cluster string
+	// Credentials are those of package tlsfiles; none when nil.
+	Credentials     credentials.TransportCredentials
+	MaxMessageBytes int
+	// KeepaliveTime and KeepaliveTimeout are as in ClientOptions.
+	KeepaliveTime    time.Duration
+	KeepaliveTimeout time.Duration
+	// MaxStreams bounds the calls in progress on one connection; 256.
+	MaxStreams uint32
+}
+
+func (o ServerOptions) withDefaults() ServerOptions {
+	if o.Credentials == nil {
+		o.Credentials = insecure.NewCredentials()
+	}
+	if o.MaxMessageBytes == 0 {
+		o.MaxMessageBytes = DefaultMaxMessageBytes
+	}
+	if o.KeepaliveTime == 0 {
+		o.KeepaliveTime = DefaultKeepaliveTime
+	}
+	if o.KeepaliveTimeout == 0 {
+		o.KeepaliveTimeout = DefaultKeepaliveTimeout
+	}
+	if o.MaxStreams == 0 {
+		o.MaxStreams = 256
+	}
+	return o
+}
+
+// Server offers the peer protocol.
+type Server struct {
+	peerv1.UnimplementedPeerServer
+	o       ServerOptions
+	handler Handler
+	grpc    *grpc.Server
+
+	calls         atomic.Uint64
+	otherCluster  atomic.Uint64
+	otherProtocol atomic.Uint64
+	handlerErrors atomic.Uint64
+}
+
+// ServerStats counts what a Server did.
+type ServerStats struct {
+	Calls         uint64
+	OtherCluster  uint64
+	OtherProtocol uint64
+	HandlerErrors uint64
+}
+
+// NewServer returns a server that is not yet listening.
+func NewServer(o ServerOptions, h Handler) *Server {
+	s := &Server{o: o.withDefaults(), handler: h}
+	s.grpc = grpc.NewServer(s.serverOptions()...)
+	peerv1.RegisterPeerServer(s.grpc, s)
+	return s
+}
+
+// Serve takes calls from l until Stop or GracefulStop.
+func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(l) }
+
+// GracefulStop takes no more calls and waits for those in progress.
+func (s *Server) GracefulStop() { s.grpc.GracefulStop() }
+
+// Stop ends all connections at once.
+func (s *Server) Stop() { s.grpc.Stop() }
+
+// Stats returns the counters.
+func (s *Server) Stats() ServerStats {
+	return ServerStats{
+		Calls:         s.calls.Load(),
+		OtherCluster:  s.otherCluster.Load(),
+		OtherProtocol: s.otherProtocol.Load(),
+		HandlerErrors: s.handlerErrors.Load(),
+	}
+}
+
+// Exchange implements peerv1.PeerServer.
+func (s *Server) Exchange(ctx context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	if req.GetCluster() != s.o.Cluster {
+		return nil, s.refuseCluster()
+	}
+	if req.GetProtocol() > Protocol {
+		return nil, s.refuseProtocol()
+	}
+	resp, err := s.handler.Exchange(ctx, req)
+	return resp, s.statusOf(err)
+}
+
+// Claim implements peerv1.PeerServer.
+func (s *Server) Claim(ctx context.Context, req *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error) {
+	resp, err := s.handler.Claim(ctx, req)
+	return resp, s.statusOf(err)
+}
+
+// check refuses calls of other clusters and newer protocols. A daemon with a
+// wrong cluster setting would otherwise mix two clusters' members and take
+// one's configuration for the other's.
+func (s *Server) check(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+	s.calls.Add(1)
+	id := incomingIdentity(ctx)
+	if id.cluster != s.o.Cluster {
+		return nil, s.refuseCluster()
+	}
+	if id.protocol > Protocol {
+		return nil, s.refuseProtocol()
+	}
+	return next(ctx, req)
+}
+
+func (s *Server) refuseCluster() error {
+	s.otherCluster.Add(1)
+	return status.Error(codeOtherCluster, string(port.PeerOtherCluster))
+}
+
+func (s *Server) refuseProtocol() error {
+	s.otherProtocol.Add(1)
+	return status.Error(codeOtherProtocol, string(port.PeerOtherProtocol))
+}
+
+// statusOf turns a handler's error into a status.
+func (s *Server) statusOf(err error) error {
+	if err == nil {
+		return nil
+	}
+	s.handlerErrors.Add(1)
+	var pe *port.PeerError
+	if !errors.As(err, &pe) {
+		return status.Error(codes.Internal, err.Error())
+	}
+	switch pe.Kind {
+	case port.PeerUnreachable:
+		return status.Error(codes.Unavailable, err.Error())
+	case port.PeerOtherCluster:
+		return status.Error(codeOtherCluster, err.Error())
+	case port.PeerOtherProtocol:
+		return status.Error(codeOtherProtocol, err.Error())
+	}
+	return status.Error(codes.ResourceExhausted, err.Error())
+}
+
+func (s *Server) serverOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.Creds(s.o.Credentials),
+		grpc.MaxRecvMsgSize(s.o.MaxMessageBytes),
+		grpc.MaxSendMsgSize(s.o.MaxMessageBytes),
+		grpc.MaxConcurrentStreams(s.o.MaxStreams),
+		grpc.UnaryInterceptor(s.check),
+		grpc.KeepaliveParams(keepalive.ServerParameters{
+			Time:    s.o.KeepaliveTime,
+			Timeout: s.o.KeepaliveTimeout,
+		}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime:             s.o.KeepaliveTime / 2,
+			PermitWithoutStream: true,
+		}),
+	}
+}
--- /dev/null
+++ b/adapter/grpcworker/client.go
@@ -0,0 +1,219 @@
+package grpcworker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	workerv1 "github.com/guavarill/guavarill/api/worker/v1"
+	"github.com/guavarill/guavarill/port"
+)
+
+// The defaults of Options.
+const (
+	DefaultKeepaliveAfter   = 20 * time.Second
+	DefaultKeepaliveTimeout = 5 * time.Second
+	DefaultMaxAnswerBytes   = 1 << 20
+	DefaultIdleAfter        = 5 * time.Minute
+)
+
+// Options configure a Client. Zero fields take their defaults.
+type Options struct {
+	// Credentials secure the connections; nil means plain text.
+	Credentials credentials.TransportCredentials
+	// KeepaliveAfter is the quiet time after which a connection is probed
+	// while a call waits on it, KeepaliveTimeout how long the probe may take.
+	KeepaliveAfter   time.Duration
+	KeepaliveTimeout time.Duration
+	// MaxAnswerBytes bounds one answer.
+	MaxAnswerBytes int
+	// IdleAfter is the time without a call after which a connection is closed.
+	IdleAfter time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.Credentials == nil {
+		o.Credentials = insecure.NewCredentials()
+	}
+	if o.KeepaliveAfter == 0 {
+		o.KeepaliveAfter = DefaultKeepaliveAfter
+	}
+	if o.KeepaliveTimeout == 0 {
+		o.KeepaliveTimeout = DefaultKeepaliveTimeout
+	}
+	if o.MaxAnswerBytes == 0 {
+		o.MaxAnswerBytes = DefaultMaxAnswerBytes
+	}
+	if o.IdleAfter == 0 {
+		o.IdleAfter = DefaultIdleAfter
+	}
+	return o
+}
+
+// Client calls agents over one connection per address. It is safe for
+// concurrent use.
+type Client struct {
+	dial  []grpc.DialOption
+	idle  time.Duration
+	clock port.Clock
+
+	mu     sync.Mutex
+	conns  map[string]*conn
+	closed bool
+}
+
+var _ port.Workers = (*Client)(nil)
+
+// conn is the connection to one address.
+type conn struct {
+	cc   *grpc.ClientConn
+	used time.Time
+}
+
+// New returns a Client. No connection is made before the first call.
+func New(o Options) *Client {
+	o = o.withDefaults()
+	return &Client{
+		dial: []grpc.DialOption{
+			grpc.WithTransportCredentials(o.Credentials),
+			grpc.WithKeepaliveParams(keepalive.ClientParameters{
+				Time:    o.KeepaliveAfter,
+				Timeout: o.KeepaliveTimeout,
+			}),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(o.MaxAnswerBytes)),
+			grpc.WithDisableServiceConfig(),
+			grpc.WithDisableRetry(),
+		},
+		idle:  o.IdleAfter,
+		clock: port.SystemClock{},
+		conns: make(map[string]*conn),
+	}
+}
+
+// Apply sends one batch to the agent at address. An error is a
+// *port.WorkerError; its outcome is port.OutcomeNotDone when no connection
+// could be had, and unknown otherwise.
+func (c *Client) Apply(
+	ctx context.Context,
+	address string,
+	req *workerv1.ApplyRequest,
+) (*workerv1.ApplyResponse, error) {
+	cc, err := c.get(address)
+	if err != nil {
+		return nil, &port.WorkerError{Worker: address, Outcome: port.OutcomeNotDone, Cause: err}
+	}
+	if err := waitReady(ctx, cc); err != nil {
+		// A connection that failed backs off ever longer; a new one is tried
+		// as often as the caller calls.
+		c.drop(address, cc)
+		return nil, &port.WorkerError{Worker: address, Outcome: port.OutcomeNotDone, Cause: err}
+	}
+	resp, err := workerv1.NewAgentClient(cc).Apply(ctx, req)
+	if err == nil {
+		return resp, nil
+	}
+	if silent(err) {
+		c.drop(address, cc)
+	}
+	return nil, &port.WorkerError{
+		Worker:  address,
+		Outcome: port.OutcomeUnknown,
+		Cause:   errors.WithStack(err),
+	}
+}
+
+// silent reports whether a call failed for want of an answer. Something
+// between the two ends can forget a connection without telling either, and
+// every later call on it would wait in vain while a new one would work. So the
+// next call gets a new connection.
+func silent(err error) bool {
+	code := status.Code(err)
+	return code == codes.DeadlineExceeded || code == codes.Unavailable
+}
+
+// Drop closes the connection to address, if there is one.
+func (c *Client) Drop(address string) {
+	c.mu.Lock()
+	have := c.conns[address]
+	c.mu.Unlock()
+	if have != nil {
+		c.drop(address, have.cc)
+	}
+}
+
+// Connections returns how many connections are kept.
+func (c *Client) Connections() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns)
+}
+
+// Close closes all connections; later calls fail with a *ClosedError as cause.
+func (c *Client) Close() {
+	c.mu.Lock()
+	conns := c.conns
+	c.conns = make(map[string]*conn)
+	c.closed = true
+	c.mu.Unlock()
+	for _, have := range conns {
+		closeConn(have.cc)
+	}
+}
+
+// get returns the connection to address, made if need be, and closes those
+// that were not used for long: workers come and go.
+func (c *Client) get(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, &ClosedError{}
+	}
+	now := c.clock.Now()
+	have := c.conns[address]
+	if have == nil {
+		c.closeIdle(now)
+		cc, err := grpc.NewClient("passthrough:///"+address, c.dial...)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		have = &conn{cc: cc}
+		c.conns[address] = have
+	}
+	have.used = now
+	return have.cc, nil
+}
+
+// closeIdle closes the connections that were not used for long.
+func (c *Client) closeIdle(now time.Time) {
+	for address, have := range c.conns {
+		if now.Sub(have.used) >= c.idle {
+			delete(c.conns, address)
+			closeConn(have.cc)
+		}
+	}
+}
+
+// drop closes cc if it is still the connection to address.
+func (c *Client) drop(address string, cc *grpc.ClientConn) {
+	c.mu.Lock()
+	have := c.conns[address]
+	current := have != nil && have.cc == cc
+	if current {
+		delete(c.conns, address)
+	}
+	c.mu.Unlock()
+	if current {
+		closeConn(cc)
+	}
+}
+
+// closeConn closes cc. Its only error is that it was closed before.
+func closeConn(cc *grpc.ClientConn) { _ = cc.Close() }
--- /dev/null
+++ b/adapter/httptarget/exchange.go
@@ -0,0 +1,254 @@
+package httptarget
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/guavarill/guavarill/core/fate"
+	"github.com/guavarill/guavarill/traffic"
+)
+
+// maxDrainBytes is how much of a refusal's body is read to keep the
+// connection.
+const maxDrainBytes = 4 << 10
+
+// exchange is one request on one connection.
+type exchange struct {
+	t    *Target
+	c    *conn
+	call *traffic.Call
+	// used is whether the connection has carried an exchange before.
+	used    bool
+	watch   *watch
+	trace   httptrace.ClientTrace
+	started time.Time
+}
+
+// run carries the exchange out. The connection is back in the pool or closed
+// afterwards.
+func (x *exchange) run(ctx context.Context) (*traffic.Response, *traffic.ExchangeError) {
+	x.started = time.Now()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	deadline, _ := ctx.Deadline()
+	x.c.arm(deadline)
+	req, err := x.request(ctx)
+	if err != nil {
+		return nil, x.fail(ctx, err, fate.BeforeConnect)
+	}
+	x.watch = x.t.watchSilence(x, cancel)
+	resp, err := x.c.client.RoundTrip(req)
+	x.watch.stop()
+	if err != nil {
+		return nil, x.fail(ctx, err, x.pointBeforeHead())
+	}
+	defer resp.Body.Close() //nolint:errcheck // what was read decides
+	if x.notStarted(resp) {
+		return nil, x.refused(resp)
+	}
+	if err := checkFraming(req, resp); err != nil {
+		return nil, x.fail(ctx, err, fate.ReadingBody)
+	}
+	body, err := readWhole(resp, x.t.o.MaxBodyBytes)
+	if err != nil {
+		return nil, x.fail(ctx, err, fate.ReadingBody)
+	}
+	x.c.finish()
+	return &traffic.Response{
+		Status:  resp.StatusCode,
+		Header:  resp.Header,
+		Body:    body,
+		Leaving: resp.Header.Get(traffic.HeaderLeaving) == traffic.HeaderTrue,
+	}, nil
+}
+
+// request builds the message. Its body has no GetBody, so that net/http could
+// not send it a second time even if it tried.
+func (x *exchange) request(ctx context.Context) (*http.Request, error) {
+	path, err := url.PathUnescape(x.call.Path)
+	if err != nil {
+		return nil, faultPath
+	}
+	x.trace.WroteHeaders = func() { x.c.wroteHead.Store(true) }
+	x.trace.WroteRequest = func(info httptrace.WroteRequestInfo) { x.c.wroteAll.Store(info.Err == nil) }
+	req := &http.Request{
+		Method:     x.call.Method,
+		URL:        &url.URL{Scheme: "http", Host: x.c.pool.address, Path: path, RawPath: x.call.Path, RawQuery: x.call.Query},
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Header:     x.header(ctx),
+		Host:       x.c.pool.address,
+	}
+	if n := len(x.call.Body); n > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(x.call.Body))
+		req.ContentLength = int64(n)
+	}
+	return req.WithContext(httptrace.WithClientTrace(ctx, &x.trace)), nil
+}
+
+// header returns the call's headers with those that tell the target of the
+// request. The call's own are shared, not changed.
+func (x *exchange) header(ctx context.Context) http.Header {
+	h := make(http.Header, len(x.call.Header)+3)
+	for name, values := range x.call.Header {
+		h[name] = values
+	}
+	h[traffic.HeaderRequestID] = []string{x.call.ID}
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(time.Until(deadline), 0).Milliseconds()
+		h[traffic.HeaderTimeout] = []string{strconv.FormatInt(left, 10) + "ms"}
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		// Keeps net/http from naming itself.
+		h["User-Agent"] = nil
+	}
+	return h
+}
+
+// notStarted reports the target's own word that it did not start the request.
+func (x *exchange) notStarted(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable &&
+		resp.Header.Get(traffic.HeaderNotStarted) == traffic.HeaderTrue
+}
+
+func (x *exchange) refused(resp *http.Response) *traffic.ExchangeError {
+	if _, err := readWhole(resp, maxDrainBytes); err == nil && checkFraming(resp.Request, resp) == nil {
+		x.c.finish()
+	} else {
+		x.c.seal()
+		x.c.close()
+	}
+	return &traffic.ExchangeError{
+		Address:    x.c.pool.address,
+		Point:      fate.NotStarted,
+		Sent:       fate.SentAll,
+		Reason:     fate.ReasonTargetNotStarted,
+		Leaving:    resp.Header.Get(traffic.HeaderLeaving) == traffic.HeaderTrue,
+		RetryAfter: retryAfter(resp.Header),
+	}
+}
+
+// retryAfter reads the header in its form of seconds.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// checkFraming refuses answers whose end cannot be known.
+func checkFraming(req *http.Request, resp *http.Response) error {
+	switch {
+	case resp.StatusCode < http.StatusOK:
+		return faultSwitched
+	case req.Method == http.MethodHead, resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
+		return nil
+	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+		return faultUnbounded
+	}
+	return nil
+}
+
+// readWhole reads the body to its declared end.
+func readWhole(resp *http.Response, bound int64) ([]byte, error) {
+	if resp.ContentLength > bound {
+		return nil, faultTooLarge
+	}
+	if resp.ContentLength == 0 {
+		return nil, nil
+	}
+	if resp.ContentLength > 0 && resp.Request.Method != http.MethodHead {
+		return readDeclared(resp)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bound+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > bound {
+		return nil, faultTooLarge
+	}
+	return body, nil
+}
+
+// readDeclared reads a body of known length, and its end, which frees the
+// connection.
+func readDeclared(resp *http.Response) ([]byte, error) {
+	body := make([]byte, resp.ContentLength)
+	if _, err := io.ReadFull(resp.Body, body); err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	var end [1]byte
+	if n, err := resp.Body.Read(end[:]); n != 0 || err != io.EOF {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return body, nil
+}
+
+// pointBeforeHead is how far an exchange got whose head did not come whole.
+func (x *exchange) pointBeforeHead() fate.Point {
+	switch {
+	case x.c.receivedBytes() > 0:
+		return fate.ReadingHead
+	case x.c.wroteAll.Load():
+		return fate.AwaitingHead
+	case x.c.wroteHead.Load():
+		return fate.SendingBody
+	}
+	return fate.SendingHead
+}
+
+// fail ends the exchange and its connection, on which a late answer must find
+// nobody.
+func (x *exchange) fail(ctx context.Context, err error, point fate.Point) *traffic.ExchangeError {
+	sent := x.c.seal()
+	cut := x.c.wasCut()
+	x.c.close()
+	if sent == fate.SentNothing && point != fate.BeforeConnect {
+		point = fate.SendingHead
+	}
+	failure := &traffic.ExchangeError{
+		Address: x.c.pool.address,
+		Point:   point,
+		Sent:    sent,
+		Reason:  x.reason(ctx, err, point, cut),
+		Cause:   err,
+	}
+	if x.watch.connectionToBlame() && point == fate.AwaitingHead {
+		failure.ConnectionOnly = true
+	}
+	return failure
+}
+
+func (x *exchange) reason(ctx context.Context, err error, point fate.Point, cut bool) fate.Reason {
+	switch {
+	case context.Cause(ctx) == faultSilent:
+		return fate.ReasonSilent
+	case ctx.Err() != nil:
+		return ctxReason(ctx)
+	case errors.Is(err, faultPastDeadline):
+		return fate.ReasonDeadline
+	case errors.Is(err, faultPath):
+		return fate.ReasonInvalidRequest
+	case errors.Is(err, faultTooLarge), point == fate.ReadingHead && x.c.receivedBytes() >= x.t.o.MaxHeadBytes:
+		return fate.ReasonAnswerTooLarge
+	case errors.Is(err, faultSwitched), errors.Is(err, faultUnbounded):
+		return fate.ReasonAnswerMalformed
+	case point < fate.ReadingHead:
+		return fate.ReasonConnectionBroken
+	case cut:
+		return fate.ReasonAnswerCut
+	}
+	return fate.ReasonAnswerMalformed
+}
--- /dev/null
+++ b/core/config/accept.go
@@ -0,0 +1,242 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/guavarill/guavarill/core/manifest"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/port"
+)
+
+const maxWriterBytes = 128
+
+// Diff lists, sorted by name, what an acceptance changed.
+type Diff struct {
+	Added     []string `json:"added,omitempty"`
+	Changed   []string `json:"changed,omitempty"`
+	Removed   []string `json:"removed,omitempty"`
+	Cancelled []string `json:"cancelled,omitempty"`
+	// Teams are those added, changed or removed.
+	Teams []string `json:"teams,omitempty"`
+}
+
+// Empty reports whether nothing changed.
+func (d Diff) Empty() bool {
+	return len(d.Added)+len(d.Changed)+len(d.Removed)+len(d.Cancelled)+len(d.Teams) == 0
+}
+
+func (d *Diff) sort() {
+	for _, names := range [][]string{d.Added, d.Changed, d.Removed, d.Cancelled, d.Teams} {
+		slices.Sort(names)
+	}
+}
+
+// CheckBase returns a *ConflictError unless current is the configuration that
+// base numbers; base 0 is none.
+func CheckBase(current *Accepted, base model.Revision) error {
+	if have := revisionOf(current); have != base {
+		return &ConflictError{Base: base, Current: have}
+	}
+	return nil
+}
+
+func revisionOf(a *Accepted) model.Revision {
+	if a == nil {
+		return 0
+	}
+	return a.Revision
+}
+
+// Accept returns the configuration in which m replaces the manifest of current,
+// which is nil for the first one. A manifest that says the same as the current
+// one returns current and an empty Diff. Workloads that are new or changed are
+// dealt over the given number of shards. The writer is an id that no other
+// acceptance has; it must not hold white space.
+//
+// An error is a *manifest.InvalidError (which includes a manifest of another
+// cluster and one that the store could not hold), a *NoShardsError or a
+// *WriterError.
+func Accept(current *Accepted, m *manifest.Manifest, shards uint32, writer string) (*Accepted, Diff, error) {
+	if err := checkAcceptance(current, m, shards, writer); err != nil {
+		return nil, Diff{}, err
+	}
+	d := draftFrom(current)
+	d.cluster = m.Cluster
+	d.revision++
+	diff := d.declare(m.Normalised(), shards)
+	if diff.Empty() && current != nil {
+		return current, Diff{}, nil
+	}
+	next, err := d.finish(writer)
+	if err != nil {
+		return nil, Diff{}, err
+	}
+	return next, diff, nil
+}
+
+func checkAcceptance(current *Accepted, m *manifest.Manifest, shards uint32, writer string) error {
+	if err := m.Check(); err != nil {
+		return err
+	}
+	if current != nil && current.Manifest.Cluster != m.Cluster {
+		detail := fmt.Sprintf("%q; this is %q", m.Cluster, current.Manifest.Cluster)
+		return invalid("cluster", manifest.ReasonOtherCluster, detail)
+	}
+	if shards == 0 {
+		return &NoShardsError{}
+	}
+	return checkWriter(writer)
+}
+
+// checkWriter refuses an id that would not survive being kept in a list
+// separated by spaces: its writer would not find it there after a lost answer
+// and report a conflict about a change that was made.
+func checkWriter(writer string) error {
+	if writer == "" || len(writer) > maxWriterBytes || !utf8.ValidString(writer) || strings.ContainsFunc(writer, unicode.IsSpace) {
+		return &WriterError{Writer: writer}
+	}
+	return nil
+}
+
+func invalid(path string, reason manifest.Reason, detail string) error {
+	return &manifest.InvalidError{Problems: []manifest.Problem{{Path: path, Reason: reason, Detail: detail}}}
+}
+
+// declare makes the draft's workloads and teams those of m.
+func (d *draft) declare(m *manifest.Manifest, shards uint32) Diff {
+	var diff Diff
+	d.declareTeams(m, &diff)
+	d.declareWorkloads(m, shards, &diff)
+	diff.sort()
+	return diff
+}
+
+func (d *draft) declareTeams(m *manifest.Manifest, diff *Diff) {
+	declared := make(map[string]bool, len(m.Teams))
+	for i := range m.Teams {
+		spec := &m.Teams[i]
+		declared[spec.Name] = true
+		if old, ok := d.teams[spec.Name]; ok && old.spec.Equal(spec) {
+			continue
+		}
+		d.putTeam(spec)
+		diff.Teams = append(diff.Teams, spec.Name)
+	}
+	for name := range d.teams {
+		if !declared[name] {
+			delete(d.teams, name)
+			diff.Teams = append(diff.Teams, name)
+		}
+	}
+}
+
+func (d *draft) declareWorkloads(m *manifest.Manifest, shards uint32, diff *Diff) {
+	declared := make(map[string]bool, len(m.Workloads))
+	for i := range m.Workloads {
+		spec := &m.Workloads[i]
+		declared[spec.Name] = true
+		old, ok := d.workloads[spec.Name]
+		if ok && old.Spec.Equal(spec) {
+			continue
+		}
+		d.putWorkload(spec, AcceptedWorkload{
+			Generation: d.nextGeneration(spec.Name),
+			Shards:     shards,
+			Changed:    d.revision,
+		})
+		if ok {
+			diff.Changed = append(diff.Changed, spec.Name)
+		} else {
+			diff.Added = append(diff.Added, spec.Name)
+		}
+	}
+	for name := range d.workloads {
+		if !declared[name] {
+			d.retire(name, d.revision)
+			diff.Removed = append(diff.Removed, name)
+		}
+	}
+	d.forgetOldest()
+}
+
+// Cancel returns the configuration in which the named workloads' present
+// generations are ended. Workloads that are cancelled already are no change;
+// when all are, it returns current and an empty Diff. An error is a
+// *manifest.InvalidError that lists names which no workload has, or a
+// *WriterError.
+func Cancel(current *Accepted, names []string, writer string) (*Accepted, Diff, error) {
+	if err := checkWriter(writer); err != nil {
+		return nil, Diff{}, err
+	}
+	if err := checkNames(current, names); err != nil {
+		return nil, Diff{}, err
+	}
+	d := draftFrom(current)
+	d.revision++
+	diff := d.cancel(names)
+	if diff.Empty() {
+		return current, Diff{}, nil
+	}
+	next, err := d.finish(writer)
+	if err != nil {
+		return nil, Diff{}, err
+	}
+	return next, diff, nil
+}
+
+func checkNames(current *Accepted, names []string) error {
+	refused := &manifest.InvalidError{}
+	for i, name := range names {
+		if current != nil && current.has(name) {
+			continue
+		}
+		refused.Problems = append(refused.Problems, manifest.Problem{
+			Path:   fmt.Sprintf("names[%d]", i),
+			Reason: manifest.ReasonUnknownWorkload,
+			Detail: name,
+		})
+	}
+	if len(refused.Problems) == 0 {
+		return nil
+	}
+	return refused
+}
+
+func (a *Accepted) has(name string) bool {
+	_, ok := a.Workloads[name]
+	return ok
+}
+
+func (d *draft) cancel(names []string) Diff {
+	var diff Diff
+	for _, name := range names {
+		w := d.workloads[name]
+		if w.Cancelled {
+			continue
+		}
+		w.Cancelled = true
+		d.workloads[name] = w
+		diff.Cancelled = append(diff.Cancelled, name)
+	}
+	diff.sort()
+	return diff
+}
+
+// finish seals the draft as made by writer and refuses what the store could
+// not hold.
+func (d *draft) finish(writer string) (*Accepted, error) {
+	writers := append([]string{writer}, d.writers...)
+	d.writers = writers[:min(len(writers), MaxWriters)]
+	next := d.seal()
+	if size := proto.Size(next.Encode()); size > port.MaxValueBytes {
+		detail := fmt.Sprintf("%d bytes in the store; at most %d", size, port.MaxValueBytes)
+		return nil, invalid("", manifest.ReasonTooLarge, detail)
+	}
+	return next, nil
+}
--- /dev/null
+++ b/core/config/apply_test.go
@@ -0,0 +1,425 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/guavarill/guavarill/core/manifest"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/timeline"
+	"github.com/guavarill/guavarill/port"
+)
+
+const configKey = "/guavarill/c/manifest"
+
+var testStart = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+
+// memoryStore is one key of the platform's store.
+type memoryStore struct {
+	kv       port.KeyValue
+	revision int64
+	// history is what was stored, oldest first.
+	history []*Accepted
+}
+
+func (s *memoryStore) txn(t testing.TB, c CommitConfig) port.TxnResult {
+	for _, condition := range c.Conditions {
+		if condition.Kind != port.CompareModRevision || condition.Revision != s.kv.ModRevision {
+			return port.TxnResult{Revision: s.revision}
+		}
+	}
+	s.revision++
+	s.kv = port.KeyValue{Key: c.Ops[0].Key, Value: c.Ops[0].Value, ModRevision: s.revision}
+	a, err := Unmarshal(s.kv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.history = append(s.history, a)
+	return port.TxnResult{Succeeded: true, Revision: s.revision}
+}
+
+// exchange is how a call to the store goes.
+type exchange int
+
+const (
+	// answered: carried out, and the answer arrives.
+	answered exchange = iota
+	// answerLost: carried out, but the answer is lost.
+	answerLost
+	// delayed: the answer is lost, and a write is carried out only later.
+	delayed
+	// notSent: it fails before it is sent.
+	notSent
+)
+
+var (
+	errLost    = &port.StoreError{Call: "Txn", Kind: port.StoreTimeout, Outcome: port.OutcomeUnknown}
+	errNotSent = &port.StoreError{Call: "Txn", Kind: port.StoreUnavailable, Outcome: port.OutcomeNotDone}
+)
+
+// session runs operators against one store and records what happens.
+type session struct {
+	t     testing.TB
+	now   time.Time
+	store *memoryStore
+	late  []CommitConfig
+	rings []*timeline.Ring
+}
+
+// operator is one ApplyOp with the command that it waits for.
+type operator struct {
+	*session
+	name    string
+	ring    *timeline.Ring
+	op      *ApplyOp
+	command ApplyCommand
+	result  ApplyResult
+}
+
+func newSession(t testing.TB) *session {
+	first, _ := mustAccept(t, nil, declaring(map[string]int{"orders": 1, "nightly": 1}))
+	s := &session{t: t, now: testStart, store: &memoryStore{}}
+	value, err := first.Marshal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.store.txn(t, CommitConfig{Ops: []port.Op{{Key: configKey, Value: value}}})
+	return s
+}
+
+func (s *session) operator(name string, request ApplyRequest) *operator {
+	request.Writer, request.Shards = name, 4
+	o := &operator{session: s, name: name, ring: timeline.NewRing(name, 100)}
+	s.rings = append(s.rings, o.ring)
+	o.op = NewApplyOp(request, ApplyOptions{
+		Key: configKey, Deadline: s.now.Add(3 * time.Second),
+		RetryDelay: 100 * time.Millisecond, MaxRetryDelay: time.Second,
+	})
+	o.step(ApplyBegin{})
+	return o
+}
+
+func (o *operator) step(ev ApplyEvent) {
+	for _, c := range o.op.Step(o.now, ev) {
+		o.command = c
+		if end, ok := c.(ApplyFinished); ok {
+			if o.result != nil {
+				o.t.Fatalf("%s ended twice", o.name)
+			}
+			o.result = end.Result
+		}
+		o.record(describe(c))
+	}
+}
+
+func (o *operator) record(kind, detail string) {
+	o.ring.Append(o.now, timeline.Event{Kind: timeline.Kind(kind), Detail: detail})
+	o.now = o.now.Add(time.Millisecond)
+}
+
+func describe(c ApplyCommand) (string, string) {
+	switch c := c.(type) {
+	case ReadConfig:
+		return "read", ""
+	case CommitConfig:
+		return "commit", fmt.Sprintf("if mod revision is %d", c.Conditions[0].Revision)
+	case WaitUntil:
+		return "wait", c.Time.Format(time.TimeOnly + ".000")
+	case ApplyFinished:
+		name := strings.TrimPrefix(fmt.Sprintf("%T", c.Result), "config.Apply")
+		return "finished", name + " " + describeResult(c.Result)
+	}
+	return "", ""
+}
+
+func describeResult(r ApplyResult) string {
+	switch r := r.(type) {
+	case ApplyAccepted:
+		return fmt.Sprintf("as %d: %+v", r.Revision, r.Diff)
+	case ApplyRefused:
+		return fmt.Sprint(r.Problems)
+	}
+	return fmt.Sprintf("%+v", r)
+}
+
+// run lets the outstanding command happen.
+func (o *operator) run(how exchange) {
+	command := o.command
+	o.command = nil
+	switch c := command.(type) {
+	case ReadConfig:
+		if how != answered {
+			o.record("read fails", "")
+			o.step(ApplyRead{Err: errLost})
+			return
+		}
+		o.step(ApplyRead{KV: o.store.kv})
+	case CommitConfig:
+		o.commit(c, how)
+	case WaitUntil:
+		o.now = c.Time
+		o.step(ApplyTick{})
+	}
+}
+
+func (o *operator) commit(c CommitConfig, how exchange) {
+	switch how {
+	case answered:
+		result := o.store.txn(o.t, c)
+		o.record("commit answered", fmt.Sprintf("succeeded %v", result.Succeeded))
+		o.step(ApplyCommitted{Result: result})
+	case answerLost:
+		result := o.store.txn(o.t, c)
+		o.record("commit answer lost", fmt.Sprintf("succeeded %v", result.Succeeded))
+		o.step(ApplyCommitted{Err: errLost})
+	case delayed:
+		o.late = append(o.late, c)
+		o.record("commit delayed", "")
+		o.step(ApplyCommitted{Err: errLost})
+	case notSent:
+		o.record("commit not sent", "")
+		o.step(ApplyCommitted{Err: errNotSent})
+	}
+}
+
+// land carries out the delayed writes.
+func (s *session) land() {
+	for _, c := range s.late {
+		s.store.txn(s.t, c)
+	}
+	s.late = nil
+}
+
+func (s *session) golden(name string) {
+	var out bytes.Buffer
+	var lists [][]timeline.Event
+	for _, r := range s.rings {
+		lists = append(lists, r.All())
+	}
+	if err := timeline.Format(&out, timeline.Merge(lists...)); err != nil {
+		s.t.Fatal(err)
+	}
+	for _, a := range s.store.history {
+		fmt.Fprintf(&out, "stored %d by %v\n", a.Revision, a.Writers)
+	}
+	goldie.New(s.t.(*testing.T)).Assert(s.t.(*testing.T), name, out.Bytes())
+}
+
+func base(r model.Revision) *model.Revision { return &r }
+
+func tasks(orders, nightly int) *manifest.Manifest {
+	return declaring(map[string]int{"orders": orders, "nightly": nightly})
+}
+
+// Symptom: an operator whose change is in force is told of a conflict.
+// Sequence: both mean to replace revision 1. A's write takes effect and its
+// answer is lost; B's write loses the race, B looks again and replaces A's
+// revision before A has read back.
+// Cause: judging by who wrote the configuration in force, which is B by now.
+func TestRaceWithLostAnswer(t *testing.T) {
+	s := newSession(t)
+	a := s.operator("operator-a", ApplyRequest{Manifest: tasks(2, 1), Base: base(1)})
+	b := s.operator("operator-b", ApplyRequest{Manifest: tasks(1, 2), Base: base(1)})
+	a.run(answered)
+	b.run(answered)
+	a.run(answerLost)
+	b.run(answered)
+	b.run(answered)
+	again := s.operator("operator-b2", ApplyRequest{Manifest: tasks(1, 2), Base: base(2)})
+	again.run(answered)
+	again.run(answered)
+	a.run(answered)
+	a.run(answered)
+	s.golden("race-lost-answer")
+}
+
+// Symptom: an operator is told of success, but another's change is in force and
+// theirs never was.
+// Sequence: A's write is delayed and its answer lost; B's write takes effect; A
+// reads back; then A's write arrives.
+// Cause: taking a lost answer for success, or a revision number for an author.
+func TestRaceWithDelayedWrite(t *testing.T) {
+	s := newSession(t)
+	a := s.operator("operator-a", ApplyRequest{Manifest: tasks(2, 1)})
+	b := s.operator("operator-b", ApplyRequest{Manifest: tasks(1, 2)})
+	a.run(answered)
+	b.run(answered)
+	a.run(delayed)
+	b.run(answered)
+	a.run(answered)
+	a.run(answered)
+	s.land()
+	s.golden("race-delayed-write")
+}
+
+// Symptom: a change is made twice, or reported as not made and then appears.
+// Sequence: A's write is delayed; reading back shows the old configuration.
+// Cause: taking "not there yet" for "will never be there".
+func TestDelayedWriteIsSentAgain(t *testing.T) {
+	s := newSession(t)
+	a := s.operator("operator-a", ApplyRequest{Manifest: tasks(2, 1)})
+	a.run(answered)
+	a.run(delayed)
+	a.run(answered)
+	a.run(answered)
+	s.land()
+	a.run(answered)
+	a.run(answered)
+	s.golden("delayed-write")
+}
+
+// Symptom: a cancellation ends work that was declared after it was sent.
+// Sequence: a cancellation loses the race to a manifest, once to one that
+// declares another workload anew and once to one that declares its own.
+// Cause: deciding again by name and not by generation.
+func TestCancelRacesManifests(t *testing.T) {
+	s := newSession(t)
+	other := s.operator("cancel-orders", ApplyRequest{Cancel: []string{"orders"}})
+	own := s.operator("cancel-nightly", ApplyRequest{Cancel: []string{"nightly"}})
+	release := s.operator("release", ApplyRequest{Manifest: tasks(1, 2)})
+	for _, o := range []*operator{other, own, release, release, other, own, other, own, other} {
+		o.run(answered)
+	}
+	s.golden("cancel-races")
+}
+
+func TestOutageEndsTyped(t *testing.T) {
+	s := newSession(t)
+	never := s.operator("never-read", ApplyRequest{Manifest: tasks(2, 1)})
+	unsure := s.operator("unsure", ApplyRequest{Manifest: tasks(2, 1)})
+	unsure.run(answered)
+	unsure.run(delayed)
+	restored := s.operator("restored-store", ApplyRequest{Manifest: tasks(2, 1), Known: 7})
+	restored.run(answered)
+	stale := s.operator("stale-base", ApplyRequest{Manifest: tasks(3, 1), Base: base(9)})
+	stale.run(answered)
+	same := s.operator("same-again", ApplyRequest{Manifest: tasks(1, 1), Base: base(0)})
+	same.run(answered)
+	wrong := s.operator("wrong", ApplyRequest{Manifest: tasks(0, 1)})
+	wrong.run(answered)
+	for i := 0; never.result == nil || unsure.result == nil; i++ {
+		if i == 100 {
+			t.Fatal("an operation goes on past its deadline")
+		}
+		never.run(answerLost)
+		unsure.run(answerLost)
+	}
+	s.golden("outage")
+}
+
+// Symptom: an operator is told of a conflict although the change was in force.
+// Sequence: the answer is lost, and so many changes follow before the read back
+// that the stored configuration no longer names who made this one.
+// Cause: taking a writer that is not listed for one that never wrote.
+func TestWriterNoLongerListedIsUnknown(t *testing.T) {
+	s := newSession(t)
+	a := s.operator("a", ApplyRequest{Manifest: tasks(2, 1)})
+	a.run(answered)
+	a.run(answerLost)
+	for i := range MaxWriters {
+		o := s.operator(fmt.Sprintf("later-%d", i), ApplyRequest{Manifest: tasks(3+i, 1)})
+		o.run(answered)
+		o.run(answered)
+	}
+	a.run(answered)
+	a.run(answered)
+	if r, ok := a.result.(ApplyUnknown); !ok || r.Revision != 2 || r.Writer != "a" {
+		t.Errorf("%T %+v", a.result, a.result)
+	}
+}
+
+func TestDeadlineWhileCommitting(t *testing.T) {
+	s := newSession(t)
+	a := s.operator("a", ApplyRequest{Manifest: tasks(2, 1)})
+	a.run(answered)
+	s.now = s.now.Add(time.Minute)
+	a.step(ApplyTick{})
+	unknown, ok := a.result.(ApplyUnknown)
+	var late *DeadlineError
+	if !ok || unknown.Revision != 2 || unknown.Writer != "a" || !errors.As(unknown.Cause, &late) {
+		t.Errorf("%+v", a.result)
+	}
+	a.step(ApplyCommitted{Result: port.TxnResult{Succeeded: true}})
+}
+
+// TestResultsAreTrue races operators through every kind of failed exchange and
+// compares what each was told with what the store ever held.
+func TestResultsAreTrue(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(20260302)
+	parameters.MinSuccessfulTests = 1500
+	properties := gopter.NewProperties(parameters)
+	properties.Property("no operator is told anything false", prop.ForAll(
+		func(codes []uint16) string { return runRace(t, codes) },
+		gen.SliceOfN(60, gen.UInt16()),
+	))
+	properties.TestingRun(t)
+}
+
+func runRace(t *testing.T, codes []uint16) string {
+	s := newSession(t)
+	var operators []*operator
+	for i := range 4 {
+		request := ApplyRequest{Manifest: tasks(i+1, 1)}
+		if i == 3 {
+			request = ApplyRequest{Cancel: []string{"orders"}}
+		}
+		operators = append(operators, s.operator(fmt.Sprintf("operator-%d", i), request))
+	}
+	for _, code := range codes {
+		if code%16 == 15 {
+			s.land()
+		}
+		operators[code%4].run(exchange(code / 4 % 4))
+	}
+	s.now = s.now.Add(time.Minute)
+	for _, o := range operators {
+		o.step(ApplyTick{})
+	}
+	s.land()
+	for _, o := range operators {
+		if fault := s.falseReport(o); fault != "" {
+			return fault
+		}
+	}
+	return ""
+}
+
+// falseReport compares one operator's result with the store's history.
+func (s *session) falseReport(o *operator) string {
+	var stored []model.Revision
+	for i, a := range s.store.history {
+		if a.Revision != model.Revision(i+1) {
+			return fmt.Sprintf("revision %d stored after %d", a.Revision, i)
+		}
+		if a.Writers[0] == o.name {
+			stored = append(stored, a.Revision)
+		}
+	}
+	told := fmt.Sprintf("%s was told %T %s, stored as %v", o.name, o.result, describeResult(o.result), stored)
+	switch r := o.result.(type) {
+	case ApplyAccepted:
+		if len(stored) != 1 || stored[0] != r.Revision {
+			return told
+		}
+	case ApplyUnknown:
+		if len(stored) > 1 || len(stored) == 1 && stored[0] != r.Revision {
+			return told
+		}
+	case nil:
+		return o.name + " was told nothing"
+	default:
+		if len(stored) != 0 {
+			return told
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/core/config/state_test.go
@@ -0,0 +1,311 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/guavarill/guavarill/api/peer/v1"
+	"github.com/guavarill/guavarill/core/manifest"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// chain is a succession of configurations with, for each, a state that went
+// through all of them in turn.
+type chain struct {
+	accepted []*Accepted
+	states   []*State
+}
+
+// newChain makes one configuration of each edit that changes anything.
+func newChain(t testing.TB, edits []uint16) *chain {
+	m := declaring(map[string]int{"w-0": 1, "w-1": 1, "w-2": 1})
+	a, _ := mustAccept(t, nil, m)
+	c := &chain{accepted: []*Accepted{a}}
+	for _, edit := range edits {
+		next := edited(t, a, m, edit)
+		if next != a {
+			c.accepted = append(c.accepted, next)
+		}
+		a = next
+	}
+	for i := range c.accepted {
+		s := NewState()
+		for _, a := range c.accepted[:i+1] {
+			s.InstallStored(a)
+		}
+		c.states = append(c.states, s)
+	}
+	return c
+}
+
+func edited(t testing.TB, a *Accepted, m *manifest.Manifest, edit uint16) *Accepted {
+	name := fmt.Sprintf("w-%d", edit/8%8)
+	switch edit % 8 {
+	case 0:
+		if a.has(name) {
+			next, _ := mustCancel(t, a, name)
+			return next
+		}
+	case 1:
+		m.Teams[0].Quota = &model.Resources{MilliCPU: int64(1000 + edit%3), MemoryMB: 4096}
+	case 2:
+		m.Teams = m.Teams[:1]
+		if edit%16 == 2 {
+			m.Teams = append(m.Teams, manifest.Team{Name: "u"})
+		}
+	case 3, 4:
+		m.Workloads = without(m.Workloads, name)
+	default:
+		added := declaring(map[string]int{name: int(edit%5) + 1}).Workloads
+		m.Workloads = append(without(m.Workloads, name), added...)
+	}
+	next, _ := mustAccept(t, a, m)
+	return next
+}
+
+func without(workloads []manifest.Workload, name string) []manifest.Workload {
+	var kept []manifest.Workload
+	for _, w := range workloads {
+		if w.Name != name {
+			kept = append(kept, w)
+		}
+	}
+	return kept
+}
+
+func (c *chain) pick(code uint16) int { return int(code) % len(c.accepted) }
+
+// delta returns what a daemon at one revision sends to a peer at another.
+func (c *chain) delta(to, base uint16) *peerv1.ConfigDelta {
+	return c.states[c.pick(to)].DeltaSince(c.accepted[c.pick(base)].Revision)
+}
+
+func (c *chain) whole(to uint16) *peerv1.ConfigDelta { return c.states[c.pick(to)].DeltaSince(0) }
+
+// damaged returns a delta that does not lead to its hash.
+func damaged(d *peerv1.ConfigDelta, how uint16) *peerv1.ConfigDelta {
+	d = proto.CloneOf(d)
+	if len(d.GetChanges()) == 0 {
+		d.Hash++
+		return d
+	}
+	change := d.Changes[int(how)%len(d.Changes)]
+	switch {
+	case how%3 == 0:
+		change.Name = "w-9"
+	case how%3 == 1 && change.Accepted != nil:
+		change.Accepted.Generation++
+	default:
+		change.Removed = !change.Removed
+		change.Declaration = change.Declaration[:len(change.Declaration)/2]
+	}
+	return d
+}
+
+// deliver returns the message that the code asks for; nil stands for a read of
+// the store.
+func (c *chain) deliver(fork *chain, code []uint16) (*peerv1.ConfigDelta, condition) {
+	to, base := code[1], code[2]
+	switch code[0] % 6 {
+	case 0, 1:
+		return c.delta(to, base), sound
+	case 2:
+		return c.whole(to), sound
+	case 3:
+		if d := c.delta(to, base); d != nil {
+			return damaged(d, code[3]), unusable
+		}
+	case 4:
+		if d := proto.CloneOf(c.delta(to, base)); d != nil {
+			d.Changes = fork.delta(to, base).GetChanges()
+			return d, doubtful
+		}
+	}
+	return nil, sound
+}
+
+// condition is what is known of a message.
+type condition int
+
+const (
+	sound condition = iota
+	unusable
+	// doubtful: its changes come from another history but may happen to fit.
+	doubtful
+)
+
+// judge hands the message to the receiver and compares the result with the
+// message's condition.
+func (c condition) judge(s *State, d *peerv1.ConfigDelta, before *Accepted) string {
+	result, err := s.ApplyDelta(d)
+	switch {
+	case result == DeltaInstalled && c == unusable:
+		return "a damaged delta was installed"
+	case result == DeltaNeedWhole && c == sound && before != nil:
+		return fmt.Sprintf("a sound delta was not usable: %v", err)
+	case result != DeltaInstalled && s.Current() != before:
+		return "state changed by a delta that was not installed"
+	}
+	return ""
+}
+
+// TestAnyDeliveryEndsAtTheNewest hands a daemon deltas, wholes, duplicates, old
+// and damaged messages and reads of the store in any order.
+func TestAnyDeliveryEndsAtTheNewest(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(20260301)
+	parameters.MinSuccessfulTests = 400
+	properties := gopter.NewProperties(parameters)
+	properties.Property("never lower, never mixed, ends at the newest", prop.ForAll(
+		func(edits, forkEdits, codes []uint16) string {
+			return runDelivery(t, newChain(t, edits), newChain(t, forkEdits), codes)
+		},
+		gen.SliceOfN(12, gen.UInt16()),
+		gen.SliceOfN(12, gen.UInt16()),
+		gen.SliceOfN(4*30, gen.UInt16()),
+	))
+	properties.TestingRun(t)
+}
+
+func runDelivery(t *testing.T, c, fork *chain, codes []uint16) string {
+	s := NewState()
+	for ; len(codes) >= 4; codes = codes[4:] {
+		before := s.Current()
+		delta, cond := c.deliver(fork, codes)
+		if delta == nil {
+			s.InstallStored(reread(t, c.accepted[c.pick(codes[1])]))
+		} else if fault := cond.judge(s, delta, before); fault != "" {
+			return fault
+		}
+		if s.Revision() < revisionOf(before) {
+			return fmt.Sprintf("revision fell from %d to %d", before.Revision, s.Revision())
+		}
+		if fault := c.check(s); fault != "" {
+			return fault
+		}
+	}
+	return c.finish(s)
+}
+
+// check compares the receiver with the configuration of the same revision.
+func (c *chain) check(s *State) string {
+	if s.Current() == nil {
+		return ""
+	}
+	want := c.accepted[s.Revision()-1]
+	if d := differ(want, s.Current()); d != "" {
+		return "mixed configuration: " + d
+	}
+	if want.Hash() != s.Current().Hash() {
+		return "same configuration, other hash"
+	}
+	return ""
+}
+
+// finish lets the receiver catch up from its revision, and from the whole when
+// it asks for that.
+func (c *chain) finish(s *State) string {
+	newest := uint16(len(c.accepted) - 1)
+	if d := c.states[newest].DeltaSince(s.Revision()); d != nil {
+		if result, _ := s.ApplyDelta(d); result == DeltaNeedWhole {
+			_, _ = s.ApplyDelta(c.whole(newest))
+		}
+	}
+	if s.Revision() != c.accepted[newest].Revision {
+		return fmt.Sprintf("ended at %d of %d", s.Revision(), c.accepted[newest].Revision)
+	}
+	return c.check(s)
+}
+
+// Symptom: a daemon runs a mixture of two configurations and never notices.
+// Sequence: a delta loses a change on its way; its revision is the newest.
+// Cause: trusting the revision without comparing the outcome.
+func TestDamagedDeltaAsksForTheWhole(t *testing.T) {
+	c := newChain(t, []uint16{5, 14, 23, 6})
+	sender, s := c.states[len(c.states)-1], NewState()
+	if result, _ := s.ApplyDelta(sender.DeltaSince(1)); result != DeltaNeedWhole {
+		t.Errorf("empty state: %s", result)
+	}
+	s.InstallStored(c.accepted[0])
+	d := proto.CloneOf(sender.DeltaSince(1))
+	d.Changes = d.Changes[1:]
+	result, err := s.ApplyDelta(d)
+	var mismatch *HashError
+	if result != DeltaNeedWhole || !errors.As(err, &mismatch) || s.Current() != c.accepted[0] {
+		t.Errorf("%s, %v", result, err)
+	}
+	whole := proto.CloneOf(sender.DeltaSince(0))
+	whole.Whole.Workloads[0].Generation++
+	if result, err = s.ApplyDelta(whole); result != DeltaNeedWhole || !errors.As(err, &mismatch) {
+		t.Errorf("damaged whole: %s, %v", result, err)
+	}
+	if result, err = s.ApplyDelta(sender.DeltaSince(0)); result != DeltaInstalled || err != nil {
+		t.Errorf("whole: %s, %v", result, err)
+	}
+	other := proto.CloneOf(sender.DeltaSince(0))
+	other.Hash++
+	if result, err = s.ApplyDelta(other); result != DeltaAlready || !errors.As(err, &mismatch) {
+		t.Errorf("other content under the same revision: %s, %v", result, err)
+	}
+}
+
+func TestDeltaFromAboveIsAGap(t *testing.T) {
+	c := newChain(t, []uint16{6, 14, 23})
+	s := NewState()
+	s.InstallStored(c.accepted[0])
+	if result, _ := s.ApplyDelta(c.states[3].DeltaSince(3)); result != DeltaGap || s.Revision() != 1 {
+		t.Errorf("%s, revision %d", result, s.Revision())
+	}
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	s := NewState()
+	a, _ := mustAccept(t, nil, declaring(map[string]int{"a": 1, "b": 1, "c": 1, "d": 1}))
+	s.InstallStored(a)
+	for i := range MaxHistory + 10 {
+		a, _ = mustAccept(t, a, declaring(map[string]int{"a": i%2 + 2, "b": 1, "c": 1, "d": 1}))
+		s.InstallStored(a)
+	}
+	if n := len(s.history.entries); n > MaxHistory {
+		t.Errorf("%d entries", n)
+	}
+	if d := s.DeltaSince(5); d.GetBaseRevision() != 0 {
+		t.Error("a delta was made from a revision whose changes are forgotten")
+	}
+	base := a.Revision - MaxHistory/2
+	if d := s.DeltaSince(base); d.GetBaseRevision() != uint64(base) || len(d.GetChanges()) != 1 {
+		t.Errorf("delta from %d with %d changes", d.GetBaseRevision(), len(d.GetChanges()))
+	}
+}
+
+func TestCancellationsTravelWithoutDeclarations(t *testing.T) {
+	tasks := make(map[string]int)
+	var names []string
+	for i := range 100 {
+		names = append(names, fmt.Sprintf("w-%d", i))
+		tasks[names[i]] = 1
+	}
+	tasks["kept"] = 1
+	a, _ := mustAccept(t, nil, declaring(tasks))
+	s, peer := NewState(), NewState()
+	s.InstallStored(a)
+	peer.InstallStored(a)
+	a, _ = mustCancel(t, a, names...)
+	s.InstallStored(a)
+	d := s.DeltaSince(1)
+	if size := proto.Size(d) / len(names); size > 20 {
+		t.Errorf("%d bytes a cancellation", size)
+	}
+	if strings.Contains(d.String(), "milliCPU") {
+		t.Error("a declaration was sent")
+	}
+	if result, err := peer.ApplyDelta(d); result != DeltaInstalled || differ(a, peer.Current()) != "" {
+		t.Error(result, err)
+	}
+}
--- /dev/null
+++ b/core/dedup/options.go
@@ -0,0 +1,51 @@
+package dedup
+
+import "time"
+
+// Defaults of Options.
+const (
+	DefaultRetention  = 10 * time.Minute
+	DefaultSettle     = 5 * time.Second
+	DefaultSkew       = 2 * time.Second
+	DefaultMaxRecords = 200_000
+)
+
+// Options sets the times of the protocol; all entries of a cluster must have
+// the same ones. Zero fields take the defaults.
+type Options struct {
+	// Retention is how long a home remembers a claim.
+	Retention time.Duration
+	// Settle is how long after its boot an entry is in every other entry's
+	// view of the members.
+	Settle time.Duration
+	// Skew bounds the difference between any two clocks involved.
+	Skew time.Duration
+	// MaxRecords bounds the claims that a home remembers, at about
+	// RecordBytes of memory each.
+	MaxRecords int
+}
+
+// RecordBytes is about how much memory a remembered claim takes.
+const RecordBytes = 128
+
+// WithDefaults returns o with its zero fields set.
+func (o Options) WithDefaults() Options {
+	if o.Retention == 0 {
+		o.Retention = DefaultRetention
+	}
+	if o.Settle == 0 {
+		o.Settle = DefaultSettle
+	}
+	if o.Skew == 0 {
+		o.Skew = DefaultSkew
+	}
+	if o.MaxRecords == 0 {
+		o.MaxRecords = DefaultMaxRecords
+	}
+	return o
+}
+
+// ClaimValid is how long after its claim was begun an entry may still send.
+// Half of Retention leaves the other half for the exchange itself, so that no
+// home has forgotten the id while a target may still be running the request.
+func (o Options) ClaimValid() time.Duration { return o.Retention / 2 }
--- /dev/null
+++ b/core/dissemination/hints.go
@@ -0,0 +1,151 @@
+package dissemination
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/guavarill/guavarill/api/peer/v1"
+)
+
+// HintRetention is how long a leaving hint lasts when no newer list of its
+// shard arrives. Without an end, a hint about a target that stays after all
+// would keep it out of use until its shard's next change.
+const HintRetention = 30 * time.Second
+
+// MaxHints bounds the hints held; further ones are left to the lists.
+const MaxHints = 4096
+
+// hint is what is known of a leaving target ahead of its shard's list.
+type hint struct {
+	task    string
+	attempt uint32
+	marked  time.Time
+	// shard is the one whose list named the target when the hint came, if
+	// placed.
+	shard  uint32
+	placed bool
+}
+
+// MarkLeaving takes leaving hints and returns those that were new: the ones to
+// push on. A hint whose task and attempt are not those held under its address
+// is about an earlier user of the address and is ignored.
+func (t *Table) MarkLeaving(now time.Time, leaving []*peerv1.LeavingTarget) []*peerv1.LeavingTarget {
+	t.now = now
+	var fresh []*peerv1.LeavingTarget
+	for _, l := range leaving {
+		if t.mark(now, l) {
+			fresh = append(fresh, l)
+		}
+	}
+	if len(fresh) > 0 {
+		t.version++
+	}
+	return fresh
+}
+
+func (t *Table) mark(now time.Time, l *peerv1.LeavingTarget) bool {
+	if len(t.hints) >= MaxHints {
+		return false
+	}
+	h := hint{task: l.GetTask(), attempt: l.GetAttempt(), marked: now}
+	if old, ok := t.hints[l.GetAddress()]; ok && old.task == h.task && old.attempt == h.attempt {
+		return false
+	}
+	shard, target := t.find(l.GetAddress())
+	if target != nil {
+		if !h.about(target) || target.GetLeaving() {
+			return false
+		}
+		h.shard, h.placed = shard, true
+	}
+	t.hints[l.GetAddress()] = h
+	return true
+}
+
+// about reports whether the hint is about this use of the address. A hint
+// without a task is about whatever runs there.
+func (h hint) about(target *peerv1.Target) bool {
+	return h.task == "" || h.task == target.GetTask() && h.attempt == target.GetAttempt()
+}
+
+// find returns the target with the address, over all shards.
+func (t *Table) find(address string) (uint32, *peerv1.Target) {
+	for _, shard := range t.order {
+		for _, target := range t.lists[shard].GetTargets() {
+			if target.GetAddress() == address {
+				return shard, target
+			}
+		}
+	}
+	return 0, nil
+}
+
+// hinted returns the target as it is to be treated.
+func (t *Table) hinted(target *peerv1.Target) *peerv1.Target {
+	h, ok := t.hints[target.GetAddress()]
+	if !ok || target.GetLeaving() || !h.about(target) {
+		return target
+	}
+	marked := proto.Clone(target).(*peerv1.Target)
+	marked.Leaving = true
+	return marked
+}
+
+// dropHintsOf ends the hints that a newer list confirms or overtakes: the
+// target is no longer listed, is marked leaving there, or its address serves
+// another attempt. While the target is listed as before the hint stays: the
+// list may have been made before the hint's sender saw the target leave.
+func (t *Table) dropHintsOf(list *peerv1.ShardTargets) {
+	if len(t.hints) == 0 {
+		return
+	}
+	listed := make(map[string]*peerv1.Target, len(list.GetTargets()))
+	for _, target := range list.GetTargets() {
+		listed[target.GetAddress()] = target
+	}
+	for address, h := range t.hints {
+		target := listed[address]
+		gone := target == nil && h.placed && h.shard == list.GetShard()
+		settled := target != nil && (target.GetLeaving() || !h.about(target))
+		if gone || settled {
+			delete(t.hints, address)
+		}
+	}
+}
+
+// HintRepeat is how long a hint goes with every message after it was marked,
+// and MaxRepeated how many do. A push that got lost would otherwise leave an
+// entry to learn of it from the next list.
+const (
+	HintRepeat  = 3 * time.Second
+	MaxRepeated = 8
+)
+
+// fresh returns the hints to repeat, by address.
+func (t *Table) fresh() []*peerv1.LeavingTarget {
+	var out []*peerv1.LeavingTarget
+	for address, h := range t.hints {
+		if t.now.Sub(h.marked) <= HintRepeat {
+			out = append(out, &peerv1.LeavingTarget{Address: address, Task: h.task, Attempt: h.attempt})
+		}
+	}
+	slices.SortFunc(out, func(a, b *peerv1.LeavingTarget) int {
+		return cmp.Compare(a.GetAddress(), b.GetAddress())
+	})
+	return out[:min(len(out), MaxRepeated)]
+}
+
+// Expire lets time pass and ends the hints whose retention has passed. It is
+// called about once a second.
+func (t *Table) Expire(now time.Time) {
+	t.now = now
+	for address, h := range t.hints {
+		if now.Sub(h.marked) > HintRetention {
+			delete(t.hints, address)
+			t.version++
+		}
+	}
+}
--- /dev/null
+++ b/core/dissemination/outbox.go
@@ -0,0 +1,71 @@
+package dissemination
+
+import (
+	"cmp"
+	"slices"
+
+	peerv1 "github.com/guavarill/guavarill/api/peer/v1"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// Push is one message to a child: an ExchangeRequest that carries these
+// besides the usual (Composer.PushRequest). Its end must come back as
+// Spreader.Answered.
+type Push struct {
+	Peer model.DaemonID
+	// Shards are those whose lists to send as the table holds them then.
+	Shards []uint32
+	// Leaving are hints to send.
+	Leaving []*peerv1.LeavingTarget
+	// ConfigBase, when Config is set, is the revision to send a delta from.
+	Config     bool
+	ConfigBase uint64
+}
+
+// outbox gathers the changes for one child, with the trees they go along.
+type outbox struct {
+	shards  map[uint32]topic
+	leaving map[string]hintItem
+	config  *configItem
+}
+
+type hintItem struct {
+	topic topic
+	hint  *peerv1.LeavingTarget
+}
+
+type configItem struct {
+	topic topic
+	base  uint64
+}
+
+func newOutbox() *outbox {
+	return &outbox{shards: make(map[uint32]topic), leaving: make(map[string]hintItem)}
+}
+
+// addConfig keeps the newest tree and the oldest base, so that the delta
+// covers all gathered changes.
+func (b *outbox) addConfig(t topic, base uint64) {
+	if b.config != nil {
+		base = min(base, b.config.base)
+	}
+	b.config = &configItem{topic: t, base: base}
+}
+
+func (b *outbox) push(peer model.DaemonID) Push {
+	p := Push{Peer: peer}
+	for shard := range b.shards {
+		p.Shards = append(p.Shards, shard)
+	}
+	slices.Sort(p.Shards)
+	for _, h := range b.leaving {
+		p.Leaving = append(p.Leaving, h.hint)
+	}
+	slices.SortFunc(p.Leaving, func(x, y *peerv1.LeavingTarget) int {
+		return cmp.Compare(x.GetAddress(), y.GetAddress())
+	})
+	if b.config != nil {
+		p.Config, p.ConfigBase = true, b.config.base
+	}
+	return p
+}
--- /dev/null
+++ b/core/eviction/controller.go
@@ -0,0 +1,40 @@
+package eviction
+
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// Controller decides for many workers and remembers, for each, what the
+// decisions depend on.
+type Controller struct {
+	options   Options
+	predictor Predictor
+	memories  map[model.WorkerID]Memory
+}
+
+// NewController returns a controller that has seen no worker.
+func NewController(o Options, p Predictor) *Controller {
+	return &Controller{options: o, predictor: p, memories: make(map[model.WorkerID]Memory)}
+}
+
+// Decide returns what to do on a worker now: nothing or one action. The caller
+// carries it out; one that fails is decided again after the lag, if the
+// evidence is still there.
+func (c *Controller) Decide(now time.Time, v WorkerView) []Action {
+	actions, memory := Decide(now, v, c.memories[v.Worker], c.options, c.predictor)
+	c.memories[v.Worker] = memory
+	return actions
+}
+
+// Preempted records that tasks were evicted from a worker by other means than
+// Decide, so that measurements from before are not acted on.
+func (c *Controller) Preempted(now time.Time, w model.WorkerID) {
+	memory := c.memories[w]
+	memory.LastAction = now
+	c.memories[w] = memory
+}
+
+// Forget drops a worker that is gone.
+func (c *Controller) Forget(w model.WorkerID) { delete(c.memories, w) }
--- /dev/null
+++ b/core/eviction/decide.go
@@ -0,0 +1,181 @@
+package eviction
+
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// Memory is what Decide must know of a worker's past.
+type Memory struct {
+	// LastAction is when the latest action was taken; zero for none.
+	LastAction time.Time
+	// LastMeasured is the latest measurement that was counted.
+	LastMeasured time.Time
+	// Over is how many counted measurements in a row were over the limit,
+	// OverSince when the first of them was made.
+	Over      int
+	OverSince time.Time
+	// CalmSince is when the services became calm; zero while they are not.
+	CalmSince time.Time
+	// CalmFor is how long a calm is asked for now; zero stands for the
+	// option.
+	CalmFor time.Duration
+	// Unthrottled is when a task was last unthrottled.
+	Unthrottled time.Time
+}
+
+// Decide returns what to do on one worker, and the worker's memory after it.
+// It is a pure function of its arguments.
+func Decide(now time.Time, v WorkerView, m Memory, o Options, p Predictor) ([]Action, Memory) {
+	d := decision{now: now, view: &v, memory: m, options: &o, predictor: p}
+	d.count()
+	if !m.LastAction.IsZero() && now.Before(m.LastAction.Add(o.Lag)) {
+		return nil, d.memory
+	}
+	action, ok := d.act()
+	if !ok {
+		return nil, d.memory
+	}
+	d.remember(action)
+	return []Action{action}, d.memory
+}
+
+type decision struct {
+	now       time.Time
+	view      *WorkerView
+	memory    Memory
+	options   *Options
+	predictor Predictor
+	// pressure is the highest of the services' fresh measurements; valid when
+	// fresh is set.
+	pressure float64
+	fresh    bool
+}
+
+// count takes in measurements that were not counted before and were made
+// after the latest action had settled.
+func (d *decision) count() {
+	settled := d.memory.LastAction
+	if !settled.IsZero() {
+		settled = settled.Add(d.options.Settle)
+	}
+	newest := d.memory.LastMeasured
+	counted := false
+	for i := range d.view.Services {
+		s := &d.view.Services[i]
+		if !s.MeasuredAt.After(settled) {
+			continue
+		}
+		d.fresh = true
+		d.pressure = max(d.pressure, d.pressureOf(s))
+		if s.MeasuredAt.After(newest) {
+			newest, counted = s.MeasuredAt, true
+		}
+	}
+	if !counted {
+		return
+	}
+	d.memory.LastMeasured = newest
+	d.countPressure(newest)
+}
+
+func (d *decision) countPressure(measured time.Time) {
+	m := &d.memory
+	if d.pressure > 1 {
+		if m.Over == 0 {
+			m.OverSince = measured
+		}
+		m.Over++
+	} else {
+		m.Over = 0
+	}
+	switch {
+	case d.pressure > d.options.Calm:
+		m.CalmSince = time.Time{}
+	case m.CalmSince.IsZero():
+		m.CalmSince = measured
+	}
+}
+
+func (d *decision) pressureOf(s *Service) float64 {
+	return (s.Slowdown - 1) / (d.limit(s) - 1)
+}
+
+func (d *decision) limit(s *Service) float64 {
+	if s.Limit > 1 {
+		return s.Limit
+	}
+	return d.options.Limit
+}
+
+// act picks the action for what is most pressing.
+func (d *decision) act() (Action, bool) {
+	if action, ok := d.relieveShortage(); ok {
+		return action, true
+	}
+	if len(d.view.Services) == 0 {
+		return d.releaseOne(NoServiceToSlow)
+	}
+	if !d.fresh {
+		return Action{}, false
+	}
+	if d.mustRelieve() {
+		return d.relieve()
+	}
+	if d.isCalm() {
+		return d.releaseOne(CalmServices)
+	}
+	return Action{}, false
+}
+
+func (d *decision) mustRelieve() bool {
+	if d.memory.Over >= d.options.Confirm {
+		return true
+	}
+	return d.memory.Over > 0 && d.pressure >= d.options.Severe
+}
+
+func (d *decision) isCalm() bool {
+	since := d.memory.CalmSince
+	return !since.IsZero() && d.now.Sub(since) >= d.calmFor()
+}
+
+func (d *decision) calmFor() time.Duration {
+	return max(d.options.CalmFor, d.memory.CalmFor)
+}
+
+// remember updates the memory by what was decided.
+func (d *decision) remember(a Action) {
+	m := &d.memory
+	switch a.Kind {
+	case Unthrottle:
+		m.Unthrottled = d.now
+		m.CalmSince = time.Time{}
+	case Throttle:
+		d.adaptCalm()
+	}
+	m.LastAction = d.now
+	m.Over = min(m.Over, d.options.Confirm-1)
+}
+
+// adaptCalm asks for a longer calm when a throttle follows soon after an
+// unthrottle, and for the normal one again when it does not. Without it a task
+// whose noise comes in waves would be throttled and released once a lag, and
+// its services slowed each time.
+func (d *decision) adaptCalm() {
+	m := &d.memory
+	if !m.Unthrottled.IsZero() && d.now.Sub(m.Unthrottled) < 2*d.calmFor() {
+		m.CalmFor = min(2*d.calmFor(), d.options.MaxCalmFor)
+		return
+	}
+	m.CalmFor = d.options.CalmFor
+}
+
+// less orders tasks of equal merit by key, so that a decision does not depend
+// on the order of the view.
+func less(a, b *Task) bool { return a.Key.Less(b.Key) }
+
+func action(kind Kind, worker model.WorkerID, t *Task, percent uint32, reason Reason) Action {
+	return Action{Kind: kind, Worker: worker, Task: t.Key, Percent: percent, Reason: reason}
+}
--- /dev/null
+++ b/core/eviction/policy_compare_test.go
@@ -0,0 +1,179 @@
+package eviction_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/core/eviction"
+	"github.com/guavarill/guavarill/core/interference"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/placement"
+)
+
+// sites are the users' fleets. The rate of submissions keeps the processors
+// that services leave about two thirds busy.
+func sites() []site {
+	return []site{
+		{
+			name: "agency", zones: 3, workers: 50, perRack: 8, watchers: 150,
+			capacity: model.Resources{MilliCPU: 16000, MemoryMB: 60000},
+			instance: model.Resources{MilliCPU: 4000, MemoryMB: 8000}, starts: 0.6,
+		},
+		{
+			name: "pindan", zones: 4, workers: 50, perRack: 6, watchers: 0,
+			capacity: model.Resources{MilliCPU: 32000, MemoryMB: 125000},
+			instance: model.Resources{MilliCPU: 8000, MemoryMB: 16000}, starts: 1.3,
+		},
+	}
+}
+
+func batchClasses() []class {
+	return []class{
+		{name: "reconcile", share: 0.45, size: model.Resources{MilliCPU: 1000, MemoryMB: 1500}, run: 4 * time.Minute,
+			quiet: 0.01, loud: 0.03, quietFor: 2 * time.Minute, loudFor: time.Minute},
+		{name: "report", share: 0.30, size: model.Resources{MilliCPU: 2000, MemoryMB: 3000}, run: 5 * time.Minute,
+			quiet: 0.03, loud: 0.10, quietFor: 3 * time.Minute, loudFor: time.Minute},
+		{name: "rebuild", share: 0.15, size: model.Resources{MilliCPU: 2000, MemoryMB: 4000}, run: 8 * time.Minute,
+			quiet: 0.05, loud: 0.6, quietFor: 4 * time.Minute, loudFor: time.Minute},
+		{name: "import", share: 0.10, size: model.Resources{MilliCPU: 2000, MemoryMB: 3000}, run: 3 * time.Minute,
+			quiet: 0.1, loud: 0.8, quietFor: time.Minute, loudFor: time.Minute, burst: true},
+	}
+}
+
+func firstFit(s *sim, r *placement.Request) (model.WorkerID, bool) {
+	for _, w := range s.workers {
+		if pw, _ := s.snapshot.Worker(w.id); r.Size.Fits(pw.Free) {
+			return w.id, true
+		}
+	}
+	return "", false
+}
+
+func randomFit(s *sim, r *placement.Request) (model.WorkerID, bool) {
+	start := s.rnd.IntN(len(s.workers))
+	for i := range s.workers {
+		w := s.workers[(start+i)%len(s.workers)]
+		if pw, _ := s.snapshot.Worker(w.id); r.Size.Fits(pw.Free) {
+			return w.id, true
+		}
+	}
+	return "", false
+}
+
+func placed(s *sim, r *placement.Request) (model.WorkerID, bool) {
+	d, err := s.placer.Place(s.snapshot, r)
+	return d.Worker, err == nil
+}
+
+// threshold evicts the largest batch task whenever a report shows a service
+// over the limit: no confirmation, no lag, no throttle.
+func threshold(s *sim, w *simWorker) {
+	for _, service := range w.latest {
+		if service.Slowdown <= eviction.DefaultOptions().Limit {
+			continue
+		}
+		var largest *simTask
+		for _, t := range w.tasks {
+			if !t.service && (largest == nil || t.used.MilliCPU > largest.used.MilliCPU) {
+				largest = t
+			}
+		}
+		if largest != nil {
+			s.evict(largest)
+		}
+		return
+	}
+}
+
+// controlled is the product's own policy.
+func controlled(s *sim, w *simWorker) {
+	view := eviction.WorkerView{Worker: w.id}
+	pw, _ := s.snapshot.Worker(w.id)
+	view.Load = pw.Load
+	byKey := map[model.TaskKey]*simTask{}
+	for _, t := range w.tasks {
+		byKey[t.key] = t
+		s.grow(t, &view)
+		if t.service {
+			if latest, ok := w.latest[t.key]; ok {
+				view.Services = append(view.Services, latest)
+			}
+			continue
+		}
+		view.Batch = append(view.Batch, eviction.Task{
+			Key: t.key, Class: t.workload.class.name, Size: t.held, LongRunning: t.long, Percent: t.percent,
+			ThrottledAt: t.throttledAt, SavedAt: t.savedAt, Checkpoints: true, Evictions: t.evictions,
+		})
+	}
+	for _, a := range s.control.Decide(s.now, view) {
+		t := byKey[a.Task]
+		switch a.Kind {
+		case eviction.Evict:
+			s.evict(t)
+		case eviction.Throttle, eviction.Unthrottle:
+			s.throttle(t, a.Percent)
+		}
+	}
+}
+
+// grow raises a task's hold to what it was seen to need, as far as there is
+// room.
+func (s *sim) grow(t *simTask, view *eviction.WorkerView) {
+	want := s.sizes.Want(t.key, t.workload.declared, t.held)
+	if want == t.held {
+		return
+	}
+	pw, _ := s.snapshot.Worker(t.worker.id)
+	granted, missing := interference.Grow(t.held, want, pw.Free)
+	if granted != t.held && s.snapshot.Resize(t.key, t.worker.id, granted) {
+		t.held = granted
+	}
+	if missing != (model.Resources{}) {
+		view.Shortages = append(view.Shortages, eviction.Shortage{Task: t.key, Service: t.service, Missing: missing})
+	}
+}
+
+func policies() []policy {
+	return []policy{
+		{name: "first fit", place: firstFit},
+		{name: "random", place: randomFit},
+		{name: "first fit, threshold", place: firstFit, control: threshold},
+		{name: "random, threshold", place: randomFit, control: threshold},
+		{name: "placement alone", place: placed, learn: true},
+		{name: "guavarill", place: placed, learn: true, control: controlled},
+	}
+}
+
+// BenchmarkPolicy measures the policies over the same submissions.
+func BenchmarkPolicy(b *testing.B) {
+	for _, st := range sites() {
+		for _, p := range policies() {
+			b.Run(st.name+"/"+p.name, func(b *testing.B) {
+				var sum []outcome
+				for i := range b.N {
+					sum = append(sum, newSim(st, batchClasses(), p, defaultSettings(), uint64(1+i)).run())
+				}
+				report := func(unit string, of func(o outcome) float64) {
+					values := make([]float64, len(sum))
+					for i, o := range sum {
+						values[i] = of(o)
+					}
+					slices.Sort(values)
+					b.ReportMetric(values[len(values)/2], unit)
+				}
+				report("p50", func(o outcome) float64 { return o.p50 })
+				report("p99", func(o outcome) float64 { return o.p99 })
+				report("p99.9", func(o outcome) float64 { return o.p999 })
+				report("finished/h", func(o outcome) float64 { return o.finishedPerHour })
+				report("evictions/1000", func(o outcome) float64 { return o.evictionsPer1000 })
+				report("watcher-evictions", func(o outcome) float64 { return float64(o.watcherEvictions) })
+				report("kills", func(o outcome) float64 { return float64(o.kills) })
+				report("throttles", func(o outcome) float64 { return float64(o.throttl) })
+				report("lost-s", func(o outcome) float64 { return o.lostSeconds })
+				report("wait-s", func(o outcome) float64 { return o.waitSeconds })
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/core/eviction/relieve.go
@@ -0,0 +1,102 @@
+package eviction
+
+// relieve throttles the task whose throttling helps most for its cost, and
+// evicts only when that is exhausted and the slowdown has lasted.
+func (d *decision) relieve() (Action, bool) {
+	if t, percent := d.bestThrottle(); t != nil {
+		return action(Throttle, d.view.Worker, t, percent, SlowedService), true
+	}
+	if d.now.Sub(d.memory.OverSince) < d.options.Patience {
+		return Action{}, false
+	}
+	if t := d.bestEviction(); t != nil {
+		return action(Evict, d.view.Worker, t, 0, SlowedService), true
+	}
+	return Action{}, false
+}
+
+// bestThrottle returns the task to throttle and its new percentage.
+func (d *decision) bestThrottle() (*Task, uint32) {
+	var best *Task
+	var bestMerit float64
+	var bestPercent uint32
+	for i := range d.view.Batch {
+		t := &d.view.Batch[i]
+		percent, ok := d.lowered(t)
+		if !ok {
+			continue
+		}
+		relief := d.relief(t) * float64(t.Percent-percent) / FullSpeed
+		if relief < d.options.MinRelief*d.excess() {
+			continue
+		}
+		merit := relief / d.options.Costs.Throttle(t)
+		if best == nil || merit > bestMerit || (merit == bestMerit && less(t, best)) {
+			best, bestMerit, bestPercent = t, merit, percent
+		}
+	}
+	return best, bestPercent
+}
+
+// lowered returns the next throttle step of a task: one step down, or to the
+// floor at once when the pressure is severe.
+func (d *decision) lowered(t *Task) (uint32, bool) {
+	if t.Stopping || t.Percent <= d.options.Floor {
+		return 0, false
+	}
+	if t.Percent > d.options.Step && d.pressure < d.options.Severe {
+		return d.options.Step, true
+	}
+	return d.options.Floor, true
+}
+
+// bestEviction returns the task whose eviction helps most for its cost.
+func (d *decision) bestEviction() *Task {
+	var best *Task
+	var bestMerit float64
+	for i := range d.view.Batch {
+		t := &d.view.Batch[i]
+		if t.Stopping {
+			continue
+		}
+		relief := d.relief(t) * float64(t.Percent) / FullSpeed
+		if relief < d.options.MinRelief*d.excess() {
+			continue
+		}
+		merit := relief / d.options.Costs.Evict(d.now, t)
+		if best == nil || merit > bestMerit || (merit == bestMerit && less(t, best)) {
+			best, bestMerit = t, merit
+		}
+	}
+	return best
+}
+
+// reliefStd is how many standard deviations count towards a task's predicted
+// effect: a task of unknown class is a likelier cause than a known quiet one.
+const reliefStd = 1
+
+// relief returns how much slowdown a task at full speed is thought to add to
+// the services that are over their limits.
+func (d *decision) relief(t *Task) float64 {
+	sum := 0.0
+	for i := range d.view.Services {
+		s := &d.view.Services[i]
+		if d.pressureOf(s) <= 1 {
+			continue
+		}
+		sum += d.predictor.PredictTask(s.Class, t.Class, t.Key, d.view.Load).Upper(reliefStd)
+	}
+	return sum
+}
+
+// excess returns by how much the services over their limits are slowed.
+func (d *decision) excess() float64 {
+	sum := 0.0
+	for i := range d.view.Services {
+		s := &d.view.Services[i]
+		if d.pressureOf(s) > 1 {
+			sum += s.Slowdown - 1
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/core/eviction/shortage.go
@@ -0,0 +1,97 @@
+package eviction
+
+import "github.com/guavarill/guavarill/core/model"
+
+// relieveShortage deals with tasks that need more room than their worker has.
+// Raising their holds would commit the worker beyond its capacity, and leaving
+// them would let the kernel kill a task of its own choosing.
+func (d *decision) relieveShortage() (Action, bool) {
+	var missing model.Resources
+	var grower *Shortage
+	for i := range d.view.Shortages {
+		s := &d.view.Shortages[i]
+		missing = missing.Add(s.Missing)
+		if grower == nil || before(s, grower) {
+			grower = s
+		}
+	}
+	switch {
+	case grower == nil:
+		return Action{}, false
+	case missing.MemoryMB > 0:
+		return d.evictFor(model.Resources{MemoryMB: missing.MemoryMB}, MemoryShort)
+	case grower.Service:
+		return d.evictFor(model.Resources{MilliCPU: missing.MilliCPU}, CPUShort)
+	}
+	return d.throttleGrower(grower)
+}
+
+// before puts services first, then larger shortages, then smaller keys.
+func before(a, b *Shortage) bool {
+	if a.Service != b.Service {
+		return a.Service
+	}
+	if a.Missing.MilliCPU != b.Missing.MilliCPU {
+		return a.Missing.MilliCPU > b.Missing.MilliCPU
+	}
+	return a.Task.Less(b.Task)
+}
+
+// evictFor evicts the cheapest task that alone gives back what is missing, or
+// when none does the one that gives back most for its cost. Tasks that are
+// stopping already count as given back.
+func (d *decision) evictFor(missing model.Resources, reason Reason) (Action, bool) {
+	for i := range d.view.Batch {
+		if d.view.Batch[i].Stopping {
+			missing = missing.Sub(d.view.Batch[i].Size)
+		}
+	}
+	if missing.MilliCPU <= 0 && missing.MemoryMB <= 0 {
+		return Action{}, false
+	}
+	var best *Task
+	var bestMerit float64
+	for i := range d.view.Batch {
+		t := &d.view.Batch[i]
+		given := share(t.Size, missing)
+		if t.Stopping || given == 0 {
+			continue
+		}
+		merit := given / d.options.Costs.Evict(d.now, t)
+		if best == nil || merit > bestMerit || (merit == bestMerit && less(t, best)) {
+			best, bestMerit = t, merit
+		}
+	}
+	if best == nil {
+		return Action{}, false
+	}
+	return action(Evict, d.view.Worker, best, 0, reason), true
+}
+
+// share returns the part of what is missing that size covers, at most 1.
+func share(size, missing model.Resources) float64 {
+	part := 1.0
+	if missing.MilliCPU > 0 {
+		part = min(part, float64(size.MilliCPU)/float64(missing.MilliCPU))
+	}
+	if missing.MemoryMB > 0 {
+		part = min(part, float64(size.MemoryMB)/float64(missing.MemoryMB))
+	}
+	if missing.Accelerators > 0 {
+		part = min(part, float64(size.Accelerators)/float64(missing.Accelerators))
+	}
+	return part
+}
+
+// throttleGrower slows a batch task that uses more processors than it holds
+// down to what it holds.
+func (d *decision) throttleGrower(s *Shortage) (Action, bool) {
+	for i := range d.view.Batch {
+		t := &d.view.Batch[i]
+		if t.Key != s.Task || t.Stopping || t.Percent <= d.options.Step {
+			continue
+		}
+		return action(Throttle, d.view.Worker, t, d.options.Step, CPUShort), true
+	}
+	return Action{}, false
+}
--- /dev/null
+++ b/core/fate/error.go
@@ -0,0 +1,83 @@
+package fate
+
+import (
+	"fmt"
+	"time"
+)
+
+// Reason says why a request was not answered.
+type Reason string
+
+// The reasons of the entry itself.
+const (
+	ReasonNotServing      Reason = "entry-not-serving"
+	ReasonUnknownService  Reason = "unknown-service"
+	ReasonNoRoute         Reason = "no-such-route"
+	ReasonInvalidRequest  Reason = "invalid-request"
+	ReasonRequestTooLarge Reason = "request-too-large"
+	ReasonQueueFull       Reason = "queue-full"
+	ReasonDeadlineTooNear Reason = "deadline-too-near"
+	ReasonOverload        Reason = "overload"
+	ReasonNoCapacity      Reason = "no-capacity"
+	ReasonDisplaced       Reason = "displaced-by-priority"
+	ReasonDeadline        Reason = "deadline-exceeded"
+	ReasonCallerGone      Reason = "caller-gone"
+	ReasonInternal        Reason = "internal"
+)
+
+// The reasons that come from the record of request ids.
+const (
+	ReasonClaimHeld     Reason = "request-id-already-used"
+	ReasonClaimUnsure   Reason = "request-id-unsure"
+	ReasonClaimMismatch Reason = "request-id-of-another-payload"
+	ReasonClaimFull     Reason = "request-id-record-full"
+	ReasonClaimExpired  Reason = "request-id-claim-expired"
+)
+
+// The reasons that come from the exchange with a target.
+const (
+	ReasonConnectRefused   Reason = "connect-refused"
+	ReasonConnectFailed    Reason = "connect-failed"
+	ReasonNoConnection     Reason = "no-connection-free"
+	ReasonTargetNotStarted Reason = "target-did-not-start"
+	ReasonConnectionBroken Reason = "connection-broken"
+	ReasonSilent           Reason = "target-silent"
+	ReasonAnswerCut        Reason = "answer-cut-short"
+	ReasonAnswerMalformed  Reason = "answer-malformed"
+	ReasonAnswerTooLarge   Reason = "answer-too-large"
+)
+
+// Shed reports whether the request was turned away because of load, so that
+// the caller does better to wait than to try another entry at once.
+func (r Reason) Shed() bool {
+	switch r {
+	case ReasonQueueFull, ReasonDeadlineTooNear, ReasonOverload, ReasonDisplaced, ReasonClaimFull:
+		return true
+	}
+	return false
+}
+
+// Error is the final word on a request that was not answered.
+type Error struct {
+	Fate      Fate
+	Reason    Reason
+	Service   string
+	RequestID string
+	// RetryAfter is how long the caller is asked to wait before it repeats
+	// the request; 0 leaves it to the caller.
+	RetryAfter time.Duration
+	// Attempts is how many exchanges with targets were begun.
+	Attempts int
+	Cause    error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("request %s to %s: %s: %s", e.RequestID, e.Service, e.Fate, e.Reason)
+	}
+	return fmt.Sprintf("request %s to %s: %s: %s: %v", e.RequestID, e.Service, e.Fate, e.Reason, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/core/fate/fate_test.go
@@ -0,0 +1,53 @@
+package fate_test
+
+import (
+	"testing"
+
+	"github.com/guavarill/guavarill/core/fate"
+)
+
+// The table of the package comment, row by row.
+func TestOf(t *testing.T) {
+	const (
+		u = fate.Unknown
+		n = fate.NotRun
+		a = fate.Answered
+	)
+	want := [fate.NumPoints][fate.NumSent]fate.Fate{
+		fate.BeforeConnect: {n, u, u},
+		fate.Connecting:    {n, u, u},
+		fate.SendingHead:   {n, u, u},
+		fate.SendingBody:   {n, u, u},
+		fate.AwaitingHead:  {u, u, u},
+		fate.ReadingHead:   {u, u, u},
+		fate.ReadingBody:   {u, u, u},
+		fate.AfterEnd:      {a, a, a},
+		fate.NotStarted:    {n, n, n},
+	}
+	for p := range want {
+		for s := range want[p] {
+			got := fate.Of(fate.Point(p), fate.Sent(s))
+			if got != want[p][s] {
+				t.Errorf("%s, %s sent: got %s, want %s", fate.Point(p), fate.Sent(s), got, want[p][s])
+			}
+		}
+	}
+}
+
+// Symptom: a caller is told "not run", repeats, and the request runs twice.
+// Events: the first exchange breaks after sending; the retry is refused by its
+// target. Cause: only the last exchange's fate was reported.
+func TestAfterKeepsUnknown(t *testing.T) {
+	if got := fate.Unknown.After(fate.NotRun); got != fate.Unknown {
+		t.Errorf("unknown, then not run: got %s", got)
+	}
+	if got := fate.NotRun.After(fate.Unknown); got != fate.Unknown {
+		t.Errorf("not run, then unknown: got %s", got)
+	}
+	if got := fate.NotRun.After(fate.NotRun); got != fate.NotRun {
+		t.Errorf("not run twice: got %s", got)
+	}
+	if got := fate.Unknown.After(fate.Answered); got != fate.Answered {
+		t.Errorf("unknown, then answered: got %s", got)
+	}
+}
--- /dev/null
+++ b/core/ledger/batch.go
@@ -0,0 +1,147 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+
+	ledgerv1 "github.com/guavarill/guavarill/api/ledger/v1"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/port"
+)
+
+// The bounds of one transaction.
+const (
+	// maxTxnBytes bounds the values of a transaction together, with room for
+	// keys and framing below the store's limit.
+	maxTxnBytes = port.MaxValueBytes - 64<<10
+	// minTxnBytes is how far the bound is lowered when the store refuses a
+	// transaction as too large.
+	minTxnBytes = 2 * MaxRecordBytes
+	// maxInboxOps bounds the operations for handoffs in one transaction; stores
+	// commonly take no more than 128 operations.
+	maxInboxOps = 100
+	// entryOverhead is the framing of one record in a delta.
+	entryOverhead = 8
+)
+
+// batch is one group commit. Once sent it is not altered.
+type batch struct {
+	entries  []entry
+	sequence uint64
+	// writerSequence tells this form of the commit from any other that this
+	// writer sent.
+	writerSequence uint64
+	conditions     []port.Condition
+	ops            []port.Op
+	bytes          int
+	deltaBytes     int
+	// part is the snapshot part that the batch carries, nil for none.
+	part *part
+}
+
+// gather returns how many entries at the head of the queue go in one commit of
+// at most limit bytes.
+func gather(queue []entry, limit int) int {
+	bytes, inboxOps := 0, 0
+	inboxTasks := make(map[model.TaskKey]bool)
+	for i := range queue {
+		e := &queue[i]
+		bytes += e.size + entryOverhead
+		if e.change.Handoff != nil || e.change.Receive != nil {
+			inboxOps++
+			key, _ := e.change.TaskKey()
+			if inboxTasks[key] {
+				return i
+			}
+			inboxTasks[key] = true
+		}
+		if i > 0 && (bytes > limit || inboxOps > maxInboxOps) {
+			return i
+		}
+	}
+	return len(queue)
+}
+
+// encodeDelta returns the delta that has the effect of entries. Of several
+// changes to one task only the last is written.
+func encodeDelta(entries []entry) *ledgerv1.Delta {
+	puts := make(map[model.TaskKey]*Task, len(entries))
+	quarantines := make(map[model.WorkerID]Quarantine)
+	for i := range entries {
+		e := &entries[i]
+		switch {
+		case e.put != nil:
+			puts[e.put.Key] = e.put
+		case e.remove != nil:
+			puts[*e.remove] = nil
+		case e.quarantine != nil:
+			quarantines[e.quarantine.Worker] = *e.quarantine
+		}
+	}
+	d := &ledgerv1.Delta{}
+	for _, key := range sortedKeys(puts) {
+		if t := puts[key]; t != nil {
+			d.Tasks = append(d.Tasks, encodeTask(t))
+		} else {
+			d.Removed = append(d.Removed, encodeKey(key))
+		}
+	}
+	for _, worker := range slices.Sorted(maps.Keys(quarantines)) {
+		d.Quarantines = append(d.Quarantines, encodeQuarantine(quarantines[worker]))
+	}
+	return d
+}
+
+func sortedKeys(puts map[model.TaskKey]*Task) []model.TaskKey {
+	keys := slices.Collect(maps.Keys(puts))
+	slices.SortFunc(keys, func(a, b model.TaskKey) int {
+		switch {
+		case a.Less(b):
+			return -1
+		case b.Less(a):
+			return 1
+		}
+		return 0
+	})
+	return keys
+}
+
+func (b *batch) require(key string, kind port.CompareKind, revision int64) {
+	b.conditions = append(b.conditions, port.Condition{Key: key, Kind: kind, Revision: revision})
+}
+
+func (b *batch) put(key string, value []byte) {
+	b.ops = append(b.ops, port.Op{Key: key, Value: value})
+	b.bytes += len(value)
+}
+
+func (b *batch) deleteRange(from, to string) {
+	b.ops = append(b.ops, port.Op{Key: from, RangeEnd: to, Delete: true})
+}
+
+// addHandoff puts the task in the receiver's inbox. The condition keeps it
+// from overwriting an item that was not received.
+func (b *batch) addHandoff(keyPrefix string, own model.ShardID, h *Handoff) {
+	key := InboxKey(keyPrefix, h.To, h.Task.Key)
+	b.require(key, port.CompareCreateRevision, 0)
+	b.put(key, marshal(&ledgerv1.InboxEntry{
+		Task:      encodeTask(&h.Task),
+		FromShard: uint32(own),
+	}))
+}
+
+// addReceive deletes the inbox item, which must be the one that was read.
+func (b *batch) addReceive(item *InboxItem) {
+	b.require(item.Key, port.CompareModRevision, item.ModRevision)
+	b.ops = append(b.ops, port.Op{Key: item.Key, Delete: true})
+}
+
+func (b *batch) changes() []Change { return changesOf(b.entries) }
+
+func changesOf(entries []entry) []Change {
+	changes := make([]Change, len(entries))
+	for i := range entries {
+		changes[i] = entries[i].change
+	}
+	return changes
+}
--- /dev/null
+++ b/core/manifest/reader.go
@@ -0,0 +1,207 @@
+package manifest
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// problems gathers what is wrong, once for each path.
+type problems struct {
+	list []Problem
+	seen map[string]bool
+}
+
+// add records a problem unless its path, or one that it lies within, has one
+// already: what could not be read must not also be called missing.
+func (p *problems) add(path string, reason Reason, detail string) {
+	if p.covered(path) {
+		return
+	}
+	if p.seen == nil {
+		p.seen = make(map[string]bool)
+	}
+	p.seen[path] = true
+	p.list = append(p.list, Problem{Path: path, Reason: reason, Detail: detail})
+}
+
+func (p *problems) covered(path string) bool {
+	for path != "" {
+		if p.seen[path] {
+			return true
+		}
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+	}
+	return false
+}
+
+func (p *problems) err() error {
+	if len(p.list) == 0 {
+		return nil
+	}
+	return &InvalidError{Problems: p.list}
+}
+
+// object reads the fields of one JSON object and notes which were asked for.
+type object struct {
+	problems *problems
+	path     string
+	fields   map[string]any
+	known    map[string]bool
+}
+
+// newObject reads value as an object; when it is none, that is a problem and
+// every field reads as absent.
+func newObject(p *problems, path string, value any) *object {
+	fields, ok := value.(map[string]any)
+	if !ok {
+		p.add(path, ReasonWrongType, "want an object, have "+typeName(value))
+	}
+	return &object{problems: p, path: path, fields: fields, known: make(map[string]bool)}
+}
+
+func (o *object) at(field string) string {
+	if o.path == "" {
+		return field
+	}
+	return o.path + "." + field
+}
+
+func (o *object) get(field string) (any, bool) {
+	o.known[field] = true
+	value, ok := o.fields[field]
+	return value, ok
+}
+
+// require notes fields that are absent.
+func (o *object) require(fields ...string) {
+	for _, field := range fields {
+		if _, ok := o.fields[field]; !ok {
+			o.problems.add(o.at(field), ReasonMissing, "")
+		}
+	}
+}
+
+// refuseUnknown notes fields that were never asked for, in order of name.
+func (o *object) refuseUnknown() {
+	var unknown []string
+	for field := range o.fields {
+		if !o.known[field] {
+			unknown = append(unknown, field)
+		}
+	}
+	slices.Sort(unknown)
+	for _, field := range unknown {
+		o.problems.add(o.at(field), ReasonUnknownField, "")
+	}
+}
+
+func (o *object) text(field string) string {
+	value, ok := o.get(field)
+	if !ok {
+		return ""
+	}
+	text, ok := value.(string)
+	if !ok {
+		o.problems.add(o.at(field), ReasonWrongType, "want text, have "+typeName(value))
+	}
+	return text
+}
+
+func (o *object) boolean(field string) bool {
+	value, ok := o.get(field)
+	if !ok {
+		return false
+	}
+	b, ok := value.(bool)
+	if !ok {
+		o.problems.add(o.at(field), ReasonWrongType, "want true or false, have "+typeName(value))
+	}
+	return b
+}
+
+func (o *object) integer(field string) int64 {
+	value, ok := o.get(field)
+	if !ok {
+		return 0
+	}
+	number, ok := value.(json.Number)
+	if !ok {
+		o.problems.add(o.at(field), ReasonWrongType, "want a whole number without a unit, have "+typeName(value))
+		return 0
+	}
+	n, err := strconv.ParseInt(number.String(), 10, 64)
+	if err != nil {
+		o.problems.add(o.at(field), ReasonWrongType, "want a whole number, have "+number.String())
+	}
+	return n
+}
+
+func (o *object) duration(field string) Duration {
+	value, ok := o.get(field)
+	if !ok {
+		return 0
+	}
+	text, ok := value.(string)
+	if !ok {
+		o.problems.add(o.at(field), ReasonBadUnit, fmt.Sprintf("%v; write text such as \"500ms\" or \"2h\"", value))
+		return 0
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		o.problems.add(o.at(field), ReasonBadUnit, fmt.Sprintf("%q; write text such as \"500ms\" or \"2h\"", text))
+	}
+	return Duration(d)
+}
+
+// list reads a field as a list; one that is absent is empty.
+func (o *object) list(field string) []any {
+	value, ok := o.get(field)
+	if !ok {
+		return nil
+	}
+	list, ok := value.([]any)
+	if !ok {
+		o.problems.add(o.at(field), ReasonWrongType, "want a list, have "+typeName(value))
+	}
+	return list
+}
+
+func (o *object) texts(field string) []string {
+	values := o.list(field)
+	if len(values) == 0 {
+		return nil
+	}
+	texts := make([]string, len(values))
+	for i, value := range values {
+		text, ok := value.(string)
+		if !ok {
+			o.problems.add(elementPath(o.at(field), i), ReasonWrongType, "want text, have "+typeName(value))
+		}
+		texts[i] = text
+	}
+	return texts
+}
+
+func elementPath(list string, index int) string {
+	return fmt.Sprintf("%s[%d]", list, index)
+}
+
+func typeName(value any) string {
+	switch value.(type) {
+	case nil:
+		return "null"
+	case string:
+		return "text"
+	case bool:
+		return "true or false"
+	case json.Number:
+		return "a number"
+	case []any:
+		return "a list"
+	}
+	return "an object"
+}
--- /dev/null
+++ b/core/membership/machine.go
@@ -0,0 +1,208 @@
+package membership
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// Machine is the membership state of one daemon. It is driven by one
+// goroutine.
+type Machine struct {
+	o    Options
+	self Member
+	// members are all others, and sorted the same by ID.
+	members map[model.DaemonID]*record
+	sorted  []*record
+	// ring is who is still to be asked in the present turn.
+	ring []model.DaemonID
+	pcg  *rand.PCG
+	rng  *rand.Rand
+
+	now       time.Time
+	booted    time.Time
+	nextRound time.Time
+	lastRound time.Time
+	lastRetry time.Time
+	// doubtBudget is how many members in doubt may still be asked this round.
+	doubtBudget int
+	// lastContact is when a message of any other member last arrived, failed
+	// the exchanges that failed since.
+	lastContact time.Time
+	failed      int
+	// blaming is whether this daemon blames its own link.
+	blaming bool
+	stopped bool
+
+	// listedAt is when a list was last trusted, distrusted since when not.
+	listedAt   time.Time
+	distrusted time.Time
+	// changes are the members whose records are passed on, with how often each
+	// was; cursor is where the next records in turn begin.
+	changes map[model.DaemonID]int
+	cursor  int
+
+	commands []Command
+	changed  bool
+	view     *View
+	stats    Stats
+}
+
+// New returns a machine that knows only self. Self needs ID, Address, Zone and
+// Started; its incarnation is made from Started.
+func New(self Member, o Options) *Machine {
+	if self.Incarnation == 0 {
+		self.Incarnation = uint64(self.Started.UnixMilli())
+	}
+	self.State = Alive
+	pcg := rand.NewPCG(xxhash.Sum64String(string(self.ID)), self.Incarnation)
+	return &Machine{
+		o:       o.withDefaults(),
+		self:    self,
+		members: make(map[model.DaemonID]*record),
+		changes: make(map[model.DaemonID]int),
+		pcg:     pcg,
+		rng:     rand.New(pcg),
+	}
+}
+
+// Step takes one event and returns what to do. Of the errors that events
+// carry only the kind is used; none is returned.
+func (m *Machine) Step(now time.Time, ev Event) []Command {
+	m.now = now
+	if m.booted.IsZero() {
+		m.booted, m.lastRound, m.lastContact = now, now, now
+	}
+	m.commands, m.changed = nil, false
+	if _, idle := ev.(Tick); !idle {
+		m.view = nil
+	}
+	switch ev := ev.(type) {
+	case Tick:
+		m.tick(ev.Random)
+	case VMsListed:
+		m.takeList(ev)
+	case Received:
+		m.received(ev)
+	case Answered:
+		m.answered(ev)
+	case Local:
+		m.local(ev)
+	case Drain:
+		m.drain()
+	case Stop:
+		m.stop()
+	}
+	if m.changed {
+		m.commands = append(m.commands, Changed{})
+	}
+	return m.commands
+}
+
+// Stats returns the counters.
+func (m *Machine) Stats() Stats { return m.stats }
+
+// View returns the current picture.
+func (m *Machine) View() *View {
+	if m.view == nil {
+		m.view = m.makeView()
+	}
+	return m.view
+}
+
+func (m *Machine) makeView() *View {
+	v := &View{
+		Self:     m.self,
+		Members:  make([]Member, 0, len(m.sorted)+1),
+		Isolated: m.blaming,
+	}
+	for _, r := range m.sorted {
+		v.Members = append(v.Members, r.Member)
+	}
+	at, _ := slices.BinarySearchFunc(v.Members, m.self.ID, func(x Member, id model.DaemonID) int {
+		return cmp.Compare(x.ID, id)
+	})
+	v.Members = slices.Insert(v.Members, at, m.self)
+	return v
+}
+
+func (m *Machine) local(ev Local) {
+	shards := slices.Clone(ev.OwnedShards)
+	slices.SortFunc(shards, func(a, b ShardEpoch) int { return cmp.Compare(a.Shard, b.Shard) })
+	if !slices.Equal(shards, m.self.OwnedShards) {
+		m.changed = true
+	}
+	m.self.ConfigRevision = ev.ConfigRevision
+	m.self.Demand = ev.Demand
+	m.self.StoreSilent = ev.StoreSilent
+	m.self.OwnedShards = shards
+}
+
+// drain announces a planned stop under a new incarnation, so that it goes
+// ahead of all records that call this daemon alive.
+func (m *Machine) drain() {
+	if m.self.State != Alive {
+		return
+	}
+	m.self.Draining = true
+	m.self.State = Leaving
+	m.self.Incarnation++
+	m.changed = true
+	m.nextRound = m.now
+}
+
+// stop makes this daemon's own record say that it is dead and tells a few
+// members; they tell the others.
+func (m *Machine) stop() {
+	if m.stopped {
+		return
+	}
+	m.stopped = true
+	m.self.Draining = true
+	m.self.State = Dead
+	m.self.Incarnation++
+	m.changed = true
+	m.askNext(m.o.StartFanout)
+}
+
+func (m *Machine) add(id model.DaemonID) *record {
+	r := &record{Member: Member{ID: id}}
+	m.members[id] = r
+	at, _ := m.place(id)
+	m.sorted = slices.Insert(m.sorted, at, r)
+	// A new member takes a random place in the present turn. At its end it
+	// could wait as many periods as there are members for its first exchange.
+	m.ring = slices.Insert(m.ring, m.rng.IntN(len(m.ring)+1), id)
+	return r
+}
+
+// place is where a member is, or would be, among the sorted.
+func (m *Machine) place(id model.DaemonID) (int, bool) {
+	return slices.BinarySearchFunc(m.sorted, id, func(r *record, id model.DaemonID) int {
+		return cmp.Compare(r.ID, id)
+	})
+}
+
+func (m *Machine) remove(id model.DaemonID) {
+	delete(m.members, id)
+	delete(m.changes, id)
+	if at, ok := m.place(id); ok {
+		m.sorted = slices.Delete(m.sorted, at, at+1)
+	}
+	if at := slices.Index(m.ring, id); at >= 0 {
+		m.ring = slices.Delete(m.ring, at, at+1)
+	}
+}
+
+func (m *Machine) setState(r *record, s State) {
+	if r.State == s {
+		return
+	}
+	r.State = s
+	m.changed = true
+}
--- /dev/null
+++ b/core/membership/merge.go
@@ -0,0 +1,197 @@
+package membership
+
+import (
+	peerv1 "github.com/guavarill/guavarill/api/peer/v1"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// fromMember takes in the record that a message's sender gives of itself, and
+// returns nil when the message is to be ignored: it is of an earlier boot, or
+// of a daemon that uses this one's name.
+func (m *Machine) fromMember(p *peerv1.Member) *record {
+	id := model.DaemonID(p.GetId())
+	if id == "" || id == m.self.ID || p.GetIncarnation() == 0 {
+		return nil
+	}
+	r := m.members[id]
+	if r == nil {
+		r = m.add(id)
+	}
+	r.directIncarnation = p.GetIncarnation()
+	if p.GetIncarnation() < r.Incarnation {
+		m.stats.OldRecords++
+		return nil
+	}
+	m.takeRecord(r, r, p)
+	if !sameShards(r.OwnedShards, p.GetOwnedShards()) {
+		m.changed = true
+	}
+	r.takeOwn(p)
+	r.Heard = m.now
+	return r
+}
+
+func sameShards(have []ShardEpoch, got []*peerv1.ShardEpoch) bool {
+	if len(have) != len(got) {
+		return false
+	}
+	for i, s := range got {
+		if uint32(have[i].Shard) != s.GetShard() || int64(have[i].Epoch) != s.GetEpoch() {
+			return false
+		}
+	}
+	return true
+}
+
+// takeRecords takes in what a member says of others.
+func (m *Machine) takeRecords(by *record, members []*peerv1.Member) {
+	for _, p := range members {
+		id := model.DaemonID(p.GetId())
+		switch {
+		case id == "" || p.GetIncarnation() == 0:
+		case id == m.self.ID:
+			m.aboutSelf(p)
+		case m.members[id] == nil:
+			m.takeUnknown(by, p)
+		default:
+			m.takeRecord(by, m.members[id], p)
+		}
+	}
+}
+
+// aboutSelf raises the own incarnation above one at which this daemon is
+// accused, or above one of an earlier boot under a clock that was ahead.
+func (m *Machine) aboutSelf(p *peerv1.Member) {
+	if m.stopped {
+		return
+	}
+	accused := p.GetState() == toWire[Suspect] || p.GetState() == toWire[Dead]
+	inc := p.GetIncarnation()
+	if inc > m.self.Incarnation || accused && inc == m.self.Incarnation {
+		m.self.Incarnation = inc + 1
+		m.stats.Refutations++
+	}
+}
+
+// takeUnknown adds a member first heard of from another. Dead ones are taken
+// only shortly after this daemon's own start, so that it places requests' homes
+// as the others do; later they are ones it has forgotten already.
+func (m *Machine) takeUnknown(by *record, p *peerv1.Member) {
+	dead := fromWire[p.GetState()] == Dead
+	if dead && m.now.Sub(m.booted) > startPeriods*m.o.Period {
+		return
+	}
+	r := m.add(model.DaemonID(p.GetId()))
+	if !dead {
+		m.takeRecord(by, r, p)
+		return
+	}
+	r.takeIdentity(p)
+	r.secondHand = true
+	r.diedAt = m.now
+	m.setState(r, Dead)
+}
+
+// takeRecord takes in what by says of r.
+func (m *Machine) takeRecord(by, r *record, p *peerv1.Member) {
+	state, ok := fromWire[p.GetState()]
+	if !ok {
+		return
+	}
+	if p.GetIncarnation() < r.Incarnation {
+		m.stats.OldRecords++
+		m.correct(r.ID)
+		return
+	}
+	if p.GetIncarnation() > r.Incarnation {
+		m.raise(r, p)
+	} else if _, queued := m.changes[r.ID]; queued && state == r.State && by != r {
+		m.changes[r.ID]++
+	}
+	switch state {
+	case Leaving:
+		m.leaving(r)
+	case Suspect:
+		m.reported(by, r, false)
+	case Dead:
+		m.reported(by, r, true)
+	}
+}
+
+// raise takes a record with a higher incarnation. The incarnation is raised by
+// the member itself after all that was said of it before, which is refuted by
+// that.
+func (m *Machine) raise(r *record, p *peerv1.Member) {
+	if r.Address != p.GetAddress() || r.Incarnation == 0 {
+		m.changed = true
+	}
+	if r.Incarnation == 0 || r.Started.UnixMilli() != p.GetStartedUnixMillis() {
+		r.met, r.synced = m.now, false
+		r.Draining = false
+	}
+	r.takeIdentity(p)
+	r.secondHand = false
+	m.recover(r)
+	m.announce(r.ID)
+	m.displace(r)
+}
+
+// leaving takes the member's word that it leaves.
+func (m *Machine) leaving(r *record) {
+	if r.Draining || r.State == Dead {
+		return
+	}
+	r.Draining = true
+	if r.State == Alive {
+		m.setState(r, Leaving)
+	}
+	m.announce(r.ID)
+}
+
+// reported takes another member's word that r does not answer, or that it
+// removed r. A member that says so of itself, or that said it is leaving, is
+// believed at once.
+func (m *Machine) reported(by, r *record, dead bool) {
+	if r.State == Dead {
+		return
+	}
+	if dead && (by == r || r.Draining) {
+		r.Draining = true
+		m.bury(r)
+		return
+	}
+	if by == r {
+		return
+	}
+	m.accuse(r)
+	r.questioned = true
+	r.addReport(by.ID, dead)
+}
+
+// correct has a record passed on once more after somebody showed an older one.
+func (m *Machine) correct(id model.DaemonID) {
+	if _, queued := m.changes[id]; queued || m.members[id].secondHand {
+		return
+	}
+	m.changes[id] = m.relays() - 1
+}
+
+// displace removes the member that had r's address before. A VM that is
+// replaced under the same address leaves a record that would be asked, and
+// answered by the new daemon, for ever.
+func (m *Machine) displace(r *record) {
+	for _, other := range m.sorted {
+		if other == r || other.Address != r.Address || other.State == Dead {
+			continue
+		}
+		m.stats.AddressConflicts++
+		switch {
+		case other.State == Listed:
+			m.remove(other.ID)
+		case other.Started.Before(r.Started):
+			other.Draining = true
+			m.bury(other)
+		}
+		return
+	}
+}
--- /dev/null
+++ b/core/membership/record.go
@@ -0,0 +1,182 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	peerv1 "github.com/guavarill/guavarill/api/peer/v1"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// record is what a daemon holds of one member.
+type record struct {
+	Member
+
+	// listed is whether the platform's last trusted list names the VM, delisted
+	// whether an earlier one did and the last does not.
+	listed   bool
+	delisted bool
+	// named is whether the list being taken in names the VM.
+	named bool
+	// met is when this daemon first heard of the member's present boot, synced
+	// whether a larger message was sent to it since.
+	met    time.Time
+	synced bool
+	// directIncarnation is the incarnation in the last message from the member
+	// itself, whether or not that was taken.
+	directIncarnation uint64
+
+	// asked is when the exchange in progress, or else the last one, was
+	// started.
+	asked    time.Time
+	inFlight bool
+	// failures counts failed exchanges since the last answer; failedAsked is
+	// when the last failed one was started.
+	failures    int
+	failedAsked time.Time
+	// questioned is whether others' reports ask for an own exchange.
+	questioned bool
+	// accusedAt is when the first failure or report that still stands came,
+	// since when the member became suspect.
+	accusedAt time.Time
+	since     time.Time
+	// reports are the other members that failed to reach it since its last
+	// answer, and whether they removed it.
+	reports []report
+	// secondHand is whether the member was first heard of as dead. Such
+	// records are not passed on, or they would go round for ever between
+	// daemons that each forget them later than the others.
+	secondHand bool
+	diedAt     time.Time
+
+	// silence is how long the member's store was silent by its last answer, and
+	// silentAsked when that exchange was started.
+	silence     time.Duration
+	silentAsked time.Time
+}
+
+type report struct {
+	by   model.DaemonID
+	dead bool
+}
+
+// addReport notes what another member experienced.
+func (r *record) addReport(by model.DaemonID, dead bool) {
+	for i := range r.reports {
+		if r.reports[i].by == by {
+			r.reports[i].dead = r.reports[i].dead || dead
+			return
+		}
+	}
+	if len(r.reports) < maxReports {
+		r.reports = append(r.reports, report{by, dead})
+	}
+}
+
+// maxReports bounds the reports kept about one member.
+const maxReports = 4
+
+func (r *record) deadReports() int {
+	n := 0
+	for _, rep := range r.reports {
+		if rep.dead {
+			n++
+		}
+	}
+	return n
+}
+
+// clearDoubt forgets failures and reports.
+func (r *record) clearDoubt() {
+	r.failures = 0
+	r.questioned = false
+	r.reports = nil
+}
+
+// liveState is the state of a member that is not in doubt.
+func (r *record) liveState() State {
+	switch {
+	case r.Incarnation == 0:
+		return Listed
+	case r.Draining:
+		return Leaving
+	}
+	return Alive
+}
+
+// inDoubt is whether the member is to be asked out of turn.
+func (r *record) inDoubt() bool {
+	return r.State != Dead && r.State != Listed &&
+		(r.State == Suspect || r.failures > 0 || r.questioned)
+}
+
+var toWire = map[State]peerv1.MemberState{
+	Alive:   peerv1.MemberState_MEMBER_STATE_ALIVE,
+	Leaving: peerv1.MemberState_MEMBER_STATE_LEAVING,
+	Suspect: peerv1.MemberState_MEMBER_STATE_SUSPECT,
+	Dead:    peerv1.MemberState_MEMBER_STATE_DEAD,
+}
+
+var fromWire = map[peerv1.MemberState]State{
+	peerv1.MemberState_MEMBER_STATE_ALIVE:   Alive,
+	peerv1.MemberState_MEMBER_STATE_LEAVING: Leaving,
+	peerv1.MemberState_MEMBER_STATE_SUSPECT: Suspect,
+	peerv1.MemberState_MEMBER_STATE_DEAD:    Dead,
+}
+
+// relayed is the record as it is passed on: without what only the member's own
+// messages say.
+func (m *Member) relayed(s State) *peerv1.Member {
+	return &peerv1.Member{
+		Id:                string(m.ID),
+		Incarnation:       m.Incarnation,
+		State:             toWire[s],
+		Address:           m.Address,
+		AvailabilityZone:  string(m.Zone),
+		StartedUnixMillis: m.Started.UnixMilli(),
+	}
+}
+
+// own is the record as the member itself sends it.
+func (m *Member) own() *peerv1.Member {
+	p := m.relayed(m.State)
+	p.ConfigRevision = uint64(m.ConfigRevision)
+	p.StoreSilentMillis = m.StoreSilent.Milliseconds()
+	for _, service := range slices.Sorted(maps.Keys(m.Demand)) {
+		d := m.Demand[service]
+		p.Demand = append(p.Demand, &peerv1.ServiceDemand{
+			Service: service, InFlight: d.InFlight, Queued: d.Queued,
+		})
+	}
+	for _, s := range m.OwnedShards {
+		p.OwnedShards = append(p.OwnedShards, &peerv1.ShardEpoch{
+			Shard: uint32(s.Shard), Epoch: int64(s.Epoch),
+		})
+	}
+	return p
+}
+
+// takeIdentity takes over what both own and relayed records say.
+func (m *Member) takeIdentity(p *peerv1.Member) {
+	m.Incarnation = p.GetIncarnation()
+	m.Address = p.GetAddress()
+	m.Zone = model.Zone(p.GetAvailabilityZone())
+	m.Started = time.UnixMilli(p.GetStartedUnixMillis())
+}
+
+// takeOwn takes over what only the member's own messages say.
+func (m *Member) takeOwn(p *peerv1.Member) {
+	m.ConfigRevision = model.Revision(p.GetConfigRevision())
+	m.StoreSilent = time.Duration(p.GetStoreSilentMillis()) * time.Millisecond
+	m.Demand = make(map[string]Demand, len(p.GetDemand()))
+	for _, d := range p.GetDemand() {
+		m.Demand[d.GetService()] = Demand{InFlight: d.GetInFlight(), Queued: d.GetQueued()}
+	}
+	m.OwnedShards = make([]ShardEpoch, 0, len(p.GetOwnedShards()))
+	for _, s := range p.GetOwnedShards() {
+		m.OwnedShards = append(m.OwnedShards, ShardEpoch{
+			Shard: model.ShardID(s.GetShard()), Epoch: model.Epoch(s.GetEpoch()),
+		})
+	}
+}
--- /dev/null
+++ b/core/membership/relay.go
@@ -0,0 +1,117 @@
+package membership
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+
+	peerv1 "github.com/guavarill/guavarill/api/peer/v1"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// Outgoing is OutgoingTo for a peer that is not known.
+func (m *Machine) Outgoing() (self *peerv1.Member, records []*peerv1.Member) {
+	return m.OutgoingTo("")
+}
+
+// OutgoingTo returns the sender's record and the member records of the next
+// message to peer, and counts them as sent.
+func (m *Machine) OutgoingTo(peer model.DaemonID) (self *peerv1.Member, records []*peerv1.Member) {
+	b := batch{named: map[model.DaemonID]bool{peer: true}}
+	r := m.members[peer]
+	if r != nil {
+		m.tellBelief(&b, r)
+	}
+	for _, id := range m.takeChanges(peer) {
+		m.addRecord(&b, m.members[id])
+	}
+	m.addRotating(&b, m.rotating(r))
+	return m.self.own(), b.records
+}
+
+// batch gathers the records of one message.
+type batch struct {
+	named   map[model.DaemonID]bool
+	records []*peerv1.Member
+}
+
+// addRecord adds one record if it is to be passed on at all.
+func (m *Machine) addRecord(b *batch, r *record) bool {
+	if b.named[r.ID] || r.Incarnation == 0 || r.secondHand {
+		return false
+	}
+	b.named[r.ID] = true
+	b.records = append(b.records, r.relayed(r.State))
+	return true
+}
+
+// tellBelief tells a peer what it may have to refute, or that it uses an
+// incarnation below the known one.
+func (m *Machine) tellBelief(b *batch, r *record) {
+	switch {
+	case r.Incarnation == 0:
+	case r.State == Dead || r.State == Suspect:
+		b.records = append(b.records, r.relayed(r.State))
+	case r.questioned:
+		b.records = append(b.records, r.relayed(Suspect))
+	case r.directIncarnation != 0 && r.directIncarnation < r.Incarnation:
+		b.records = append(b.records, r.relayed(r.State))
+	}
+}
+
+// takeChanges picks the changes passed on least often.
+func (m *Machine) takeChanges(peer model.DaemonID) []model.DaemonID {
+	limit := m.relays()
+	ids := make([]model.DaemonID, 0, len(m.changes))
+	for id, sent := range m.changes {
+		if sent >= limit {
+			delete(m.changes, id)
+			continue
+		}
+		if id != peer {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b model.DaemonID) int {
+		return cmp.Or(cmp.Compare(m.changes[a], m.changes[b]), cmp.Compare(a, b))
+	})
+	ids = ids[:min(len(ids), m.o.MaxChanges)]
+	for _, id := range ids {
+		m.changes[id]++
+	}
+	return ids
+}
+
+// relays is how often a change is passed on.
+func (m *Machine) relays() int {
+	return m.o.RelayFactor * max(1, bits.Len(uint(len(m.sorted))))
+}
+
+// rotating is how many records of no recent change the message to r carries.
+// The larger number is for the first message between daemons of which one has
+// just started and knows few others.
+func (m *Machine) rotating(r *record) int {
+	if r == nil || r.synced || r.Incarnation == 0 {
+		return m.o.Rotating
+	}
+	r.synced = true
+	if m.now.Sub(r.met) > startPeriods*m.o.Period {
+		return m.o.Rotating
+	}
+	return m.o.MaxSync
+}
+
+// addRotating adds the next n records in turn. They repair what the passing on
+// of changes missed.
+func (m *Machine) addRotating(b *batch, n int) {
+	for range len(m.sorted) {
+		if n == 0 {
+			return
+		}
+		m.cursor %= len(m.sorted)
+		if m.addRecord(b, m.sorted[m.cursor]) {
+			n--
+		}
+		m.cursor++
+	}
+}
--- /dev/null
+++ b/core/membership/simnet/net.go
@@ -0,0 +1,171 @@
+// Package simnet runs the nodes of a test in virtual time over a network that
+// can lose, delay and cut messages. It is an event heap with a fixed seed: two
+// runs of a test do the same, and an hour takes as long as its events.
+package simnet
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/guavarill/guavarill/port"
+)
+
+// Start is the time at which every Net begins.
+var Start = time.Date(2026, 12, 2, 6, 0, 0, 0, time.UTC)
+
+// Net is the network and the clock. The fields may be changed during a run.
+type Net struct {
+	// Rand decides losses and delays.
+	Rand *rand.Rand
+	// Loss is the probability that one message, request or response, is lost.
+	Loss float64
+	// Delay is the least time of a message; up to as much again is added.
+	Delay time.Duration
+	// Cut tells whether no message passes between two nodes.
+	Cut func(a, b string) bool
+
+	now    time.Time
+	serial uint64
+	events events
+	down   map[string]bool
+	paused map[string]time.Time
+}
+
+// New returns a network without faults.
+func New(seed uint64) *Net {
+	return &Net{
+		Rand:   rand.New(rand.NewPCG(seed, seed)),
+		Delay:  time.Millisecond,
+		Cut:    func(a, b string) bool { return false },
+		now:    Start,
+		down:   make(map[string]bool),
+		paused: make(map[string]time.Time),
+	}
+}
+
+// Now returns the virtual time.
+func (n *Net) Now() time.Time { return n.now }
+
+// Since returns the virtual time since Start.
+func (n *Net) Since() time.Duration { return n.now.Sub(Start) }
+
+// After runs do on node after d: at once when the node's pause ends if it is
+// paused then, never if it is down.
+func (n *Net) After(node string, d time.Duration, do func()) {
+	n.at(n.now.Add(d), func() { n.on(node, do) })
+}
+
+func (n *Net) on(node string, do func()) {
+	if n.down[node] {
+		return
+	}
+	if until := n.paused[node]; until.After(n.now) {
+		n.at(until, func() { n.on(node, do) })
+		return
+	}
+	do()
+}
+
+// Every runs do on node each period, from a random part of the first one.
+func (n *Net) Every(node string, period time.Duration, do func()) {
+	var again func()
+	again = func() {
+		do()
+		n.After(node, period, again)
+	}
+	n.After(node, time.Duration(n.Rand.Int64N(int64(period))), again)
+}
+
+// Kill ends a node: it answers nothing, not even with a refusal.
+func (n *Net) Kill(node string) { n.down[node] = true }
+
+// Down tells whether a node was killed.
+func (n *Net) Down(node string) bool { return n.down[node] }
+
+// Pause stops a node for d; what would have happened on it happens at the end.
+func (n *Net) Pause(node string, d time.Duration) { n.paused[node] = n.now.Add(d) }
+
+// Run lets time pass by d.
+func (n *Net) Run(d time.Duration) { n.RunUntil(d, func() bool { return false }) }
+
+// RunUntil lets time pass until done, checked after each event, or by d at
+// most. It tells whether done became true.
+func (n *Net) RunUntil(d time.Duration, done func() bool) bool {
+	end := n.now.Add(d)
+	for len(n.events) > 0 && !n.events[0].at.After(end) {
+		ev := heap.Pop(&n.events).(event)
+		n.now = ev.at
+		ev.do()
+		if done() {
+			return true
+		}
+	}
+	n.now = end
+	return false
+}
+
+// Call carries a request from one node to another and its response back.
+// Handle runs on to, done runs on from exactly once: with the response, or
+// with a *port.PeerError at the deadline.
+func Call[R any](n *Net, from, to string, timeout time.Duration, handle func() R, done func(R, error)) {
+	over := false
+	finish := func(r R, err error) {
+		if !over {
+			over = true
+			done(r, err)
+		}
+	}
+	n.After(from, timeout, func() {
+		var none R
+		finish(none, &port.PeerError{Peer: to, Kind: port.PeerUnreachable})
+	})
+	n.carry(from, to, func() {
+		r := handle()
+		n.carry(to, from, func() { finish(r, nil) })
+	})
+}
+
+// carry runs do on node to when the message arrives, if it does. A cut counts
+// both at the start and at the end of the way.
+func (n *Net) carry(from, to string, do func()) {
+	if n.Cut(from, to) || n.Rand.Float64() < n.Loss {
+		return
+	}
+	d := n.Delay + time.Duration(n.Rand.Int64N(int64(n.Delay)+1))
+	n.After(to, d, func() {
+		if !n.Cut(from, to) {
+			do()
+		}
+	})
+}
+
+func (n *Net) at(t time.Time, do func()) {
+	n.serial++
+	heap.Push(&n.events, event{t, n.serial, do})
+}
+
+type event struct {
+	at     time.Time
+	serial uint64
+	do     func()
+}
+
+// events is a heap by time, then by order of scheduling.
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].serial < e[j].serial
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/core/membership/view.go
@@ -0,0 +1,72 @@
+package membership
+
+import "github.com/guavarill/guavarill/core/model"
+
+// View is an immutable picture of the members. Its slices must not be changed.
+type View struct {
+	// Self is this daemon's own record.
+	Self Member
+	// Members are all known members, this daemon included, by ID.
+	Members []Member
+	// Isolated is whether this daemon fails to reach a majority of the members
+	// that are not dead, so that it removes nobody.
+	Isolated bool
+}
+
+// Alive returns the members that are alive and not leaving.
+func (v *View) Alive() []Member {
+	var out []Member
+	for _, m := range v.Members {
+		if m.State == Alive {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Candidates returns the daemons that may own shards: alive, and neither the
+// daemon nor its VM leaving.
+func (v *View) Candidates() []model.DaemonID {
+	return v.ids(func(m *Member) bool { return m.State == Alive && !m.VMLeaving })
+}
+
+// ForShares returns the daemons among which the slots of instances are
+// divided: all that may still send requests, leaving and suspect ones
+// included.
+func (v *View) ForShares() []model.DaemonID {
+	return v.ids(func(m *Member) bool {
+		return m.State == Alive || m.State == Leaving || m.State == Suspect
+	})
+}
+
+// Known returns the daemons that were heard of, recently dead ones included.
+func (v *View) Known() []model.DaemonID {
+	return v.ids(func(m *Member) bool { return m.State != Listed })
+}
+
+// Member returns the record of one member.
+func (v *View) Member(id model.DaemonID) (Member, bool) {
+	lo, hi := 0, len(v.Members)
+	for lo < hi {
+		mid := (lo + hi) / 2
+		if v.Members[mid].ID < id {
+			lo = mid + 1
+		} else {
+			hi = mid
+		}
+	}
+	if lo < len(v.Members) && v.Members[lo].ID == id {
+		return v.Members[lo], true
+	}
+	return Member{}, false
+}
+
+func (v *View) ids(keep func(*Member) bool) []model.DaemonID {
+	var out []model.DaemonID
+	for i := range v.Members {
+		if keep(&v.Members[i]) {
+			out = append(out, v.Members[i].ID)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/ownership/assign.go
@@ -0,0 +1,178 @@
+package ownership
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// Assign returns the right owner of each of count shards, in shard order; nil
+// without candidates. It depends on the set of candidates alone.
+//
+// No daemon is given more than count/len(candidates) shards, rounded up. Each
+// shard goes to the daemon with the highest weight of the pair, unless that
+// daemon is full of shards that weigh more with it. Since both sides order by
+// the same weights, the result is the one stable matching, and a daemon that
+// comes or goes displaces shards only along a chain of falling weights: few
+// move. Many move only when the rounded-up bound itself changes.
+func Assign(count uint32, candidates []model.DaemonID) []model.DaemonID {
+	if len(candidates) == 0 || count == 0 {
+		return nil
+	}
+	a := newAssignment(count, candidates)
+	for shard := range count {
+		a.place(model.ShardID(shard))
+	}
+	return a.owners()
+}
+
+// Owner returns the right owner of one of count shards; empty without
+// candidates.
+func Owner(shard model.ShardID, count uint32, candidates []model.DaemonID) model.DaemonID {
+	if uint32(shard) >= count {
+		return ""
+	}
+	owners := Assign(count, candidates)
+	if owners == nil {
+		return ""
+	}
+	return owners[shard]
+}
+
+// assignment is a matching under way.
+type assignment struct {
+	daemons  []model.DaemonID
+	capacity int
+	count    uint32
+	// held are each daemon's shards.
+	held [][]model.ShardID
+	// refused is, per shard, the pair that refused it last, nil before the
+	// first refusal; only pairs that weigh less remain for it.
+	refused []*pairWeight
+}
+
+// pairWeight orders pairs of a shard and a daemon; no two pairs are equal.
+type pairWeight struct {
+	hash   uint64
+	shard  model.ShardID
+	daemon int
+}
+
+func (w pairWeight) less(o pairWeight) bool {
+	if w.hash != o.hash {
+		return w.hash < o.hash
+	}
+	if w.shard != o.shard {
+		return w.shard > o.shard
+	}
+	return w.daemon > o.daemon
+}
+
+func newAssignment(count uint32, candidates []model.DaemonID) *assignment {
+	daemons := slices.Clone(candidates)
+	slices.Sort(daemons)
+	daemons = slices.Compact(daemons)
+	n := len(daemons)
+	return &assignment{
+		daemons:  daemons,
+		capacity: (int(count) + n - 1) / n,
+		count:    count,
+		held:     make([][]model.ShardID, n),
+		refused:  make([]*pairWeight, count),
+	}
+}
+
+func (a *assignment) weight(shard model.ShardID, daemon int) pairWeight {
+	return pairWeight{hash: weight(shard, a.daemons[daemon]), shard: shard, daemon: daemon}
+}
+
+// weight is the rendezvous weight of a pair.
+func weight(shard model.ShardID, daemon model.DaemonID) uint64 {
+	var buffer [64]byte
+	b := binary.BigEndian.AppendUint32(buffer[:0], uint32(shard))
+	return xxhash.Sum64(append(b, daemon...))
+}
+
+// place finds a daemon for a shard and, in turn, for each shard displaced.
+func (a *assignment) place(shard model.ShardID) {
+	for {
+		daemon, ok := a.best(shard)
+		if !ok {
+			return
+		}
+		displaced, full := a.offer(shard, daemon)
+		if !full {
+			return
+		}
+		w := a.weight(displaced, daemon)
+		a.refused[displaced] = &w
+		shard = displaced
+	}
+}
+
+// best returns the daemon of the highest weight with the shard, among those
+// that have not refused it.
+func (a *assignment) best(shard model.ShardID) (int, bool) {
+	best, found := pairWeight{}, false
+	refused := a.refused[shard]
+	for daemon := range a.daemons {
+		w := a.weight(shard, daemon)
+		if refused != nil && !w.less(*refused) {
+			continue
+		}
+		if !found || best.less(w) {
+			best, found = w, true
+		}
+	}
+	return best.daemon, found
+}
+
+// offer gives the shard to the daemon and returns the shard that it gives up
+// for it, if it was full.
+func (a *assignment) offer(shard model.ShardID, daemon int) (displaced model.ShardID, full bool) {
+	held := append(a.held[daemon], shard)
+	a.held[daemon] = held
+	if len(held) <= a.capacity {
+		return 0, false
+	}
+	least := 0
+	for i := range held {
+		if a.weight(held[i], daemon).less(a.weight(held[least], daemon)) {
+			least = i
+		}
+	}
+	displaced = held[least]
+	a.held[daemon] = slices.Delete(held, least, least+1)
+	return displaced, true
+}
+
+func (a *assignment) owners() []model.DaemonID {
+	owners := make([]model.DaemonID, a.count)
+	for daemon, shards := range a.held {
+		for _, shard := range shards {
+			owners[shard] = a.daemons[daemon]
+		}
+	}
+	return owners
+}
+
+// secondChoice returns the candidate other than the right owner that weighs
+// most with the shard: the one that stands in for a right owner that does not
+// act.
+func secondChoice(shard model.ShardID, owner model.DaemonID, candidates []model.DaemonID) model.DaemonID {
+	var second model.DaemonID
+	var highest uint64
+	for _, daemon := range candidates {
+		if daemon == owner {
+			continue
+		}
+		w := weight(shard, daemon)
+		if second == "" || w > highest || w == highest && daemon < second {
+			second, highest = daemon, w
+		}
+	}
+	return second
+}
--- /dev/null
+++ b/core/ownership/doc.go
@@ -0,0 +1,2 @@
+// Package ownership decides which shards this daemon owns.
+package ownership
--- /dev/null
+++ b/core/ownership/event.go
@@ -0,0 +1,81 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/port"
+)
+
+// Event is what Step is told.
+type Event interface{ event() }
+
+// Tick lets time pass. It should come several times per Margin.
+type Tick struct{}
+
+// Members says which daemons may own shards: those believed alive and not
+// leaving.
+type Members struct{ Candidates []model.DaemonID }
+
+// Shards says how many shards there are.
+type Shards struct{ Count uint32 }
+
+// LeaseGranted answers GrantLease. SentAt is when the request was sent, with a
+// monotonic reading.
+type LeaseGranted struct {
+	ID     port.LeaseID
+	TTL    time.Duration
+	SentAt time.Time
+	Err    error
+}
+
+// KeptAlive answers KeepAlive for the lease ID.
+type KeptAlive struct {
+	ID     port.LeaseID
+	TTL    time.Duration
+	SentAt time.Time
+	Err    error
+}
+
+// OwnerRead answers ReadOwner with the keys found under its prefix.
+type OwnerRead struct {
+	Shard model.ShardID
+	KVs   []port.KeyValue
+	Err   error
+}
+
+// AcquireAnswered answers Acquire.
+type AcquireAnswered struct {
+	Shard  model.ShardID
+	Result port.TxnResult
+	Err    error
+}
+
+// ReleaseAnswered answers Release.
+type ReleaseAnswered struct {
+	Shard model.ShardID
+	Err   error
+}
+
+// StoreSilence says whether a majority of the known members confirm that the
+// store does not answer them either. It must be repeated while it holds.
+type StoreSilence struct{ Confirmed bool }
+
+// LedgerStoodDown says that the shard's ledger found itself not to be, or not
+// surely, the owner's.
+type LedgerStoodDown struct{ Shard model.ShardID }
+
+// Drain begins a planned stop: all shards are released and none acquired.
+type Drain struct{}
+
+func (Tick) event()            {}
+func (Members) event()         {}
+func (Shards) event()          {}
+func (LeaseGranted) event()    {}
+func (KeptAlive) event()       {}
+func (OwnerRead) event()       {}
+func (AcquireAnswered) event() {}
+func (ReleaseAnswered) event() {}
+func (StoreSilence) event()    {}
+func (LedgerStoodDown) event() {}
+func (Drain) event()           {}
--- /dev/null
+++ b/core/ownership/lease.go
@@ -0,0 +1,194 @@
+package ownership
+
+import (
+	"errors"
+	"time"
+
+	"github.com/guavarill/guavarill/port"
+)
+
+// renewals is how many times a lease is renewed in its time, so that two may
+// fail before it is unsure.
+const renewals = 3
+
+// lease is this daemon's lease in the store.
+type lease struct {
+	// id is 0 while there is none.
+	id       port.LeaseID
+	granting bool
+	renewing bool
+	// expires is before the store lets the lease lapse: it counts from when the
+	// last answered request was sent, which is before the store received it.
+	expires time.Time
+	// nextCall is when to renew, or to ask for a lease again.
+	nextCall time.Time
+	// unanswered is set when the last renewal failed for want of an answer. It
+	// tells an outage, in which this daemon tried, from a pause, in which it
+	// did not.
+	unanswered bool
+	retry      backoff
+}
+
+func (m *Machine) noLease() lease {
+	return lease{retry: backoff{
+		min: m.options.RetryMin, max: m.options.RetryMax, random: m.random,
+	}}
+}
+
+// sure reports whether the lease holds with the margin to spare.
+func (l *lease) sure(now time.Time, margin time.Duration) bool {
+	return l.id != 0 && now.Before(l.expires.Add(-margin))
+}
+
+// checkLease gives all shards up when the lease's time has run out.
+func (m *Machine) checkLease(now time.Time) []Command {
+	if m.lease.id == 0 || now.Before(m.lostAt()) {
+		return nil
+	}
+	commands := m.loseAll(now, LostLeaseLapsed)
+	return append(commands, m.revoke()...)
+}
+
+// lostAt is when the shards are given up. After renewals that the store did
+// not answer they are kept, without acting on them unless MayRenew says so,
+// until a confirmed outage ends or has lasted too long: the store extends
+// leases over its own outages, and the lease may turn out to hold.
+func (m *Machine) lostAt() time.Time {
+	if !m.lease.unanswered {
+		return m.lease.expires
+	}
+	kept := latest(m.lease.expires, m.silentAt).Add(m.options.SilenceFresh)
+	bound := m.lease.expires.Add(m.options.OutageGrace)
+	if bound.Before(kept) {
+		return bound
+	}
+	return kept
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// loseAll gives up all shards and forgets the lease's calls about them.
+func (m *Machine) loseAll(now time.Time, reason LostReason) []Command {
+	var commands []Command
+	for _, s := range m.shards {
+		if s.owned {
+			commands = append(commands, ShardLost{Shard: s.id, Reason: reason})
+		}
+		s.lose()
+		s.nextCall = s.retry.next(now)
+	}
+	return commands
+}
+
+// revoke ends the lease, so that the shards under it need not wait for its
+// time, and keys that a lost acquire may have put go with it.
+func (m *Machine) revoke() []Command {
+	id := m.lease.id
+	m.lease = m.noLease()
+	if id == 0 {
+		return nil
+	}
+	return []Command{RevokeLease{ID: id}}
+}
+
+// driveLease asks for a lease when one is needed, and renews it.
+func (m *Machine) driveLease(now time.Time) []Command {
+	l := &m.lease
+	switch {
+	case l.granting || l.renewing:
+		return nil
+	case !m.needsLease(now):
+		if m.draining {
+			return nil
+		}
+		return m.revoke()
+	case now.Before(l.nextCall):
+		return nil
+	case l.id == 0:
+		l.granting = true
+		return []Command{GrantLease{TTL: m.options.LeaseTTL}}
+	}
+	l.renewing = true
+	return []Command{KeepAlive{ID: l.id}}
+}
+
+func (m *Machine) needsLease(now time.Time) bool {
+	for _, s := range m.shards {
+		if s.owned || s.releasing || s.call == acquireCall || s.inDoubt(now) {
+			return true
+		}
+		if !m.draining && m.mayAcquire(now, s) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) leaseGranted(now time.Time, ev LeaseGranted) {
+	if !m.lease.granting {
+		return
+	}
+	m.lease.granting = false
+	if ev.Err != nil {
+		m.lease.nextCall = m.lease.retry.next(now)
+		return
+	}
+	m.lease.id = ev.ID
+	m.leaseHolds(ev.SentAt, ev.TTL)
+}
+
+func (m *Machine) leaseHolds(sentAt time.Time, ttl time.Duration) {
+	m.lease.expires = latest(m.lease.expires, sentAt.Add(ttl))
+	m.lease.nextCall = sentAt.Add(ttl / renewals)
+	m.lease.unanswered = false
+	m.lease.retry.reset()
+}
+
+func (m *Machine) keptAlive(now time.Time, ev KeptAlive) []Command {
+	if ev.ID != m.lease.id || !m.lease.renewing {
+		return nil
+	}
+	m.lease.renewing = false
+	switch {
+	case ev.Err == nil && ev.TTL > 0:
+		m.leaseHolds(ev.SentAt, ev.TTL)
+		return nil
+	case ev.Err == nil || kindOf(ev.Err) == port.StoreLeaseGone:
+		return m.leaseGone(now)
+	}
+	m.lease.nextCall = m.lease.retry.next(now)
+	m.lease.unanswered = m.lease.unanswered || noAnswer(kindOf(ev.Err))
+	return nil
+}
+
+// leaseGone gives all shards up because the store does not know the lease.
+func (m *Machine) leaseGone(now time.Time) []Command {
+	commands := m.loseAll(now, LostLeaseGone)
+	m.lease = m.noLease()
+	return commands
+}
+
+// noAnswer reports whether a call failed for want of the store's answer,
+// rather than because this daemon did not make it.
+func noAnswer(kind port.StoreErrorKind) bool {
+	return kind != port.StoreThrottled && kind != port.StoreCallCanceled
+}
+
+func kindOf(err error) port.StoreErrorKind {
+	var failure *port.StoreError
+	if errors.As(err, &failure) {
+		return failure.Kind
+	}
+	return port.StoreUnavailable
+}
+
+// notMade reports whether a change was certainly not made.
+func notMade(err error) bool {
+	var failure *port.StoreError
+	return errors.As(err, &failure) && failure.Outcome == port.OutcomeNotDone
+}
--- /dev/null
+++ b/core/placement/score_packing.go
@@ -0,0 +1,36 @@
+package placement
+
+// PackingScore prefers workers that the task fills well: best fit keeps large
+// holes for large tasks.
+type PackingScore struct {
+	W float64
+}
+
+// Name implements Score.
+func (PackingScore) Name() string { return "packing" }
+
+// Weight implements Score.
+func (c PackingScore) Weight() float64 { return c.W }
+
+// Score implements Score.
+func (PackingScore) Score(_ *Snapshot, r *Request, w *Worker) float64 {
+	cpu := filled(w.Committed.MilliCPU+r.Size.MilliCPU, w.VM.Capacity.MilliCPU)
+	memory := filled(w.Committed.MemoryMB+r.Size.MemoryMB, w.VM.Capacity.MemoryMB)
+	// A worker full in one dimension and empty in the other is stranded:
+	// the difference counts against it.
+	return (cpu+memory)/2 - absolute(cpu-memory)/4
+}
+
+func filled(used, capacity int64) float64 {
+	if capacity <= 0 {
+		return 0
+	}
+	return min(1, float64(used)/float64(capacity))
+}
+
+func absolute(x float64) float64 {
+	if x < 0 {
+		return -x
+	}
+	return x
+}
--- /dev/null
+++ b/core/placement/shapes.go
@@ -0,0 +1,107 @@
+package placement
+
+import "github.com/guavarill/guavarill/core/model"
+
+// shapes counts workers by capacity. A fleet has few distinct capacities
+// however many workers it has.
+type shapes struct {
+	list []shape
+}
+
+type shape struct {
+	capacity model.Resources
+	count    int
+}
+
+func (s *shapes) add(capacity model.Resources, n int) {
+	for i := range s.list {
+		if s.list[i].capacity == capacity {
+			s.list[i].count += n
+			if s.list[i].count == 0 {
+				s.list = append(s.list[:i], s.list[i+1:]...)
+			}
+			return
+		}
+	}
+	s.list = append(s.list, shape{capacity, n})
+}
+
+// capacities returns the distinct capacities.
+func (s *shapes) capacities() []model.Resources {
+	out := make([]model.Resources, len(s.list))
+	for i := range s.list {
+		out[i] = s.list[i].capacity
+	}
+	return out
+}
+
+// NeverFits returns a *NeverFitsError when size fits in none of the
+// capacities, and nil when it fits in one or none is known. A task can exceed
+// every worker in no single dimension and still fit none; the capacity that
+// comes closest decides which dimension is reported.
+func NeverFits(key model.TaskKey, size model.Resources, capacities []model.Resources) *NeverFitsError {
+	best := -1
+	bestRatio := 0.0
+	for i, capacity := range capacities {
+		if size.Fits(capacity) {
+			return nil
+		}
+		ratio := overRatio(size, capacity)
+		if best < 0 || ratio < bestRatio || (ratio == bestRatio && larger(capacity, capacities[best])) {
+			best, bestRatio = i, ratio
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return &NeverFitsError{
+		Key:       key,
+		Size:      size,
+		Dimension: worstDimension(size, capacities[best]),
+		Largest:   capacities[best],
+	}
+}
+
+func larger(a, b model.Resources) bool {
+	if a.MilliCPU != b.MilliCPU {
+		return a.MilliCPU > b.MilliCPU
+	}
+	if a.MemoryMB != b.MemoryMB {
+		return a.MemoryMB > b.MemoryMB
+	}
+	return a.Accelerators > b.Accelerators
+}
+
+// absent stands for the ratio to a capacity that is zero.
+const absent = 1e9
+
+func dimensionRatio(size, capacity int64) float64 {
+	if size <= capacity {
+		return 0
+	}
+	if capacity <= 0 {
+		return absent
+	}
+	return float64(size) / float64(capacity)
+}
+
+func overRatio(size, capacity model.Resources) float64 {
+	return max(
+		dimensionRatio(size.MilliCPU, capacity.MilliCPU),
+		dimensionRatio(size.MemoryMB, capacity.MemoryMB),
+		dimensionRatio(size.Accelerators, capacity.Accelerators),
+	)
+}
+
+func worstDimension(size, capacity model.Resources) model.Dimension {
+	cpu := dimensionRatio(size.MilliCPU, capacity.MilliCPU)
+	memory := dimensionRatio(size.MemoryMB, capacity.MemoryMB)
+	accelerators := dimensionRatio(size.Accelerators, capacity.Accelerators)
+	switch {
+	case accelerators > 0 && accelerators >= cpu && accelerators >= memory:
+		return model.DimensionAccelerators
+	case memory > 0 && memory > cpu:
+		return model.DimensionMemory
+	}
+	return model.DimensionCPU
+}
--- /dev/null
+++ b/core/placement/snapshot.go
@@ -0,0 +1,261 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// CautionStd is how many standard deviations are added to the mean when a
+// slowdown is predicted, so that an unknown neighbour counts as a bad one.
+const CautionStd = 1
+
+// Snapshot is the workers that tasks may be placed on. It is not safe for
+// concurrent use.
+type Snapshot struct {
+	workers  []*Worker
+	bySlot   map[model.WorkerID]int
+	eligible []int32
+	grid     *grid
+	position []int32
+	shapes   shapes
+	zones    *places
+	racks    *places
+	spread   map[string]*spreadCount
+	// services are the classes of service seen, in order of appearance.
+	services []classID
+	effects  *predictions
+	refused  refusals
+}
+
+// NewSnapshot indexes workers. The predictor may be nil: every slowdown is
+// then predicted as none.
+func NewSnapshot(workers []Worker, predictor Predictor) *Snapshot {
+	s := &Snapshot{
+		bySlot:  make(map[model.WorkerID]int, len(workers)),
+		grid:    new(grid),
+		zones:   newPlaces(),
+		racks:   newPlaces(),
+		spread:  make(map[string]*spreadCount),
+		effects: newPredictions(predictor, CautionStd),
+	}
+	for _, w := range workers {
+		s.Put(w)
+	}
+	return s
+}
+
+// Len returns how many workers there are.
+func (s *Snapshot) Len() int { return len(s.workers) }
+
+// Worker returns a worker, which the caller must not change.
+func (s *Snapshot) Worker(id model.WorkerID) (*Worker, bool) {
+	slot, ok := s.bySlot[id]
+	if !ok {
+		return nil, false
+	}
+	return s.workers[slot], true
+}
+
+// Capacities returns the distinct capacities of the workers.
+func (s *Snapshot) Capacities() []model.Resources { return s.shapes.capacities() }
+
+// Put adds a worker or replaces what is known of it.
+func (s *Snapshot) Put(w Worker) {
+	s.Remove(w.VM.ID)
+	own := w
+	own.Tasks = slices.Clone(w.Tasks)
+	own.residents = nil
+	own.zone = s.zones.id(string(w.VM.Zone))
+	own.rack = s.racks.id(string(w.VM.Rack))
+	own.slot = len(s.workers)
+	s.workers = append(s.workers, &own)
+	s.position = append(s.position, 0)
+	s.bySlot[w.VM.ID] = own.slot
+	s.shapes.add(w.VM.Capacity, 1)
+	for i := range own.Tasks {
+		s.count(&own, &own.Tasks[i], 1)
+	}
+	s.enter(&own)
+	s.refused.reset()
+}
+
+// Remove forgets a worker.
+func (s *Snapshot) Remove(id model.WorkerID) {
+	slot, ok := s.bySlot[id]
+	if !ok {
+		return
+	}
+	w := s.workers[slot]
+	s.leave(w)
+	for i := range w.Tasks {
+		s.count(w, &w.Tasks[i], -1)
+	}
+	s.shapes.add(w.VM.Capacity, -1)
+	delete(s.bySlot, id)
+	s.fillSlot(slot)
+}
+
+// fillSlot moves the last worker into a slot that became free.
+func (s *Snapshot) fillSlot(slot int) {
+	last := len(s.workers) - 1
+	if slot != last {
+		moved := s.workers[last]
+		eligible := moved.eligibleAt >= 0
+		if eligible {
+			s.leave(moved)
+		}
+		moved.slot = slot
+		s.workers[slot] = moved
+		s.bySlot[moved.VM.ID] = slot
+		if eligible {
+			s.enter(moved)
+		}
+	}
+	s.workers[last] = nil
+	s.workers = s.workers[:last]
+	s.position = s.position[:last]
+}
+
+// SetLoad records a worker's measured load.
+func (s *Snapshot) SetLoad(id model.WorkerID, load float64) {
+	if w, ok := s.Worker(id); ok {
+		w.Load = load
+	}
+}
+
+// Assume takes the room of a task that was placed. It reports false, and does
+// nothing, when the worker is unknown or has no room for it.
+func (s *Snapshot) Assume(r *Request, id model.WorkerID) bool {
+	w, ok := s.Worker(id)
+	if !ok || !r.Size.Fits(w.Free) {
+		return false
+	}
+	w.Tasks = append(w.Tasks, Resident{
+		Key:      r.Key,
+		Class:    r.Class,
+		Service:  r.Service,
+		Priority: r.Priority,
+		Size:     r.Size,
+	})
+	s.count(w, &w.Tasks[len(w.Tasks)-1], 1)
+	s.take(w, r.Size)
+	return true
+}
+
+// Release gives back the room of a task that is over. It reports false when
+// the task is not on the worker.
+func (s *Snapshot) Release(key model.TaskKey, id model.WorkerID) bool {
+	w, ok := s.Worker(id)
+	if !ok {
+		return false
+	}
+	i := slices.IndexFunc(w.Tasks, func(t Resident) bool { return t.Key == key })
+	if i < 0 {
+		return false
+	}
+	task := w.Tasks[i]
+	w.Tasks = slices.Delete(w.Tasks, i, i+1)
+	s.count(w, &task, -1)
+	s.take(w, model.Resources{}.Sub(task.Size))
+	s.refused.reset()
+	return true
+}
+
+// Resize changes the room that a task holds. It reports false, and does
+// nothing, when the task is not on the worker or the worker has no room for
+// the growth.
+func (s *Snapshot) Resize(key model.TaskKey, id model.WorkerID, size model.Resources) bool {
+	w, ok := s.Worker(id)
+	if !ok {
+		return false
+	}
+	i := slices.IndexFunc(w.Tasks, func(t Resident) bool { return t.Key == key })
+	if i < 0 {
+		return false
+	}
+	growth := size.Sub(w.Tasks[i].Size)
+	if !growth.Fits(w.Free) {
+		return false
+	}
+	w.Tasks[i].Size = size
+	s.take(w, growth)
+	s.refused.reset()
+	return true
+}
+
+// take changes a worker's committed sum and moves it to its new cell.
+func (s *Snapshot) take(w *Worker, size model.Resources) {
+	w.Committed = w.Committed.Add(size)
+	w.Free = w.Free.Sub(size)
+	if w.eligibleAt < 0 || cellOf(w.Free) == w.cell {
+		return
+	}
+	s.leaveCell(w)
+	s.enterCell(w)
+}
+
+// count adds n to the counts that a resident takes part in.
+func (s *Snapshot) count(w *Worker, t *Resident, n int) {
+	class := s.effects.class(t.Class)
+	w.countGroup(group{
+		class:   class,
+		profile: s.effects.profile(t.Class, t.Key.Workload, t.Service),
+		service: t.Service,
+		count:   n,
+	})
+	if !t.Service {
+		return
+	}
+	if !slices.Contains(s.services, class) {
+		s.services = append(s.services, class)
+	}
+	c, ok := s.spread[t.Key.Workload]
+	if !ok {
+		c = newSpreadCount()
+		s.spread[t.Key.Workload] = c
+	}
+	c.add(w, n)
+	if c.total == 0 {
+		delete(s.spread, t.Key.Workload)
+	}
+}
+
+func (s *Snapshot) enter(w *Worker) {
+	w.eligibleAt = -1
+	if !w.eligible() {
+		return
+	}
+	w.eligibleAt = len(s.eligible)
+	s.eligible = append(s.eligible, int32(w.slot))
+	s.zones.count(w.zone, 1)
+	s.racks.count(w.rack, 1)
+	s.enterCell(w)
+}
+
+func (s *Snapshot) leave(w *Worker) {
+	if w.eligibleAt < 0 {
+		return
+	}
+	s.leaveCell(w)
+	s.zones.count(w.zone, -1)
+	s.racks.count(w.rack, -1)
+	last := len(s.eligible) - 1
+	moved := s.eligible[last]
+	s.eligible[w.eligibleAt] = moved
+	s.workers[moved].eligibleAt = w.eligibleAt
+	s.eligible = s.eligible[:last]
+	w.eligibleAt = -1
+}
+
+func (s *Snapshot) enterCell(w *Worker) {
+	w.cell = cellOf(w.Free)
+	s.position[w.slot] = int32(s.grid.add(w.cell, int32(w.slot)))
+}
+
+func (s *Snapshot) leaveCell(w *Worker) {
+	position := s.position[w.slot]
+	if moved := s.grid.remove(w.cell, int(position)); moved >= 0 {
+		s.position[moved] = position
+	}
+}
--- /dev/null
+++ b/core/quarantine/evidence.go
@@ -0,0 +1,128 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// maxFailures bounds the failures that are remembered of a worker.
+const maxFailures = 64
+
+// taskFailure is the latest failure of a task on a worker.
+type taskFailure struct {
+	task model.TaskKey
+	at   time.Time
+}
+
+// record is what is known of one worker.
+type record struct {
+	failures []taskFailure
+	// worked holds the tasks that worked here, with the latest time.
+	worked map[model.TaskKey]time.Time
+	// latestFailed and latestAt describe the latest outcome.
+	latestFailed bool
+	latestAt     time.Time
+
+	state     State
+	until     time.Time
+	level     uint32
+	openSince time.Time
+	// probed holds the tasks that worked during this probation.
+	probed map[model.TaskKey]struct{}
+	// strikesFrom is the time from which failures count: those before the
+	// latest quarantine were paid for by it.
+	strikesFrom time.Time
+}
+
+func newRecord() *record {
+	return &record{
+		worked: make(map[model.TaskKey]time.Time),
+		probed: make(map[model.TaskKey]struct{}),
+	}
+}
+
+func (r *record) fail(now time.Time, task model.TaskKey) {
+	r.latestFailed, r.latestAt = true, now
+	for i := range r.failures {
+		if r.failures[i].task == task {
+			r.failures[i].at = now
+			return
+		}
+	}
+	if len(r.failures) == maxFailures {
+		r.failures = append(r.failures[:0], r.failures[1:]...)
+	}
+	r.failures = append(r.failures, taskFailure{task, now})
+}
+
+func (r *record) work(now time.Time, task model.TaskKey) {
+	r.latestFailed, r.latestAt = false, now
+	r.worked[task] = now
+	for i := range r.failures {
+		if r.failures[i].task == task {
+			r.failures = append(r.failures[:i], r.failures[i+1:]...)
+			return
+		}
+	}
+}
+
+// prune drops evidence from before horizon.
+func (r *record) prune(horizon time.Time) {
+	kept := r.failures[:0]
+	for _, f := range r.failures {
+		if !f.at.Before(horizon) {
+			kept = append(kept, f)
+		}
+	}
+	r.failures = kept
+	for task, at := range r.worked {
+		if at.Before(horizon) {
+			delete(r.worked, task)
+		}
+	}
+}
+
+// history is where a task or a workload worked and failed, by worker.
+type history struct {
+	worked map[model.WorkerID]time.Time
+	failed map[model.WorkerID]time.Time
+	// streak is how many failures there were since it last worked.
+	streak uint32
+}
+
+func newHistory() *history {
+	return &history{
+		worked: make(map[model.WorkerID]time.Time),
+		failed: make(map[model.WorkerID]time.Time),
+	}
+}
+
+func (h *history) prune(horizon time.Time) {
+	for w, at := range h.worked {
+		if at.Before(horizon) {
+			delete(h.worked, w)
+		}
+	}
+	for w, at := range h.failed {
+		if at.Before(horizon) {
+			delete(h.failed, w)
+		}
+	}
+}
+
+func (h *history) empty() bool { return len(h.worked) == 0 && len(h.failed) == 0 }
+
+// workedElsewhere reports whether it worked on another worker at or after
+// since.
+func (h *history) workedElsewhere(than model.WorkerID, since time.Time) bool {
+	if h == nil {
+		return false
+	}
+	for w, at := range h.worked {
+		if w != than && !at.Before(since) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/routing/pick.go
@@ -0,0 +1,139 @@
+package routing
+
+import "time"
+
+// Pick takes a slot on the best target. rnd is a uniformly random number. The
+// second result is false when no slot is free, or when waiting for a better
+// one is expected to be faster: in either case the request waits until a Done,
+// an Update or a longer queue.
+func (b *Balancer) Pick(now time.Time, rnd uint64, q Query) (*Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.probe(now, q); t != nil {
+		return b.take(now, t), true
+	}
+	for kind := tierNear; kind < numTiers; kind++ {
+		t := b.draw(now, kind, rnd, q)
+		if t == nil {
+			continue
+		}
+		if !b.tiers.worthIt(kind, t.latency(float64(b.o.InitialLatency)), q.Ahead, float64(b.o.InitialLatency)) {
+			return nil, false
+		}
+		return b.take(now, t), true
+	}
+	return nil, false
+}
+
+// draw returns the best of a few random targets of a tier, or nil.
+func (b *Balancer) draw(now time.Time, kind tier, rnd uint64, q Query) *target {
+	list := b.tiers.free[kind]
+	if len(list) == 0 {
+		return nil
+	}
+	if len(list) <= b.o.Choices {
+		return b.bestOf(now, list, rnd, q)
+	}
+	var best *target
+	for range b.o.Choices {
+		rnd = scatter(rnd)
+		t := list[within(rnd, len(list))]
+		if !avoided(q, t) && b.better(now, t, best, q) {
+			best = t
+		}
+	}
+	if best == nil {
+		return b.bestOf(now, list, rnd, q)
+	}
+	return best
+}
+
+// bestOf looks at all of a short list, and at a part of a long one, from a
+// random one on: equals are to be chosen equally often.
+func (b *Balancer) bestOf(now time.Time, list []*target, rnd uint64, q Query) *target {
+	var best *target
+	first := within(scatter(rnd), len(list))
+	for i := range min(len(list), maxScan) {
+		t := list[(first+i)%len(list)]
+		if !avoided(q, t) && b.better(now, t, best, q) {
+			best = t
+		}
+	}
+	return best
+}
+
+// maxScan bounds the targets looked at when the drawn ones were all avoided.
+const maxScan = 32
+
+func (b *Balancer) better(now time.Time, t, than *target, q Query) bool {
+	if than == nil {
+		return true
+	}
+	if q.NonIdempotent {
+		proven := now.Sub(t.answeredAt) <= b.o.ProvenWithin
+		if proven != (now.Sub(than.answeredAt) <= b.o.ProvenWithin) {
+			return proven
+		}
+	}
+	return b.cost(t) < b.cost(than)
+}
+
+// cost is the expected latency, raised by how much of the target is in use.
+func (b *Balancer) cost(t *target) float64 {
+	used := float64(t.inflight) / float64(t.limit())
+	return t.latency(float64(b.o.InitialLatency)) * (1 + used)
+}
+
+func avoided(q Query, t *target) bool {
+	for _, address := range q.Avoid {
+		if address == t.Address {
+			return true
+		}
+	}
+	return false
+}
+
+// take uses a slot. It allocates only while more requests are in flight than
+// ever before.
+func (b *Balancer) take(now time.Time, t *target) *Choice {
+	t.inflight++
+	b.tiers.place(t)
+	var c *Choice
+	if n := len(b.unused); n > 0 {
+		c = b.unused[n-1]
+		b.unused = b.unused[:n-1]
+	} else {
+		c = &Choice{}
+	}
+	*c = Choice{
+		b:       b,
+		t:       t,
+		started: now,
+		fresh:   !t.silentAt.IsZero(),
+
+		overdueAfter: b.longest(t, overdueDeviations),
+		silenceAfter: max(b.longest(t, silenceDeviations), b.o.MinSilence),
+		trustSince:   later(t.trustSince, b.trustSince),
+	}
+	return c
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// within maps a uniformly random number to [0, n).
+func within(rnd uint64, n int) int {
+	return int((rnd >> 32) * uint64(n) >> 32)
+}
+
+// scatter is the finaliser of splitmix64.
+func scatter(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/core/scheduler/decide.go
@@ -0,0 +1,71 @@
+package scheduler
+
+import (
+	"github.com/guavarill/guavarill/core/config"
+	"github.com/guavarill/guavarill/core/ledger"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/plan"
+)
+
+// Decide returns what should change in the shard's ledger. It changes nothing
+// that the snapshot refers to, save the placer's random source.
+func Decide(s *Snapshot, o Options) plan.Plan {
+	if s.Config == nil {
+		return plan.Plan{}
+	}
+	c := &cycle{
+		s:       s,
+		o:       o,
+		touched: make(map[model.TaskKey]bool),
+	}
+	if s.Synced != s.Config.Revision {
+		c.createMissing()
+		c.retireObsolete()
+		c.plan.Synced = s.Config.Revision
+	}
+	c.replaceServices()
+	c.leaveWorkers()
+	c.placePending()
+	return c.plan
+}
+
+// cycle is one run of Decide.
+type cycle struct {
+	s    *Snapshot
+	o    Options
+	plan plan.Plan
+	// touched are the tasks that this cycle already changes: a second change
+	// of the same task would be decided on a record that is no longer true.
+	touched map[model.TaskKey]bool
+}
+
+func (c *cycle) put(t ledger.Task) {
+	c.touched[t.Key] = true
+	c.plan.Changes = append(c.plan.Changes, ledger.Change{Put: &t})
+}
+
+func (c *cycle) remove(key model.TaskKey) {
+	c.touched[key] = true
+	c.plan.Changes = append(c.plan.Changes, ledger.Change{Remove: &key})
+}
+
+// stop begins the end of a task that holds room.
+func (c *cycle) stop(t ledger.Task, resume bool, reason string) {
+	t.State = ledger.Stopping
+	t.Resume = resume
+	t.Reason = reason
+	if t.Service {
+		t.NotBefore = c.s.Now.Add(c.o.DrainDelay)
+	}
+	c.put(t)
+}
+
+// declared returns the accepted declaration that a task belongs to; false when
+// its generation is not the one in force or was cancelled.
+func (c *cycle) declared(key model.TaskKey) (config.AcceptedWorkload, bool) {
+	w, known := c.s.Config.Workloads[key.Workload]
+	if !known || w.Generation != key.Generation || w.Cancelled {
+		return config.AcceptedWorkload{}, false
+	}
+	return w, true
+}
--- /dev/null
+++ b/core/scheduler/sync.go
@@ -0,0 +1,95 @@
+package scheduler
+
+import (
+	"github.com/guavarill/guavarill/core/config"
+	"github.com/guavarill/guavarill/core/ledger"
+	"github.com/guavarill/guavarill/core/manifest"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// Reasons recorded with tasks.
+const (
+	ReasonCancelled = "cancelled"
+	ReasonReplaced  = "replaced by a newer declaration"
+	ReasonLeaving   = "worker is leaving"
+	ReasonPreempted = "preempted by urgent work"
+)
+
+// createMissing makes pending records for the tasks that the configuration
+// deals to this shard and the ledger has never seen.
+func (c *cycle) createMissing() {
+	for _, name := range c.s.Config.Names() {
+		w := c.s.Config.Workloads[name]
+		if w.Cancelled {
+			continue
+		}
+		c.createMissingOf(w)
+	}
+}
+
+func (c *cycle) createMissingOf(w config.AcceptedWorkload) {
+	spec := w.Spec
+	for index := range manifest.TasksOf(spec.Name, uint32(spec.Tasks), w.Shards, c.s.Shard) {
+		key := model.TaskKey{Workload: spec.Name, Generation: w.Generation, Index: index}
+		if _, known := c.s.Ledger.Task(key); known {
+			continue
+		}
+		c.put(ledger.Task{
+			Key:      key,
+			State:    ledger.Pending,
+			Size:     spec.Size,
+			Service:  spec.IsService(),
+			Class:    spec.Class,
+			Priority: spec.PriorityValue(),
+			Team:     spec.Team,
+		})
+	}
+}
+
+// retireObsolete ends the tasks whose generation is not in force any more, and
+// drops the records of those that are over and no longer declared.
+//
+// Services are left to replaceServices while a newer generation is declared,
+// since they go on until their successors answer.
+func (c *cycle) retireObsolete() {
+	for t := range c.s.Ledger.Tasks() {
+		if c.touched[t.Key] {
+			continue
+		}
+		if _, current := c.declared(t.Key); current {
+			continue
+		}
+		c.retire(t)
+	}
+}
+
+func (c *cycle) retire(t ledger.Task) {
+	w, named := c.s.Config.Workloads[t.Key.Workload]
+	cancelled := named && w.Generation == t.Key.Generation && w.Cancelled
+	replaced := named && !w.Cancelled && t.Service
+	switch {
+	case t.State == ledger.Moved, t.State.Terminal():
+		if !cancelled {
+			c.remove(t.Key)
+		}
+	case t.State == ledger.Pending:
+		t.State = ledger.Cancelled
+		t.Reason = ReasonCancelled
+		c.put(t)
+	case t.State.HoldsRoom() && !replaced:
+		c.cancelHeld(t)
+	}
+}
+
+func (c *cycle) cancelHeld(t ledger.Task) {
+	if t.State == ledger.Stopping && !t.Resume {
+		return
+	}
+	if t.State == ledger.Stopping {
+		t.Resume = false
+		t.Reason = ReasonCancelled
+		c.put(t)
+		return
+	}
+	c.stop(t, false, ReasonCancelled)
+}
--- /dev/null
+++ b/core/storebudget/options.go
@@ -0,0 +1,106 @@
+package storebudget
+
+import "time"
+
+// Options sets a budget's figures. A zero field takes its default.
+type Options struct {
+	// Daemons is how many daemons share the store.
+	Daemons int
+	// StoreReads and StoreWrites are the calls a second that the daemons
+	// together are to make at most in steady state.
+	StoreReads  float64
+	StoreWrites float64
+	// Headroom multiplies a daemon's equal share, because shards are not
+	// owned evenly and not all daemons use their share at once.
+	Headroom float64
+	// MinReads and MinWrites are the least share of a daemon, in calls a
+	// second.
+	MinReads  float64
+	MinWrites float64
+	// BurstTime is how much of its share a daemon may save up.
+	BurstTime time.Duration
+	// BackoffBase is the wait after a first failure; it doubles with each
+	// further one up to LeaseBackoffCap for leases and BackoffCap for others.
+	BackoffBase     time.Duration
+	LeaseBackoffCap time.Duration
+	BackoffCap      time.Duration
+	// OutageAfter is how many failures in a row make an outage, whose end is
+	// followed by a ramp.
+	OutageAfter int
+	// RampStart is the part of the rates that holds at the end of an outage;
+	// within RampTime it grows to the whole.
+	RampStart float64
+	RampTime  time.Duration
+}
+
+// The defaults of Options. The rates follow from several hundred writes and
+// two thousand reads a second, less what operators and others need.
+const (
+	DefaultStoreReads      = 1500.0
+	DefaultStoreWrites     = 300.0
+	DefaultHeadroom        = 1.5
+	DefaultMinReads        = 1.0
+	DefaultMinWrites       = 0.5
+	DefaultBurstTime       = 2 * time.Second
+	DefaultBackoffBase     = 100 * time.Millisecond
+	DefaultLeaseBackoffCap = 4 * time.Second
+	DefaultBackoffCap      = 10 * time.Second
+	DefaultOutageAfter     = 3
+	DefaultRampStart       = 0.25
+	DefaultRampTime        = 30 * time.Second
+)
+
+// minBurst lets every class find a token beyond the reserves of the others.
+const minBurst = 5.0
+
+func (o Options) withDefaults() Options {
+	o.Daemons = max(o.Daemons, 1)
+	setDefault(&o.StoreReads, DefaultStoreReads)
+	setDefault(&o.StoreWrites, DefaultStoreWrites)
+	setDefault(&o.Headroom, DefaultHeadroom)
+	setDefault(&o.MinReads, DefaultMinReads)
+	setDefault(&o.MinWrites, DefaultMinWrites)
+	setDefault(&o.BurstTime, DefaultBurstTime)
+	setDefault(&o.BackoffBase, DefaultBackoffBase)
+	setDefault(&o.LeaseBackoffCap, DefaultLeaseBackoffCap)
+	setDefault(&o.BackoffCap, DefaultBackoffCap)
+	setDefault(&o.OutageAfter, DefaultOutageAfter)
+	setDefault(&o.RampStart, DefaultRampStart)
+	setDefault(&o.RampTime, DefaultRampTime)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// rate is one daemon's share of a bucket in calls a second.
+func (o *Options) rate(b bucketID) float64 {
+	total, least := o.StoreWrites, o.MinWrites
+	if b == bucketReads {
+		total, least = o.StoreReads, o.MinReads
+	}
+	return max(least, total*o.Headroom/float64(o.Daemons))
+}
+
+// spread is the time over which the daemons' first probes of a lane are dealt
+// once another lane is answered: twice what the store needs for one call of
+// each daemon.
+func (o *Options) spread(l laneID) time.Duration {
+	total := o.StoreWrites
+	if l == laneRead {
+		total = o.StoreReads
+	}
+	seconds := 2 * float64(o.Daemons) / total
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func (o *Options) backoffCap(l laneID) time.Duration {
+	if l == laneLease {
+		return o.LeaseBackoffCap
+	}
+	return o.BackoffCap
+}
