--- /dev/null
+++ b/core/timeline/format.go
@@ -0,0 +1,117 @@
+package timeline
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+)
+
+// timeLayout has a fixed width, so that lines align and sort as text.
+const timeLayout = "2006-01-02T15:04:05.000000Z"
+
+const columnGap = "  "
+
+// FormatError is a failure to write formatted events.
+type FormatError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *FormatError) Error() string { return "format time line: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *FormatError) Unwrap() error { return e.Cause }
+
+// Format writes one line an event in the order given: time, process, sequence,
+// kind, subject, the set ones of shard, epoch, revision and attempt as
+// name=value, and the detail. Columns are as wide as their widest value. A
+// failed write is a *FormatError.
+func Format(w io.Writer, events []Event) error {
+	rows := make([][]string, len(events))
+	for i := range events {
+		rows[i] = columns(&events[i])
+	}
+	widths := columnWidths(rows)
+	out := bufio.NewWriter(w)
+	for _, row := range rows {
+		// A failed write is kept by out and returned by Flush.
+		_, _ = out.WriteString(line(row, widths))
+	}
+	if err := out.Flush(); err != nil {
+		return &FormatError{Cause: err}
+	}
+	return nil
+}
+
+func columns(e *Event) []string {
+	return []string{
+		e.Time.UTC().Format(timeLayout),
+		printable(e.Process),
+		strconv.FormatUint(e.Sequence, 10),
+		printable(string(e.Kind)),
+		printable(e.Subject),
+		position(e),
+		printable(e.Detail),
+	}
+}
+
+// position formats the numbers that place an event in the order of its shard,
+// configuration or task.
+func position(e *Event) string {
+	var parts []string
+	if e.Shard != nil {
+		parts = append(parts, fmt.Sprintf("shard=%d", *e.Shard))
+	}
+	if e.Epoch != 0 {
+		parts = append(parts, fmt.Sprintf("epoch=%d", e.Epoch))
+	}
+	if e.Revision != 0 {
+		parts = append(parts, fmt.Sprintf("revision=%d", e.Revision))
+	}
+	if e.Attempt != 0 {
+		parts = append(parts, fmt.Sprintf("attempt=%d", e.Attempt))
+	}
+	return strings.Join(parts, " ")
+}
+
+// printable keeps one event on one line: text with a line break or other
+// control character in it is quoted.
+func printable(s string) string {
+	if !strings.ContainsFunc(s, isControl) && utf8.ValidString(s) {
+		return s
+	}
+	return strconv.Quote(s)
+}
+
+func isControl(r rune) bool { return !strconv.IsPrint(r) }
+
+func columnWidths(rows [][]string) []int {
+	var widths []int
+	for _, row := range rows {
+		if widths == nil {
+			widths = make([]int, len(row))
+		}
+		for i, cell := range row {
+			widths[i] = max(widths[i], utf8.RuneCountInString(cell))
+		}
+	}
+	return widths
+}
+
+func line(row []string, widths []int) string {
+	var b strings.Builder
+	for i, cell := range row {
+		if widths[i] == 0 {
+			continue
+		}
+		if b.Len() > 0 {
+			b.WriteString(columnGap)
+		}
+		b.WriteString(cell)
+		b.WriteString(strings.Repeat(" ", widths[i]-utf8.RuneCountInString(cell)))
+	}
+	return strings.TrimRight(b.String(), " ") + "\n"
+}
--- /dev/null
+++ b/core/timeline/ring.go
@@ -0,0 +1,78 @@
+package timeline
+
+import (
+	"sync"
+	"time"
+)
+
+// Ring keeps the latest events of one process. It is safe for concurrent use.
+type Ring struct {
+	process string
+
+	mu sync.Mutex
+	// events is a circle once it is full: the event numbered s is at index
+	// (s-1) mod cap.
+	events   []Event
+	capacity uint64
+	last     uint64
+	lastTime time.Time
+}
+
+// NewRing returns an empty ring that keeps the latest capacity events, at
+// least one.
+func NewRing(process string, capacity int) *Ring {
+	return &Ring{process: process, capacity: uint64(max(capacity, 1))}
+}
+
+// Append records e as having happened at now. It sets the event's time,
+// process and sequence.
+//
+// A wall clock can be set back. Left alone, later events would then sort
+// before earlier ones and the merged list would show effects before their
+// causes; so an event's time is never lower than that of the one before.
+func (r *Ring) Append(now time.Time, e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	wall := now.Round(0).UTC()
+	if wall.Before(r.lastTime) {
+		wall = r.lastTime
+	}
+	r.lastTime = wall
+	r.last++
+	e.Time = wall
+	e.Process = r.process
+	e.Sequence = r.last
+	if e.Shard != nil {
+		e.Shard = InShard(*e.Shard)
+	}
+	r.store(e)
+}
+
+func (r *Ring) store(e Event) {
+	if uint64(len(r.events)) < r.capacity {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[(e.Sequence-1)%r.capacity] = e
+}
+
+// Since returns the kept events with a sequence above seq, oldest first. A
+// first event numbered above seq+1 means that the ones between were dropped.
+func (r *Ring) Since(seq uint64) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if seq >= r.last {
+		return nil
+	}
+	first := max(seq, r.last-uint64(len(r.events))) + 1
+	out := make([]Event, 0, r.last-first+1)
+	for s := first; s <= r.last; s++ {
+		out = append(out, r.events[(s-1)%r.capacity])
+	}
+	return out
+}
+
+// All returns every kept event, oldest first.
+func (r *Ring) All() []Event { return r.Since(0) }
--- /dev/null
+++ b/core/timeline/timeline_test.go
@@ -0,0 +1,131 @@
+package timeline
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sebdah/goldie/v2"
+)
+
+var start = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+
+func TestRingKeepsTheLatest(t *testing.T) {
+	r := NewRing("a", 3)
+	for i := range 5 {
+		r.Append(start.Add(time.Duration(i)*time.Second), Event{Kind: TaskRunning})
+	}
+	for _, c := range []struct {
+		since uint64
+		want  []uint64
+	}{{0, []uint64{3, 4, 5}}, {2, []uint64{3, 4, 5}}, {3, []uint64{4, 5}}, {5, nil}, {9, nil}} {
+		var got []uint64
+		for _, e := range r.Since(c.since) {
+			got = append(got, e.Sequence)
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("Since(%d): %s", c.since, diff)
+		}
+	}
+}
+
+// Symptom: in the merged list a task ends before it begins.
+// Sequence: an event is appended; the wall clock is set back; another follows.
+// Cause: ordering by wall time alone, which need not grow.
+func TestOrderSurvivesAClockSetBack(t *testing.T) {
+	r := NewRing("a", 8)
+	r.Append(start, Event{Kind: TaskAssigned})
+	r.Append(start.Add(-time.Hour), Event{Kind: TaskRunning})
+	other := NewRing("b", 8)
+	other.Append(start.Add(-time.Minute), Event{Kind: MemberAlive})
+
+	var got []Kind
+	for _, e := range Merge(r.All(), other.All()) {
+		got = append(got, e.Kind)
+	}
+	if diff := cmp.Diff([]Kind{MemberAlive, TaskAssigned, TaskRunning}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Symptom: the first events after a restart are missing from the merged list.
+// Sequence: a process restarts under its name while the clock shows the time of
+// its last events; its events are numbered from 1 again.
+// Cause: taking equal time, process and sequence for the same event.
+func TestMergeDropsCopiesOnly(t *testing.T) {
+	before, after := NewRing("a", 4), NewRing("a", 4)
+	before.Append(start, Event{Kind: DaemonStarted, Detail: "boot 1"})
+	after.Append(start, Event{Kind: DaemonStarted, Detail: "boot 2"})
+	boots := map[string]int{}
+	for _, e := range Merge(before.All(), after.All(), before.All()) {
+		boots[e.Detail]++
+	}
+	if diff := cmp.Diff(map[string]int{"boot 1": 1, "boot 2": 1}, boots); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestConcurrentAppend(t *testing.T) {
+	r := NewRing("a", 1000)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 100 {
+				r.Append(start, Event{Kind: RequestAnswered})
+				r.Since(0)
+			}
+		})
+	}
+	wg.Wait()
+	for i, e := range r.All() {
+		if e.Sequence != uint64(i+1) {
+			t.Fatalf("event %d has sequence %d", i, e.Sequence)
+		}
+	}
+	if n := len(r.All()); n != 800 {
+		t.Fatalf("%d events, want 800", n)
+	}
+}
+
+func TestFormatGolden(t *testing.T) {
+	a, b := NewRing("entry-1", 8), NewRing("entry-10", 8)
+	a.Append(start, Event{Kind: ShardAcquired, Subject: "entry-1", Shard: InShard(0), Epoch: 17})
+	a.Append(start.Add(1500*time.Microsecond), Event{Kind: TaskAssigned, Subject: "route-watcher@1/3", Shard: InShard(0), Epoch: 17, Attempt: 1, Detail: "worker w-7"})
+	b.Append(start.Add(time.Millisecond), Event{Kind: ConfigInstalled, Revision: 4, Detail: "two\nlines"})
+	var out bytes.Buffer
+	if err := Format(&out, Merge(a.All(), b.All())); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "format", out.Bytes())
+}
+
+func TestFormatReportsAFailedWrite(t *testing.T) {
+	r, w := io.Pipe()
+	_ = r.Close()
+	err := Format(w, []Event{{Kind: DaemonStarted}})
+	var failed *FormatError
+	if !errors.As(err, &failed) || !errors.Is(err, io.ErrClosedPipe) {
+		t.Fatalf("error %v", err)
+	}
+}
+
+func TestEventSurvivesJSON(t *testing.T) {
+	r := NewRing("a", 1)
+	r.Append(start, Event{Kind: ShardLost, Shard: InShard(0), Epoch: 3})
+	data, err := json.Marshal(r.All())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back []Event
+	if err := json.Unmarshal(data, &back); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(r.All(), back); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/core/workersession/answer.go
@@ -0,0 +1,200 @@
+package workersession
+
+import (
+	"slices"
+	"time"
+
+	workerv1 "github.com/guavarill/guavarill/api/worker/v1"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// onAnswered takes the end of a call. Only the call in flight counts: a
+// completion that was given up on, or comes twice, describes the worker before
+// a later answer, and taking it would bring back what is over.
+func (s *Session) onAnswered(now time.Time, ev Answered) {
+	if s.call == nil || ev.ID != s.call.id {
+		return
+	}
+	if !ev.usable(s.epoch) {
+		s.callFailed(now)
+		return
+	}
+	if refused := model.Epoch(ev.Resp.GetRefusedEpoch()); refused > s.epoch {
+		s.fenced = true
+		s.emit(Fenced{Epoch: refused})
+		return
+	}
+	receivedAt := ev.ReceivedAt
+	if receivedAt.IsZero() {
+		receivedAt = now // too late only lengthens bounds
+	}
+	call := s.call
+	s.call = nil
+	s.answered(receivedAt)
+	s.takeGrant(now, ev.Resp.GetGrant(), receivedAt)
+	s.takeResults(now, call, ev.Resp.GetResults())
+	s.takeReports(ev.Resp.GetTasks())
+	s.takeStale(call)
+	if call.wantReport {
+		s.reportAt = call.sentAt.Add(s.opt.ReportEvery)
+		s.takeMissing(call, ev.Resp.GetTasks())
+	}
+	s.dropForgotten(call)
+	s.holdOpen(now, call)
+	s.takeLeaving(ev.Resp.GetLeaving())
+	s.hastenPoll(now)
+}
+
+// received returns now, or the time of receipt if that is later: permission to
+// act must be judged no earlier than the receipt of the grant that is used.
+func (ev Answered) received(now time.Time) time.Time {
+	if ev.ReceivedAt.After(now) {
+		return ev.ReceivedAt
+	}
+	return now
+}
+
+// usable reports whether the call was answered by an agent that follows the
+// protocol.
+func (ev Answered) usable(epoch model.Epoch) bool {
+	if ev.Err != nil || ev.Resp == nil {
+		return false
+	}
+	refused := model.Epoch(ev.Resp.GetRefusedEpoch())
+	return refused > epoch || refused == 0 && ev.Resp.GetGrant() != nil
+}
+
+// takeGrant keeps the grant for the next message. A new boot id says that the
+// agent lost its tasks. Everything that may have begun is then over for good:
+// messages of before carry a grant of the old boot, which the new one refuses.
+func (s *Session) takeGrant(now time.Time, g *workerv1.Grant, receivedAt time.Time) {
+	usable := s.grantValid(now)
+	restarted := s.grant != nil && s.grant.GetBootId() != g.GetBootId()
+	s.grant = g
+	s.grantAt = receivedAt
+	if restarted {
+		s.endAll()
+	}
+	if !usable && s.anyRenewable() {
+		s.nextCall = now // renew at once what could not be renewed before
+		s.renewedAt = time.Time{}
+	}
+}
+
+// endAll ends every attempt that may have begun before a restart.
+func (s *Session) endAll() {
+	for _, a := range s.attempts.sorted {
+		if !a.over && a.mayRun() {
+			s.finish(a, Over{Attempt: a.key, Reason: WorkerRestarted})
+		}
+	}
+}
+
+// takeResults takes the outcomes of the commands that call carried.
+func (s *Session) takeResults(now time.Time, call *call, results []*workerv1.CommandResult) {
+	for _, r := range results {
+		a := s.attempts.find(r.GetTask(), r.GetAttempt())
+		if a == nil || a.over || a.sentCall != call.id {
+			continue
+		}
+		switch a.sentKind {
+		case sentStart:
+			s.startResult(a, r)
+		case sentStop:
+			s.stopResult(a, r)
+		case sentThrottle:
+			s.throttleResult(now, a, r)
+		}
+	}
+}
+
+// startResult takes the outcome of a Start. A refusal for want of room or by
+// failure is final: the agent remembers it and refuses late copies too.
+func (s *Session) startResult(a *attempt, r *workerv1.CommandResult) {
+	switch r.GetOutcome() {
+	case workerv1.Outcome_OUTCOME_DONE:
+		s.takeRunning(a, "")
+		a.throttleAcked = unthrottled
+	case workerv1.Outcome_OUTCOME_NO_ROOM, workerv1.Outcome_OUTCOME_FAILED:
+		s.finish(a, Observed{
+			Attempt: a.key,
+			State:   StateRefused,
+			Outcome: r.GetOutcome(),
+			Detail:  r.GetDetail(),
+		})
+	case workerv1.Outcome_OUTCOME_STALE:
+		a.sentKind = sentStale // takeStale ends it unless its report does
+	}
+}
+
+// stopResult takes the outcome of a Stop. Done means that the agent has
+// stopped it or, when a checkpoint takes time, is about to; only a report that
+// shows its end ends it.
+func (s *Session) stopResult(a *attempt, r *workerv1.CommandResult) {
+	switch r.GetOutcome() {
+	case workerv1.Outcome_OUTCOME_DONE:
+		a.stopAcked = true
+		a.saved = r.GetCheckpoint()
+	case workerv1.Outcome_OUTCOME_STALE:
+		a.sentKind = sentStale // as for a start
+	}
+}
+
+func (s *Session) throttleResult(now time.Time, a *attempt, r *workerv1.CommandResult) {
+	if r.GetOutcome() != workerv1.Outcome_OUTCOME_DONE {
+		return
+	}
+	if a.throttleAcked == a.throttleSent {
+		a.throttleConfirm = time.Time{}
+		return
+	}
+	a.throttleAcked = a.throttleSent
+	a.throttleConfirm = now.Add(s.opt.Lease)
+}
+
+// takeStale ends the attempts whose command the agent called stale and that
+// it did not report: it knows a newer attempt of the task.
+func (s *Session) takeStale(call *call) {
+	for _, a := range s.attempts.sorted {
+		if !a.over && a.sentCall == call.id && a.sentKind == sentStale {
+			s.finish(a, Over{Attempt: a.key, Reason: Superseded})
+		}
+	}
+}
+
+// dropForgotten drops the attempts that call told the agent to forget.
+func (s *Session) dropForgotten(call *call) {
+	s.attempts.removeIf(func(a *attempt) bool { return a.forgetCall == call.id })
+}
+
+// holdOpen keeps commands back for a while when one that call carried was not
+// carried out. Without the pause an agent that declines a command without
+// ending it would be asked again as fast as it answers.
+func (s *Session) holdOpen(now time.Time, call *call) {
+	for _, a := range s.attempts.sorted {
+		if a.sentCall == call.id && a.open() {
+			s.retryAt = now.Add(s.opt.RetryEvery)
+			return
+		}
+	}
+}
+
+func (s *Session) takeLeaving(leaving bool) {
+	if !leaving || s.leaving {
+		return
+	}
+	s.leaving = true
+	s.emit(Leaving{})
+}
+
+// hastenPoll brings the next message forward while a stop or a service's start
+// is under way at the agent.
+func (s *Session) hastenPoll(now time.Time) {
+	soon := now.Add(s.opt.RetryEvery)
+	if !soon.Before(s.nextCall) {
+		return
+	}
+	if slices.ContainsFunc(s.attempts.sorted, (*attempt).unsettled) {
+		s.nextCall = soon
+	}
+}
--- /dev/null
+++ b/core/workersession/bench_test.go
@@ -0,0 +1,183 @@
+package workersession_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	workerv1 "github.com/guavarill/guavarill/api/worker/v1"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/workersession"
+	"github.com/guavarill/guavarill/standin/worker"
+)
+
+// benchTasks is how many tasks run on a worker: 47,000 on 3,500 workers.
+const benchTasks = 15
+
+// loop is a session and its agent without a network between them.
+type loop struct {
+	now     time.Time
+	agent   *worker.Agent
+	session *workersession.Session
+	sent    *workersession.Send
+	sends   int
+}
+
+func (l *loop) Now() time.Time { return l.now }
+
+func newLoop(tasks int) *loop {
+	l := &loop{now: epochTime}
+	l.agent = worker.New(worker.Options{
+		ID:       "w1",
+		Capacity: model.Resources{MilliCPU: 32000, MemoryMB: 125000},
+		Clock:    l,
+	})
+	l.session = workersession.New("w1", 7, 5, l.now, true, workersession.Options{})
+	l.step(workersession.MayAct{Full: true})
+	l.step(workersession.Desired{})
+	l.answer()
+	l.step(workersession.Desired{Tasks: benchDesired(tasks, workersession.Start)})
+	for l.sent != nil {
+		l.answer()
+	}
+	l.step(workersession.Desired{Tasks: benchDesired(tasks, workersession.Keep)})
+	return l
+}
+
+func benchDesired(tasks int, kind workersession.Kind) []workersession.DesiredTask {
+	var list []workersession.DesiredTask
+	for i := range tasks {
+		list = append(list, workersession.DesiredTask{
+			Attempt: model.AttemptKey{Task: benchKey(i), Attempt: 3},
+			Kind:    kind,
+			Start:   benchStart(i),
+		})
+	}
+	return list
+}
+
+func benchKey(i int) model.TaskKey {
+	return model.TaskKey{Workload: "reorder-service", Generation: 12, Index: uint32(1000 + i)}
+}
+
+func benchStart(i int) *workerv1.Start {
+	return &workerv1.Start{
+		Workload:  "reorder-service",
+		Class:     "reorder",
+		Service:   i%2 == 0,
+		MilliCpu:  1500,
+		MemoryMb:  4096,
+		Args:      []string{"--region=mvd", "--pool=7"},
+		RunMillis: 3_600_000,
+	}
+}
+
+func (l *loop) step(ev workersession.Event) {
+	for _, c := range l.session.Step(l.now, ev) {
+		if send, ok := c.(workersession.Send); ok {
+			l.sent = &send
+			l.sends++
+		}
+	}
+}
+
+func (l *loop) answer() {
+	send := l.sent
+	l.sent = nil
+	l.step(workersession.Answered{ID: send.ID, Resp: l.agent.Apply(send.Req), ReceivedAt: l.now})
+}
+
+// untilSend lets time pass until the session sends.
+func (l *loop) untilSend() *workersession.Send {
+	for l.sent == nil {
+		l.now = l.now.Add(200 * time.Millisecond)
+		l.step(workersession.Tick{})
+	}
+	return l.sent
+}
+
+// BenchmarkTick is a Step in which nothing is due.
+func BenchmarkTick(b *testing.B) {
+	l := newLoop(benchTasks)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.session.Step(l.now, workersession.Tick{})
+	}
+}
+
+// BenchmarkRenewal is a renewal of 15 tasks with and without a whole report,
+// alternately: the Step that sends and the Step that takes the answer. The
+// agent's work is included in neither.
+func BenchmarkRenewal(b *testing.B) {
+	l := newLoop(benchTasks)
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		for l.sent == nil {
+			l.now = l.now.Add(200 * time.Millisecond)
+			b.StartTimer()
+			l.step(workersession.Tick{})
+			b.StopTimer()
+		}
+		send := l.sent
+		l.sent = nil
+		resp := l.agent.Apply(send.Req)
+		b.StartTimer()
+		l.step(workersession.Answered{ID: send.ID, Resp: resp, ReceivedAt: l.now})
+	}
+}
+
+// BenchmarkBytes measures messages as encoded, without framing.
+func BenchmarkBytes(b *testing.B) {
+	var start, renewal, report, answer float64
+	for b.Loop() {
+		l := newLoop(benchTasks)
+		start = float64(proto.Size(&workerv1.ApplyRequest{Commands: []*workerv1.Command{{
+			Kind: &workerv1.Command_Start{Start: namedStart()},
+		}}}))
+		for range 10 {
+			send := l.untilSend()
+			size := float64(proto.Size(l.agent.Apply(send.Req)))
+			if send.Req.GetWantReport() {
+				report = size
+			} else {
+				answer = size
+				renewal = float64(proto.Size(send.Req))
+			}
+			l.answer()
+		}
+	}
+	b.ReportMetric(start, "B/start")
+	b.ReportMetric(renewal, "B/renewal")
+	b.ReportMetric(answer, "B/answer")
+	b.ReportMetric(report, "B/report")
+}
+
+func namedStart() *workerv1.Start {
+	s := benchStart(0)
+	s.Task = benchKey(0).String()
+	s.Attempt = 3
+	return s
+}
+
+// BenchmarkMessageRate counts the messages of one worker on which nothing
+// changes.
+func BenchmarkMessageRate(b *testing.B) {
+	for _, tasks := range []int{0, benchTasks} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			rate := 0.0
+			for b.Loop() {
+				l := newLoop(tasks)
+				begin, sends := l.now, l.sends
+				for l.now.Sub(begin) < 1000*time.Second {
+					l.untilSend()
+					l.answer()
+				}
+				rate = float64(l.sends-sends) / l.now.Sub(begin).Seconds()
+			}
+			b.ReportMetric(rate, "messages/s")
+		})
+	}
+}
--- /dev/null
+++ b/core/workersession/doc.go
@@ -0,0 +1,48 @@
+// Package workersession is the owner's side of the protocol between a shard's
+// owner and the agent on one worker (api/worker/v1). It turns the owner's
+// wishes, taken from the committed ledger, into messages, and the agent's
+// answers into facts that the owner can commit. It does no I/O.
+//
+// # Messages
+//
+// At most one call is in flight. A message carries all waiting commands, and
+// every RenewEvery the renewal of all attempts together. A command leaves at
+// once when no call is in flight. A command is repeated until the agent
+// answered it: the agent answers a repeat as it answered the first copy.
+//
+// # Leases
+//
+// Each answer carries a grant, a moment on the agent's clock. A start or a
+// renewal names the latest grant and its lease counts from there, so a message
+// that was delayed neither starts late nor prolongs a lease. The session
+// received the grant after it was issued, so the time of receipt plus Lease
+// plus Margin is a bound on the lease's end that holds whatever happens to the
+// message. For attempts of earlier owners the bound counts from when the shard
+// was acquired, plus OutageGrace unless that was clean.
+//
+// # Ends
+//
+// An attempt is over, and the next one may start elsewhere, only when
+//   - the agent reported its end (Observed),
+//   - the agent refused its start for good (Observed, StateRefused),
+//   - the agent was told to stop it and does not know it (NotKnown),
+//   - the agent knows a newer attempt of the task (Superseded),
+//   - the agent restarted after the attempt may have begun (WorkerRestarted),
+//   - its bound passed (LeaseExpired), or
+//   - no start of it was sent, the bound for earlier owners passed, and the
+//     worker is unreachable or not listed (NeverSent).
+//
+// A start that was sent and not answered is none of these: it is sent again.
+// An attempt number begins at most once; an inherited attempt that the agent
+// does not know is ended, not started again.
+//
+// # What the session relies on
+//
+// The agent refuses epochs below the highest it has seen; remembers every
+// attempt it started, stopped or refused, also one it was told to stop without
+// knowing it, until it is told to forget it and for one lease after that;
+// reports, in every answer, the attempts that the request's commands named and
+// those that are over and not forgotten, and all when asked for a whole report;
+// and ends a task whose lease ran out by a clock that goes on while the VM is
+// suspended.
+package workersession
--- /dev/null
+++ b/core/workersession/options.go
@@ -0,0 +1,71 @@
+package workersession
+
+import "time"
+
+// The defaults of Options.
+const (
+	DefaultLease             = 30 * time.Second
+	DefaultMargin            = 3 * time.Second
+	DefaultRenewEvery        = 5 * time.Second
+	DefaultOutageGrace       = 20 * time.Second
+	DefaultCallTimeout       = 2 * time.Second
+	DefaultUnreachableCalls  = 3
+	renewsPerUnreachable     = 3
+	renewsPerReport          = 2
+	retriesPerRenew          = 5
+	callTimeoutsBeforeGiveUp = 2
+)
+
+// Options are the times of the protocol with one worker. All owners of a
+// cluster must use the same Lease, Margin and OutageGrace: a new owner reckons
+// with what its predecessor may have granted. A zero field takes its default.
+type Options struct {
+	// Lease is how long an attempt may go on after the agent issued the grant
+	// that its latest start or renewal carried.
+	Lease time.Duration
+	// Margin is added to every bound on the end of an attempt. It covers the
+	// difference in rate between the owner's and the agent's clock over one
+	// Lease, and the time an agent takes to stop a task.
+	Margin time.Duration
+	// RenewEvery is the time between two renewals. Lease must be at least
+	// three times as long, or one lost message ends the worker's tasks.
+	RenewEvery time.Duration
+	// ReportEvery is the time between two requests for a whole report.
+	ReportEvery time.Duration
+	// RetryEvery is the time before a failed call, or a command that the agent
+	// could not carry out yet, is tried again.
+	RetryEvery time.Duration
+	// OutageGrace is how long an owner may go on renewing after it last could
+	// confirm an outage of the store.
+	OutageGrace time.Duration
+	// CallTimeout is how long one call may take.
+	CallTimeout time.Duration
+	// UnreachableCalls is how many calls in a row must fail before the worker
+	// is reported unreachable.
+	UnreachableCalls int
+	// UnreachableAfter is the silence after which it is so reported whatever
+	// the number of calls.
+	UnreachableAfter time.Duration
+}
+
+// withDefaults returns o with its zero fields filled in.
+func (o Options) withDefaults() Options {
+	setDefault(&o.Lease, DefaultLease)
+	setDefault(&o.Margin, DefaultMargin)
+	setDefault(&o.RenewEvery, DefaultRenewEvery)
+	setDefault(&o.ReportEvery, renewsPerReport*o.RenewEvery)
+	setDefault(&o.RetryEvery, o.RenewEvery/retriesPerRenew)
+	setDefault(&o.OutageGrace, DefaultOutageGrace)
+	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	setDefault(&o.UnreachableAfter, renewsPerUnreachable*o.RenewEvery)
+	if o.UnreachableCalls == 0 {
+		o.UnreachableCalls = DefaultUnreachableCalls
+	}
+	return o
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
--- /dev/null
+++ b/core/workersession/send.go
@@ -0,0 +1,174 @@
+package workersession
+
+import (
+	"slices"
+	"time"
+
+	workerv1 "github.com/guavarill/guavarill/api/worker/v1"
+)
+
+// pump sends the next message if one is due and no call is in flight.
+func (s *Session) pump(now time.Time) {
+	mode := s.mode(now)
+	if s.call != nil || !s.desired || (!mode.Full && !mode.RenewOnly) {
+		return
+	}
+	due := !now.Before(s.nextCall)
+	urgent := mode.Full && !now.Before(s.retryAt) && s.anyOpen()
+	if due || urgent {
+		s.send(now, mode.Full, due)
+	}
+}
+
+// anyOpen reports whether a command waits to be sent.
+func (s *Session) anyOpen() bool {
+	for _, a := range s.attempts.sorted {
+		if a.stopOpen() || a.throttleOpen() || (a.startOpen() && !s.gone) {
+			return true
+		}
+	}
+	return false
+}
+
+// anyRenewable reports whether a lease is to be prolonged.
+func (s *Session) anyRenewable() bool {
+	return slices.ContainsFunc(s.attempts.sorted, (*attempt).renewable)
+}
+
+// send makes one message of everything that is due: renewals, and with full
+// permission commands.
+func (s *Session) send(now time.Time, full, due bool) {
+	s.calls++
+	s.call = &call{id: s.calls, sentAt: now}
+	req := &workerv1.ApplyRequest{
+		Shard:       uint32(s.shard),
+		Epoch:       int64(s.epoch),
+		LeaseMillis: s.opt.Lease.Milliseconds(),
+		Grant:       s.grant,
+	}
+	if full {
+		req.Commands = s.commands(now)
+	}
+	if s.grantValid(now) && now.Sub(s.renewedAt) >= s.opt.RenewEvery/2 {
+		req.Renew = s.renewals()
+		s.renewedAt = now
+		due = true
+	}
+	if due {
+		s.nextCall = now.Add(s.opt.RenewEvery)
+	}
+	if s.needReport(now) {
+		req.WantReport = true
+		s.call.wantReport = true
+	}
+	s.emit(Send{ID: s.call.id, Req: req, Timeout: s.opt.CallTimeout})
+}
+
+// needReport reports whether the message is to ask for a whole report: on the
+// first contact, from time to time, and while a service's address is missing.
+func (s *Session) needReport(now time.Time) bool {
+	if s.grant == nil || !now.Before(s.reportAt) {
+		return true
+	}
+	return slices.ContainsFunc(s.attempts.sorted, (*attempt).unsettled)
+}
+
+// unsettled reports whether the next report is awaited for a: a service
+// without address, or a stop that the agent has begun.
+func (a *attempt) unsettled() bool {
+	if a.over {
+		return false
+	}
+	return a.stopAcked || (a.running && a.address == "" && a.start.GetService())
+}
+
+// commands returns the commands that wait, for attempts in order.
+func (s *Session) commands(now time.Time) []*workerv1.Command {
+	var list []*workerv1.Command
+	for _, a := range s.attempts.sorted {
+		if c := s.commandFor(now, a); c != nil {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// commandFor returns the command that a waits for, or nil. There is one at
+// most, so that its result can be told by the attempt alone.
+func (s *Session) commandFor(now time.Time, a *attempt) *workerv1.Command {
+	switch {
+	case a.stopOpen():
+		s.mark(a, sentStop)
+		return stopCommand(a)
+	case a.startOpen() && !s.gone && s.grantFresh(now):
+		s.mark(a, sentStart)
+		a.started = true
+		s.extend(a)
+		return &workerv1.Command{Kind: &workerv1.Command_Start{Start: a.start}}
+	case a.throttleOpen() || a.throttleUnsure(now):
+		s.mark(a, sentThrottle)
+		a.throttleSent = a.throttle
+		return throttleCommand(a)
+	case a.over && !a.wanted:
+		a.forgetCall = s.call.id
+		return forgetCommand(a)
+	}
+	return nil
+}
+
+func (s *Session) mark(a *attempt, kind sentKind) {
+	a.sentCall = s.call.id
+	a.sentKind = kind
+}
+
+// throttleUnsure reports whether the throttle is to be sent once more. A copy
+// of an earlier message that arrives late could undo it, unnoticed; after one
+// lease such a copy's grant is too old to be obeyed.
+func (a *attempt) throttleUnsure(now time.Time) bool {
+	return a.wanted && a.running && !a.over && a.kind != Stop &&
+		!a.throttleConfirm.IsZero() && !now.Before(a.throttleConfirm)
+}
+
+// renewals names the attempts whose leases are to be prolonged. A start in
+// the same message has its own lease.
+func (s *Session) renewals() []*workerv1.TaskAttempt {
+	var list []*workerv1.TaskAttempt
+	for _, a := range s.attempts.sorted {
+		startsNow := a.sentKind == sentStart && a.sentCall == s.call.id
+		if startsNow || !a.renewable() {
+			continue
+		}
+		s.extend(a)
+		list = append(list, &workerv1.TaskAttempt{Task: a.name, Attempt: a.number})
+	}
+	return list
+}
+
+// grantValid reports whether a lease by the current grant can have time left.
+func (s *Session) grantValid(now time.Time) bool {
+	return s.grant != nil && now.Sub(s.grantAt) < s.opt.Lease
+}
+
+// grantFresh reports whether the current grant is good for a start: one with
+// little time left would end the task before its first renewal.
+func (s *Session) grantFresh(now time.Time) bool {
+	return s.grant != nil && now.Sub(s.grantAt) <= s.opt.Lease/2
+}
+
+func stopCommand(a *attempt) *workerv1.Command {
+	return &workerv1.Command{Kind: &workerv1.Command_Stop{Stop: &workerv1.Stop{
+		Task: a.name, Attempt: a.number, Checkpoint: a.checkpoint,
+	}}}
+}
+
+func throttleCommand(a *attempt) *workerv1.Command {
+	return &workerv1.Command{Kind: &workerv1.Command_Throttle{Throttle: &workerv1.Throttle{
+		Task: a.name, Attempt: a.number, Percent: a.throttle,
+	}}}
+}
+
+func forgetCommand(a *attempt) *workerv1.Command {
+	return &workerv1.Command{Kind: &workerv1.Command_Forget{Forget: &workerv1.TaskAttempt{
+		Task: a.name, Attempt: a.number,
+	}}}
+}
--- /dev/null
+++ b/core/workersession/world_test.go
@@ -0,0 +1,482 @@
+package workersession_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	workerv1 "github.com/guavarill/guavarill/api/worker/v1"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/workersession"
+	"github.com/guavarill/guavarill/standin/worker"
+)
+
+// epochTime is when virtual time begins.
+var epochTime = time.Date(2026, 3, 7, 8, 0, 0, 0, time.UTC)
+
+// The scale of a world. Agents' clocks differ from true time by clockError, so
+// that a lease can end that much later than its owner reckons: margin covers
+// it and the length of a step.
+const (
+	worldStep    = 100 * time.Millisecond
+	worldLength  = 60 * time.Second
+	worldQuiet   = 20 * time.Second // without faults, at the end
+	storeLease   = 2 * time.Second
+	worldGrace   = 2 * time.Second
+	clockError   = 0.08
+	worldTasks   = 3
+	worldWorkers = 2
+	maxDelay     = 8 * time.Second
+)
+
+func worldOptions() workersession.Options {
+	return workersession.Options{
+		Lease:       4 * time.Second,
+		Margin:      500 * time.Millisecond,
+		RenewEvery:  800 * time.Millisecond,
+		OutageGrace: worldGrace,
+		CallTimeout: 500 * time.Millisecond,
+	}
+}
+
+// faultKind is what goes wrong in a world.
+type faultKind int
+
+const (
+	pauseOwner    faultKind = iota // its lease lapses and another takes over
+	outageOwner                    // the same, but it renews through an outage
+	restartAgent                   // the agent on Target loses its tasks
+	cutAgent                       // nothing reaches or leaves Target
+	cutSuccessors                  // no later owner reaches Target
+	evictTask                      // the owner evicts task Target
+	releaseOwner                   // the owner releases the shard itself
+	faultKinds
+)
+
+// fault is one thing that goes wrong.
+type fault struct {
+	Kind   faultKind
+	Target int
+	At     time.Duration
+	For    time.Duration
+}
+
+// scaledClock runs at its own rate.
+type scaledClock struct {
+	w    *world
+	rate float64
+}
+
+func (c scaledClock) Now() time.Time {
+	return epochTime.Add(time.Duration(float64(c.w.now.Sub(epochTime)) * c.rate))
+}
+
+// taskRow is a task's row in the ledger.
+type taskRow struct {
+	key        model.TaskKey
+	attempt    model.Attempt
+	worker     int // -1: pending
+	running    bool
+	stopping   bool
+	checkpoint string
+}
+
+func (r taskRow) attemptKey() model.AttemptKey {
+	return model.AttemptKey{Task: r.key, Attempt: r.attempt}
+}
+
+// owner is one daemon that owns or owned the shard.
+type owner struct {
+	epoch       model.Epoch
+	acquired    time.Time
+	clean       bool
+	sessions    []*workersession.Session
+	leaseEnd    time.Time
+	renewUntil  time.Time
+	pausedUntil time.Time
+	inbox       []delivery // answers that wait until it runs
+	ledger      []taskRow  // its own view, which goes stale once it is replaced
+}
+
+// delivery is a message on its way.
+type delivery struct {
+	at      time.Time
+	worker  int
+	from    *owner
+	id      uint64
+	req     *workerv1.ApplyRequest  // towards the agent, or
+	resp    *workerv1.ApplyResponse // towards the owner, or
+	failure bool                    // a timeout at the owner
+}
+
+// world is a store, owners one after the other, a network that delays, loses
+// and copies, and agents with their own clocks.
+type world struct {
+	now     time.Time
+	rnd     *rand.Rand
+	opt     workersession.Options
+	agents  []*worker.Agent
+	cuts    []cut
+	heard   []model.Epoch // the highest epoch that each agent has heard
+	ledger  []taskRow
+	current *owner
+	old     []*owner
+	net     []delivery
+	faults  []fault
+	problem string
+	starts  int
+
+	// eagerClean lets an owner call its release clean however short it held
+	// the shard.
+	eagerClean bool
+}
+
+// cut keeps owners with an epoch above the given one from an agent.
+type cut struct {
+	until time.Time
+	above model.Epoch
+}
+
+func newWorld(seed int64, faults []fault, opt workersession.Options, flaws worker.Flaws) *world {
+	w := &world{
+		now:    epochTime,
+		rnd:    rand.New(rand.NewSource(seed)),
+		opt:    opt,
+		cuts:   make([]cut, worldWorkers),
+		heard:  make([]model.Epoch, worldWorkers),
+		faults: slices.Clone(faults),
+	}
+	slices.SortStableFunc(w.faults, func(a, b fault) int { return int(a.At - b.At) })
+	for i := range worldWorkers {
+		rate := 1 + clockError*float64(1-2*i) // one fast, one slow
+		w.agents = append(w.agents, worker.New(worker.Options{
+			ID:          model.WorkerID(fmt.Sprintf("w%d", i)),
+			Capacity:    model.Resources{MilliCPU: 2000, MemoryMB: 2000},
+			Clock:       scaledClock{w, rate},
+			RecordClock: scaledClock{w, 1},
+			Flaws:       flaws,
+		}))
+	}
+	for i := range worldTasks {
+		w.ledger = append(w.ledger, taskRow{
+			key:    model.TaskKey{Workload: "ladder", Generation: 1, Index: uint32(i)},
+			worker: -1,
+		})
+	}
+	w.takeOver(true)
+	return w
+}
+
+// takeOver makes a new owner from what the store holds.
+func (w *world) takeOver(clean bool) {
+	epoch := model.Epoch(1)
+	if w.current != nil {
+		epoch = w.current.epoch + 1
+		w.old = append(w.old, w.current)
+	}
+	o := &owner{epoch: epoch, acquired: w.now, clean: clean, leaseEnd: w.now.Add(storeLease)}
+	for i := range w.agents {
+		id := model.WorkerID(fmt.Sprintf("w%d", i))
+		o.sessions = append(o.sessions, workersession.New(id, 0, epoch, w.now, clean, w.opt))
+	}
+	w.current = o
+	w.wish(o)
+}
+
+// run plays the world to its end.
+func (w *world) run() {
+	for w.now.Sub(epochTime) < worldLength+worldQuiet && w.problem == "" {
+		w.now = w.now.Add(worldStep)
+		for _, a := range w.agents {
+			a.Advance()
+		}
+		w.strike()
+		w.deliver()
+		for _, o := range append(slices.Clone(w.old), w.current) {
+			w.drive(o)
+		}
+		w.schedule()
+		w.check()
+	}
+}
+
+// noisy reports whether faults still happen.
+func (w *world) noisy() bool { return w.now.Sub(epochTime) < worldLength }
+
+// strike lets the faults happen that are due.
+func (w *world) strike() {
+	for len(w.faults) > 0 && w.now.Sub(epochTime) >= w.faults[0].At {
+		w.apply(w.faults[0])
+		w.faults = w.faults[1:]
+	}
+	if w.now.After(w.current.leaseEnd) {
+		w.takeOver(false)
+	}
+}
+
+func (w *world) apply(f fault) {
+	switch f.Kind {
+	case pauseOwner:
+		w.current.pausedUntil = w.now.Add(f.For)
+	case outageOwner:
+		// It loses the store but not its process.
+		w.current.renewUntil = w.current.leaseEnd.Add(worldGrace)
+	case restartAgent:
+		w.agents[f.Target%worldWorkers].Restart()
+		w.heard[f.Target%worldWorkers] = 0
+	case cutAgent:
+		w.cuts[f.Target%worldWorkers] = cut{until: w.now.Add(f.For)}
+	case cutSuccessors:
+		w.cuts[f.Target%worldWorkers] = cut{until: w.now.Add(f.For), above: w.current.epoch}
+	case releaseOwner:
+		w.release()
+	case evictTask:
+		w.evict(f.Target % worldTasks)
+	}
+}
+
+// release is the owner's own end. It is clean if no earlier owner can be
+// renewing any more.
+func (w *world) release() {
+	o := w.current
+	if w.now.Before(o.pausedUntil) || !o.renewUntil.IsZero() {
+		return
+	}
+	o.leaseEnd = w.now
+	clean := o.clean || w.now.Sub(o.acquired) >= worldGrace
+	w.takeOver(clean || w.eagerClean)
+}
+
+func (w *world) evict(i int) {
+	row := &w.ledger[i]
+	if row.worker < 0 || row.stopping || w.now.Before(w.current.pausedUntil) {
+		return
+	}
+	row.stopping = true
+	w.wish(w.current)
+}
+
+// deliver carries out what the network has for now.
+func (w *world) deliver() {
+	slices.SortStableFunc(w.net, func(a, b delivery) int { return a.at.Compare(b.at) })
+	for len(w.net) > 0 && !w.net[0].at.After(w.now) {
+		d := w.net[0]
+		w.net = w.net[1:]
+		if d.req != nil {
+			w.reachAgent(d)
+			continue
+		}
+		d.from.inbox = append(d.from.inbox, d)
+	}
+}
+
+func (w *world) reachAgent(d delivery) {
+	if c := w.cuts[d.worker]; w.now.Before(c.until) && d.from.epoch > c.above {
+		return
+	}
+	resp := w.carryOut(d)
+	if w.noisy() && w.rnd.Float64() < 0.1 {
+		return // the answer is lost
+	}
+	w.net = append(w.net, delivery{
+		at: w.now.Add(w.delay()), worker: d.worker, from: d.from, id: d.id, resp: resp,
+	})
+}
+
+// carryOut carries out one request and checks that it changes nothing when the
+// agent has heard a newer owner.
+func (w *world) carryOut(d delivery) *workerv1.ApplyResponse {
+	agent := w.agents[d.worker]
+	if d.from.epoch >= w.heard[d.worker] {
+		w.heard[d.worker] = d.from.epoch
+		return agent.Apply(d.req)
+	}
+	before := fmt.Sprint(agent.Running())
+	resp := agent.Apply(d.req)
+	if fmt.Sprint(agent.Running()) != before {
+		w.problem = fmt.Sprintf("owner %d acted on %s after owner %d",
+			d.from.epoch, agent.ID(), w.heard[d.worker])
+	}
+	return resp
+}
+
+// delay is how long a message takes.
+func (w *world) delay() time.Duration {
+	if w.noisy() && w.rnd.Float64() < 0.15 {
+		return time.Duration(w.rnd.Int63n(int64(maxDelay)))
+	}
+	return time.Duration(w.rnd.Int63n(int64(100 * time.Millisecond)))
+}
+
+// drive lets one owner run, unless it is paused.
+func (w *world) drive(o *owner) {
+	if w.now.Before(o.pausedUntil) {
+		return
+	}
+	if o == w.current && o.renewUntil.IsZero() {
+		o.leaseEnd = w.now.Add(storeLease)
+	}
+	may := workersession.MayAct{Full: w.now.Before(o.leaseEnd), Until: o.leaseEnd}
+	if !may.Full {
+		may = workersession.MayAct{RenewOnly: true, Until: o.renewUntil}
+		if o.renewUntil.IsZero() {
+			may = workersession.MayAct{}
+		}
+	}
+	for i := range o.sessions {
+		w.step(o, i, may)
+	}
+	inbox := o.inbox
+	o.inbox = nil
+	for _, d := range inbox {
+		ev := workersession.Answered{ID: d.id, Resp: d.resp, ReceivedAt: w.now}
+		if d.failure {
+			ev.Err = context.DeadlineExceeded
+		}
+		w.step(o, d.worker, ev)
+	}
+	for i := range o.sessions {
+		w.step(o, i, workersession.Tick{})
+	}
+}
+
+func (w *world) step(o *owner, i int, ev workersession.Event) {
+	for _, c := range o.sessions[i].Step(w.now, ev) {
+		switch c := c.(type) {
+		case workersession.Send:
+			w.send(o, i, c)
+		case workersession.Observed:
+			w.observed(o, c)
+		case workersession.Over:
+			w.ended(o, c.Attempt, "")
+		}
+	}
+}
+
+// send puts a message on its way, perhaps twice, perhaps not at all.
+func (w *world) send(o *owner, i int, c workersession.Send) {
+	copies := 1
+	if w.noisy() {
+		switch p := w.rnd.Float64(); {
+		case p < 0.1:
+			copies = 0
+		case p < 0.25:
+			copies = 2
+		}
+	}
+	for range copies {
+		w.net = append(w.net, delivery{
+			at: w.now.Add(w.delay()), worker: i, from: o, id: c.ID, req: proto.CloneOf(c.Req),
+		})
+	}
+	w.net = append(w.net, delivery{
+		at: w.now.Add(c.Timeout), worker: i, from: o, id: c.ID, failure: true,
+	})
+}
+
+func (w *world) observed(o *owner, c workersession.Observed) {
+	if c.State != workersession.StateRunning {
+		w.ended(o, c.Attempt, c.Checkpoint)
+		return
+	}
+	row := &w.ledger[c.Attempt.Task.Index]
+	if o == w.current && row.attemptKey() == c.Attempt && !row.running {
+		row.running = true
+		w.wish(o)
+	}
+}
+
+// ended commits the end of an attempt, if the store still takes o's commits.
+func (w *world) ended(o *owner, key model.AttemptKey, checkpoint string) {
+	row := &w.ledger[key.Task.Index]
+	if o != w.current || row.attemptKey() != key || row.worker < 0 {
+		return
+	}
+	if checkpoint != "" {
+		row.checkpoint = checkpoint
+	}
+	row.worker = -1
+	row.running = false
+	row.stopping = false
+	w.wish(o)
+}
+
+// schedule commits pending tasks to workers with room.
+func (w *world) schedule() {
+	o := w.current
+	if w.now.Before(o.pausedUntil) || !w.now.Before(o.leaseEnd) {
+		return
+	}
+	placed := false
+	for i := range w.ledger {
+		row := &w.ledger[i]
+		target := w.rnd.Intn(worldWorkers)
+		if row.worker >= 0 || w.committed(target) >= 2 || o.sessions[target].Unreachable() {
+			continue
+		}
+		row.worker = target
+		row.attempt++
+		w.starts++
+		placed = true
+	}
+	if placed {
+		w.wish(o)
+	}
+}
+
+func (w *world) committed(worker int) int {
+	n := 0
+	for _, row := range w.ledger {
+		if row.worker == worker {
+			n++
+		}
+	}
+	return n
+}
+
+// wish gives the committed ledger to the owner's sessions.
+func (w *world) wish(o *owner) {
+	o.ledger = slices.Clone(w.ledger)
+	for i := range o.sessions {
+		w.step(o, i, workersession.Desired{Tasks: desiredTasks(o.ledger, i)})
+	}
+}
+
+func desiredTasks(ledger []taskRow, worker int) []workersession.DesiredTask {
+	var list []workersession.DesiredTask
+	for _, row := range ledger {
+		if row.worker != worker {
+			continue
+		}
+		kind := workersession.Start
+		switch {
+		case row.stopping:
+			kind = workersession.Stop
+		case row.running:
+			kind = workersession.Keep
+		}
+		list = append(list, workersession.DesiredTask{
+			Attempt:    row.attemptKey(),
+			Kind:       kind,
+			Checkpoint: row.stopping,
+			Start:      &workerv1.Start{MilliCpu: 1000, MemoryMb: 1000, Checkpoint: row.checkpoint},
+		})
+	}
+	return list
+}
+
+// check looks for a task that runs in two places.
+func (w *world) check() {
+	first := w.agents[0].Running()
+	for _, other := range w.agents[1].Running() {
+		for _, t := range first {
+			if t.GetTask() == other.GetTask() {
+				w.problem = fmt.Sprintf("at %v: %v on w0, %v on w1", w.now.Sub(epochTime), t, other)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/daemon/control.go
@@ -0,0 +1,175 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavarill/guavarill/core/config"
+	"github.com/guavarill/guavarill/core/dissemination"
+	"github.com/guavarill/guavarill/core/interference"
+	"github.com/guavarill/guavarill/core/membership"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/ownership"
+	"github.com/guavarill/guavarill/core/shares"
+	"github.com/guavarill/guavarill/core/timeline"
+	"github.com/guavarill/guavarill/core/topology"
+	"github.com/guavarill/guavarill/port"
+	"github.com/guavarill/guavarill/traffic"
+)
+
+// control is all control state of a daemon. It is used by the control loop
+// only.
+type control struct {
+	o       *Options
+	ctx     context.Context
+	exec    executor
+	clock   port.Clock
+	random  *rand.Rand
+	log     *logrus.Logger
+	metrics *metrics
+	ring    *timeline.Ring
+	engine  *traffic.Engine
+	homes   *homes
+
+	members  *membership.Machine
+	composer *dissemination.Composer
+	spreader *dissemination.Spreader
+	table    *dissemination.Table
+	owner    *ownership.Machine
+	config   *config.State
+
+	// The views below are replaced, never changed in place.
+	view     *membership.View
+	topology *topology.Topology
+	// topologyMod is the store revision that last changed the topology.
+	topologyMod int64
+	vms         map[model.WorkerID]model.VM
+	vmsKnown    bool
+
+	shards map[model.ShardID]*shard
+	// slowdowns and sizes are learned from all shards owned here.
+	slowdowns *interference.Model
+	sizes     *interference.Sizes
+
+	applies map[uint64]*applyOp
+	nextID  uint64
+
+	configWatch configWatch
+	peersHeard  map[model.DaemonID]bool
+	storeRead   bool
+
+	// storeAnswered is when the store last decided a call of this daemon.
+	storeAnswered time.Time
+	storeSilent   bool
+	drain         drainState
+	periods       periods
+	tables        tables
+}
+
+// periods says when each periodic task is next due.
+type periods struct {
+	vmList     time.Time
+	vmListBusy bool
+	configPoll time.Time
+	configBusy bool
+	topology   time.Time
+	topoBusy   bool
+	tables     time.Time
+}
+
+// tables is what the engine was last given.
+type tables struct {
+	dirty    bool
+	trackers map[string]*shares.Tracker
+	services map[string]bool
+	revision model.Revision
+}
+
+func newControl(ctx context.Context, o *Options, exec executor, engine *traffic.Engine, h *homes, m *metrics, ring *timeline.Ring) *control {
+	id := o.Identity
+	c := &control{
+		o:          o,
+		ctx:        ctx,
+		exec:       exec,
+		clock:      o.Ports.Clock,
+		random:     rand.New(rand.NewPCG(o.Seed, 0)),
+		log:        o.Logger,
+		metrics:    m,
+		ring:       ring,
+		engine:     engine,
+		homes:      h,
+		table:      dissemination.NewTable(),
+		spreader:   dissemination.NewSpreader(id.ID, 0),
+		owner:      ownership.New(id.ID, id.PeerAddress, withSeed(o.Ownership, o.Seed)),
+		config:     config.NewState(),
+		shards:     make(map[model.ShardID]*shard),
+		slowdowns:  interference.New(interference.DefaultOptions()),
+		sizes:      interference.NewSizes(interference.DefaultSizeOptions()),
+		applies:    make(map[uint64]*applyOp),
+		vms:        make(map[model.WorkerID]model.VM),
+		peersHeard: make(map[model.DaemonID]bool),
+		tables: tables{
+			trackers: make(map[string]*shares.Tracker),
+			services: make(map[string]bool),
+		},
+	}
+	c.members = membership.New(membership.Member{
+		ID:          id.ID,
+		Incarnation: uint64(id.Started.UnixNano()),
+		Address:     id.PeerAddress,
+		Zone:        id.Zone,
+		Started:     id.Started,
+	}, o.Members)
+	c.composer = dissemination.NewComposer(
+		id.Cluster, protocolVersion, 0, c.members, c.table, configSource{c.config})
+	c.view = c.members.View()
+	c.storeAnswered = c.clock.Now()
+	return c
+}
+
+func withSeed(o ownership.Options, seed uint64) ownership.Options {
+	o.Seed = seed
+	return o
+}
+
+// handle takes one event to its end.
+func (c *control) handle(ev event) {
+	ev.apply(c)
+	c.pushChanges()
+}
+
+// tick lets time pass for every state machine.
+type tick struct{}
+
+func (tick) apply(c *control) {
+	now := c.clock.Now()
+	c.stepMembers(membership.Tick{Random: c.random.Uint64()})
+	c.noticeStoreSilence(now)
+	c.stepOwner(ownership.Shards{Count: c.topologyCount()})
+	c.stepOwner(ownership.StoreSilence{Confirmed: c.members.StoreSilentMajority(now)})
+	c.stepOwner(ownership.Tick{})
+	c.tickApplies(now)
+	c.tickShards(now)
+	c.table.Expire(now)
+	c.readPeriodically(now)
+	c.tellMembers(now)
+	c.updateTables(now)
+	c.updateServing()
+	c.tickDrain(now)
+}
+
+func (c *control) topologyCount() uint32 {
+	if c.topology == nil {
+		return 0
+	}
+	return c.topology.Count()
+}
+
+// record appends to the time line.
+func (c *control) record(e timeline.Event) {
+	c.ring.Append(c.clock.Now(), e)
+	c.metrics.events.WithLabelValues(string(e.Kind)).Inc()
+}
--- /dev/null
+++ b/daemon/observe.go
@@ -0,0 +1,161 @@
+package daemon
+
+import (
+	workerv1 "github.com/guavarill/guavarill/api/worker/v1"
+	"github.com/guavarill/guavarill/core/config"
+	"github.com/guavarill/guavarill/core/ledger"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/scheduler"
+	"github.com/guavarill/guavarill/core/timeline"
+	"github.com/guavarill/guavarill/core/workersession"
+)
+
+var observationKinds = map[workersession.State]scheduler.ObservationKind{
+	workersession.StateRunning:   scheduler.SawRunning,
+	workersession.StateSucceeded: scheduler.SawSucceeded,
+	workersession.StateFailed:    scheduler.SawFailed,
+	workersession.StateStopped:   scheduler.SawStopped,
+	workersession.StateRefused:   scheduler.SawRefused,
+}
+
+func observation(w *worker, o workersession.Observed) scheduler.Observation {
+	kind := observationKinds[o.State]
+	if o.State == workersession.StateRefused && o.Outcome == workerv1.Outcome_OUTCOME_FAILED {
+		kind = scheduler.SawFailed
+	}
+	return scheduler.Observation{
+		Attempt:    o.Attempt,
+		Worker:     w.vm.ID,
+		Kind:       kind,
+		Address:    o.Address,
+		Checkpoint: o.Checkpoint,
+		Detail:     o.Detail,
+	}
+}
+
+func (s *shard) observeOver(w *worker, o workersession.Over) {
+	s.record(timeline.Event{
+		Kind:    timeline.AttemptOver,
+		Subject: o.Attempt.Task.String(),
+		Attempt: o.Attempt.Attempt,
+		Detail:  string(o.Reason),
+	})
+	s.observe(w, scheduler.Observation{
+		Attempt: o.Attempt,
+		Worker:  w.vm.ID,
+		Kind:    scheduler.SawLost,
+		Detail:  string(o.Reason),
+	})
+}
+
+func (s *shard) observe(w *worker, o scheduler.Observation) {
+	observer := scheduler.Observer{
+		Ledger:      s.ledger.Effective(),
+		Judge:       s.judge,
+		MaxAttempts: s.c.maxAttempts,
+	}
+	changes := observer.Observe(s.c.clock.Now(), o)
+	if len(changes) == 0 {
+		return
+	}
+	s.learnPresence(w, o)
+	s.stepLedger(ledger.Propose{Changes: changes})
+}
+
+// learnPresence keeps the record of who shares which worker, by which late
+// measurements are attributed.
+func (s *shard) learnPresence(w *worker, o scheduler.Observation) {
+	now := s.c.clock.Now()
+	slowdowns := s.c.slowdowns
+	key := o.Attempt.Task
+	if o.Kind == scheduler.SawRunning {
+		if t, known := s.ledger.Effective().Task(key); known {
+			slowdowns.Started(now, w.vm.ID, key, t.Class)
+		}
+		return
+	}
+	slowdowns.Stopped(now, w.vm.ID, key)
+	s.c.sizes.Ended(key)
+	delete(w.throttles, key)
+	delete(w.measured, key)
+}
+
+// workload returns the accepted workload of a task's generation.
+func (c *control) workload(key model.TaskKey) (config.AcceptedWorkload, bool) {
+	current := c.config.Current()
+	if current == nil {
+		return config.AcceptedWorkload{}, false
+	}
+	w, known := current.Workloads[key.Workload]
+	return w, known && w.Generation == key.Generation
+}
+
+func (c *control) maxAttempts(name string) int {
+	current := c.config.Current()
+	if current == nil {
+		return 0
+	}
+	if w, known := current.Workloads[name]; known {
+		return w.Spec.MaxAttempts
+	}
+	return 0
+}
+
+func needsSync(current *config.Accepted, change ledger.Change) bool {
+	return scheduler.NeedsSync(current, change)
+}
+
+var taskKinds = map[ledger.State]timeline.Kind{
+	ledger.Pending:   timeline.TaskCreated,
+	ledger.Assigned:  timeline.TaskAssigned,
+	ledger.Running:   timeline.TaskRunning,
+	ledger.Stopping:  timeline.TaskStopping,
+	ledger.Succeeded: timeline.TaskSucceeded,
+	ledger.Failed:    timeline.TaskFailed,
+	ledger.Cancelled: timeline.TaskCancelled,
+	ledger.Moved:     timeline.TaskMoved,
+}
+
+// recordChange writes a committed change to the time line.
+func (s *shard) recordChange(change ledger.Change) {
+	switch {
+	case change.Put != nil:
+		s.recordTask(change.Put)
+	case change.Handoff != nil:
+		s.record(timeline.Event{Kind: timeline.TaskMoved, Subject: change.Handoff.Task.Key.String()})
+	case change.Receive != nil:
+		s.record(timeline.Event{Kind: timeline.TaskReceived, Subject: change.Receive.Task.Key.String()})
+	case change.Quarantine != nil:
+		kind := timeline.WorkerQuarantined
+		if change.Quarantine.Lifted() {
+			kind = timeline.WorkerReleased
+		}
+		s.record(timeline.Event{Kind: kind, Subject: string(change.Quarantine.Worker)})
+	}
+}
+
+func (s *shard) recordTask(t *ledger.Task) {
+	kind := taskKinds[t.State]
+	if t.State == ledger.Pending {
+		kind = pendingKind(t)
+	}
+	detail := string(t.Worker)
+	if t.Reason != "" {
+		detail = t.Reason
+	}
+	s.record(timeline.Event{Kind: kind, Subject: t.Key.String(), Attempt: t.Attempt, Detail: detail})
+}
+
+func pendingKind(t *ledger.Task) timeline.Kind {
+	switch {
+	case t.Attempt == 0 && t.Reason != "":
+		return timeline.TaskUnplaceable
+	case t.Attempt == 0:
+		return timeline.TaskCreated
+	case t.Failures > 0 && t.Reason != "":
+		return timeline.TaskRetried
+	case t.Evictions > 0:
+		return timeline.TaskEvicted
+	}
+	return timeline.TaskRetried
+}
--- /dev/null
+++ b/daemon/options.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavarill/guavarill/core/dedup"
+	"github.com/guavarill/guavarill/core/ledger"
+	"github.com/guavarill/guavarill/core/membership"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/ownership"
+	"github.com/guavarill/guavarill/core/scheduler"
+	"github.com/guavarill/guavarill/core/workersession"
+	"github.com/guavarill/guavarill/port"
+	"github.com/guavarill/guavarill/traffic"
+)
+
+// Identity is who a daemon is. All of it comes from settings, except for the
+// time of its start.
+type Identity struct {
+	Cluster string
+	ID      model.DaemonID
+	Zone    model.Zone
+	// PeerAddress and AdminAddress are where other daemons and operators
+	// reach this one, host:port.
+	PeerAddress  string
+	AdminAddress string
+	// Started distinguishes this process from an earlier one of the same name.
+	Started time.Time
+}
+
+// Ports are the daemon's ways to the platform, to other daemons and to
+// targets.
+type Ports struct {
+	Store   port.Store
+	Workers port.Workers
+	VMs     port.VMList
+	Peers   port.Peers
+	Target  traffic.Target
+	Clock   port.Clock
+}
+
+// Timing sets the control loop's periods.
+type Timing struct {
+	// Tick is the time between two steps of all state machines.
+	Tick time.Duration
+	// VMList is the time between two reads of the platform's list.
+	VMList time.Duration
+	// ConfigPoll is the time between two reads of the stored configuration on
+	// a fresh connection. It bounds how long a watch that went silent hides a
+	// change from this daemon when no peer tells it either.
+	ConfigPoll time.Duration
+	// Topology is the time between two reads of the topology.
+	Topology time.Duration
+	// Decide is the longest time between two scheduling cycles of a shard.
+	Decide time.Duration
+	// Tables is the longest time between two updates of the engine's tables.
+	Tables time.Duration
+	// ShareGrowDelay is how long a larger share of an instance's slots must
+	// have been due before this entry uses it.
+	ShareGrowDelay time.Duration
+	// StoreCall and PeerCall bound one call.
+	StoreCall time.Duration
+	PeerCall  time.Duration
+	// ApplyDeadline bounds an operator's apply or cancel.
+	ApplyDeadline time.Duration
+}
+
+// DefaultTiming suits daemons in the zones of one or a few near regions.
+func DefaultTiming() Timing {
+	return Timing{
+		Tick:           100 * time.Millisecond,
+		VMList:         2 * time.Second,
+		ConfigPoll:     30 * time.Second,
+		Topology:       15 * time.Second,
+		Decide:         time.Second,
+		Tables:         time.Second,
+		ShareGrowDelay: 3 * time.Second,
+		StoreCall:      2 * time.Second,
+		PeerCall:       time.Second,
+		ApplyDeadline:  10 * time.Second,
+	}
+}
+
+// Options configures a daemon.
+type Options struct {
+	Identity   Identity
+	Ports      Ports
+	Timing     Timing
+	Members    membership.Options
+	Ownership  ownership.Options
+	Ledger     ledger.Options
+	Session    workersession.Options
+	Scheduler  scheduler.Options
+	Dedup      dedup.Options
+	RacksShard int
+	// TimelineEvents is how many events the time line holds.
+	TimelineEvents int
+	// Seed feeds all random choices of the control loop.
+	Seed       uint64
+	Logger     *logrus.Logger
+	Registerer prometheus.Registerer
+}
+
+// DefaultOptions returns the standard settings for the given identity and
+// ports.
+func DefaultOptions(id Identity, ports Ports) Options {
+	prefix := KeyPrefix(id.Cluster)
+	return Options{
+		Identity:       id,
+		Ports:          ports,
+		Timing:         DefaultTiming(),
+		Ownership:      ownership.Options{KeyPrefix: prefix},
+		Ledger:         ledger.Options{KeyPrefix: prefix, FlushInterval: 100 * time.Millisecond},
+		Scheduler:      scheduler.DefaultOptions(),
+		RacksShard:     2,
+		TimelineEvents: 20000,
+		Seed:           uint64(id.Started.UnixNano()),
+	}
+}
+
+// KeyPrefix returns the prefix of a cluster's keys in the store.
+func KeyPrefix(cluster string) string { return "/guavarill/" + cluster + "/" }
+
+func (o *Options) manifestKey() string { return KeyPrefix(o.Identity.Cluster) + "manifest" }
+
+func (o *Options) topologyKey() string { return KeyPrefix(o.Identity.Cluster) + "topology" }
--- /dev/null
+++ b/daemon/policy.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/core/eviction"
+	"github.com/guavarill/guavarill/core/interference"
+	"github.com/guavarill/guavarill/core/ledger"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/timeline"
+	"github.com/guavarill/guavarill/core/workersession"
+)
+
+// measure learns from one late measurement of a task.
+func (s *shard) measure(w *worker, u workersession.Usage) {
+	now := s.c.clock.Now()
+	key := u.Attempt.Task
+	t, known := s.ledger.Effective().Task(key)
+	if !known || t.Attempt != u.Attempt.Attempt {
+		return
+	}
+	w.measured[key] = u
+	w.load = s.measuredLoad(w)
+	declared := t.Size
+	if accepted, current := s.c.workload(key); current {
+		declared = accepted.Spec.Size
+	}
+	s.c.sizes.Observe(now, key, declared, interference.Usage{MilliCPU: u.MilliCPU, MemoryMB: u.MemoryMB})
+	s.c.slowdowns.Observe(now, interference.Observation{
+		Worker:     w.vm.ID,
+		Victim:     key,
+		Class:      t.Class,
+		MeasuredAt: u.MeasuredAt,
+		Slowdown:   float64(u.SlowdownPercent) / 100,
+		Load:       w.load,
+	})
+}
+
+// measuredLoad is the share of a worker's processors that its tasks were last
+// measured to use.
+func (s *shard) measuredLoad(w *worker) float64 {
+	if w.vm.Capacity.MilliCPU <= 0 {
+		return 0
+	}
+	var used int64
+	for _, m := range w.measured {
+		used += m.MilliCPU
+	}
+	return min(1, float64(used)/float64(w.vm.Capacity.MilliCPU))
+}
+
+// act carries out one action of the eviction policy.
+func (s *shard) act(now time.Time, w *worker, a eviction.Action) {
+	s.c.metrics.actions.WithLabelValues(string(a.Kind)).Inc()
+	switch a.Kind {
+	case eviction.Throttle:
+		s.throttle(now, w, a, timeline.TaskThrottled)
+	case eviction.Unthrottle:
+		s.throttle(now, w, a, timeline.TaskUnthrottled)
+	case eviction.Evict:
+		s.evict(a)
+	}
+}
+
+func (s *shard) throttle(now time.Time, w *worker, a eviction.Action, kind timeline.Kind) {
+	s.record(timeline.Event{Kind: kind, Subject: a.Task.String(), Detail: string(a.Reason)})
+	w.throttles[a.Task] = throttle{percent: a.Percent, since: now}
+	if a.Percent >= eviction.FullSpeed {
+		delete(w.throttles, a.Task)
+	}
+	s.c.slowdowns.Throttled(now, w.vm.ID, a.Task, float64(a.Percent)/eviction.FullSpeed)
+	s.wish(w)
+}
+
+func (s *shard) evict(a eviction.Action) {
+	t, known := s.ledger.Effective().Task(a.Task)
+	if !known || t.State != ledger.Running {
+		return
+	}
+	t.State = ledger.Stopping
+	t.Resume = true
+	t.Reason = string(a.Reason)
+	s.stepLedger(ledger.Propose{Changes: []ledger.Change{{Put: &t}}})
+}
+
+// shardRoom returns the largest free room on one worker of each other shard
+// that this daemon owns.
+func (c *control) shardRoom() map[model.ShardID]model.Resources {
+	rooms := make(map[model.ShardID]model.Resources, len(c.shards))
+	for id, s := range c.shards {
+		if s.loaded {
+			rooms[id] = s.largestRoom()
+		}
+	}
+	return rooms
+}
+
+func (s *shard) largestRoom() model.Resources {
+	var best model.Resources
+	for _, id := range s.sortedWorkers() {
+		w := s.workers[id]
+		if !w.listed || w.leaving || w.unreachable || w.vm.State == model.VMLeaving {
+			continue
+		}
+		free := w.vm.Capacity.Sub(s.ledger.Effective().Committed(id))
+		if free.MilliCPU > best.MilliCPU {
+			best = free
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/daemon/store.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+
+	"github.com/guavarill/guavarill/adapter/etcdstore"
+	"github.com/guavarill/guavarill/core/storebudget"
+	"github.com/guavarill/guavarill/port"
+)
+
+// storeCall runs one call of the store outside the control loop. call makes
+// the event that takes the answer; err is what the call returned.
+func (c *control) storeCall(class storebudget.Class, call func(ctx context.Context) (event, error)) {
+	c.exec.start(func() event {
+		ctx, cancel := context.WithTimeout(etcdstore.WithClass(c.ctx, class), c.o.Timing.StoreCall)
+		defer cancel()
+		answer, err := call(ctx)
+		return storeAnswered{answer: answer, heard: heardFromStore(err)}
+	})
+}
+
+// storeAnswered wraps the answer of any store call.
+type storeAnswered struct {
+	answer event
+	heard  bool
+}
+
+func (ev storeAnswered) apply(c *control) {
+	if ev.heard {
+		c.storeAnswered = c.clock.Now()
+	}
+	if ev.answer != nil {
+		ev.answer.apply(c)
+	}
+}
+
+// heardFromStore reports whether a call's result came from the store itself.
+func heardFromStore(err error) bool {
+	if err == nil {
+		return true
+	}
+	var failed *port.StoreError
+	if !errors.As(err, &failed) {
+		return false
+	}
+	switch failed.Kind {
+	case port.StoreLeaseGone, port.StoreCompacted:
+		return true
+	}
+	return false
+}
+
+// txn runs a transaction and passes its result to then.
+func (c *control) txn(class storebudget.Class, conditions []port.Condition, ops []port.Op, then func(port.TxnResult, error) event) {
+	c.storeCall(class, func(ctx context.Context) (event, error) {
+		result, err := c.o.Ports.Store.Txn(ctx, conditions, ops)
+		return then(result, err), err
+	})
+}
+
+// list reads all keys under prefix and passes them to then.
+func (c *control) list(class storebudget.Class, prefix string, then func([]port.KeyValue, int64, error) event) {
+	c.storeCall(class, func(ctx context.Context) (event, error) {
+		kvs, revision, err := c.o.Ports.Store.List(ctx, prefix)
+		return then(kvs, revision, err), err
+	})
+}
+
+// get reads one key and passes it to then.
+func (c *control) get(class storebudget.Class, key string, then func(port.KeyValue, error) event) {
+	c.storeCall(class, func(ctx context.Context) (event, error) {
+		kv, err := c.o.Ports.Store.Get(ctx, key)
+		return then(kv, err), err
+	})
+}
+
+// poll is get on a fresh connection: an open one that went silent would hide
+// the very change that the poll is to find.
+func (c *control) poll(key string, then func(port.KeyValue, error) event) {
+	c.storeCall(storebudget.ClassPoll, func(ctx context.Context) (event, error) {
+		kv, err := c.o.Ports.Store.Get(etcdstore.WithFreshConnection(ctx), key)
+		return then(kv, err), err
+	})
+}
--- /dev/null
+++ b/daemon/tables.go
@@ -0,0 +1,233 @@
+package daemon
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/guavarill/guavarill/api/peer/v1"
+	"github.com/guavarill/guavarill/core/ledger"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/routing"
+	"github.com/guavarill/guavarill/core/shares"
+	"github.com/guavarill/guavarill/core/timeline"
+	"github.com/guavarill/guavarill/traffic"
+)
+
+// publishedTargets is the last list of a shard's targets that this daemon
+// made.
+type publishedTargets struct{ list *peerv1.ShardTargets }
+
+// publishTargets makes the shard's list of targets known when it changed. It
+// is made from the committed ledger alone, so that (epoch, sequence) orders
+// the lists of all owners.
+func (s *shard) publishTargets() {
+	if !s.loaded {
+		return
+	}
+	list := &peerv1.ShardTargets{
+		Shard:    uint32(s.id),
+		Epoch:    int64(s.epoch),
+		Sequence: s.ledger.Contents().Sequence(),
+		Owner:    string(s.c.o.Identity.ID),
+	}
+	for _, id := range s.ledger.Contents().Workers() {
+		for _, t := range s.ledger.Contents().OnWorker(id) {
+			if t.Service && t.Address != "" {
+				list.Targets = append(list.Targets, s.target(t))
+			}
+		}
+	}
+	if s.sameTargets(list) {
+		return
+	}
+	s.recordTargets(list)
+	s.published.list = list
+	if s.c.table.PutOwn(list) {
+		s.c.spreader.ListsChanged([]*peerv1.ShardTargets{list})
+		s.c.tables.dirty = true
+	}
+}
+
+func (s *shard) target(t ledger.Task) *peerv1.Target {
+	return &peerv1.Target{
+		Service:          t.Key.Workload,
+		Task:             t.Key.String(),
+		Attempt:          uint32(t.Attempt),
+		Address:          t.Address,
+		Worker:           string(t.Worker),
+		AvailabilityZone: string(s.c.vms[t.Worker].Zone),
+		Leaving:          t.State == ledger.Stopping,
+	}
+}
+
+func (s *shard) sameTargets(list *peerv1.ShardTargets) bool {
+	before := s.published.list
+	return before != nil && slices.EqualFunc(before.Targets, list.Targets, func(a, b *peerv1.Target) bool {
+		return proto.Equal(a, b)
+	})
+}
+
+func (s *shard) recordTargets(list *peerv1.ShardTargets) {
+	before := make(map[string]*peerv1.Target)
+	if s.published.list != nil {
+		for _, t := range s.published.list.Targets {
+			before[t.Address] = t
+		}
+	}
+	for _, t := range list.Targets {
+		old := before[t.Address]
+		delete(before, t.Address)
+		switch {
+		case old == nil && !t.Leaving:
+			s.record(timeline.Event{Kind: timeline.TargetAdded, Subject: t.Task})
+		case old != nil && !old.Leaving && t.Leaving:
+			s.record(timeline.Event{Kind: timeline.TargetLeaving, Subject: t.Task})
+		}
+	}
+	for _, address := range sortedKeys(before) {
+		s.record(timeline.Event{Kind: timeline.TargetRemoved, Subject: before[address].Task})
+	}
+}
+
+// targetsLeaving spreads the word that all targets on a worker are leaving,
+// without waiting for a commit.
+func (c *control) targetsLeaving(s *shard, id model.WorkerID) {
+	var hints []*peerv1.LeavingTarget
+	for _, t := range s.ledger.Contents().OnWorker(id) {
+		if t.Service && t.Address != "" {
+			hints = append(hints, &peerv1.LeavingTarget{
+				Address: t.Address, Task: t.Key.String(), Attempt: uint32(t.Attempt),
+			})
+		}
+	}
+	fresh := c.table.MarkLeaving(c.clock.Now(), hints)
+	for _, hint := range fresh {
+		c.engine.MarkLeaving(hint.GetAddress())
+	}
+	c.spreader.Leaving(fresh, true)
+}
+
+// markListedLeaving stops this entry's new work to targets on VMs that the
+// platform lists as leaving. Every entry reads the list, so nobody is told.
+func (c *control) markListedLeaving() {
+	for _, t := range c.table.Targets() {
+		vm, known := c.vms[model.WorkerID(t.GetWorker())]
+		if known && vm.State == model.VMLeaving {
+			c.engine.MarkLeaving(t.GetAddress())
+		}
+	}
+}
+
+// updateTables gives the engine the services and targets in force: after a
+// change at once, and now and then so that shares grow.
+func (c *control) updateTables(now time.Time) {
+	if !c.tables.dirty && now.Before(c.periods.tables) {
+		return
+	}
+	c.tables.dirty = false
+	c.periods.tables = now.Add(c.o.Timing.Tables)
+	current := c.config.Current()
+	if current == nil {
+		return
+	}
+	c.configureServices()
+	byService := c.capacities()
+	for _, name := range sortedKeys(c.tables.services) {
+		c.engine.SetTargets(name, c.routingTargets(now, name, byService[name]))
+	}
+}
+
+// configureServices tells the engine of the declared services when the
+// configuration changed.
+func (c *control) configureServices() {
+	current := c.config.Current()
+	if c.tables.revision == current.Revision {
+		return
+	}
+	c.tables.revision = current.Revision
+	c.tables.services = make(map[string]bool)
+	var services []traffic.Service
+	for _, name := range current.Names() {
+		w := current.Workloads[name]
+		if !w.Spec.IsService() || w.Cancelled {
+			continue
+		}
+		c.tables.services[name] = true
+		services = append(services, traffic.Service{
+			Name:     name,
+			Timeout:  time.Duration(w.Spec.Timeout),
+			MaxQueue: w.Spec.MaxQueue,
+		})
+	}
+	for name := range c.tables.trackers {
+		if !c.tables.services[name] {
+			delete(c.tables.trackers, name)
+		}
+	}
+	c.engine.Configure(services)
+}
+
+// capacities lists, per service, the targets known from all shards.
+func (c *control) capacities() map[string][]*peerv1.Target {
+	byService := make(map[string][]*peerv1.Target)
+	for _, t := range c.table.Targets() {
+		if c.tables.services[t.GetService()] {
+			byService[t.GetService()] = append(byService[t.GetService()], t)
+		}
+	}
+	return byService
+}
+
+// routingTargets divides the targets' slots over the entries and returns this
+// entry's part.
+func (c *control) routingTargets(now time.Time, name string, targets []*peerv1.Target) []routing.Target {
+	spec := c.config.Current().Workloads[name].Spec
+	byAddress := make(map[string]*peerv1.Target, len(targets))
+	capacities := make([]shares.Capacity, 0, len(targets))
+	for _, t := range targets {
+		byAddress[t.GetAddress()] = t
+		capacities = append(capacities, shares.Capacity{
+			Address:     t.GetAddress(),
+			Zone:        model.Zone(t.GetAvailabilityZone()),
+			Slots:       spec.Slots,
+			Connections: spec.Connections,
+		})
+	}
+	desired := shares.Divide(c.shareEntries(), c.o.Identity.ID, capacities)
+	tracker := c.tables.trackers[name]
+	if tracker == nil {
+		tracker = shares.NewTracker(c.o.Timing.ShareGrowDelay)
+		c.tables.trackers[name] = tracker
+	}
+	var list []routing.Target
+	for _, share := range tracker.Step(now, desired) {
+		list = append(list, c.routingTarget(byAddress[share.Address], share))
+	}
+	return list
+}
+
+func (c *control) routingTarget(t *peerv1.Target, share shares.Share) routing.Target {
+	key, _ := model.ParseTaskKey(t.GetTask())
+	vm, listed := c.vms[model.WorkerID(t.GetWorker())]
+	return routing.Target{
+		Address:     t.GetAddress(),
+		Task:        model.AttemptKey{Task: key, Attempt: model.Attempt(t.GetAttempt())},
+		Worker:      model.WorkerID(t.GetWorker()),
+		Zone:        model.Zone(t.GetAvailabilityZone()),
+		Leaving:     t.GetLeaving() || listed && vm.State == model.VMLeaving,
+		Slots:       share.Slots,
+		Connections: share.Connections,
+	}
+}
+
+// shareEntries are the entries among which slots are divided.
+func (c *control) shareEntries() []shares.Entry {
+	var entries []shares.Entry
+	for _, id := range c.view.ForShares() {
+		m, _ := c.view.Member(id)
+		entries = append(entries, shares.Entry{ID: id, Zone: m.Zone, Weight: 1})
+	}
+	return entries
+}
--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,3 @@
+// Package examples holds sample manifests, for tests and for operators to
+// begin from.
+package examples
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,3 @@
+// Package settings holds the daemon's settings as flags and environment
+// variables, and checks them as a whole before anything starts.
+package settings
--- /dev/null
+++ b/standin/site/site.go
@@ -0,0 +1,228 @@
+package site
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	workerv1 "github.com/guavarill/guavarill/api/worker/v1"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/port"
+	"github.com/guavarill/guavarill/standin/store"
+	"github.com/guavarill/guavarill/standin/target"
+	"github.com/guavarill/guavarill/standin/vmlist"
+	"github.com/guavarill/guavarill/standin/worker"
+)
+
+// Spec describes a deployment's workers.
+type Spec struct {
+	Zones       []model.Zone
+	Workers     int
+	RackSize    int
+	Capacity    model.Resources
+	ServiceTime time.Duration
+	// ListLag is how old the list of VMs is when it is read.
+	ListLag time.Duration
+	// UsageLag is how old the agents' measurements are.
+	UsageLag time.Duration
+	// Speedup divides the run times of batch tasks; 0 is 1.
+	Speedup int
+}
+
+// The two deployments that the examples declare manifests for.
+var (
+	Agency = Spec{
+		Zones:    []model.Zone{"mvd-a", "mvd-b", "mvd-c"},
+		Workers:  50,
+		RackSize: 8,
+		Capacity: model.Resources{MilliCPU: 16_000, MemoryMB: 60 << 10},
+	}
+	Pindan = Spec{
+		Zones:    []model.Zone{"swa-a", "swa-b", "swa-c", "swa-d"},
+		Workers:  50,
+		RackSize: 6,
+		Capacity: model.Resources{MilliCPU: 32_000, MemoryMB: 125 << 10},
+	}
+)
+
+// The stand-ins' usual pace.
+const (
+	defaultServiceTime = 5 * time.Millisecond
+	defaultListLag     = time.Second
+	defaultUsageLag    = 5 * time.Second
+)
+
+func (s Spec) withDefaults() Spec {
+	if s.ServiceTime == 0 {
+		s.ServiceTime = defaultServiceTime
+	}
+	if s.ListLag == 0 {
+		s.ListLag = defaultListLag
+	}
+	if s.UsageLag == 0 {
+		s.UsageLag = defaultUsageLag
+	}
+	return s
+}
+
+// Site is a running platform.
+type Site struct {
+	spec  Spec
+	clock port.Clock
+
+	Store *store.Server
+	VMs   *vmlist.List
+	// Agents are the workers' agents, by worker.
+	Agents map[model.WorkerID]*worker.Agent
+
+	storeAddress string
+	list         *vmlist.Server
+	servers      []*worker.Server
+
+	mu      sync.Mutex
+	targets []*target.Target
+}
+
+// StartError says which stand-in did not start.
+type StartError struct {
+	Part  string
+	Cause error
+}
+
+// Error implements error.
+func (e *StartError) Error() string { return fmt.Sprintf("stand-in %s: %v", e.Part, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Cause }
+
+// Start starts all stand-ins on free ports. An error is a *StartError.
+func Start(spec Spec) (*Site, error) {
+	s := &Site{
+		spec:   spec.withDefaults(),
+		clock:  port.SystemClock{},
+		Agents: make(map[model.WorkerID]*worker.Agent),
+	}
+	if err := s.start(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start() error {
+	s.Store = store.New(store.Options{})
+	address, err := s.Store.Start()
+	if err != nil {
+		return &StartError{Part: "store", Cause: err}
+	}
+	s.storeAddress = address
+	s.VMs = vmlist.New(s.clock, s.spec.ListLag)
+	s.list, err = vmlist.Serve(s.VMs, "127.0.0.1:0")
+	if err != nil {
+		return &StartError{Part: "list of VMs", Cause: err}
+	}
+	var vms []model.VM
+	for i := range s.spec.Workers {
+		vm, err := s.startWorker(i)
+		if err != nil {
+			return err
+		}
+		vms = append(vms, vm)
+	}
+	s.VMs.Set(vms)
+	return nil
+}
+
+func (s *Site) startWorker(i int) (model.VM, error) {
+	rack := i / s.spec.RackSize
+	vm := model.VM{
+		ID:       model.WorkerID(fmt.Sprintf("worker-%02d", i)),
+		Role:     model.RoleWorker,
+		State:    model.VMLive,
+		Zone:     s.spec.Zones[rack%len(s.spec.Zones)],
+		Rack:     model.Rack(fmt.Sprintf("rack-%02d", rack)),
+		Capacity: s.spec.Capacity,
+	}
+	agent := worker.New(worker.Options{
+		ID:           vm.ID,
+		Capacity:     vm.Capacity,
+		Clock:        s.clock,
+		UsageLag:     s.spec.UsageLag,
+		StartService: s.startTarget,
+		Behave:       s.behave,
+	})
+	server, err := worker.Serve(agent, "127.0.0.1:0")
+	if err != nil {
+		return vm, &StartError{Part: string(vm.ID), Cause: err}
+	}
+	vm.Address = server.Address()
+	s.Agents[vm.ID] = agent
+	s.servers = append(s.servers, server)
+	return vm, nil
+}
+
+func (s *Site) behave(start *workerv1.Start) worker.Behaviour {
+	b := worker.DefaultBehaviour(start)
+	if s.spec.Speedup > 1 {
+		b.Run /= time.Duration(s.spec.Speedup)
+	}
+	return b
+}
+
+// startTarget starts the instance of a service. An instance that cannot
+// listen has no address and so gets no requests.
+func (s *Site) startTarget(start *workerv1.Start) (string, func()) {
+	t, err := target.Start(target.Options{Name: start.GetTask(), Work: s.spec.ServiceTime})
+	if err != nil {
+		return "", func() {}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets = append(s.targets, t)
+	return t.Address(), t.Close
+}
+
+// StoreAddress returns host:port of the key-value service.
+func (s *Site) StoreAddress() string { return s.storeAddress }
+
+// VMListURL returns where the list of VMs is read.
+func (s *Site) VMListURL() string { return s.list.URL() }
+
+// AddEntry puts a daemon's VM on the list.
+func (s *Site) AddEntry(id string, zone model.Zone, peerAddress string) {
+	s.VMs.Update(model.VM{
+		ID: model.WorkerID(id), Role: model.RoleEntry, State: model.VMLive, Zone: zone, Address: peerAddress,
+	})
+}
+
+// Targets returns all targets that were ever started, ended ones included.
+func (s *Site) Targets() []*target.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*target.Target(nil), s.targets...)
+}
+
+// Audit returns the promises that the agents saw broken.
+func (s *Site) Audit() []worker.Violation {
+	agents := make([]*worker.Agent, 0, len(s.Agents))
+	for _, a := range s.Agents {
+		agents = append(agents, a)
+	}
+	return worker.Audit(agents...)
+}
+
+// Close ends all stand-ins.
+func (s *Site) Close() {
+	for _, server := range s.servers {
+		server.Close()
+	}
+	for _, t := range s.Targets() {
+		t.Close()
+	}
+	if s.list != nil {
+		s.list.Close()
+	}
+	if s.Store != nil {
+		s.Store.Close()
+	}
+}
--- /dev/null
+++ b/standin/store/faults.go
@@ -0,0 +1,190 @@
+package store
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Loss is how a caller finds that no answer comes.
+type Loss int
+
+const (
+	// LossBreak breaks the connection that carried the call.
+	LossBreak Loss = iota
+	// LossHang leaves the call without an answer on a working connection.
+	LossHang
+)
+
+// faults are the failures to come.
+type faults struct {
+	mu     sync.Mutex
+	down   bool
+	slow   time.Duration
+	frozen bool
+	lose   []armed
+	drop   []armed
+}
+
+// armed is a failure of the next calls of some methods.
+type armed struct {
+	left    int
+	how     Loss
+	methods []Method
+}
+
+func (a *armed) fits(m Method) bool {
+	if len(a.methods) == 0 {
+		return m.Mutates()
+	}
+	return slices.Contains(a.methods, m)
+}
+
+// plan is what is to happen to one call.
+type plan struct {
+	slow time.Duration
+	// dropped calls have no effect, lost ones have theirs; neither is
+	// answered.
+	dropped bool
+	lost    bool
+	how     Loss
+}
+
+func (f *faults) plan(m Method) plan {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := plan{slow: f.slow}
+	if how, ok := next(&f.drop, m); ok {
+		p.dropped, p.how = true, how
+		return p
+	}
+	if how, ok := next(&f.lose, m); ok {
+		p.lost, p.how = true, how
+	}
+	return p
+}
+
+func next(list *[]armed, m Method) (Loss, bool) {
+	for i := range *list {
+		a := &(*list)[i]
+		if !a.fits(m) {
+			continue
+		}
+		how := a.how
+		a.left--
+		if a.left == 0 {
+			*list = slices.Delete(*list, i, i+1)
+		}
+		return how, true
+	}
+	return 0, false
+}
+
+func (f *faults) isDown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down
+}
+
+func (f *faults) isFrozen() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.frozen
+}
+
+func (f *faults) setFrozen(frozen bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.frozen = frozen
+}
+
+// Down breaks all connections and refuses new ones. A call in flight may or
+// may not have its effect.
+func (s *Server) Down() {
+	s.faults.mu.Lock()
+	s.faults.down = true
+	s.faults.mu.Unlock()
+	if s.o.ExtendLeasesOnUp {
+		s.state.holdLeases(true)
+	}
+	s.listener.refuse(true)
+	s.breakLocalWatches()
+}
+
+// Up ends Down.
+func (s *Server) Up() {
+	if s.o.ExtendLeasesOnUp {
+		s.state.extendLeases()
+		s.state.holdLeases(false)
+	}
+	s.faults.mu.Lock()
+	s.faults.down = false
+	s.faults.mu.Unlock()
+	s.listener.refuse(false)
+}
+
+// Slow makes each call wait for d before it has its effect, also when its
+// caller has given up meanwhile; 0 ends it.
+func (s *Server) Slow(d time.Duration) {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.slow = d
+}
+
+// LoseAnswer lets the next n mutating calls, or calls of the given methods,
+// have their effect without an answer.
+func (s *Server) LoseAnswer(n int, how Loss, methods ...Method) {
+	s.faults.arm(&s.faults.lose, n, how, methods)
+}
+
+// DropBefore leaves the next n mutating calls, or calls of the given methods,
+// without effect and without answer.
+func (s *Server) DropBefore(n int, how Loss, methods ...Method) {
+	s.faults.arm(&s.faults.drop, n, how, methods)
+}
+
+func (f *faults) arm(list *[]armed, n int, how Loss, methods []Method) {
+	if n <= 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*list = append(*list, armed{left: n, how: how, methods: methods})
+}
+
+// ClearFaults ends Slow and takes back failures that have not happened yet.
+func (s *Server) ClearFaults() {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.slow, s.faults.lose, s.faults.drop = 0, nil, nil
+}
+
+// BreakConnections breaks all connections and watches; new ones work.
+func (s *Server) BreakConnections() {
+	s.listener.breakAll()
+	s.breakLocalWatches()
+}
+
+// SilenceConnections makes all present connections accept bytes for good
+// without an answer and without an end; new ones work.
+func (s *Server) SilenceConnections() {
+	s.listener.silenceAll()
+	s.silenceLocals()
+}
+
+// FreezeWatches holds back all watches' events until ThawWatches.
+func (s *Server) FreezeWatches() { s.faults.setFrozen(true) }
+
+// ThawWatches delivers what FreezeWatches held back.
+func (s *Server) ThawWatches() {
+	s.faults.setFrozen(false)
+	s.state.wakeWatches()
+}
+
+// LapseLease ends a lease as if its time were over, and tells whether there
+// was one.
+func (s *Server) LapseLease(id int64) bool { return s.state.lapse(id) }
+
+// LapseLeaseOf ends the lease that key is attached to, and tells whether
+// there was one.
+func (s *Server) LapseLeaseOf(key string) bool { return s.state.lapseOf(key) }
--- /dev/null
+++ b/standin/store/options.go
@@ -0,0 +1,57 @@
+package store
+
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/port"
+)
+
+// Options sets up a stand-in. Zero fields take their defaults.
+type Options struct {
+	// Clock drives leases and rate limits. With an injected clock, call Tick
+	// after moving it: leases are also checked at every call.
+	Clock port.Clock
+	// History is how many revisions watches can look back on.
+	History int64
+	// MaxValueBytes, MaxRequestBytes and MaxTxnOps are the service's limits.
+	MaxValueBytes   int
+	MaxRequestBytes int
+	MaxTxnOps       int
+	// ReadsPerSecond and WritesPerSecond, when not 0, are the rates above
+	// which calls are refused.
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+	// ExtendLeasesOnUp gives every lease its full time again when the store
+	// comes back from being down. Otherwise leases run on while it is down.
+	ExtendLeasesOnUp bool
+	// LocalTimeout is the call timeout of the in-process store: with Slow at
+	// or above it, calls time out.
+	LocalTimeout time.Duration
+}
+
+// The defaults of Options.
+const (
+	DefaultHistory         = 10000
+	DefaultMaxRequestBytes = 3 << 19
+	DefaultMaxTxnOps       = 128
+	DefaultLocalTimeout    = 2 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.Clock == nil {
+		o.Clock = port.SystemClock{}
+	}
+	setDefault(&o.History, DefaultHistory)
+	setDefault(&o.MaxValueBytes, port.MaxValueBytes)
+	setDefault(&o.MaxRequestBytes, DefaultMaxRequestBytes)
+	setDefault(&o.MaxTxnOps, DefaultMaxTxnOps)
+	setDefault(&o.LocalTimeout, DefaultLocalTimeout)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/standin/target/serve.go
@@ -0,0 +1,160 @@
+package target
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// hugeBytes is beyond any bound that a client may have.
+const hugeBytes = 64 << 20
+
+// Answer returns what the instance answers to a request: its id and body, so
+// that nobody takes it for the answer to another.
+func Answer(id string, body []byte) []byte {
+	return fmt.Appendf(nil, "%s:%d:%s", id, len(body), body)
+}
+
+// ServeHTTP implements http.Handler.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(HeaderRequestID)
+	fault, leaving := t.faultOf(id, r)
+	if leaving {
+		w.Header().Set(HeaderLeaving, "true")
+		fault.Kind = Refuse
+	}
+	switch fault.Kind {
+	case DropUnread:
+		hijack(w).close()
+		return
+	case Refuse:
+		refuse(w)
+		return
+	case ResetRefusal:
+		hijack(w).send("HTTP/1.1 503 Service Unavailable\r\n" + HeaderNotStarted + ": true\r\nContent-Length: 100\r\n\r\npart").reset()
+		return
+	case HangUnread:
+		t.hang(r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	t.run(w, r, id, body, fault)
+}
+
+func (t *Target) run(w http.ResponseWriter, r *http.Request, id string, body []byte, fault Fault) {
+	t.begin(id)
+	t.work(fault.Delay + t.o.Work)
+	// The slot is free before the answer goes out: a client that has the
+	// answer may send the next request at once.
+	t.end()
+	t.answer(w, r, Answer(id, body), fault.Kind)
+}
+
+func (t *Target) work(d time.Duration) {
+	if d == 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.stop:
+	}
+}
+
+// hang gives no answer, not even an empty one when the instance ends.
+func (t *Target) hang(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-t.stop:
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func refuse(w http.ResponseWriter) {
+	w.Header().Set(HeaderNotStarted, "true")
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (t *Target) answer(w http.ResponseWriter, r *http.Request, answer []byte, kind Kind) {
+	n := strconv.Itoa(len(answer))
+	head := "HTTP/1.1 200 OK\r\nContent-Length: " + n + "\r\n\r\n"
+	half := string(answer[:len(answer)/2])
+	switch kind {
+	case FailAnswer:
+		w.WriteHeader(http.StatusInternalServerError)
+		w.Write(answer) //nolint:errcheck // the client's loss
+	case ResetBeforeHead:
+		hijack(w).reset()
+	case ResetMidHead:
+		hijack(w).send("HTTP/1.1 200 OK\r\nContent-Le").reset()
+	case ResetMidBody:
+		hijack(w).send(head + half).reset()
+	case ShortBody:
+		hijack(w).send(head + half).close()
+	case ShortChunks:
+		hijack(w).send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n").close()
+	case Unbounded:
+		hijack(w).send("HTTP/1.1 200 OK\r\n\r\n" + string(answer)).close()
+	case Conflicting:
+		hijack(w).send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde").close()
+	case BadHead:
+		hijack(w).send("this is not HTTP\r\n\r\n").close()
+	case HugeHead:
+		hijack(w).send("HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 1<<20) + "\r\n\r\n").close()
+	case HugeBody:
+		w.Header().Set("Content-Length", strconv.Itoa(hugeBytes))
+	case Extra:
+		hijack(w).send(head + string(answer) + "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nanother").linger()
+	case Hang:
+		t.hang(r)
+	default:
+		w.Header().Set("Content-Length", n)
+		w.Write(answer) //nolint:errcheck // the client's loss
+	}
+}
+
+// raw is a connection taken over from the HTTP server.
+type raw struct {
+	conn net.Conn
+	buf  *bufio.ReadWriter
+}
+
+func hijack(w http.ResponseWriter) raw {
+	conn, buf, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		// Only a server other than net/http's could refuse.
+		panic(err)
+	}
+	return raw{conn: conn, buf: buf}
+}
+
+func (r raw) send(s string) raw {
+	io.WriteString(r.conn, s) //nolint:errcheck // the client's loss
+	return r
+}
+
+func (r raw) close() { r.conn.Close() } //nolint:errcheck // nothing is left to lose
+
+// reset closes the connection so that the client's system reports a reset.
+func (r raw) reset() {
+	if c, ok := r.conn.(*gateConn); ok {
+		c.Conn.(*net.TCPConn).SetLinger(0) //nolint:errcheck // then it is a plain close
+	}
+	r.close()
+}
+
+// linger keeps the connection open until the client closes it.
+func (r raw) linger() {
+	io.Copy(io.Discard, r.buf) //nolint:errcheck // ends when the client closes
+	r.close()
+}
--- /dev/null
+++ b/standin/vmlist/doc.go
@@ -0,0 +1,3 @@
+// Package vmlist stands in for the platform's list of VMs: an HTTP server of
+// a JSON array of model.VM that can lag, be empty, old, down or slow.
+package vmlist
--- /dev/null
+++ b/traffic/journey.go
@@ -0,0 +1,204 @@
+package traffic
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/guavarill/guavarill/core/admission"
+	"github.com/guavarill/guavarill/core/dedup"
+	"github.com/guavarill/guavarill/core/fate"
+	"github.com/guavarill/guavarill/core/retry"
+	"github.com/guavarill/guavarill/core/routing"
+)
+
+// journey is one request on its way to its fate, owned by the caller's
+// goroutine.
+type journey struct {
+	s        *service
+	req      *Request
+	deadline time.Time
+	enqueued time.Time
+	// generated is set when the engine made the id: no earlier request can
+	// have had it.
+	generated bool
+
+	// fate is that of the exchanges so far; NotRun before the first.
+	fate     fate.Fate
+	attempts int
+	avoid    []string
+	// unknown is the exchange that made the fate unknown.
+	unknown *ExchangeError
+
+	claim     dedup.Request
+	claimed   bool
+	claimedAt time.Time
+}
+
+func withID(req *Request) (*Request, bool) {
+	if req.ID != "" {
+		return req, false
+	}
+	named := *req
+	named.ID = uuid.Must(uuid.NewV7()).String()
+	return &named, true
+}
+
+func (s *service) do(ctx context.Context, req *Request, generated bool) (*Response, error) {
+	start := s.e.o.Clock.Now()
+	settings := s.settings.Load()
+	timeout := settings.Timeout
+	if req.Timeout > 0 {
+		timeout = min(req.Timeout, settings.MaxTimeout)
+	}
+	j := &journey{
+		s:         s,
+		req:       req,
+		deadline:  start.Add(timeout),
+		enqueued:  start,
+		generated: generated,
+		fate:      fate.NotRun,
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	s.metrics.inFlight.Inc()
+	s.inFlight.Add(1)
+	defer s.metrics.inFlight.Dec()
+	defer s.inFlight.Add(-1)
+	resp, err := j.run(ctx)
+	s.metrics.finished(err, s.e.o.Clock.Now().Sub(start).Seconds())
+	if err != nil {
+		return nil, err
+	}
+	resp.RequestID = req.ID
+	resp.Attempts = j.attempts
+	return resp, nil
+}
+
+func (j *journey) run(ctx context.Context) (*Response, *fate.Error) {
+	resp, err := j.carry(ctx)
+	if err == nil {
+		return resp, nil
+	}
+	err.Service = j.req.Service
+	err.RequestID = j.req.ID
+	err.Attempts = j.attempts
+	if err.Fate == fate.NotRun && j.claimed {
+		j.s.e.o.Claims.Release(j.claim)
+	}
+	return nil, err
+}
+
+// carry sends the request until it is answered or given up.
+func (j *journey) carry(ctx context.Context) (*Response, *fate.Error) {
+	choice, err := j.admit(ctx)
+	if err != nil {
+		return nil, j.end(err)
+	}
+	j.s.earn()
+	for {
+		resp, failure := j.exchange(ctx, choice)
+		if failure == nil {
+			return resp, nil
+		}
+		if v := j.judge(ctx, failure); v != retry.Send {
+			return nil, j.givenUp(ctx, failure, v)
+		}
+		w, err := j.s.enqueue(j.ticket(), j.query())
+		if err != nil {
+			return nil, j.end(err)
+		}
+		choice, err = j.s.wait(ctx, w)
+		if err != nil {
+			return nil, j.end(err)
+		}
+	}
+}
+
+// admit gets the first slot and, for a non-idempotent request, the claim of
+// its id. Where the request must wait, the claim is made meanwhile, and none
+// is made for a request that is shed at once: under overload those are most.
+// Where there is a free slot the claim goes first, so that the slot does not
+// stand idle for its round trip.
+func (j *journey) admit(ctx context.Context) (*routing.Choice, *fate.Error) {
+	claims := !j.req.Idempotent && j.s.e.o.Claims != nil
+	early := claims && j.s.idle()
+	if early {
+		if err := j.makeClaim(ctx); err != nil {
+			return nil, err
+		}
+	}
+	w, err := j.s.enqueue(j.ticket(), j.query())
+	if err != nil {
+		return nil, err
+	}
+	if claims && !early {
+		if err := j.makeClaim(ctx); err != nil {
+			j.s.withdraw(w)
+			return nil, err
+		}
+	}
+	return j.s.wait(ctx, w)
+}
+
+func (j *journey) ticket() admission.Ticket {
+	return admission.Ticket{
+		ID:       j.s.e.ids.Add(1),
+		Priority: priorityOf(j.req.Priority),
+		Deadline: j.deadline,
+		Enqueued: j.enqueued,
+	}
+}
+
+func (j *journey) query() routing.Query {
+	return routing.Query{Avoid: j.avoid, NonIdempotent: !j.req.Idempotent}
+}
+
+// judge decides whether the request is sent again.
+func (j *journey) judge(ctx context.Context, failure *ExchangeError) retry.Verdict {
+	if ctx.Err() != nil || failure.Reason == fate.ReasonClaimExpired {
+		return retry.TooLate
+	}
+	if failure.Reason == fate.ReasonInvalidRequest {
+		return retry.TooManyAttempts
+	}
+	return j.s.decide(j.s.e.o.Clock.Now(), retry.Failure{
+		Fate:       failure.Fate(),
+		Idempotent: j.req.Idempotent,
+		Attempts:   j.attempts,
+		Deadline:   j.deadline,
+	})
+}
+
+func (j *journey) givenUp(ctx context.Context, failure *ExchangeError, v retry.Verdict) *fate.Error {
+	err := &fate.Error{
+		Fate:       failure.Fate(),
+		Reason:     failure.Reason,
+		RetryAfter: failure.RetryAfter,
+		Cause:      failure,
+	}
+	if ctx.Err() != nil {
+		err.Reason = reasonOf(ctx)
+	}
+	if v == retry.OverBudget && err.RetryAfter == 0 {
+		err.RetryAfter = j.s.retryAfter(j.ticket())
+	}
+	return j.end(err)
+}
+
+// end makes err the final word: an exchange that may have run the request
+// outweighs whatever came later.
+func (j *journey) end(err *fate.Error) *fate.Error {
+	last := err.Fate
+	err.Fate = j.fate.After(last)
+	if last == fate.NotRun && err.Fate == fate.Unknown {
+		err.Reason = j.unknown.Reason
+		err.Cause = j.unknown
+		err.RetryAfter = 0
+	}
+	if err.Fate == fate.NotRun && err.RetryAfter == 0 && err.Reason != fate.ReasonUnknownService {
+		err.RetryAfter = j.s.retryAfter(j.ticket())
+	}
+	return err
+}
--- /dev/null
+++ b/traffic/service.go
@@ -0,0 +1,205 @@
+package traffic
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/guavarill/guavarill/core/admission"
+	"github.com/guavarill/guavarill/core/fate"
+	"github.com/guavarill/guavarill/core/retry"
+	"github.com/guavarill/guavarill/core/routing"
+)
+
+// dispatchInterval is how often a queue that stands is looked at again. A
+// target that becomes usable by the passing of time alone, after a probation
+// for example, raises no event that would start the waiting requests.
+const dispatchInterval = 10 * time.Millisecond
+
+// latencyWeight is the weight of a new latency in the running mean.
+const latencyWeight = 0.1
+
+// service is the traffic of one declared service.
+type service struct {
+	e        *Engine
+	name     string
+	balancer *routing.Balancer
+	metrics  *serviceMetrics
+	inFlight atomic.Int64
+	settings atomic.Pointer[Service]
+
+	mu      sync.Mutex
+	queue   *admission.Queue
+	waiters map[uint64]*waiter
+	budget  *retry.Budget
+	latency time.Duration
+	removed bool
+	// ticking is whether the timer that dispatches a standing queue is set.
+	ticking bool
+
+	// addresses are the targets' as last set, for the control goroutine.
+	addresses map[string]struct{}
+}
+
+func newService(e *Engine, declared Service) *service {
+	s := &service{
+		e:        e,
+		name:     declared.Name,
+		balancer: routing.New(e.o.Zone, e.o.Routing),
+		metrics:  e.metrics.of(declared.Name),
+		queue:    newQueue(declared),
+		waiters:  make(map[uint64]*waiter),
+		budget:   retry.NewBudget(declared.Retry),
+	}
+	s.settings.Store(&declared)
+	return s
+}
+
+func newQueue(declared Service) *admission.Queue {
+	return admission.New(admission.Options{MaxQueued: declared.MaxQueue})
+}
+
+// configure takes changed settings over. Requests that wait keep their place
+// as far as the new bound lets them.
+func (s *service) configure(declared Service) {
+	old := s.settings.Swap(&declared)
+	if *old == declared {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old.Retry != declared.Retry {
+		s.budget = retry.NewBudget(declared.Retry)
+	}
+	if old.MaxQueue != declared.MaxQueue {
+		s.refillLocked(declared)
+	}
+}
+
+func (s *service) refillLocked(declared Service) {
+	now := s.e.o.Clock.Now()
+	s.queue = newQueue(declared)
+	for _, w := range s.waitersByAge() {
+		delete(s.waiters, w.ticket.ID)
+		if err := s.offerLocked(now, w); err != nil {
+			w.refuse(err)
+		}
+	}
+	s.dispatchLocked(now)
+}
+
+// remove ends the service; it is called by the control goroutine alone, like
+// setTargets.
+func (s *service) remove() {
+	for address := range s.addresses {
+		s.e.o.Target.Limit(address, 0)
+	}
+	s.addresses = nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removed = true
+	for _, w := range s.waitersByAge() {
+		s.queue.Cancel(w.ticket.ID)
+		delete(s.waiters, w.ticket.ID)
+		w.refuse(&fate.Error{Fate: fate.NotRun, Reason: fate.ReasonUnknownService})
+	}
+}
+
+// setTargets gives new targets their connections before they can be chosen,
+// and takes them from old ones after.
+func (s *service) setTargets(targets []routing.Target) {
+	next := make(map[string]struct{}, len(targets))
+	for _, t := range targets {
+		next[t.Address] = struct{}{}
+		s.e.o.Target.Limit(t.Address, connectionsOf(t))
+	}
+	s.updateTargets(targets)
+	for address := range s.addresses {
+		if _, ok := next[address]; !ok {
+			s.e.o.Target.Limit(address, 0)
+		}
+	}
+	s.addresses = next
+}
+
+// connectionsOf is the share of connections, or one for each slot when none is
+// given.
+func connectionsOf(t routing.Target) int {
+	if t.Connections > 0 {
+		return t.Connections
+	}
+	return t.Slots
+}
+
+func (s *service) updateTargets(targets []routing.Target) {
+	now := s.e.o.Clock.Now()
+	s.balancer.Update(now, targets)
+	s.dispatch(now)
+}
+
+func (s *service) queuedCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.Len()
+}
+
+// idle reports whether a request would get a slot without waiting.
+func (s *service) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.Len() == 0 && s.balancer.Free() > 0
+}
+
+// earn records a first attempt towards the retry budget.
+func (s *service) earn() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Earn()
+}
+
+// decide asks the retry budget about a failed exchange.
+func (s *service) decide(now time.Time, f retry.Failure) retry.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.Expected = s.latency
+	v := s.budget.Decide(now, f)
+	s.metrics.retried(v)
+	return v
+}
+
+// wouldRetry reports whether an exchange that is given up now would be sent
+// again.
+func (s *service) wouldRetry(now time.Time, f retry.Failure) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.Expected = s.latency
+	return s.budget.Would(now, f) == retry.Send
+}
+
+// released gives a slot back and starts those that wait for it.
+func (s *service) released(c *routing.Choice, r routing.Result) {
+	now := s.e.o.Clock.Now()
+	c.Done(now, r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Outcome == routing.OK {
+		s.observeLocked(now, r.Latency)
+	}
+	s.dispatchLocked(now)
+}
+
+func (s *service) observeLocked(now time.Time, latency time.Duration) {
+	s.queue.Observe(now, latency)
+	if s.latency == 0 {
+		s.latency = latency
+		return
+	}
+	s.latency += time.Duration(latencyWeight * float64(latency-s.latency))
+}
+
+// retryAfter returns what the caller of a request that was given up is told.
+func (s *service) retryAfter(t admission.Ticket) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.RetryAfter(s.e.o.Clock.Now(), t)
+}
