--- a/adapter/adminapi/client.go
+++ b/adapter/adminapi/client.go
@@ -4,16 +4,21 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
+	"github.com/guavarill/guavarill/core/manifest"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/timeline"
 	"github.com/guavarill/guavarill/daemon"
+	"github.com/guavarill/guavarill/port"
 )
 
 // Client reaches one daemon's operators' interface.
@@ -27,17 +32,27 @@
 	if !strings.Contains(address, "://") {
 		address = "http://" + address
 	}
-	return &Client{base: strings.TrimRight(address, "/"), http: &http.Client{Transport: transport}}
+	return &Client{
+		base: strings.TrimRight(address, "/"),
+		http: &http.Client{
+			Transport: transport,
+			// A daemon redirects nobody, and a change must go where it was sent.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
 }
 
 // Address returns the daemon's URL.
 func (c *Client) Address() string { return c.base }
 
-// CallError is a call that brought no answer that could be understood. For a
-// change its effect is then not known.
+// CallError is a call that brought no answer that could be understood.
 type CallError struct {
 	Daemon string
-	Cause  error
+	// Outcome is OutcomeNotDone when the call certainly changed nothing: it was
+	// not sent, or the daemon said that it does not understand it.
+	Outcome port.Outcome
+	// Cause is an *AnswerError when the daemon answered.
+	Cause error
 }
 
 // Error implements error.
@@ -66,14 +81,19 @@
 	if dryRun {
 		query.Set("dryRun", "true")
 	}
-	return c.change(ctx, "/v1/manifest?"+query.Encode(), document)
+	result, err := c.change(ctx, "/v1/manifest?"+query.Encode(), document)
+	var failed *CallError
+	if dryRun && errors.As(err, &failed) {
+		failed.Outcome = port.OutcomeNotDone
+	}
+	return result, err
 }
 
 // Cancel cancels workloads. An error is a *CallError.
 func (c *Client) Cancel(ctx context.Context, request CancelRequest) (ChangeResult, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
-		return ChangeResult{}, &CallError{Daemon: c.base, Cause: err}
+		return ChangeResult{}, &CallError{Daemon: c.base, Outcome: port.OutcomeNotDone, Cause: err}
 	}
 	return c.change(ctx, "/v1/cancel", body)
 }
@@ -85,7 +105,7 @@
 		return result, err
 	}
 	if err := json.Unmarshal(answer, &result); err != nil || result.Outcome == "" {
-		return result, &CallError{Daemon: c.base, Cause: answerError(status, answer)}
+		return ChangeResult{}, c.answerError(status, answer)
 	}
 	return result, nil
 }
@@ -105,11 +125,38 @@
 	return get[[]timeline.Event](ctx, c, "/v1/timeline")
 }
 
+// Manifest returns the manifest in force at the daemon, nil when it knows none.
+// An error is a *CallError.
+func (c *Client) Manifest(ctx context.Context) (*manifest.Manifest, error) {
+	status, answer, err := c.do(ctx, http.MethodGet, "/v1/manifest", nil)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, c.noManifest(status, answer)
+	}
+	m, err := manifest.Parse(answer)
+	if err != nil {
+		return nil, &CallError{Daemon: c.base, Outcome: port.OutcomeNotDone, Cause: err}
+	}
+	return m, nil
+}
+
+// noManifest returns nil when the daemon says that it knows none.
+func (c *Client) noManifest(status int, answer []byte) error {
+	failed := c.answerError(status, answer)
+	var said *AnswerError
+	if errors.As(failed, &said) && said.Problem.Kind == NoManifest {
+		return nil
+	}
+	return failed
+}
+
 // Drain begins a planned stop. An error is a *CallError.
 func (c *Client) Drain(ctx context.Context) error {
 	status, answer, err := c.do(ctx, http.MethodPost, "/v1/drain", nil)
 	if err == nil && status != http.StatusAccepted {
-		err = &CallError{Daemon: c.base, Cause: answerError(status, answer)}
+		err = c.answerError(status, answer)
 	}
 	return err
 }
@@ -121,38 +168,58 @@
 		return value, err
 	}
 	if status != http.StatusOK {
-		return value, &CallError{Daemon: c.base, Cause: answerError(status, answer)}
+		return value, c.answerError(status, answer)
 	}
 	if err := json.Unmarshal(answer, &value); err != nil {
-		return value, &CallError{Daemon: c.base, Cause: err}
+		return value, &CallError{Daemon: c.base, Outcome: port.OutcomeNotDone, Cause: err}
 	}
 	return value, nil
 }
 
-func answerError(status int, answer []byte) *AnswerError {
-	e := &AnswerError{Status: status}
-	if json.Unmarshal(answer, &e.Problem) != nil {
-		e.Problem.Detail = string(answer)
+// answerError makes the error of an answer that is not the expected one. Only
+// what the daemon itself calls a bad request certainly changed nothing: a
+// status without its JSON may come from something between.
+func (c *Client) answerError(status int, answer []byte) *CallError {
+	cause := &AnswerError{Status: status}
+	if json.Unmarshal(answer, &cause.Problem) != nil {
+		cause.Problem.Detail = string(answer)
 	}
-	return e
+	failed := &CallError{Daemon: c.base, Outcome: port.OutcomeUnknown, Cause: cause}
+	if status < http.StatusInternalServerError && cause.Problem.Kind != "" {
+		failed.Outcome = port.OutcomeNotDone
+	}
+	return failed
 }
 
 // maxAnswerBytes bounds what is read of an answer; a fleet's tasks fit.
 const maxAnswerBytes = 256 << 20
 
 func (c *Client) do(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	status, answer, err := c.exchange(ctx, method, path, body)
+	if err == nil {
+		return status, answer, nil
+	}
+	failed := &CallError{Daemon: c.base, Outcome: port.OutcomeUnknown, Cause: err}
+	if !connected.Load() {
+		failed.Outcome = port.OutcomeNotDone
+	}
+	return 0, nil, failed
+}
+
+func (c *Client) exchange(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, &CallError{Daemon: c.base, Cause: err}
+		return 0, nil, err
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, nil, &CallError{Daemon: c.base, Cause: err}
+		return 0, nil, err
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil {
-		return 0, nil, &CallError{Daemon: c.base, Cause: err}
-	}
-	return resp.StatusCode, answer, nil
+	return resp.StatusCode, answer, err
 }
--- a/adapter/adminapi/doc.go
+++ b/adapter/adminapi/doc.go
@@ -13,5 +13,9 @@
 //
 // A change answers with ChangeResult and the status of its outcome: 200
 // accepted or unchanged, 409 conflict, 422 refused, 503 certainly not made,
-// 502 unknown. An error answers with Problem.
+// 502 unknown. An error answers with Problem: 400 a query or body that is not
+// understood, a parameter or field that is not known included; 404 no such
+// call, or no manifest yet; 503 the daemon does not answer. With dryRun=true
+// the answer says what would become of the manifest at the configuration in
+// force here, and nothing is changed.
 package adminapi
--- a/adapter/adminapi/messages.go
+++ b/adapter/adminapi/messages.go
@@ -1,6 +1,7 @@
 package adminapi
 
 import (
+	"errors"
 	"net/http"
 
 	"github.com/guavarill/guavarill/core/config"
@@ -55,6 +56,7 @@
 	BadBody     ProblemKind = "bad body"
 	Unavailable ProblemKind = "daemon does not answer"
 	NoManifest  ProblemKind = "no manifest"
+	NoSuchCall  ProblemKind = "no such call"
 )
 
 // changeResult translates the end of a change into its answer and status.
@@ -67,6 +69,12 @@
 	case config.ApplyConflict:
 		return http.StatusConflict, ChangeResult{Outcome: Conflict, Revision: r.Current, Writer: r.Writer}
 	case config.ApplyRefused:
+		// A cluster that has seen no worker yet refuses every manifest; that is
+		// no fault of this one, and it may be sent again.
+		var noShards *config.NoShardsError
+		if errors.As(r.Cause, &noShards) {
+			return http.StatusServiceUnavailable, ChangeResult{Outcome: NotMade, Detail: r.Cause.Error()}
+		}
 		return http.StatusUnprocessableEntity, ChangeResult{
 			Outcome: Refused, Problems: r.Problems, Detail: detail(r.Cause),
 		}
--- a/adapter/adminapi/server.go
+++ b/adapter/adminapi/server.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	stdlog "log"
 	"net"
@@ -64,6 +64,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
+	e.HTTPErrorHandler = answerError
 	e.POST("/v1/manifest", s.apply)
 	e.GET("/v1/manifest", s.manifest)
 	e.POST("/v1/cancel", s.cancel)
@@ -99,37 +100,48 @@
 	return c.JSON(status, Problem{Kind: kind, Detail: detail(err)})
 }
 
-// base reads the revision that the operator means to replace; nil is any.
-func base(c echo.Context) (*model.Revision, error) {
-	text := c.QueryParam("base")
-	if text == "" {
-		return nil, nil
+// answerError answers what no handler took, such as an unknown path.
+func answerError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
 	}
-	n, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		return nil, err
+	status := http.StatusInternalServerError
+	var known *echo.HTTPError
+	if errors.As(err, &known) {
+		status = known.Code
 	}
-	revision := model.Revision(n)
-	return &revision, nil
+	_ = c.JSON(status, Problem{Kind: NoSuchCall, Detail: http.StatusText(status)})
 }
 
 func (s *Server) apply(c echo.Context) error {
-	replaces, err := base(c)
+	query, err := parseApplyQuery(c.QueryParams())
 	if err != nil {
 		return problem(c, http.StatusBadRequest, BadQuery, err)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxManifestBytes))
 	if err != nil {
-		return problem(c, http.StatusBadRequest, BadBody, err)
+		return unreadable(c, err)
 	}
 	m, err := manifest.Parse(body)
 	if err != nil {
 		return c.JSON(http.StatusUnprocessableEntity, refusal(err))
 	}
-	if c.QueryParam("dryRun") == "true" {
-		return s.dryRun(c, m, replaces)
+	if query.dryRun {
+		return s.dryRun(c, m, query.base)
 	}
-	return s.change(c, config.ApplyRequest{Manifest: m, Base: replaces})
+	return s.change(c, config.ApplyRequest{Manifest: m, Base: query.base})
+}
+
+// unreadable answers a manifest whose body was not read to its end.
+func unreadable(c echo.Context, err error) error {
+	var tooLarge *http.MaxBytesError
+	if !errors.As(err, &tooLarge) {
+		return problem(c, http.StatusBadRequest, BadBody, err)
+	}
+	return c.JSON(http.StatusUnprocessableEntity, refusal(&manifest.InvalidError{Problems: []manifest.Problem{{
+		Reason: manifest.ReasonTooLarge,
+		Detail: fmt.Sprintf("at most %d bytes", tooLarge.Limit),
+	}}}))
 }
 
 func refusal(err error) ChangeResult {
@@ -149,7 +161,7 @@
 	}
 	if replaces != nil {
 		if err := config.CheckBase(current, *replaces); err != nil {
-			return c.JSON(http.StatusConflict, ChangeResult{Outcome: Conflict, Detail: err.Error()})
+			return c.JSON(http.StatusConflict, baseConflict(current, err))
 		}
 	}
 	next, diff, err := config.Accept(current, m, 1, "dry-run")
@@ -162,11 +174,17 @@
 	return c.JSON(http.StatusOK, ChangeResult{Outcome: WouldMake, Revision: next.Revision, Diff: diff})
 }
 
+func baseConflict(current *config.Accepted, err error) ChangeResult {
+	result := ChangeResult{Outcome: Conflict, Detail: err.Error()}
+	if current != nil {
+		result.Revision = current.Revision
+	}
+	return result
+}
+
 func (s *Server) cancel(c echo.Context) error {
-	var request CancelRequest
-	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxManifestBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&request); err != nil {
+	request, err := readCancel(http.MaxBytesReader(c.Response(), c.Request().Body, maxManifestBytes))
+	if err != nil {
 		return problem(c, http.StatusBadRequest, BadBody, err)
 	}
 	return s.change(c, config.ApplyRequest{Cancel: request.Workloads, Base: request.Base})
@@ -209,11 +227,19 @@
 	if err != nil {
 		return problem(c, http.StatusServiceUnavailable, Unavailable, err)
 	}
-	return c.JSON(http.StatusOK, list)
+	return c.JSON(http.StatusOK, notNull(list))
 }
 
 func (s *Server) timeline(c echo.Context) error {
-	return c.JSON(http.StatusOK, s.o.Daemon.Timeline())
+	return c.JSON(http.StatusOK, notNull(s.o.Daemon.Timeline()))
+}
+
+// notNull has an empty list answered as one, and not as null.
+func notNull[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
 }
 
 func (s *Server) drain(c echo.Context) error {
--- a/cli/change.go
+++ b/cli/change.go
@@ -2,87 +2,64 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"io"
-	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/guavarill/guavarill/adapter/adminapi"
-	"github.com/guavarill/guavarill/core/manifest"
 	"github.com/guavarill/guavarill/core/model"
-	"github.com/guavarill/guavarill/daemon"
+	"github.com/guavarill/guavarill/port"
 )
 
-type manifestFile struct {
-	File string `positional-arg-name:"FILE" description:"manifest, YAML or JSON; - reads standard input" required:"yes"`
-}
-
-func (f manifestFile) read() ([]byte, error) {
-	var document []byte
-	var err error
-	if f.File == "-" {
-		document, err = io.ReadAll(os.Stdin)
-	} else {
-		document, err = os.ReadFile(f.File)
-	}
-	if err != nil {
-		return nil, &Error{Code: ExitFailed, Text: "read manifest", Cause: err}
-	}
-	return document, nil
-}
-
-type validateCommand struct {
-	app  *app
-	Args manifestFile `positional-args:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (c *validateCommand) Execute([]string) error {
-	document, err := c.Args.read()
-	if err != nil {
-		return err
-	}
-	if _, err := manifest.Parse(document); err != nil {
-		return &Error{Code: ExitRefused, Text: "manifest is not valid", Cause: err}
-	}
-	fmt.Fprintln(c.app.out, "valid")
-	return nil
-}
-
 type applyCommand struct {
 	app     *app
-	Base    *uint64       `long:"base" description:"revision that this manifest replaces; a conflict when another is in force"`
+	Base    *uint64       `long:"base" description:"revision that this manifest replaces, 0 for none; a conflict when another is in force"`
 	DryRun  bool          `long:"dry-run" description:"say what would change and change nothing"`
 	Wait    bool          `long:"wait" description:"return when every live daemon has the revision in force"`
-	WaitFor time.Duration `long:"wait-for" default:"30s" description:"how long to wait at most"`
+	WaitFor time.Duration `long:"wait-for" default:"30s" description:"how long --wait waits at most"`
 	Args    manifestFile  `positional-args:"yes"`
 }
 
 // Execute implements flags.Commander.
 func (c *applyCommand) Execute([]string) error {
+	if c.Wait && c.DryRun {
+		return usage("--wait and --dry-run exclude each other")
+	}
+	if c.WaitFor <= 0 {
+		return usage("--wait-for %s must be above 0", c.WaitFor)
+	}
 	document, err := c.Args.read()
 	if err != nil {
 		return err
 	}
-	var base *model.Revision
-	if c.Base != nil {
-		revision := model.Revision(*c.Base)
-		base = &revision
+	if c.DryRun {
+		return c.app.dryRun(document, revision(c.Base))
 	}
 	result, err := c.app.change(func(ctx context.Context, client *adminapi.Client) (adminapi.ChangeResult, error) {
-		return client.Apply(ctx, document, base, c.DryRun)
+		return client.Apply(ctx, document, revision(c.Base), false)
 	})
 	if err != nil {
 		return err
 	}
-	if c.Wait && !c.DryRun {
+	if err := c.app.finish(result, changeReport{ChangeResult: result}); err != nil {
+		return err
+	}
+	if c.Wait {
 		return c.app.waitInForce(result.Revision, c.WaitFor)
 	}
 	return nil
 }
 
+func revision(n *uint64) *model.Revision {
+	if n == nil {
+		return nil
+	}
+	r := model.Revision(*n)
+	return &r
+}
+
 type cancelCommand struct {
 	app  *app
 	Base *uint64 `long:"base" description:"revision that this change replaces"`
@@ -93,120 +70,107 @@
 
 // Execute implements flags.Commander.
 func (c *cancelCommand) Execute([]string) error {
-	request := adminapi.CancelRequest{Workloads: c.Args.Workloads}
-	if c.Base != nil {
-		revision := model.Revision(*c.Base)
-		request.Base = &revision
-	}
-	_, err := c.app.change(func(ctx context.Context, client *adminapi.Client) (adminapi.ChangeResult, error) {
+	request := adminapi.CancelRequest{Workloads: c.Args.Workloads, Base: revision(c.Base)}
+	result, err := c.app.change(func(ctx context.Context, client *adminapi.Client) (adminapi.ChangeResult, error) {
 		return client.Cancel(ctx, request)
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	return c.app.finish(result, changeReport{ChangeResult: result})
 }
 
-// change sends a change to the first daemon. It is not sent to another one
-// after a failure: the first may have made it.
+// change sends a change to the first daemon that can be reached. Once it was
+// sent it goes to no other daemon, whatever became of it: the first may have
+// made it, and the second would call it a conflict.
 func (a *app) change(send func(context.Context, *adminapi.Client) (adminapi.ChangeResult, error)) (adminapi.ChangeResult, error) {
-	ctx, cancel := a.call()
-	defer cancel()
-	client := a.clients()[0]
-	result, err := send(ctx, client)
-	if err != nil {
-		return result, &Error{
-			Code:  ExitUnknown,
-			Text:  "no answer; the change may have been made: see `guavarill status`, or send it again, which changes nothing if it was",
-			Cause: err,
+	var last error
+	for _, client := range a.clients() {
+		result, err := askOne(a, client, send)
+		if err == nil {
+			return result, nil
 		}
+		last = err
+		if !neverSent(err) {
+			break
+		}
+		a.noAnswer(client, err)
 	}
-	if err := a.printChange(result); err != nil {
-		return result, err
+	return adminapi.ChangeResult{}, callFailed(last)
+}
+
+// neverSent reports whether a call did not get as far as a daemon.
+func neverSent(err error) bool {
+	var failed *adminapi.CallError
+	var answer *adminapi.AnswerError
+	return errors.As(err, &failed) && failed.Outcome == port.OutcomeNotDone && !errors.As(err, &answer)
+}
+
+// changeReport is what apply and cancel print.
+type changeReport struct {
+	adminapi.ChangeResult
+	// Fields lists what a dry run would change in each workload.
+	Fields map[string][]fieldChange `json:"fields,omitempty"`
+}
+
+// finish prints a change and returns the end that its outcome asks for.
+func (a *app) finish(result adminapi.ChangeResult, report changeReport) error {
+	if err := a.print(report, report.write); err != nil {
+		return err
 	}
-	return result, changeError(result)
+	return changeError(result)
 }
 
-func (a *app) printChange(r adminapi.ChangeResult) error {
-	return a.print(r, func(w *tabwriter.Writer) {
-		row(w, "outcome", r.Outcome)
-		if r.Revision != 0 {
-			row(w, "revision", r.Revision)
-		}
-		for _, line := range []struct {
-			name  string
-			names []string
-		}{
-			{"added", r.Diff.Added}, {"changed", r.Diff.Changed}, {"removed", r.Diff.Removed},
-			{"cancelled", r.Diff.Cancelled}, {"teams", r.Diff.Teams},
-		} {
-			if len(line.names) > 0 {
-				row(w, line.name, strings.Join(line.names, " "))
-			}
-		}
-		for _, p := range r.Problems {
-			row(w, "problem", p.Path, p.Reason)
+func (r changeReport) write(w *tabwriter.Writer) {
+	row(w, "outcome", r.Outcome)
+	if r.Revision != 0 {
+		row(w, "revision", r.Revision)
+	}
+	for _, line := range []struct {
+		name  string
+		names []string
+	}{
+		{"added", r.Diff.Added}, {"changed", r.Diff.Changed}, {"removed", r.Diff.Removed},
+		{"cancelled", r.Diff.Cancelled}, {"teams", r.Diff.Teams},
+	} {
+		if len(line.names) > 0 {
+			row(w, line.name, strings.Join(line.names, " "))
 		}
-		if r.Detail != "" && len(r.Problems) == 0 {
-			row(w, "detail", r.Detail)
+	}
+	for _, name := range r.Diff.Changed {
+		for _, f := range r.Fields[name] {
+			row(w, "", fmt.Sprintf("%s %s: %s -> %s", name, f.Field, f.From, f.To))
 		}
-	})
+	}
+	problemRows(w, r.Problems)
+	if r.Detail != "" && len(r.Problems) == 0 {
+		row(w, "detail", r.Detail)
+	}
+	if r.Outcome == adminapi.Unknown && r.Writer != "" {
+		row(w, "writer", r.Writer)
+	}
 }
 
 func changeError(r adminapi.ChangeResult) error {
 	switch r.Outcome {
+	case adminapi.Accepted, adminapi.NoChange, adminapi.WouldMake:
+		return nil
 	case adminapi.Conflict:
-		return &Error{Code: ExitConflict, Text: fmt.Sprintf("conflict: revision %d is in force", r.Revision)}
+		return &Error{Code: ExitConflict, Text: conflictText(r)}
 	case adminapi.Refused:
-		return &Error{Code: ExitRefused, Text: "refused"}
+		return &Error{Code: ExitRefused, Text: "refused; nothing was changed"}
 	case adminapi.NotMade:
 		return &Error{Code: ExitNotMade, Text: "not made; send it again"}
-	case adminapi.Unknown:
-		return &Error{
-			Code: ExitUnknown,
-			Text: "unknown: the change may have been made; send it again, which changes nothing if it was",
-		}
 	}
-	return nil
-}
-
-// waitPoll is the time between two looks at the daemons' revisions.
-const waitPoll = 200 * time.Millisecond
-
-// waitInForce waits until every live daemon has at least the revision.
-func (a *app) waitInForce(revision model.Revision, limit time.Duration) error {
-	deadline := time.Now().Add(limit)
-	for {
-		behind, err := a.behind(revision)
-		if err == nil && len(behind) == 0 {
-			fmt.Fprintf(a.out, "revision %d is in force on every live daemon\n", revision)
-			return nil
-		}
-		if time.Now().After(deadline) {
-			return &Error{
-				Code:  ExitIncomplete,
-				Text:  "not yet in force on: " + strings.Join(behind, " "),
-				Cause: err,
-			}
-		}
-		select {
-		case <-time.After(waitPoll):
-		case <-a.ctx.Done():
-			return &Error{Code: ExitFailed, Text: "interrupted"}
-		}
+	return &Error{
+		Code: ExitUnknown,
+		Text: "unknown: the change may have been made; send it again, which changes nothing if it was",
 	}
 }
 
-// behind returns the live daemons that have not confirmed the revision.
-func (a *app) behind(revision model.Revision) ([]string, error) {
-	statuses, err := askAll(a, func(ctx context.Context, c *adminapi.Client) (daemon.Status, error) {
-		return c.Status(ctx)
-	})
-	if err != nil {
-		return nil, err
-	}
-	var behind []string
-	for _, m := range statuses[0].Members {
-		if m.State == "alive" && m.Revision < revision {
-			behind = append(behind, string(m.ID))
-		}
+func conflictText(r adminapi.ChangeResult) string {
+	if r.Revision == 0 {
+		return "conflict: another change came first"
 	}
-	return behind, nil
+	return fmt.Sprintf("conflict: revision %d is in force", r.Revision)
 }
--- a/cli/doc.go
+++ b/cli/doc.go
@@ -7,8 +7,12 @@
 //	1  failed
 //	2  wrong usage
 //	3  conflict: another change came first
-//	4  refused: the manifest or the request is not valid
+//	4  refused: the manifest or the request is not valid; nothing was changed
 //	5  unknown: the change may have been made; the output says how to find out
-//	6  not made: the daemon or the store could not be reached; send it again
+//	6  not made: no daemon, or the daemon not the store, could be reached, or
+//	   the cluster has no workers yet; send it again
 //	7  incomplete: some daemons or shards did not answer
+//
+// What is asked for goes to standard output, in the form that --output names.
+// What went wrong goes to standard error.
 package cli
--- /dev/null
+++ b/cli/exit.go
@@ -0,0 +1,115 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	flags "github.com/jessevdk/go-flags"
+
+	"github.com/guavarill/guavarill/adapter/adminapi"
+	"github.com/guavarill/guavarill/port"
+)
+
+// ExitCode is how the command ends.
+type ExitCode int
+
+// The exit codes.
+const (
+	ExitOK         ExitCode = 0
+	ExitFailed     ExitCode = 1
+	ExitUsage      ExitCode = 2
+	ExitConflict   ExitCode = 3
+	ExitRefused    ExitCode = 4
+	ExitUnknown    ExitCode = 5
+	ExitNotMade    ExitCode = 6
+	ExitIncomplete ExitCode = 7
+)
+
+var exitTexts = map[ExitCode]string{
+	ExitOK:         "done",
+	ExitFailed:     "failed",
+	ExitUsage:      "wrong usage",
+	ExitConflict:   "conflict: another change came first",
+	ExitRefused:    "refused: not valid; nothing was changed",
+	ExitUnknown:    "unknown: the change may have been made",
+	ExitNotMade:    "not made, or nobody answered: try again",
+	ExitIncomplete: "incomplete: some daemons or shards did not answer",
+}
+
+// exitHelp lists what the codes mean, for a command's help.
+func exitHelp(codes []ExitCode) string {
+	var b strings.Builder
+	b.WriteString("Exit codes:")
+	for _, code := range slices.Sorted(slices.Values(codes)) {
+		fmt.Fprintf(&b, "\n%d %s", code, exitTexts[code])
+	}
+	return b.String()
+}
+
+// Error ends the command with a code.
+type Error struct {
+	Code  ExitCode
+	Text  string
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Cause == nil {
+		return e.Text
+	}
+	return e.Text + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+func usage(format string, args ...any) error {
+	return &Error{Code: ExitUsage, Text: fmt.Sprintf(format, args...)}
+}
+
+// callFailed makes the end of a command whose call brought no result.
+func callFailed(err error) error {
+	var failed *adminapi.CallError
+	if !errors.As(err, &failed) || failed.Outcome != port.OutcomeNotDone {
+		return &Error{
+			Code:  ExitUnknown,
+			Text:  "unknown: it may have been done; see `guavarill status`, or send it again, which changes nothing if it was",
+			Cause: err,
+		}
+	}
+	var answer *adminapi.AnswerError
+	if !errors.As(err, &answer) {
+		return &Error{Code: ExitNotMade, Text: "not made: no daemon could be reached", Cause: err}
+	}
+	switch answer.Problem.Kind {
+	case adminapi.BadQuery, adminapi.BadBody:
+		return &Error{Code: ExitRefused, Text: "refused", Cause: err}
+	case adminapi.Unavailable:
+		return &Error{Code: ExitNotMade, Text: "not made", Cause: err}
+	}
+	return &Error{Code: ExitFailed, Text: "failed", Cause: err}
+}
+
+// exit reports how the command ended.
+func (a *app) exit(err error) ExitCode {
+	var wrong *flags.Error
+	var ended *Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &wrong) && wrong.Type == flags.ErrHelp:
+		fmt.Fprintln(a.out, wrong.Message)
+		return ExitOK
+	case errors.As(err, &wrong):
+		fmt.Fprintln(a.errOut, wrong.Message)
+		return ExitUsage
+	case errors.As(err, &ended):
+		fmt.Fprintln(a.errOut, ended.Error())
+		return ended.Code
+	}
+	fmt.Fprintln(a.errOut, err.Error())
+	return ExitFailed
+}
--- /dev/null
+++ b/cli/jobs.go
@@ -0,0 +1,197 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/guavarill/guavarill/adapter/adminapi"
+	"github.com/guavarill/guavarill/core/ledger"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/daemon"
+)
+
+type jobsCommand struct {
+	app   *app
+	Tasks bool `long:"tasks" description:"list every task"`
+}
+
+// job is a workload as its tasks are.
+type job struct {
+	Workload  string         `json:"workload"`
+	Team      string         `json:"team"`
+	Service   bool           `json:"service"`
+	States    map[string]int `json:"states"`
+	Evictions uint32         `json:"evictions"`
+	Failures  uint32         `json:"failures"`
+	// Reasons counts the tasks by why they wait or ended.
+	Reasons map[string]int `json:"reasons,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (c *jobsCommand) Execute([]string) error {
+	answers, missing, err := askAll(c.app, askTasks)
+	if err != nil {
+		return err
+	}
+	all := collect(answers)
+	if err := c.print(all.tasks); err != nil {
+		return err
+	}
+	if err := missing.incomplete(); err != nil {
+		return err
+	}
+	return all.incomplete()
+}
+
+func (c *jobsCommand) print(tasks []daemon.TaskStatus) error {
+	if c.Tasks {
+		return c.app.print(tasks, func(w *tabwriter.Writer) { taskRows(w, tasks) })
+	}
+	jobs := jobsOf(tasks)
+	return c.app.print(jobs, func(w *tabwriter.Writer) { jobRows(w, jobs) })
+}
+
+// tasksAnswer is what one daemon says of the tasks of its shards, and which
+// shards it owned before and after it said so.
+type tasksAnswer struct {
+	before, after daemon.Status
+	tasks         []daemon.TaskStatus
+}
+
+func askTasks(ctx context.Context, client *adminapi.Client) (tasksAnswer, error) {
+	var answer tasksAnswer
+	var err error
+	if answer.before, err = client.Status(ctx); err != nil {
+		return answer, err
+	}
+	if answer.tasks, err = client.Tasks(ctx); err != nil {
+		return answer, err
+	}
+	answer.after, err = client.Status(ctx)
+	return answer, err
+}
+
+// steady returns the shards that the daemon owned all the while. A shard that
+// it gave up or took over meanwhile may be absent from its tasks, which would
+// then look complete.
+func (t tasksAnswer) steady() map[model.ShardID]model.Epoch {
+	owned := make(map[model.ShardID]model.Epoch)
+	for _, s := range t.before.Owned {
+		owned[s.Shard] = s.Epoch
+	}
+	steady := make(map[model.ShardID]model.Epoch)
+	for _, s := range t.after.Owned {
+		if epoch, before := owned[s.Shard]; before && epoch == s.Epoch {
+			steady[s.Shard] = s.Epoch
+		}
+	}
+	return steady
+}
+
+// collected is the tasks of all shards that some daemon asked owns.
+type collected struct {
+	tasks   []daemon.TaskStatus
+	shards  uint32
+	missing []model.ShardID
+}
+
+// collect merges what the daemons say. Of two that both claim a shard the one
+// with the higher epoch owns it. Records of tasks that were handed to another
+// shard are left out.
+func collect(answers []tasksAnswer) collected {
+	all := collected{tasks: []daemon.TaskStatus{}}
+	owner := make(map[model.ShardID]int)
+	epochs := make(map[model.ShardID]model.Epoch)
+	for i, answer := range answers {
+		all.shards = max(all.shards, answer.after.Shards)
+		for shard, epoch := range answer.steady() {
+			if epoch > epochs[shard] {
+				owner[shard], epochs[shard] = i, epoch
+			}
+		}
+	}
+	for i, answer := range answers {
+		for _, t := range answer.tasks {
+			if o, owned := owner[t.Shard]; owned && o == i && t.State != ledger.Moved.String() {
+				all.tasks = append(all.tasks, t)
+			}
+		}
+	}
+	for shard := range model.ShardID(all.shards) {
+		if _, owned := owner[shard]; !owned {
+			all.missing = append(all.missing, shard)
+		}
+	}
+	slices.SortFunc(all.tasks, func(x, y daemon.TaskStatus) int { return strings.Compare(x.Task, y.Task) })
+	return all
+}
+
+func (c collected) incomplete() error {
+	switch {
+	case c.shards == 0:
+		return &Error{Code: ExitIncomplete, Text: "incomplete: no daemon asked knows the cluster's shards yet"}
+	case len(c.missing) > 0:
+		text := fmt.Sprintf("incomplete: no daemon asked owns shards %v; name more with --daemon", c.missing)
+		return &Error{Code: ExitIncomplete, Text: text}
+	}
+	return nil
+}
+
+func taskRows(w *tabwriter.Writer, tasks []daemon.TaskStatus) {
+	row(w, "TASK", "STATE", "ATTEMPT", "WORKER", "EVICTIONS", "FAILURES", "REASON")
+	for _, t := range tasks {
+		row(w, t.Task, t.State, t.Attempt, t.Worker, t.Evictions, t.Failures, t.Reason)
+	}
+}
+
+func jobRows(w *tabwriter.Writer, jobs []*job) {
+	row(w, "WORKLOAD", "TEAM", "KIND", "TASKS", "EVICTIONS", "FAILURES", "REASONS")
+	for _, j := range jobs {
+		kind := model.KindBatch
+		if j.Service {
+			kind = model.KindService
+		}
+		row(w, j.Workload, j.Team, kind, countList(j.States), j.Evictions, j.Failures, countList(j.Reasons))
+	}
+}
+
+func jobsOf(tasks []daemon.TaskStatus) []*job {
+	byName := make(map[string]*job)
+	for _, t := range tasks {
+		j := byName[t.Workload]
+		if j == nil {
+			j = &job{
+				Workload: t.Workload, Team: t.Team, Service: t.Service,
+				States: make(map[string]int), Reasons: make(map[string]int),
+			}
+			byName[t.Workload] = j
+		}
+		j.add(t)
+	}
+	jobs := []*job{}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		jobs = append(jobs, byName[name])
+	}
+	return jobs
+}
+
+func (j *job) add(t daemon.TaskStatus) {
+	j.States[t.State]++
+	j.Evictions += t.Evictions
+	j.Failures += t.Failures
+	if t.Reason != "" {
+		j.Reasons[t.Reason]++
+	}
+}
+
+func countList(counts map[string]int) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d %s", counts[name], name))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/cli/output.go
+++ b/cli/output.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -16,9 +17,18 @@
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(value)
 	}
-	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	var text bytes.Buffer
+	w := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
 	table(w)
-	return w.Flush()
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for line := range strings.Lines(text.String()) {
+		if _, err := fmt.Fprintln(a.out, strings.TrimRight(line, " \n")); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // row writes one line of a table.
--- a/cli/trial.go
+++ b/cli/trial.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"net"
+	"strings"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/timeline"
 	"github.com/guavarill/guavarill/demo"
 	"github.com/guavarill/guavarill/standin/site"
@@ -18,7 +21,7 @@
 func (o trialOptions) find() (demo.Deployment, error) {
 	d, known := demo.Find(o.Deployment)
 	if !known {
-		return d, &Error{Code: ExitUsage, Text: "no such deployment: " + o.Deployment}
+		return d, usage("no such deployment: %s", o.Deployment)
 	}
 	return d, nil
 }
@@ -51,6 +54,10 @@
 	if report == nil {
 		return nil
 	}
+	return c.print(report)
+}
+
+func (c *demoCommand) print(report *demo.Report) error {
 	report.Write(c.app.out)
 	if c.Timeline {
 		if err := timeline.Format(c.app.out, report.Events); err != nil {
@@ -60,13 +67,14 @@
 	if !report.OK() {
 		return &Error{Code: ExitFailed, Text: "promises were broken"}
 	}
-	fmt.Fprintln(c.app.out, "\nnothing lost, doubled or overcommitted")
-	return nil
+	_, err := fmt.Fprintln(c.app.out, "\nnothing lost, doubled or overcommitted")
+	return err
 }
 
 type standinCommand struct {
 	app *app
 	trialOptions
+	Entries []string `long:"entry" description:"ID,ZONE,IP:PORT of a daemon's VM to list, with its --id, --zone and --peer-address; may be given several times"`
 }
 
 // Execute implements flags.Commander.
@@ -75,12 +83,42 @@
 	if err != nil {
 		return err
 	}
+	entries, err := parseEntries(c.Entries)
+	if err != nil {
+		return err
+	}
 	s, err := site.Start(deployment.Site)
 	if err != nil {
 		return &Error{Code: ExitFailed, Text: "stand-in platform", Cause: err}
 	}
 	defer s.Close()
+	for _, e := range entries {
+		s.AddEntry(e.id, e.zone, e.address)
+	}
 	fmt.Fprintf(c.app.out, "--cluster %s --store %s --vm-list %s\n", deployment.Name, s.StoreAddress(), s.VMListURL())
 	<-c.app.ctx.Done()
 	return nil
 }
+
+// entry is a daemon's VM on the stand-in's list. Daemons that are not listed
+// do not find each other.
+type entry struct {
+	id      string
+	zone    model.Zone
+	address string
+}
+
+func parseEntries(texts []string) ([]entry, error) {
+	var entries []entry
+	for _, text := range texts {
+		parts := strings.Split(text, ",")
+		if len(parts) != 3 {
+			return nil, usage("--entry %q is not ID,ZONE,IP:PORT", text)
+		}
+		if _, _, err := net.SplitHostPort(parts[2]); err != nil {
+			return nil, usage("--entry %q is not ID,ZONE,IP:PORT: %v", text, err)
+		}
+		entries = append(entries, entry{id: parts[0], zone: model.Zone(parts[1]), address: parts[2]})
+	}
+	return entries, nil
+}
--- a/cmd/guavarilld/main.go
+++ b/cmd/guavarilld/main.go
@@ -1,12 +1,18 @@
 // Command guavarilld is the guavarill daemon: entry, scheduler and member.
 //
-// Exit codes: 0 after a planned stop, 1 after a failure, 2 for settings that
-// cannot be.
+// SIGTERM and SIGINT begin a planned stop; a second one ends the process at
+// once.
+//
+// Exit codes: 0 after a planned stop and for --help; 1 after a failure, which
+// includes a port in use, TLS files that cannot be read, and a stop in which
+// requests were cut off; 2 for settings that cannot be.
 package main
 
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -25,21 +31,19 @@
 	exitSettings = 2
 )
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-func run(args []string) int {
-	s, err := parse(args)
-	if err != nil {
-		return exitFor(err)
-	}
-	log := newLogger(s)
-	srv, err := server.New(s, log)
+func run(args []string, out, errOut io.Writer) int {
+	log := logrus.New()
+	log.SetOutput(errOut)
+	srv, err := start(args, log)
 	if err != nil {
-		log.WithError(err).Error("cannot start")
-		return exitFor(err)
+		return report(err, log, out, errOut)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// From the first signal on, signals have their usual effect again.
+	context.AfterFunc(ctx, stop)
 	if err := srv.Run(ctx); err != nil {
 		log.WithError(err).Error("stopped")
 		return exitFailed
@@ -47,40 +51,72 @@
 	return exitOK
 }
 
+// start returns a process that listens. An error is a *flags.Error, a
+// *HostNameError, a *settings.InvalidError or a *server.StartError.
+func start(args []string, log *logrus.Logger) (*server.Server, error) {
+	s, err := parse(args)
+	if err != nil {
+		return nil, err
+	}
+	configure(log, s)
+	return server.New(s, log)
+}
+
 func parse(args []string) (settings.Daemon, error) {
 	var s settings.Daemon
-	if _, err := flags.NewParser(&s, flags.Default).ParseArgs(args); err != nil {
+	parser := flags.NewParser(&s, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "guavarilld"
+	rest, err := parser.ParseArgs(args)
+	if err != nil {
 		return s, err
 	}
+	// Taken in silence, a flag that lost its dashes would leave the daemon
+	// with a default that nobody chose.
+	if len(rest) > 0 {
+		return s, &flags.Error{Type: flags.ErrUnknown, Message: fmt.Sprintf("unexpected argument %q", rest[0])}
+	}
 	if s.ID == "" {
-		name, err := os.Hostname()
+		s.ID, err = os.Hostname()
 		if err != nil {
-			return s, err
+			return s, &HostNameError{Cause: err}
 		}
-		s.ID = name
 	}
 	return s, nil
 }
 
-func exitFor(err error) int {
+// HostNameError says that the VM's name, which --id defaults to, is not known.
+type HostNameError struct{ Cause error }
+
+// Error implements error.
+func (e *HostNameError) Error() string { return "host name for --id: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *HostNameError) Unwrap() error { return e.Cause }
+
+// report says why the daemon does not start and returns the exit code.
+func report(err error, log *logrus.Logger, out, errOut io.Writer) int {
 	var wrong *settings.InvalidError
 	var usage *flags.Error
 	switch {
 	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(out, usage.Message)
 		return exitOK
-	case errors.As(err, &usage), errors.As(err, &wrong):
+	case errors.As(err, &usage):
+		fmt.Fprintln(errOut, usage.Message)
+		return exitSettings
+	}
+	log.WithError(err).Error("cannot start")
+	if errors.As(err, &wrong) {
 		return exitSettings
 	}
 	return exitFailed
 }
 
-func newLogger(s settings.Daemon) *logrus.Logger {
-	log := logrus.New()
+func configure(log *logrus.Logger, s settings.Daemon) {
 	if s.LogFormat == "json" {
 		log.SetFormatter(&logrus.JSONFormatter{})
 	}
 	if level, err := logrus.ParseLevel(s.LogLevel); err == nil {
 		log.SetLevel(level)
 	}
-	return log
 }
--- a/core/eviction/decide.go
+++ b/core/eviction/decide.go
@@ -123,6 +123,9 @@
 	if d.mustRelieve() {
 		return d.relieve()
 	}
+	if action, ok := d.prevent(); ok {
+		return action, true
+	}
 	if d.isCalm() {
 		return d.releaseOne(CalmServices)
 	}
@@ -153,7 +156,9 @@
 		m.Unthrottled = d.now
 		m.CalmSince = time.Time{}
 	case Throttle:
-		d.adaptCalm()
+		if a.Reason == SlowedService {
+			d.adaptCalm()
+		}
 	}
 	m.LastAction = d.now
 	m.Over = min(m.Over, d.options.Confirm-1)
--- a/core/eviction/options.go
+++ b/core/eviction/options.go
@@ -18,6 +18,10 @@
 	// it is acted on, unless pressure is at least Severe.
 	Confirm int
 	Severe  float64
+	// Peak bounds, as a pressure, what one task may be predicted to add at
+	// PeakStd standard deviations above its mean. A task that could add more
+	// runs throttled from the start.
+	Peak, PeakStd float64
 	// Patience is how long services may stay over the limit, with all that
 	// helps throttled, before a task is evicted.
 	Patience time.Duration
@@ -30,6 +34,9 @@
 	// MinRelief is the share of the excess slowdown that throttling or
 	// evicting a task must be expected to take away to be worth doing.
 	MinRelief float64
+	// FullLoad is the load from which a worker's processors count as
+	// contended.
+	FullLoad float64
 	// Costs weighs evictions.
 	Costs Costs
 }
@@ -43,12 +50,15 @@
 		Calm:       0.6,
 		Confirm:    2,
 		Severe:     2,
+		Peak:       0.8,
+		PeakStd:    2.5,
 		Patience:   60 * time.Second,
 		CalmFor:    20 * time.Second,
 		MaxCalmFor: 5 * time.Minute,
 		Floor:      20,
 		Step:       50,
 		MinRelief:  0.1,
+		FullLoad:   0.95,
 		Costs:      DefaultCosts(),
 	}
 }
--- a/core/eviction/policy_compare_test.go
+++ b/core/eviction/policy_compare_test.go
@@ -88,23 +88,11 @@
 
 // controlled is the product's own policy.
 func controlled(s *sim, w *simWorker) {
-	view := eviction.WorkerView{Worker: w.id}
-	pw, _ := s.snapshot.Worker(w.id)
-	view.Load = pw.Load
+	view := s.view(w)
 	byKey := map[model.TaskKey]*simTask{}
 	for _, t := range w.tasks {
 		byKey[t.key] = t
 		s.grow(t, &view)
-		if t.service {
-			if latest, ok := w.latest[t.key]; ok {
-				view.Services = append(view.Services, latest)
-			}
-			continue
-		}
-		view.Batch = append(view.Batch, eviction.Task{
-			Key: t.key, Class: t.workload.class.name, Size: t.held, LongRunning: t.long, Percent: t.percent,
-			ThrottledAt: t.throttledAt, SavedAt: t.savedAt, Checkpoints: true, Evictions: t.evictions,
-		})
 	}
 	for _, a := range s.control.Decide(s.now, view) {
 		t := byKey[a.Task]
@@ -117,6 +105,32 @@
 	}
 }
 
+func (s *sim) view(w *simWorker) eviction.WorkerView {
+	pw, _ := s.snapshot.Worker(w.id)
+	view := eviction.WorkerView{Worker: w.id, Load: pw.Load}
+	for _, t := range w.tasks {
+		if !t.service {
+			view.Batch = append(view.Batch, view1(t))
+			continue
+		}
+		if latest, ok := w.latest[t.key]; ok {
+			view.Services = append(view.Services, latest)
+		}
+	}
+	return view
+}
+
+func view1(t *simTask) eviction.Task {
+	return eviction.Task{
+		Key: t.key, Class: t.workload.class.name, Size: t.held, LongRunning: t.long, Percent: t.percent,
+		ThrottledAt: t.throttledAt, SavedAt: t.savedAt, Checkpoints: true, Evictions: t.evictions,
+	}
+}
+
+func startPercent(s *sim, t *simTask) uint32 {
+	return eviction.StartPercent(s.view(t.worker), view1(t), s.set.eviction, s.model)
+}
+
 // grow raises a task's hold to what it was seen to need, as far as there is
 // room.
 func (s *sim) grow(t *simTask, view *eviction.WorkerView) {
@@ -134,15 +148,22 @@
 	}
 }
 
+// policies are compared twice: with the instances where the product's
+// placement puts them, and with one on each worker.
 func policies() []policy {
-	return []policy{
+	list := []policy{
 		{name: "first fit", place: firstFit},
 		{name: "random", place: randomFit},
-		{name: "first fit, threshold", place: firstFit, control: threshold},
-		{name: "random, threshold", place: randomFit, control: threshold},
+		{name: "first fit+threshold", place: firstFit, control: threshold},
+		{name: "random+threshold", place: randomFit, control: threshold},
 		{name: "placement alone", place: placed, learn: true},
-		{name: "guavarill", place: placed, learn: true, control: controlled},
+		{name: "guavarill", place: placed, learn: true, control: controlled, start: startPercent},
+	}
+	for _, p := range list {
+		p.name, p.even = p.name+" (one a worker)", true
+		list = append(list, p)
 	}
+	return list
 }
 
 // BenchmarkPolicy measures the policies over the same submissions.
--- a/core/eviction/policy_test.go
+++ b/core/eviction/policy_test.go
@@ -94,10 +94,14 @@
 
 // policy is what is compared.
 type policy struct {
-	name    string
-	place   func(s *sim, r *placement.Request) (model.WorkerID, bool)
-	learn   bool
+	name  string
+	place func(s *sim, r *placement.Request) (model.WorkerID, bool)
+	learn bool
+	// even puts one instance of the service on each worker.
+	even    bool
 	control func(s *sim, w *simWorker)
+	// start returns the throttle at which a task starts.
+	start func(s *sim, t *simTask) uint32
 }
 
 type outcome struct {
@@ -111,6 +115,7 @@
 
 type sim struct {
 	site      site
+	set       settings
 	policy    policy
 	rnd       *rand.Rand
 	now       time.Time
@@ -145,7 +150,7 @@
 
 func newSim(st site, classes []class, p policy, set settings, seed uint64) *sim {
 	s := &sim{
-		site: st, policy: p, rnd: rand.New(rand.NewPCG(seed, 7)),
+		site: st, set: set, policy: p, rnd: rand.New(rand.NewPCG(seed, 7)),
 		now: time.Unix(1_800_000_000, 0), byID: map[model.WorkerID]*simWorker{},
 		model:     interference.New(set.model),
 		sizes:     interference.NewSizes(set.sizes),
@@ -197,13 +202,18 @@
 	}
 }
 
-// addServices places the instances and the watchers, for every policy alike.
+// addServices places the instances and the watchers.
 func (s *sim) addServices() {
 	orders := &workload{name: "orders", class: &class{name: "orders"}, declared: s.site.instance, cpu: 0.8, memory: 1, run: 1}
 	watch := &workload{name: "watch", class: &class{name: "watch", quiet: 0.005, loud: 0.005, quietFor: time.Hour, loudFor: time.Hour},
 		declared: model.Resources{MilliCPU: 250, MemoryMB: 512}, cpu: 0.8, memory: 1, run: 1}
-	for range s.site.workers {
-		s.placeFixed(s.newTask(orders, true, false))
+	for _, w := range s.workers {
+		t := s.newTask(orders, true, false)
+		if s.policy.even {
+			s.begin(t, s.request(t), w.id)
+			continue
+		}
+		s.placeFixed(t)
 	}
 	for range s.site.watchers {
 		s.placeFixed(s.newTask(watch, false, true))
@@ -259,6 +269,11 @@
 	t.savedAt, t.throttledAt = s.now, s.now
 	w.tasks = append(w.tasks, t)
 	s.model.Started(s.now, id, t.key, r.Class)
+	if s.policy.start != nil && !t.service {
+		if percent := s.policy.start(s, t); percent < t.percent {
+			s.throttle(t, percent)
+		}
+	}
 	s.out.starts++
 }
 
--- a/core/eviction/release.go
+++ b/core/eviction/release.go
@@ -1,12 +1,12 @@
 package eviction
 
 // releaseOne unthrottles one task by one step, the dearest first and among
-// equals the one that has waited longest.
+// equals the one that has waited longest. None goes above its ceiling.
 func (d *decision) releaseOne(reason Reason) (Action, bool) {
 	var best *Task
 	for i := range d.view.Batch {
 		t := &d.view.Batch[i]
-		if t.Stopping || t.Percent >= FullSpeed {
+		if t.Stopping || t.Percent >= d.ceiling(t) {
 			continue
 		}
 		if best == nil || d.releasedBefore(t, best) {
--- a/core/eviction/shortage.go
+++ b/core/eviction/shortage.go
@@ -3,8 +3,10 @@
 import "github.com/guavarill/guavarill/core/model"
 
 // relieveShortage deals with tasks that need more room than their worker has.
-// Raising their holds would commit the worker beyond its capacity, and leaving
-// them would let the kernel kill a task of its own choosing.
+// Raising their holds would commit the worker beyond its capacity. Left alone,
+// a shortage of memory would let the kernel kill a task of its own choosing. A
+// shortage of processors only slows: it is acted on when the processors are
+// contended, and for a service when its slowdown shows.
 func (d *decision) relieveShortage() (Action, bool) {
 	var missing model.Resources
 	var grower *Shortage
@@ -20,10 +22,10 @@
 		return Action{}, false
 	case missing.MemoryMB > 0:
 		return d.evictFor(model.Resources{MemoryMB: missing.MemoryMB}, MemoryShort)
-	case grower.Service:
-		return d.evictFor(model.Resources{MilliCPU: missing.MilliCPU}, CPUShort)
+	case d.view.Load >= d.options.FullLoad && !grower.Service:
+		return d.throttleGrower(grower)
 	}
-	return d.throttleGrower(grower)
+	return Action{}, false
 }
 
 // before puts services first, then larger shortages, then smaller keys.
--- a/core/eviction/view.go
+++ b/core/eviction/view.go
@@ -83,12 +83,14 @@
 
 // The reasons for an action.
 const (
-	SlowedService   Reason = "slowed service"
-	CalmServices    Reason = "services calm"
-	MemoryShort     Reason = "memory short"
-	CPUShort        Reason = "processors short"
-	RoomForUrgent   Reason = "room for urgent work"
-	NoServiceToSlow Reason = "no service left to slow"
+	SlowedService Reason = "slowed service"
+	// PredictedSlowdown: the task could slow a service far beyond its limit.
+	PredictedSlowdown Reason = "slowdown predicted"
+	CalmServices      Reason = "services calm"
+	MemoryShort       Reason = "memory short"
+	CPUShort          Reason = "processors short"
+	RoomForUrgent     Reason = "room for urgent work"
+	NoServiceToSlow   Reason = "no service left to slow"
 )
 
 // Action is one thing to do to one task.
--- a/core/interference/sizes.go
+++ b/core/interference/sizes.go
@@ -32,7 +32,7 @@
 		MinRatio:       0.3,
 		MaxRatio:       4,
 		Margin:         0.10,
-		Spread:         1,
+		Spread:         0,
 		MemorySpread:   2,
 		PriorWeight:    2,
 		ReclaimPerHour: 0.25,
--- a/core/membership/judge.go
+++ b/core/membership/judge.go
@@ -14,7 +14,7 @@
 
 // settlePeriods is how many periods without further accusations are waited
 // for when many members were accused at once.
-const settlePeriods = 8
+const settlePeriods = 10
 
 // blame decides whether this daemon's own link is at fault: when it hears from
 // nobody, or when about half of the members are accused. A daemon that blames
@@ -90,7 +90,7 @@
 func (m *Machine) settled() bool {
 	c := m.census()
 	few := c.accused <= max(fewAccused, c.total/fewShare)
-	stopped := c.fresh <= max(1, c.accused/10)
+	stopped := c.fresh <= max(1, c.accused/fewShare)
 	return few || stopped
 }
 
--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -134,7 +134,7 @@
 func (m *Machine) local(ev Local) {
 	shards := slices.Clone(ev.OwnedShards)
 	slices.SortFunc(shards, func(a, b ShardEpoch) int { return cmp.Compare(a.Shard, b.Shard) })
-	if !slices.Equal(shards, m.self.OwnedShards) {
+	if !slices.EqualFunc(shards, m.self.OwnedShards, sameShard) {
 		m.changed = true
 	}
 	m.self.ConfigRevision = ev.ConfigRevision
--- a/core/membership/member.go
+++ b/core/membership/member.go
@@ -39,8 +39,13 @@
 type ShardEpoch struct {
 	Shard model.ShardID
 	Epoch model.Epoch
+	// Free is the room of the shard's worker that has most. It is sent along
+	// and its changes are not announced.
+	Free model.Resources
 }
 
+func sameShard(a, b ShardEpoch) bool { return a.Shard == b.Shard && a.Epoch == b.Epoch }
+
 // Member is one daemon as another sees it. Demand, StoreSilent, OwnedShards
 // and ConfigRevision are as of the last message that came from the member
 // itself; at N members they can be N periods old.
--- a/core/membership/record.go
+++ b/core/membership/record.go
@@ -152,6 +152,7 @@
 	for _, s := range m.OwnedShards {
 		p.OwnedShards = append(p.OwnedShards, &peerv1.ShardEpoch{
 			Shard: uint32(s.Shard), Epoch: int64(s.Epoch),
+			FreeMilliCpu: s.Free.MilliCPU, FreeMemoryMb: s.Free.MemoryMB, FreeAccelerators: s.Free.Accelerators,
 		})
 	}
 	return p
--- a/core/ownership/event.go
+++ b/core/ownership/event.go
@@ -57,6 +57,10 @@
 	Err   error
 }
 
+// Vacated says that a daemon was heard to have given the shard up. It saves the
+// right owner the wait until its next look at the owner key.
+type Vacated struct{ Shard model.ShardID }
+
 // StoreSilence says whether a majority of the known members confirm that the
 // store does not answer them either. It must be repeated while it holds.
 type StoreSilence struct{ Confirmed bool }
@@ -77,5 +81,6 @@
 func (AcquireAnswered) event() {}
 func (ReleaseAnswered) event() {}
 func (StoreSilence) event()    {}
+func (Vacated) event()         {}
 func (LedgerStoodDown) event() {}
 func (Drain) event()           {}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -79,6 +79,8 @@
 		m.releaseAnswered(now, ev)
 	case StoreSilence:
 		m.storeSilence(now, ev)
+	case Vacated:
+		m.vacated(now, ev)
 	case LedgerStoodDown:
 		return m.ledgerStoodDown(now, ev)
 	case Drain:
@@ -87,6 +89,14 @@
 	return nil
 }
 
+// vacated looks at the owner key at once if this daemon should own the shard.
+func (m *Machine) vacated(now time.Time, ev Vacated) {
+	s := m.find(ev.Shard)
+	if s != nil && !s.owned && s.rightOwner == m.self {
+		s.nextCall = now
+	}
+}
+
 // MayCommit reports whether the lease surely holds, so that commits and
 // commands to workers may be sent for the owned shards.
 func (m *Machine) MayCommit(now time.Time) bool { return m.lease.sure(now, m.options.Margin) }
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -58,26 +58,21 @@
 	ctx, cancel := context.WithCancel(etcdstore.WithClass(c.ctx, storebudget.ClassWatch))
 	w.cancel = cancel
 	key, after := c.o.manifestKey(), w.after
-	c.exec.start(func() event {
-		c.runConfigWatch(ctx, key, after)
-		return configWatchEnded{}
-	})
+	open := func() (<-chan port.WatchEvent, error) {
+		return c.o.Ports.Store.Watch(ctx, key, after)
+	}
+	c.exec.follow(open, c.takeWatched, configWatchEnded{})
 }
 
-// runConfigWatch delivers what the watch reports until it ends.
-func (c *control) runConfigWatch(ctx context.Context, key string, after int64) {
-	events, err := c.o.Ports.Store.Watch(ctx, key, after)
-	if err != nil {
-		return
+// takeWatched delivers what the watch reports; false ends the watch.
+func (c *control) takeWatched(ev port.WatchEvent) bool {
+	if ev.Err != nil {
+		return false
 	}
-	for ev := range events {
-		if ev.Err != nil {
-			return
-		}
-		if !ev.Deleted && ev.KeyValue.Key == key {
-			c.exec.deliver(configRead{kv: ev.KeyValue, watched: true})
-		}
+	if !ev.Deleted && ev.KeyValue.Key == c.o.manifestKey() {
+		c.exec.deliver(configRead{kv: ev.KeyValue, watched: true})
 	}
+	return true
 }
 
 type configWatchEnded struct{}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -59,10 +59,15 @@
 
 	configWatch configWatch
 	peersHeard  map[model.DaemonID]bool
+	peerShards  map[model.ShardID]peerShard
 	storeRead   bool
 
-	// storeAnswered is when the store last decided a call of this daemon.
+	// storeAnswered is when the store last decided a call of this daemon, or
+	// no call was waiting for it; storeCalls counts those that wait, and
+	// storeFailed is whether the last one to end was not answered.
 	storeAnswered time.Time
+	storeCalls    int
+	storeFailed   bool
 	storeSilent   bool
 	drain         drainState
 	periods       periods
@@ -77,6 +82,7 @@
 	configBusy bool
 	topology   time.Time
 	topoBusy   bool
+	probe      time.Time
 	tables     time.Time
 }
 
@@ -111,6 +117,7 @@
 		applies:    make(map[uint64]*applyOp),
 		vms:        make(map[model.WorkerID]model.VM),
 		peersHeard: make(map[model.DaemonID]bool),
+		peerShards: make(map[model.ShardID]peerShard),
 		tables: tables{
 			trackers: make(map[string]*shares.Tracker),
 			services: make(map[string]bool),
@@ -147,6 +154,8 @@
 func (tick) apply(c *control) {
 	now := c.clock.Now()
 	c.stepMembers(membership.Tick{Random: c.random.Uint64()})
+	c.countStoreSilence(now)
+	c.probeStore(now)
 	c.noticeStoreSilence(now)
 	c.stepOwner(ownership.Shards{Count: c.topologyCount()})
 	c.stepOwner(ownership.StoreSilence{Confirmed: c.members.StoreSilentMajority(now)})
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/guavarill/guavarill/port"
 )
 
 // event is what the control loop takes.
@@ -19,8 +21,14 @@
 	start(call func() event)
 	// deliver hands the control loop an event from elsewhere.
 	deliver(ev event)
+	// follow opens a watch and passes what it reports to take until the watch
+	// ends or take returns false. Then it delivers end.
+	follow(open openWatch, take func(port.WatchEvent) bool, end event)
 }
 
+// openWatch opens a watch of the store.
+type openWatch func() (<-chan port.WatchEvent, error)
+
 // mailboxSize bounds the events that wait for the control loop. Whoever
 // delivers into a full mailbox waits: results of calls are never dropped.
 const mailboxSize = 4096
@@ -52,3 +60,18 @@
 	case <-g.ctx.Done():
 	}
 }
+
+func (g *goroutines) follow(open openWatch, take func(port.WatchEvent) bool, end event) {
+	g.start(func() event {
+		events, err := open()
+		if err != nil {
+			return end
+		}
+		for ev := range events {
+			if !take(ev) {
+				break
+			}
+		}
+		return end
+	})
+}
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -75,6 +75,7 @@
 	if ev.err != nil {
 		return
 	}
+	c.heardFrom(ev.resp.GetSender())
 	taken := c.composer.TakeResponse(c.clock.Now(), ev.resp)
 	c.took(taken, false)
 	c.takeDelta(ev.resp.GetConfig(), false)
@@ -90,6 +91,7 @@
 func (ev exchangeRequested) apply(c *control) {
 	sender := ev.req.GetSender()
 	c.stepMembers(membership.Received{From: sender, Members: ev.req.GetMembers()})
+	c.heardFrom(sender)
 	c.took(c.composer.TakeRequest(c.clock.Now(), ev.req), true)
 	c.takeDelta(ev.req.GetConfig(), true)
 	for _, id := range ev.req.GetInboxNotices() {
@@ -180,11 +182,44 @@
 	}
 	for _, id := range c.sortedShards() {
 		s := c.shards[id]
-		local.OwnedShards = append(local.OwnedShards, membership.ShardEpoch{Shard: id, Epoch: s.epoch})
+		local.OwnedShards = append(local.OwnedShards, membership.ShardEpoch{
+			Shard: id, Epoch: s.epoch, Free: s.largestRoom(),
+		})
 	}
 	c.stepMembers(local)
 }
 
+// peerShard is what the owner of a shard last told of it.
+type peerShard struct {
+	owner model.DaemonID
+	room  model.Resources
+	heard time.Time
+}
+
+// heardFrom takes in what a daemon says of the shards it owns. A shard that it
+// owned and names no more was given up by it.
+func (c *control) heardFrom(sender *peerv1.Member) {
+	owner := model.DaemonID(sender.GetId())
+	named := make(map[model.ShardID]bool)
+	for _, s := range sender.GetOwnedShards() {
+		id := model.ShardID(s.GetShard())
+		named[id] = true
+		c.peerShards[id] = peerShard{
+			owner: owner,
+			heard: c.clock.Now(),
+			room: model.Resources{
+				MilliCPU: s.GetFreeMilliCpu(), MemoryMB: s.GetFreeMemoryMb(), Accelerators: s.GetFreeAccelerators(),
+			},
+		}
+	}
+	for _, id := range sortedKeys(c.peerShards) {
+		if c.peerShards[id].owner == owner && !named[id] {
+			delete(c.peerShards, id)
+			c.stepOwner(ownership.Vacated{Shard: id})
+		}
+	}
+}
+
 func (c *control) sortedShards() []model.ShardID {
 	ids := make([]model.ShardID, 0, len(c.shards))
 	for id := range c.shards {
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -146,15 +146,15 @@
 	s.record(timeline.Event{Kind: kind, Subject: t.Key.String(), Attempt: t.Attempt, Detail: detail})
 }
 
+// pendingKind tells a task that came back from one that only waits for another
+// reason than before.
 func pendingKind(t *ledger.Task) timeline.Kind {
 	switch {
-	case t.Attempt == 0 && t.Reason != "":
+	case t.Failures == 0 && t.Reason != "":
 		return timeline.TaskUnplaceable
 	case t.Attempt == 0:
 		return timeline.TaskCreated
-	case t.Failures > 0 && t.Reason != "":
-		return timeline.TaskRetried
-	case t.Evictions > 0:
+	case t.Failures == 0 && t.Evictions > 0:
 		return timeline.TaskEvicted
 	}
 	return timeline.TaskRetried
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -104,6 +104,13 @@
 	Registerer prometheus.Registerer
 }
 
+// defaultOutageGrace is the one bound on renewals through an outage of the
+// store. It must be the same for the owner that renews and for the one that
+// takes over: with a shorter one the new owner takes a silent worker's tasks to
+// be over while the old owner still renews their leases, and starts them a
+// second time.
+const defaultOutageGrace = 20 * time.Second
+
 // DefaultOptions returns the standard settings for the given identity and
 // ports.
 func DefaultOptions(id Identity, ports Ports) Options {
@@ -112,8 +119,9 @@
 		Identity:       id,
 		Ports:          ports,
 		Timing:         DefaultTiming(),
-		Ownership:      ownership.Options{KeyPrefix: prefix},
+		Ownership:      ownership.Options{KeyPrefix: prefix, OutageGrace: defaultOutageGrace},
 		Ledger:         ledger.Options{KeyPrefix: prefix, FlushInterval: 100 * time.Millisecond},
+		Session:        workersession.Options{OutageGrace: defaultOutageGrace},
 		Scheduler:      scheduler.DefaultOptions(),
 		RacksShard:     2,
 		TimelineEvents: 20000,
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -77,7 +77,11 @@
 		}
 	}
 	c.vms = next
-	c.vmsKnown = true
+	if !c.vmsKnown {
+		// A daemon that is alone never sees its members change.
+		c.vmsKnown = true
+		c.membersChanged()
+	}
 	c.extendTopology()
 	for _, id := range c.sortedShards() {
 		c.shards[id].refreshWorkers()
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -83,10 +83,20 @@
 	s.stepLedger(ledger.Propose{Changes: []ledger.Change{{Put: &t}}})
 }
 
-// shardRoom returns the largest free room on one worker of each other shard
-// that this daemon owns.
+// roomFresh is how long what another daemon told of a shard's room is
+// believed.
+const roomFresh = 10 * time.Second
+
+// shardRoom returns the free room of each shard's emptiest worker, as far as
+// it is known: of the shards owned here, and of those whose owners told lately.
 func (c *control) shardRoom() map[model.ShardID]model.Resources {
+	now := c.clock.Now()
 	rooms := make(map[model.ShardID]model.Resources, len(c.shards))
+	for id, told := range c.peerShards {
+		if now.Sub(told.heard) < roomFresh {
+			rooms[id] = told.room
+		}
+	}
 	for id, s := range c.shards {
 		if s.loaded {
 			rooms[id] = s.largestRoom()
--- a/daemon/serving.go
+++ b/daemon/serving.go
@@ -19,7 +19,10 @@
 
 // updateServing tells the engine whether this entry may take requests. Without
 // a configuration from the store, or from enough peers, it must not: it could
-// serve an older revision than its callers have already seen in force.
+// serve an older revision than its callers have already seen in force. Nor in
+// the first seconds, in which it cannot vouch for request ids yet: operators who
+// restart entries one after the other wait for readiness between them, and so
+// never have two homes of an id unsure at once.
 func (c *control) updateServing() {
 	reason := c.notServingReason()
 	wasServing := c.engine.Serving() == nil
@@ -44,10 +47,19 @@
 		return traffic.NoConfiguration
 	case !c.storeRead && !c.heardMajority():
 		return traffic.Starting
+	case c.clock.Now().Sub(c.o.Identity.Started) < c.homeAfter():
+		return traffic.Starting
 	}
 	return ""
 }
 
+// homeAfter is how long after its start this entry can vouch for request ids
+// as their home.
+func (c *control) homeAfter() time.Duration {
+	o := c.o.Dedup.WithDefaults()
+	return o.Settle + o.Skew
+}
+
 // heardMajority reports whether a majority of the other members answered this
 // daemon since its start. Every accepted revision that was in force anywhere
 // was known to more than the rest, once it had spread.
--- a/daemon/store.go
+++ b/daemon/store.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/guavarill/guavarill/adapter/etcdstore"
+	"github.com/guavarill/guavarill/core/membership"
 	"github.com/guavarill/guavarill/core/storebudget"
 	"github.com/guavarill/guavarill/port"
 )
@@ -12,11 +14,12 @@
 // storeCall runs one call of the store outside the control loop. call makes
 // the event that takes the answer; err is what the call returned.
 func (c *control) storeCall(class storebudget.Class, call func(ctx context.Context) (event, error)) {
+	c.storeCalls++
 	c.exec.start(func() event {
 		ctx, cancel := context.WithTimeout(etcdstore.WithClass(c.ctx, class), c.o.Timing.StoreCall)
 		defer cancel()
 		answer, err := call(ctx)
-		return storeAnswered{answer: answer, heard: heardFromStore(err)}
+		return storeAnswered{answer: answer, heard: heardFromStore(err), unsent: neverSent(err)}
 	})
 }
 
@@ -24,17 +27,62 @@
 type storeAnswered struct {
 	answer event
 	heard  bool
+	// unsent is whether the call failed before the store could have seen it.
+	unsent bool
 }
 
 func (ev storeAnswered) apply(c *control) {
-	if ev.heard {
+	c.storeCalls--
+	switch {
+	case ev.heard:
+		c.storeFailed = false
 		c.storeAnswered = c.clock.Now()
+	case !ev.unsent:
+		c.storeFailed = true
 	}
 	if ev.answer != nil {
 		ev.answer.apply(c)
 	}
 }
 
+// countStoreSilence lets silence count only from a call that was not answered.
+// A daemon that owns nothing has no reason to call for many seconds. Counted
+// as silence, that would confirm to an owner which lost its own way to the
+// store that the store is down for all, and it would go on renewing leases.
+func (c *control) countStoreSilence(now time.Time) {
+	if c.storeCalls == 0 && !c.storeFailed {
+		c.storeAnswered = now
+	}
+}
+
+// probeStore has this daemon see for itself when another one says that the
+// store is silent. An owner needs a majority's word to go on renewing leases in
+// an outage, and daemons that own nothing would notice it too late.
+func (c *control) probeStore(now time.Time) {
+	if c.storeCalls > 0 || now.Before(c.periods.probe) {
+		return
+	}
+	c.periods.probe = now.Add(storeProbeEvery)
+	for _, m := range c.members.View().Members {
+		if m.State == membership.Alive && m.StoreSilent >= storeProbeEvery {
+			c.periods.topology = now
+			return
+		}
+	}
+}
+
+// storeProbeEvery is the time between two looks at the others' word.
+const storeProbeEvery = 2 * time.Second
+
+// neverSent reports whether a call failed in this daemon itself.
+func neverSent(err error) bool {
+	var failed *port.StoreError
+	if !errors.As(err, &failed) {
+		return false
+	}
+	return failed.Kind == port.StoreThrottled || failed.Kind == port.StoreCallCanceled
+}
+
 // heardFromStore reports whether a call's result came from the store itself.
 func heardFromStore(err error) bool {
 	if err == nil {
--- a/demo/callers.go
+++ b/demo/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -47,6 +48,7 @@
 
 	mu      sync.Mutex
 	fates   map[string]fate.Fate
+	reasons map[string]int
 	latency *hdrhistogram.Histogram
 	resent  atomic.Int64
 }
@@ -56,6 +58,7 @@
 		service: service,
 		client:  &http.Client{Timeout: callTimeout},
 		fates:   make(map[string]fate.Fate),
+		reasons: make(map[string]int),
 		latency: hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits),
 	}
 }
@@ -136,10 +139,28 @@
 		return fate.Unknown
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
 		return fate.Unknown
 	}
-	return parseFate(resp.Header.Get(traffic.HeaderFate))
+	f := parseFate(resp.Header.Get(traffic.HeaderFate))
+	if f != fate.Answered {
+		c.countReason(f, body)
+	}
+	return f
+}
+
+// countReason counts why an entry gave no answer.
+func (c *callers) countReason(f fate.Fate, body []byte) {
+	var problem struct {
+		Reason string `json:"reason"`
+	}
+	if json.Unmarshal(body, &problem) != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reasons[f.String()+": "+problem.Reason]++
 }
 
 func parseFate(name string) fate.Fate {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -36,7 +36,7 @@
 	runTimeout   = 25 * time.Second
 	beforeKill   = 4 * time.Second
 	beforeReturn = 4 * time.Second
-	beforeDrain  = 4 * time.Second
+	beforeDrain  = time.Second
 	pollEvery    = 100 * time.Millisecond
 )
 
@@ -155,22 +155,49 @@
 	m.done = make(chan error, 1)
 	r.site.AddEntry(m.id, m.zone, srv.PeersAddress())
 	go func() { m.done <- srv.Run(context.Background()) }()
-	r.balance()
 	return nil
 }
 
-// balance offers the callers the entries that are up, as the platform's
-// balancer would.
+// balance offers the callers the entries that say they are ready, as the
+// platform's balancer would.
 func (r *run) balance() {
 	var addresses []string
-	for _, m := range r.daemons {
-		if m != nil && m.server != nil {
+	for _, m := range r.up() {
+		if ready(m.server.CallersAddress()) {
 			addresses = append(addresses, m.server.CallersAddress())
 		}
 	}
 	r.callers.setEntries(addresses)
 }
 
+func (r *run) allReady(context.Context) bool {
+	for _, m := range r.up() {
+		if !ready(m.server.CallersAddress()) {
+			return false
+		}
+	}
+	return true
+}
+
+func ready(address string) bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + address + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// pause lets time pass while the balancer goes on looking.
+func (r *run) pause(ctx context.Context, d time.Duration) {
+	end := time.Now().Add(d)
+	for ctx.Err() == nil && time.Now().Before(end) {
+		r.balance()
+		pause(ctx, min(balancerNotice/2, time.Until(end)))
+	}
+}
+
 func (r *run) up() []*member {
 	var list []*member
 	for _, m := range r.daemons {
@@ -189,7 +216,7 @@
 		if ctx.Err() != nil {
 			return &StepError{Step: step}
 		}
-		pause(ctx, pollEvery)
+		r.pause(ctx, pollEvery)
 	}
 	r.say("%s after %.1f s", step, time.Since(began).Seconds())
 	return nil
@@ -279,19 +306,28 @@
 		defer close(calls)
 		r.callers.run(callCtx)
 	}()
-	pause(ctx, beforeKill)
+	r.pause(ctx, beforeKill)
 	r.kill(r.daemons[2])
-	pause(ctx, beforeReturn)
+	r.pause(ctx, beforeReturn)
 	if err := r.restart(r.daemons[2]); err != nil {
 		return err
 	}
-	pause(ctx, beforeDrain)
+	if err := r.waitFor(ctx, "entry-3 ready again", r.allReady); err != nil {
+		return err
+	}
+	r.pause(ctx, beforeDrain)
 	if err := r.drain(r.daemons[1]); err != nil {
 		return err
 	}
 	err := r.waitFor(ctx, "batch job finished", r.batchDone)
+	for callCtx.Err() == nil {
+		r.pause(callCtx, pollEvery)
+	}
 	<-calls
-	return err
+	if err != nil {
+		return err
+	}
+	return r.waitFor(ctx, "all shards owned", r.shardsOwned)
 }
 
 func (r *run) kill(m *member) {
@@ -300,7 +336,6 @@
 	m.server = nil
 	srv.Kill()
 	<-m.done
-	r.balance()
 	r.say("%s killed", m.id)
 }
 
@@ -319,10 +354,9 @@
 	if err := client.Drain(context.Background()); err != nil {
 		return &StepError{Step: "drain of " + m.id, Cause: err}
 	}
-	time.Sleep(balancerNotice / 2)
+	r.pause(context.Background(), balancerNotice)
 	srv := m.server
 	m.server = nil
-	r.balance()
 	if err := <-m.done; err != nil {
 		return &StepError{Step: "drain of " + m.id, Cause: err}
 	}
--- a/demo/report.go
+++ b/demo/report.go
@@ -15,7 +15,9 @@
 
 // Report is what a run came to. What was broken is counted at the stand-ins.
 type Report struct {
-	Fates     map[string]int
+	Fates map[string]int
+	// Reasons counts the answers that were no answer of the service.
+	Reasons   map[string]int
 	Resent    int64
 	P50Micros int64
 	P99Micros int64
@@ -45,6 +47,7 @@
 	rep := &Report{
 		Fates:     make(map[string]int),
 		Tasks:     make(map[string]int),
+		Reasons:   r.callers.reasons,
 		Resent:    r.callers.resent.Load(),
 		P50Micros: r.callers.latency.ValueAtQuantile(50),
 		P99Micros: r.callers.latency.ValueAtQuantile(99),
@@ -108,6 +111,7 @@
 // Write prints the report.
 func (r *Report) Write(w io.Writer) {
 	fmt.Fprintf(w, "\nrequests by fate    %s\n", counts(r.Fates))
+	fmt.Fprintf(w, "reasons             %s\n", counts(r.Reasons))
 	fmt.Fprintf(w, "sent again          %d after not run\n", r.Resent)
 	fmt.Fprintf(w, "latency             p50 %.1f ms, p99 %.1f ms\n", float64(r.P50Micros)/1000, float64(r.P99Micros)/1000)
 	fmt.Fprintf(w, "tasks by state      %s\n", counts(r.Tasks))
--- /dev/null
+++ b/settings/errors.go
@@ -0,0 +1,40 @@
+package settings
+
+import "fmt"
+
+// Reason says what is wrong with a setting.
+type Reason string
+
+// The reasons of an InvalidError.
+const (
+	Missing    Reason = "is required"
+	NotAddress Reason = "is not host:port"
+	NotPort    Reason = "has no port that other machines can reach"
+	NotIP      Reason = "must name an IP number"
+	Wildcard   Reason = "must not be a wildcard"
+	NotURL     Reason = "is not an http or https URL"
+	NotName    Reason = "may hold lower case letters, digits and inner dashes only"
+	TooLong    Reason = "is too long"
+	NotAbove0  Reason = "must be above 0"
+	NotFinite  Reason = "must be a finite number"
+	TooShort   Reason = "is too short"
+	Incomplete Reason = "is required too: --tls-cert, --tls-key and --tls-ca go together"
+)
+
+// InvalidError names the flag and the value that cannot be.
+type InvalidError struct {
+	Flag   string
+	Value  string
+	Reason Reason
+	// Detail adds what the value is compared with.
+	Detail string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	text := fmt.Sprintf("--%s %q %s", e.Flag, e.Value, e.Reason)
+	if e.Detail != "" {
+		text += ": " + e.Detail
+	}
+	return text
+}
