--- a/core/ownership/machine_test.go
+++ b/core/ownership/machine_test.go
@@ -343,3 +343,24 @@
 	}
 	return reads
 }
+
+// Symptom: a store that refuses calls is flooded with them. Sequence: the read
+// of an owner key fails at once, again and again. Cause it guards against:
+// reading again without a delay.
+func TestFailedReadWaits(t *testing.T) {
+	s := newSession(t, "d1", "d1")
+	s.step(Shards{Count: 1})
+	s.lease()
+	reads := 0
+	for range 100 {
+		if _, ok := find[ReadOwner](s.last); ok {
+			reads++
+			s.step(OwnerRead{Shard: 0, Err: errTimeout})
+			continue
+		}
+		s.tick(10 * time.Millisecond)
+	}
+	if reads < 2 || reads > 5 {
+		t.Errorf("%d reads in about a second", reads)
+	}
+}
