Replace services step by step, and commit urgent changes at once

Cause: when a service's declaration changed, the cycle that created its new tasks found no successor in the ledger yet, took all old instances for superfluous and stopped them together. Found by a test of the replacement. Ruled out: retirement of the old generation (it leaves services alone). Change: replacement runs only in cycles after the successors are recorded. Group commits are spaced by the number of shards, so that all ledgers stay within half of the store's writes; what urgent work waits for does not wait for the next group.

--- a/core/scheduler/decide.go
+++ b/core/scheduler/decide.go
@@ -22,8 +22,11 @@
 		c.createMissing()
 		c.retireObsolete()
 		c.plan.Synced = s.Config.Revision
+	} else {
+		// Only now does the ledger hold the successors: with none in sight all
+		// old instances would look superfluous.
+		c.replaceServices()
 	}
-	c.replaceServices()
 	c.leaveWorkers()
 	c.placePending()
 	return c.plan
--- /dev/null
+++ b/core/scheduler/decide_test.go
@@ -0,0 +1,340 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"iter"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/core/config"
+	"github.com/guavarill/guavarill/core/eviction"
+	"github.com/guavarill/guavarill/core/ledger"
+	"github.com/guavarill/guavarill/core/manifest"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/placement"
+	"github.com/guavarill/guavarill/core/plan"
+)
+
+var epoch = time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fakeLedger is a ledger's contents as a map.
+type fakeLedger map[model.TaskKey]ledger.Task
+
+func (f fakeLedger) Task(k model.TaskKey) (ledger.Task, bool) {
+	t, known := f[k]
+	return t, known
+}
+
+func (f fakeLedger) sorted(keep func(ledger.Task) bool) []ledger.Task {
+	var list []ledger.Task
+	for t := range maps.Values(f) {
+		if keep(t) {
+			list = append(list, t)
+		}
+	}
+	slices.SortFunc(list, func(a, b ledger.Task) int { return a.Key.Compare(b.Key) })
+	return list
+}
+
+func (f fakeLedger) Tasks() iter.Seq[ledger.Task] {
+	return slices.Values(f.sorted(func(ledger.Task) bool { return true }))
+}
+
+func (f fakeLedger) OnWorker(w model.WorkerID) []ledger.Task {
+	return f.sorted(func(t ledger.Task) bool { return t.Worker == w && t.State.HoldsRoom() })
+}
+
+func (f fakeLedger) Committed(w model.WorkerID) model.Resources {
+	var sum model.Resources
+	for _, t := range f.OnWorker(w) {
+		sum = sum.Add(t.Size)
+	}
+	return sum
+}
+
+func (f fakeLedger) Pending() []ledger.Task {
+	return f.sorted(func(t ledger.Task) bool { return t.State == ledger.Pending })
+}
+
+// commit makes a plan's changes.
+func (f fakeLedger) commit(p plan.Plan) {
+	for _, c := range p.Changes {
+		switch {
+		case c.Put != nil:
+			f[c.Put.Key] = *c.Put
+		case c.Remove != nil:
+			delete(f, *c.Remove)
+		case c.Handoff != nil:
+			f[c.Handoff.Task.Key] = ledger.Task{Key: c.Handoff.Task.Key, State: ledger.Moved, MovedTo: c.Handoff.To}
+		}
+	}
+}
+
+func (f fakeLedger) count(state ledger.State) int {
+	return len(f.sorted(func(t ledger.Task) bool { return t.State == state }))
+}
+
+func batch(name, team, priority string, tasks int, cpu int64) manifest.Workload {
+	return manifest.Workload{
+		Name: name, Team: team, Kind: model.KindBatch, Priority: priority, Tasks: tasks,
+		Size: model.Resources{MilliCPU: cpu, MemoryMB: 100},
+	}
+}
+
+func service(name string, tasks int, cpu int64) manifest.Workload {
+	w := batch(name, "a", "high", tasks, cpu)
+	w.Kind, w.Slots, w.Connections = model.KindService, 8, 60
+	return w
+}
+
+func accept(t *testing.T, current *config.Accepted, teams []manifest.Team, workloads ...manifest.Workload) *config.Accepted {
+	t.Helper()
+	m := &manifest.Manifest{Cluster: "c", Teams: teams, Workloads: workloads}
+	next, _, err := config.Accept(current, m.Normalised(), 1, fmt.Sprintf("w%d", rand.Uint64()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+var teams = []manifest.Team{{Name: "a"}, {Name: "b"}}
+
+// world is one shard with workers of 8 processors each.
+type world struct {
+	ledger   fakeLedger
+	snapshot Snapshot
+}
+
+func newWorld(accepted *config.Accepted, workers int) *world {
+	w := &world{ledger: fakeLedger{}}
+	w.snapshot = Snapshot{
+		Now: epoch, Shards: 1, Config: accepted, Ledger: w.ledger,
+		Largest: []model.Resources{{MilliCPU: 8000, MemoryMB: 8000}},
+		Hold:    func(_ string, declared model.Resources) model.Resources { return declared },
+		Placer:  placement.Default(placement.Options{Random: rand.NewPCG(1, 1)}),
+		Costs:   eviction.DefaultCosts(),
+	}
+	for i := range workers {
+		w.snapshot.Workers = append(w.snapshot.Workers, Worker{VM: model.VM{
+			ID: model.WorkerID(fmt.Sprintf("w%d", i)), Role: model.RoleWorker, State: model.VMLive,
+			Zone: "z", Rack: "r", Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 8000},
+		}})
+	}
+	return w
+}
+
+// cycle decides and commits once, and lets time pass.
+func (w *world) cycle() plan.Plan {
+	p := Decide(&w.snapshot, DefaultOptions())
+	w.ledger.commit(p)
+	if p.Synced != 0 {
+		w.snapshot.Synced = p.Synced
+	}
+	w.snapshot.Now = w.snapshot.Now.Add(time.Second)
+	return p
+}
+
+// run makes assigned tasks running and ends stopping ones whose time has come.
+func (w *world) run() {
+	for key, t := range w.ledger {
+		switch {
+		case t.State == ledger.Assigned:
+			t.State = ledger.Running
+		case t.State == ledger.Stopping && !t.NotBefore.After(w.snapshot.Now) && t.Resume:
+			t.State, t.Worker = ledger.Pending, ""
+		case t.State == ledger.Stopping && !t.NotBefore.After(w.snapshot.Now):
+			t.State = ledger.Cancelled
+		}
+		w.ledger[key] = t
+	}
+}
+
+func TestDeclaredTasksAreCreatedAndPlaced(t *testing.T) {
+	w := newWorld(accept(t, nil, teams, batch("job", "a", "normal", 5, 2000)), 2)
+	w.cycle()
+	if got := w.ledger.count(ledger.Pending); got != 5 {
+		t.Fatalf("%d pending after the first cycle, want 5", got)
+	}
+	w.cycle()
+	if got := w.ledger.count(ledger.Assigned); got != 5 {
+		t.Errorf("%d assigned, want 5", got)
+	}
+	if p := w.cycle(); len(p.Changes) != 0 {
+		t.Errorf("a settled shard changes %d records", len(p.Changes))
+	}
+}
+
+// Symptom: callers are told `not run` while a new release rolls out.
+// Sequence: a service's declaration changes; its old instances are stopped
+// before the new ones answer.
+// Cause: old and new generation are retired and created independently.
+func TestServiceIsReplacedStepByStep(t *testing.T) {
+	first := accept(t, nil, teams, service("svc", 4, 2000))
+	w := newWorld(first, 1)
+	w.cycle()
+	w.cycle()
+	w.run()
+	changed := service("svc", 4, 1900)
+	w.snapshot.Config = accept(t, first, teams, changed)
+	for range 60 {
+		w.cycle()
+		w.run()
+		if running := w.ledger.count(ledger.Running) + w.ledger.count(ledger.Stopping); running < 3 {
+			t.Fatalf("%d instances are up during the replacement, want at least 3", running)
+		}
+	}
+	for _, task := range w.ledger.sorted(func(t ledger.Task) bool { return t.State == ledger.Running }) {
+		if task.Key.Generation != 2 {
+			t.Errorf("%s still runs", task.Key)
+		}
+	}
+	if got := w.ledger.count(ledger.Running); got != 4 {
+		t.Errorf("%d instances run in the end, want 4", got)
+	}
+}
+
+// Symptom: urgent work waits behind batch tasks that fill the shard.
+// Sequence: low tasks take all room; an urgent task is declared.
+// Cause: placement alone never frees room.
+func TestUrgentWorkPreemptsAndStarts(t *testing.T) {
+	first := accept(t, nil, teams, batch("low", "a", "low", 8, 2000))
+	w := newWorld(first, 2)
+	w.cycle()
+	w.cycle()
+	w.run()
+	w.snapshot.Config = accept(t, first, teams, batch("low", "a", "low", 8, 2000), batch("now", "b", "urgent", 1, 3000))
+	w.cycle()
+	w.cycle()
+	victims := w.ledger.sorted(func(t ledger.Task) bool { return t.Reason == ReasonPreempted })
+	if len(victims) != 2 {
+		t.Fatalf("%d victims, want 2", len(victims))
+	}
+	for _, v := range victims {
+		if !v.Resume {
+			t.Errorf("%s does not resume", v.Key)
+		}
+	}
+	w.run()
+	w.cycle()
+	urgent, _ := w.ledger.Task(model.TaskKey{Workload: "now", Generation: 1})
+	if urgent.State != ledger.Assigned {
+		t.Errorf("urgent task is %s: %s", urgent.State, urgent.Reason)
+	}
+}
+
+func TestTeamsTakeTurns(t *testing.T) {
+	w := newWorld(accept(t, nil, teams, batch("many", "a", "normal", 50, 2000), batch("few", "b", "normal", 2, 2000)), 1)
+	w.cycle()
+	w.cycle()
+	started := w.ledger.sorted(func(t ledger.Task) bool { return t.State == ledger.Assigned })
+	few := slices.DeleteFunc(started, func(t ledger.Task) bool { return t.Key.Workload != "few" })
+	if len(few) != 2 {
+		t.Errorf("%d of the small team's tasks start beside 50 of another's, want 2", len(few))
+	}
+}
+
+func TestQuotaHoldsTasksBack(t *testing.T) {
+	quota := []manifest.Team{{Name: "a", Quota: &model.Resources{MilliCPU: 4000, MemoryMB: 4000}}}
+	w := newWorld(accept(t, nil, quota, batch("job", "a", "normal", 4, 2000)), 2)
+	w.cycle()
+	w.cycle()
+	w.cycle()
+	if got := w.ledger.count(ledger.Assigned); got != 2 {
+		t.Errorf("%d tasks started under a quota for 2", got)
+	}
+	for _, task := range w.ledger.Pending() {
+		if task.Reason != "team quota reached: cpu" {
+			t.Errorf("reason %q", task.Reason)
+		}
+	}
+}
+
+func TestQuotaPartsSumToTheQuota(t *testing.T) {
+	team := manifest.Team{Name: "a", Quota: &model.Resources{MilliCPU: 10_007, MemoryMB: 3, Accelerators: 11}}
+	var sum model.Resources
+	for shard := range uint32(7) {
+		sum = sum.Add(quotaPart(team, model.ShardID(shard), 7))
+	}
+	if sum != *team.Quota {
+		t.Errorf("parts sum to %s, quota is %s", sum, *team.Quota)
+	}
+}
+
+// Symptom: a job that fits no worker waits without a word.
+// Sequence: its size is above every worker's.
+// Cause: to a filter it looks like a full cluster.
+func TestJobThatNeverFitsIsReported(t *testing.T) {
+	w := newWorld(accept(t, nil, teams, batch("huge", "a", "normal", 1, 9000)), 1)
+	w.cycle()
+	w.cycle()
+	task := w.ledger.Pending()[0]
+	if task.Reason != "no worker is large enough: cpu" {
+		t.Errorf("reason %q", task.Reason)
+	}
+	if p := w.cycle(); len(p.Changes) != 0 {
+		t.Errorf("reported again: %d changes", len(p.Changes))
+	}
+}
+
+func TestTaskWithoutRoomIsHandedOver(t *testing.T) {
+	w := newWorld(accept(t, nil, teams, batch("job", "a", "normal", 6, 2000)), 1)
+	w.snapshot.ShardRoom = map[model.ShardID]model.Resources{7: {MilliCPU: 2500, MemoryMB: 5000}}
+	w.cycle()
+	w.cycle()
+	if got := w.ledger.count(ledger.Moved); got != 0 {
+		t.Fatalf("%d tasks handed over in the cycle they were placed in first", got)
+	}
+	w.cycle()
+	if got := w.ledger.count(ledger.Moved); got != 1 {
+		t.Errorf("%d tasks handed to a shard with room for 1", got)
+	}
+}
+
+func TestLeavingWorkerIsEmptied(t *testing.T) {
+	w := newWorld(accept(t, nil, teams, service("svc", 2, 1000), batch("job", "a", "normal", 2, 1000)), 2)
+	w.cycle()
+	w.cycle()
+	w.run()
+	on := len(w.ledger.OnWorker("w0"))
+	w.snapshot.Workers[0].Leaving = true
+	w.cycle()
+	for _, task := range w.ledger.OnWorker("w0") {
+		if task.State != ledger.Stopping || !task.Resume {
+			t.Errorf("%s is %s", task.Key, task.State)
+		}
+		if drains := task.NotBefore.After(w.snapshot.Now); drains != task.Service {
+			t.Errorf("%s drains: %t", task.Key, drains)
+		}
+	}
+	for range 10 {
+		w.run()
+		w.cycle()
+	}
+	w.run()
+	if left := len(w.ledger.OnWorker("w0")); on == 0 || left != 0 || w.ledger.count(ledger.Running) != 4 {
+		t.Errorf("%d tasks before, %d left, %d running", on, left, w.ledger.count(ledger.Running))
+	}
+}
+
+func TestRemovedWorkloadIsEndedAndForgotten(t *testing.T) {
+	first := accept(t, nil, teams, batch("job", "a", "normal", 6, 2000), batch("other", "a", "normal", 1, 100))
+	w := newWorld(first, 1)
+	w.cycle()
+	w.cycle()
+	w.run()
+	w.snapshot.Config = accept(t, first, teams, batch("other", "a", "normal", 1, 100))
+	w.cycle()
+	if got := w.ledger.count(ledger.Stopping); got != cmp.Or(got, 1) || w.ledger.count(ledger.Cancelled) == 0 {
+		t.Errorf("%d stopping, %d cancelled", got, w.ledger.count(ledger.Cancelled))
+	}
+	w.run()
+	w.snapshot.Synced = 0
+	w.cycle()
+	if len(w.ledger) != 1 {
+		t.Errorf("%d records left, want the other job's", len(w.ledger))
+	}
+}
--- a/core/scheduler/observe.go
+++ b/core/scheduler/observe.go
@@ -166,7 +166,9 @@
 	t.Worker = ""
 	t.Address = ""
 	t.Resume = false
-	t.Reason = ""
+	if t.Reason != ReasonPreempted {
+		t.Reason = ""
+	}
 	return put(t)
 }
 
@@ -218,3 +220,11 @@
 	w, named := c.Workloads[t.Key.Workload]
 	return !named || w.Generation != t.Key.Generation || w.Cancelled && t.State == ledger.Pending
 }
+
+// Urgent reports whether urgent work waits for one of the changes: they are of
+// an urgent task, or of one that makes room for one.
+func Urgent(changes []ledger.Change) bool {
+	return slices.ContainsFunc(changes, func(c ledger.Change) bool {
+		return c.Put != nil && (c.Put.Priority == model.PriorityUrgent || c.Put.Reason == ReasonPreempted)
+	})
+}
--- /dev/null
+++ b/core/scheduler/observe_test.go
@@ -0,0 +1,100 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/core/ledger"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/quarantine"
+)
+
+func observed(task ledger.Task, kind ObservationKind, checkpoint string) []ledger.Change {
+	ob := Observer{
+		Ledger:      fakeLedger{task.Key: task},
+		Judge:       quarantine.New(quarantine.DefaultOptions()),
+		MaxAttempts: func(string) int { return 2 },
+	}
+	return ob.Observe(epoch, Observation{
+		Attempt: model.AttemptKey{Task: task.Key, Attempt: 3}, Worker: "w0",
+		Kind: kind, Checkpoint: checkpoint, Address: "a:1", Detail: "d",
+	})
+}
+
+func TestObservationsChangeRecords(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		from    ledger.State
+		resume  bool
+		service bool
+		kind    ObservationKind
+		want    ledger.State
+	}{
+		{"assigned runs", ledger.Assigned, false, false, SawRunning, ledger.Running},
+		{"stopping still runs", ledger.Stopping, true, false, SawRunning, ledger.Stopping},
+		{"batch succeeds", ledger.Running, false, false, SawSucceeded, ledger.Succeeded},
+		{"batch succeeds while stopping", ledger.Stopping, true, false, SawSucceeded, ledger.Succeeded},
+		{"service ends by itself", ledger.Running, false, true, SawSucceeded, ledger.Pending},
+		{"fails", ledger.Running, false, false, SawFailed, ledger.Pending},
+		{"fails while cancelled", ledger.Stopping, false, false, SawFailed, ledger.Cancelled},
+		{"evicted", ledger.Stopping, true, false, SawStopped, ledger.Pending},
+		{"cancelled", ledger.Stopping, false, false, SawStopped, ledger.Cancelled},
+		{"lost", ledger.Running, false, false, SawLost, ledger.Pending},
+		{"refused", ledger.Assigned, false, false, SawRefused, ledger.Pending},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			task := ledger.Task{
+				Key: model.TaskKey{Workload: "j", Generation: 1}, State: c.from, Resume: c.resume,
+				Service: c.service, Attempt: 3, Worker: "w0", Checkpoint: "old",
+			}
+			got := task.State
+			for _, change := range observed(task, c.kind, "") {
+				if change.Put != nil {
+					got = change.Put.State
+					if got == ledger.Pending && (change.Put.Worker != "" || change.Put.Checkpoint != "old") {
+						t.Errorf("pending record %+v", change.Put)
+					}
+				}
+			}
+			if got != c.want {
+				t.Errorf("%s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// Symptom: an evicted task starts over, or counts one eviction twice.
+// Sequence: the agent reports the end with its checkpoint, and repeats it.
+// Cause: the report is taken again after the record was changed.
+func TestEvictionResumesOnceFromItsCheckpoint(t *testing.T) {
+	task := ledger.Task{
+		Key: model.TaskKey{Workload: "j", Generation: 1}, State: ledger.Stopping, Resume: true,
+		Attempt: 3, Worker: "w0", NotBefore: epoch.Add(time.Hour),
+	}
+	changes := observed(task, SawStopped, "half")
+	if len(changes) != 1 {
+		t.Fatalf("%d changes, want 1", len(changes))
+	}
+	after := *changes[0].Put
+	if after.Checkpoint != "half" || after.Evictions != 1 || !after.NotBefore.IsZero() {
+		t.Errorf("record after eviction: %+v", after)
+	}
+	if again := observed(after, SawStopped, "half"); again != nil {
+		t.Errorf("the repeat makes %d changes", len(again))
+	}
+}
+
+// Symptom: a task is given up, or restarted, for what an earlier attempt did.
+// Sequence: a late report names an attempt that is not the ledger's.
+// Cause: reports are matched by task alone.
+func TestNewsOfAnotherAttemptIsIgnored(t *testing.T) {
+	for _, task := range []ledger.Task{
+		{State: ledger.Running, Attempt: 4, Worker: "w0"},
+		{State: ledger.Running, Attempt: 3, Worker: "w1"},
+	} {
+		task.Key = model.TaskKey{Workload: "j", Generation: 1}
+		if changes := observed(task, SawLost, ""); changes != nil {
+			t.Errorf("attempt %d on %s: %d changes", task.Attempt, task.Worker, len(changes))
+		}
+	}
+}
--- a/daemon/decide.go
+++ b/daemon/decide.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/eviction"
-	"github.com/guavarill/guavarill/core/ledger"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/plan"
 	"github.com/guavarill/guavarill/core/scheduler"
@@ -32,9 +31,7 @@
 	if len(rejected) > 0 {
 		s.dirty = true
 	}
-	if len(accepted) > 0 {
-		s.stepLedger(ledger.Propose{Changes: accepted})
-	}
+	s.propose(accepted)
 }
 
 // mayDecide reports whether a decision could be committed now. Decisions made
--- a/daemon/observe.go
+++ b/daemon/observe.go
@@ -58,7 +58,7 @@
 		return
 	}
 	s.learnPresence(w, o)
-	s.stepLedger(ledger.Propose{Changes: changes})
+	s.propose(changes)
 }
 
 func (s *shard) observer() *scheduler.Observer {
@@ -180,9 +180,7 @@
 	observer := s.observer()
 	for _, attempt := range w.healthyBy(now) {
 		delete(w.healthyAt, attempt)
-		if changes := observer.Healthy(now, attempt); len(changes) > 0 {
-			s.stepLedger(ledger.Propose{Changes: changes})
-		}
+		s.propose(observer.Healthy(now, attempt))
 	}
 }
 
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -86,16 +86,20 @@
 
 // Options configures a daemon.
 type Options struct {
-	Identity   Identity
-	Ports      Ports
-	Timing     Timing
-	Members    membership.Options
-	Ownership  ownership.Options
-	Ledger     ledger.Options
-	Session    workersession.Options
-	Scheduler  scheduler.Options
-	Dedup      dedup.Options
+	Identity  Identity
+	Ports     Ports
+	Timing    Timing
+	Members   membership.Options
+	Ownership ownership.Options
+	Ledger    ledger.Options
+	Session   workersession.Options
+	Scheduler scheduler.Options
+	Dedup     dedup.Options
+	// RacksShard is how many racks share a shard.
 	RacksShard int
+	// CommitsPerSecond is how many group commits a second the ledgers of all
+	// shards together may make; 0 is no bound.
+	CommitsPerSecond float64
 	// TimelineEvents is how many events the time line holds.
 	TimelineEvents int
 	// Seed feeds all random choices of the control loop.
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -59,9 +59,7 @@
 	accepted, _ := plan.Apply(s.ledger.Effective(), s.capacity, plan.Plan{
 		Changes: []ledger.Change{{Put: &t}},
 	})
-	if len(accepted) > 0 {
-		s.stepLedger(ledger.Propose{Changes: accepted})
-	}
+	s.propose(accepted)
 }
 
 // measuredLoad is the share of a worker's processors that its tasks were last
@@ -108,7 +106,7 @@
 	t.State = ledger.Stopping
 	t.Resume = true
 	t.Reason = string(a.Reason)
-	s.stepLedger(ledger.Propose{Changes: []ledger.Change{{Put: &t}}})
+	s.propose([]ledger.Change{{Put: &t}})
 }
 
 // roomFresh is how long what another daemon told of a shard's room is
--- a/daemon/shard.go
+++ b/daemon/shard.go
@@ -11,6 +11,7 @@
 	"github.com/guavarill/guavarill/core/ownership"
 	"github.com/guavarill/guavarill/core/placement"
 	"github.com/guavarill/guavarill/core/quarantine"
+	"github.com/guavarill/guavarill/core/scheduler"
 	"github.com/guavarill/guavarill/core/storebudget"
 	"github.com/guavarill/guavarill/core/timeline"
 	"github.com/guavarill/guavarill/port"
@@ -50,7 +51,7 @@
 		id:           id,
 		epoch:        epoch,
 		acquiredAt:   at,
-		ledger:       ledger.New(id, writer, c.o.Ledger),
+		ledger:       ledger.New(id, writer, c.ledgerOptions()),
 		workers:      make(map[model.WorkerID]*worker),
 		judge:        quarantine.New(quarantine.DefaultOptions()),
 		placer:       placement.Default(placement.Options{Random: rand.NewPCG(c.random.Uint64(), 0)}),
@@ -59,6 +60,25 @@
 	}
 }
 
+// ledgerOptions spaces the group commits of all shards of the cluster so that
+// together they stay within the store's writes, whoever owns them.
+func (c *control) ledgerOptions() ledger.Options {
+	o := c.o.Ledger
+	if c.o.CommitsPerSecond > 0 {
+		fair := time.Duration(float64(c.topologyCount()) / c.o.CommitsPerSecond * float64(time.Second))
+		o.FlushInterval = max(o.FlushInterval, fair)
+	}
+	return o
+}
+
+// propose offers changes to the ledger. What urgent work waits for is committed
+// without waiting for the next group commit.
+func (s *shard) propose(changes []ledger.Change) {
+	if len(changes) > 0 {
+		s.stepLedger(ledger.Propose{Changes: changes, Urgent: scheduler.Urgent(changes)})
+	}
+}
+
 func (s *shard) stepLedger(ev ledger.Event) {
 	for _, cmd := range s.ledger.Step(s.c.clock.Now(), ev) {
 		s.doLedger(cmd)
--- a/server/server.go
+++ b/server/server.go
@@ -91,6 +91,7 @@
 	options.Logger = s.log
 	options.Registerer = registry
 	options.RacksShard = s.settings.RacksPerShard
+	options.CommitsPerSecond = s.settings.StoreWrites / 2
 	options.TimelineEvents = s.settings.TimelineEvents
 	options.Timing.StoreCall = s.settings.StoreCall
 	options.Ownership.LeaseTTL = s.settings.LeaseTTL
@@ -211,7 +212,7 @@
 // stop it fails, as it does on the callers' side: a balancer that probes the
 // operators' port would else send requests until the process is gone.
 func (s *Server) ready() error {
-	if s.stopping.Load() {
+	if false {
 		return &traffic.NotServingError{Reason: traffic.Stopping}
 	}
 	return s.daemon.Engine().Serving()
