--- a/adapter/grpcpeer/peer_test.go
+++ b/adapter/grpcpeer/peer_test.go
@@ -139,9 +139,8 @@
 // Sequence: a peer sends more than the bound. Cause: no bound.
 func TestMessageBound(t *testing.T) {
 	_, address := serve(t, ServerOptions{Cluster: "agency", MaxMessageBytes: 1024}, &handler{})
-	req := request()
-	req.Sender.AvailabilityZone = string(make([]byte, 2048))
-	_, err := client(t, ClientOptions{Cluster: "agency"}).Exchange(context.Background(), address, req)
+	_, err := client(t, ClientOptions{Cluster: "agency"}).Claim(context.Background(), address,
+		&peerv1.ClaimRequest{RequestId: string(make([]byte, 2048))})
 	wantKind(t, err, port.PeerRefused)
 }
 
--- a/cli/exit_test.go
+++ b/cli/exit_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"maps"
 	"strings"
 	"testing"
 
@@ -122,11 +123,16 @@
 	if r := guavarill([]string{first, second}, "jobs"); r.code != ExitOK {
 		t.Errorf("all shards: exit code %d: %s", r.code, r.errOut)
 	}
-	moved := one.statuses[0]
-	moved.Owned = nil
-	one.statuses = []daemon.Status{one.statuses[0], moved}
-	if r := guavarill([]string{first, second}, "jobs"); r.code != ExitIncomplete || !strings.Contains(r.errOut, "[0]") {
-		t.Errorf("shard on the move: exit code %d: %s", r.code, r.errOut)
+	owned, given, again := one.statuses[0], one.statuses[0], one.statuses[0]
+	given.Owned = nil
+	again.Owned = []daemon.ShardStatus{{Shard: 0, Epoch: 13}}
+	for name, seen := range map[string][]daemon.Status{
+		"given up": {owned, given}, "taken over": {given, owned}, "lost and taken again": {owned, again},
+	} {
+		one.statuses = seen
+		if r := guavarill([]string{first, second}, "jobs"); r.code != ExitIncomplete || !strings.Contains(r.errOut, "[0]") {
+			t.Errorf("shard %s: exit code %d: %s", name, r.code, r.errOut)
+		}
 	}
 	one.statuses = []daemon.Status{{Daemon: "entry-1"}}
 	if r := guavarill([]string{first}, "jobs"); r.code != ExitIncomplete {
@@ -149,6 +155,30 @@
 	}
 }
 
+// Symptom: a task is in no list, and is neither lost nor cancelled.
+// Sequence: a shard hands it on; the other shard has not taken it up yet.
+// Cause: records of tasks that were handed on are left out of lists.
+func TestTasksOnTheWayAreListed(t *testing.T) {
+	answer := tasksAnswer{tasks: []daemon.TaskStatus{
+		{Task: "web@1/0", State: "moved", Shard: 0},
+		{Task: "web@1/0", State: "running", Shard: 1},
+		{Task: "web@1/1", State: "running", Shard: 0},
+		{Task: "web@1/1", State: "moved", Shard: 1},
+		{Task: "web@1/2", State: "moved", Shard: 0},
+		{Task: "web@1/2", State: "moved", Shard: 1},
+	}}
+	answer.before = daemon.Status{Shards: 2, Owned: []daemon.ShardStatus{{Shard: 0, Epoch: 4}, {Shard: 1, Epoch: 5}}}
+	answer.after = answer.before
+	states := make(map[string]string)
+	for _, task := range collect([]tasksAnswer{answer}).tasks {
+		states[task.Task] += task.State
+	}
+	want := map[string]string{"web@1/0": "running", "web@1/1": "running", "web@1/2": "moved"}
+	if !maps.Equal(states, want) {
+		t.Errorf("%v", states)
+	}
+}
+
 // Symptom: a release goes on while a daemon still serves the old
 // configuration.
 // Sequence: a manifest is accepted; one daemon is suspect, and in truth slow.
--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -100,10 +100,9 @@
 }
 
 // collect merges what the daemons say. Of two that both claim a shard the one
-// with the higher epoch owns it. Records of tasks that were handed to another
-// shard are left out.
+// with the higher epoch owns it.
 func collect(answers []tasksAnswer) collected {
-	all := collected{tasks: []daemon.TaskStatus{}}
+	all := collected{}
 	owner := make(map[model.ShardID]int)
 	epochs := make(map[model.ShardID]model.Epoch)
 	for i, answer := range answers {
@@ -116,7 +115,7 @@
 	}
 	for i, answer := range answers {
 		for _, t := range answer.tasks {
-			if o, owned := owner[t.Shard]; owned && o == i && t.State != ledger.Moved.String() {
+			if o, owned := owner[t.Shard]; owned && o == i {
 				all.tasks = append(all.tasks, t)
 			}
 		}
@@ -126,10 +125,28 @@
 			all.missing = append(all.missing, shard)
 		}
 	}
-	slices.SortFunc(all.tasks, func(x, y daemon.TaskStatus) int { return strings.Compare(x.Task, y.Task) })
+	all.tasks = oncePerTask(all.tasks)
 	return all
 }
 
+// oncePerTask returns one record of each task, by name. The shard that handed a
+// task on keeps a record of that. It is left out when another shard has the
+// task; but until that one has taken the task up it is the only trace, and a
+// task left out then would look lost.
+func oncePerTask(records []daemon.TaskStatus) []daemon.TaskStatus {
+	byTask := make(map[string]daemon.TaskStatus, len(records))
+	for _, t := range records {
+		if known, ok := byTask[t.Task]; !ok || known.State == ledger.Moved.String() {
+			byTask[t.Task] = t
+		}
+	}
+	tasks := make([]daemon.TaskStatus, 0, len(byTask))
+	for _, name := range slices.Sorted(maps.Keys(byTask)) {
+		tasks = append(tasks, byTask[name])
+	}
+	return tasks
+}
+
 func (c collected) incomplete() error {
 	switch {
 	case c.shards == 0:
--- a/cmd/guavarilld/main.go
+++ b/cmd/guavarilld/main.go
@@ -31,16 +31,17 @@
 	exitSettings = 2
 )
 
-func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) }
 
-func run(args []string, out, errOut io.Writer) int {
+// run runs the daemon until a signal, a drain or the end of ctx.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	log := logrus.New()
 	log.SetOutput(errOut)
 	srv, err := start(args, log)
 	if err != nil {
 		return report(err, log, out, errOut)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	// From the first signal on, signals have their usual effect again.
 	context.AfterFunc(ctx, stop)
@@ -52,9 +53,9 @@
 }
 
 // start returns a process that listens. An error is a *flags.Error, a
-// *HostNameError, a *settings.InvalidError or a *server.StartError.
+// *settings.HostNameError, a *settings.InvalidError or a *server.StartError.
 func start(args []string, log *logrus.Logger) (*server.Server, error) {
-	s, err := parse(args)
+	s, err := settings.Parse(args)
 	if err != nil {
 		return nil, err
 	}
@@ -62,37 +63,6 @@
 	return server.New(s, log)
 }
 
-func parse(args []string) (settings.Daemon, error) {
-	var s settings.Daemon
-	parser := flags.NewParser(&s, flags.HelpFlag|flags.PassDoubleDash)
-	parser.Name = "guavarilld"
-	rest, err := parser.ParseArgs(args)
-	if err != nil {
-		return s, err
-	}
-	// Taken in silence, a flag that lost its dashes would leave the daemon
-	// with a default that nobody chose.
-	if len(rest) > 0 {
-		return s, &flags.Error{Type: flags.ErrUnknown, Message: fmt.Sprintf("unexpected argument %q", rest[0])}
-	}
-	if s.ID == "" {
-		s.ID, err = os.Hostname()
-		if err != nil {
-			return s, &HostNameError{Cause: err}
-		}
-	}
-	return s, nil
-}
-
-// HostNameError says that the VM's name, which --id defaults to, is not known.
-type HostNameError struct{ Cause error }
-
-// Error implements error.
-func (e *HostNameError) Error() string { return "host name for --id: " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *HostNameError) Unwrap() error { return e.Cause }
-
 // report says why the daemon does not start and returns the exit code.
 func report(err error, log *logrus.Logger, out, errOut io.Writer) int {
 	var wrong *settings.InvalidError
--- a/cmd/guavarilld/main_test.go
+++ b/cmd/guavarilld/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -11,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavarill/guavarill/server"
-	"github.com/guavarill/guavarill/settings"
 )
 
 func arguments(more ...string) []string {
@@ -19,6 +19,7 @@
 		"--cluster=c", "--id=entry-1", "--zone=a",
 		"--listen-callers=127.0.0.1:0", "--listen-admin=127.0.0.1:0", "--listen-peers=127.0.0.1:0",
 		"--store=127.0.0.1:1", "--vm-list=http://127.0.0.1:1/",
+		"--balancer-notice=1ms", "--drain-timeout=100ms",
 	}, more...)
 }
 
@@ -28,6 +29,9 @@
 		t.Fatal(err)
 	}
 	defer taken.Close()
+	// A daemon that starts although it should not stops at once.
+	ended, end := context.WithCancel(context.Background())
+	end()
 	for _, c := range []struct {
 		name string
 		args []string
@@ -46,7 +50,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var out, errOut strings.Builder
-			if code := run(c.args, &out, &errOut); code != c.code {
+			if code := run(ended, c.args, &out, &errOut); code != c.code {
 				t.Errorf("exit code %d, want %d", code, c.code)
 			}
 			if text := out.String() + errOut.String(); !strings.Contains(text, c.says) {
@@ -92,18 +96,3 @@
 	defer l.Close()
 	return l.Addr().String()
 }
-
-func TestSettingsComeFromTheEnvironment(t *testing.T) {
-	t.Setenv("GUAVARILL_ZONE", "from-environment")
-	s, err := parse([]string{"--cluster=c"})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if s.Zone != "from-environment" {
-		t.Errorf("zone %q", s.Zone)
-	}
-	var invalid *settings.InvalidError
-	if err := s.Check(); !errors.As(err, &invalid) {
-		t.Errorf("error %v", err)
-	}
-}
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -109,8 +109,10 @@
 	if v := offer(now, model.PriorityNormal); v.Reason != ReasonOverload || v.RetryAfter <= 0 {
 		t.Fatalf("normal request in overload: %+v", v)
 	}
-	if v := offer(now, model.PriorityUrgent); v.Outcome != Queued {
-		t.Fatalf("urgent request in overload: %+v", v)
+	for range 20 {
+		if v := offer(now, model.PriorityUrgent); v.Outcome != Queued {
+			t.Fatalf("urgent request in overload: %+v", v)
+		}
 	}
 	for q.Len() > 0 {
 		q.SetSlots(1, 10)
@@ -214,6 +216,21 @@
 	}
 }
 
+// Symptom: low-priority requests that came early run out of time while later
+// ones are served. Sequence: slow slots go to the last in line; new ones of
+// low priority keep coming. Cause: the newest is always taken for the last.
+func TestLastIsTheOneThatIsOvertaken(t *testing.T) {
+	q := full(Options{}, 8)
+	mustQueue(t, q, start, ticket(1, model.PriorityLow), ticket(2, model.PriorityLow))
+	if last, _ := q.Last(); last.ID != 2 {
+		t.Errorf("of one priority the last is %d", last.ID)
+	}
+	mustQueue(t, q, start, ticket(3, model.PriorityNormal))
+	if last, _ := q.Last(); last.ID != 1 {
+		t.Errorf("with higher ones waiting the last is %d", last.ID)
+	}
+}
+
 func TestObserveMovesThePrediction(t *testing.T) {
 	q := full(Options{}, 1)
 	mustQueue(t, q, start, ticket(1, model.PriorityNormal))
--- a/core/dissemination/spread_test.go
+++ b/core/dissemination/spread_test.go
@@ -309,8 +309,8 @@
 		t.Logf("%d daemons: idle %.0f B/s (busiest %d B/s) and %.2f messages/s; a change of %d B: %.0f B and %.2f messages a daemon",
 			size, float64(idle)/float64(size)/seconds, idleMost/seconds, float64(idleSent)/float64(size)/seconds,
 			proto.Size(list), perChange, (float64(busySent)-float64(idleSent)*busySeconds/seconds)/changes/float64(size))
-		if idleMost/seconds > 1024 {
-			t.Errorf("%d daemons: %d B/s idle", size, idleMost/seconds)
+		if idleMost/seconds > 1024 || idle/size/seconds > 300 {
+			t.Errorf("%d daemons: %d B/s idle, %d B/s the busiest", size, idle/size/seconds, idleMost/seconds)
 		}
 		if perChange > 2*float64(proto.Size(list)) {
 			t.Errorf("%d daemons: %.0f B per change of %d B", size, perChange, proto.Size(list))
--- a/core/shares/deal.go
+++ b/core/shares/deal.go
@@ -210,7 +210,7 @@
 }
 
 func (d *deal) give(t, e, n int) {
-	n = min(n, d.entries[e].left, d.targets[t].left)
+	n = min(n, d.targets[t].left)
 	d.given[t*len(d.entries)+e] += int32(n)
 	d.entries[e].left -= n
 	d.targets[t].left -= n
--- a/core/shares/shares_test.go
+++ b/core/shares/shares_test.go
@@ -148,7 +148,7 @@
 				lost += max(s.Slots-after[e.ID][address].Slots, 0)
 			}
 		}
-		if lost > 400/5 {
+		if lost > 400/10 {
 			t.Errorf("without %s the others lose %d of 400 slots", entries[dead].ID, lost)
 		}
 	}
--- a/core/shares/tracker_test.go
+++ b/core/shares/tracker_test.go
@@ -222,7 +222,7 @@
 	changes, last := 0, uint32(0)
 	for i := range 600 {
 		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
-		d.Observe(now, 28+rnd.IntN(11)-5, 0)
+		d.Observe(now, 36+rnd.IntN(11)-5, 0)
 		if got := d.Publish(400, 7); got != last {
 			changes++
 			last = got
--- a/core/timeline/kind.go
+++ b/core/timeline/kind.go
@@ -56,6 +56,7 @@
 	TaskUnthrottled Kind = "task unthrottled"
 	TaskStopping    Kind = "task stopping"
 	TaskEvicted     Kind = "task evicted"
+	TaskPreempted   Kind = "task preempted"
 	TaskRetried     Kind = "task retried"
 	TaskSucceeded   Kind = "task succeeded"
 	TaskFailed      Kind = "task failed"
--- a/server/server.go
+++ b/server/server.go
@@ -212,7 +212,7 @@
 // stop it fails, as it does on the callers' side: a balancer that probes the
 // operators' port would else send requests until the process is gone.
 func (s *Server) ready() error {
-	if false {
+	if s.stopping.Load() {
 		return &traffic.NotServingError{Reason: traffic.Stopping}
 	}
 	return s.daemon.Engine().Serving()
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"testing"
 
 	flags "github.com/jessevdk/go-flags"
@@ -15,8 +16,8 @@
 
 func parse(t *testing.T, args ...string) Daemon {
 	t.Helper()
-	var d Daemon
-	if _, err := flags.NewParser(&d, flags.None).ParseArgs(append(good[:len(good):len(good)], args...)); err != nil {
+	d, err := Parse(append(good[:len(good):len(good)], args...))
+	if err != nil {
 		t.Fatal(err)
 	}
 	return d
@@ -38,7 +39,6 @@
 	}{
 		{"--cluster=", "cluster", "", Missing},
 		{"--cluster=Agency", "cluster", "Agency", NotName},
-		{"--id=", "id", "", Missing},
 		{"--id=vm.internal", "id", "vm.internal", NotName},
 		{"--zone=", "zone", "", Missing},
 		{"--zone=mvd a", "zone", "mvd a", NotName},
@@ -87,3 +87,34 @@
 		})
 	}
 }
+
+func TestSettingsComeFromTheEnvironment(t *testing.T) {
+	t.Setenv("GUAVARILL_ZONE", "from-environment")
+	d, err := Parse([]string{"--cluster=c"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d.Zone != "from-environment" {
+		t.Errorf("zone %q", d.Zone)
+	}
+}
+
+func TestIDDefaultsToTheHostName(t *testing.T) {
+	d := parse(t, "--id=")
+	name, err := os.Hostname()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d.ID != name {
+		t.Errorf("id %q, host name %q", d.ID, name)
+	}
+}
+
+func TestArgumentsThatAreNoFlagsAreRefused(t *testing.T) {
+	for _, arg := range []string{"lease-ttl=10s", "--lease=10s", "--lease-ttl=10", "--log-level=loud"} {
+		var wrong *flags.Error
+		if _, err := Parse([]string{arg}); !errors.As(err, &wrong) {
+			t.Errorf("%s: error %v", arg, err)
+		}
+	}
+}
--- a/traffic/engine_test.go
+++ b/traffic/engine_test.go
@@ -416,6 +416,38 @@
 	}
 }
 
+// Symptom: an entry refuses every request for want of capacity, for good, while
+// all instances are well. Events: all instances fall silent for a moment, and
+// the balancer takes each out of use until a request has tried it. Cause: with
+// no instance in use no request is let in that could try one.
+func TestServesAgainAfterAllWereSilent(t *testing.T) {
+	s := newSite(t, 2, 2, traffic.Options{}, traffic.Service{Retry: retry.Options{Burst: 1e6}})
+	for i := range 20 {
+		if _, err := s.engine.Do(context.Background(), newRequest(fmt.Sprintf("warm%d", i))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.setFault(target.Fault{Kind: target.Hang})
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			req := newRequest(fmt.Sprintf("silent%d", i))
+			req.Idempotent = true
+			req.Timeout = 300 * time.Millisecond
+			s.engine.Do(context.Background(), req) //nolint:errcheck // only to be silent
+		})
+	}
+	wg.Wait()
+	s.setFault(target.Fault{})
+	for _, state := range s.engine.TargetStates(orders) {
+		t.Logf("%s is %s", state.Address, state.State)
+	}
+	eventually(t, "a request is answered again", func() bool {
+		_, err := s.engine.Do(context.Background(), newRequest(""))
+		return err == nil
+	})
+}
+
 // Drain returns when the last request has its answer, not before.
 func TestDrain(t *testing.T) {
 	s := newSite(t, 1, 2, traffic.Options{}, traffic.Service{})
--- a/traffic/wait.go
+++ b/traffic/wait.go
@@ -46,7 +46,7 @@
 }
 
 func (s *service) offerLocked(now time.Time, w *waiter) *fate.Error {
-	s.queue.SetSlots(s.balancer.Free(), s.balancer.Slots())
+	s.setSlotsLocked()
 	v := s.queue.Offer(now, w.ticket)
 	if v.Evicted != nil {
 		s.refuseLocked(v.Evicted.ID, shedError(admission.ReasonEvicted, v.RetryAfter))
@@ -58,6 +58,25 @@
 	return nil
 }
 
+// setSlotsLocked tells the queue what there is to hand out. While the balancer
+// has taken every instance out of use, each is back only after a request has
+// tried it. With no slots the queue would let none in that could, and the entry
+// would refuse everything for good, however well the instances are.
+func (s *service) setSlotsLocked() {
+	free, total := s.balancer.Free(), s.balancer.Slots()
+	if total == 0 && s.mayTry() {
+		free, total = 1, 1
+	}
+	s.queue.SetSlots(free, total)
+}
+
+// mayTry reports whether an instance is there that is not leaving.
+func (s *service) mayTry() bool {
+	return slices.ContainsFunc(s.balancer.Snapshot(), func(t routing.TargetState) bool {
+		return !t.Leaving && t.Slots > 0
+	})
+}
+
 // refuseLocked ends the wait of a ticket that has left the queue.
 func (s *service) refuseLocked(id uint64, err *fate.Error) {
 	w, ok := s.waiters[id]
@@ -120,7 +139,7 @@
 // be worth it for the next in line, who soon gets a better one, can still serve
 // the one that has the longest to wait.
 func (s *service) dispatchOneLocked(now time.Time) bool {
-	s.queue.SetSlots(s.balancer.Free(), s.balancer.Slots())
+	s.setSlotsLocked()
 	next, ok, hopeless := s.queue.Next(now)
 	for _, h := range hopeless {
 		s.refuseLocked(h.ID, shedError(admission.ReasonDeadline, s.queue.RetryAfter(now, h)))
