--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -51,7 +51,10 @@
 		}
 	}
 	if len(r.failures) == maxFailures {
-		r.failures = append(r.failures[:0], r.failures[1:]...)
+		// The oldest stay: proof against the worker comes when their tasks have
+		// worked elsewhere. A worker that fails many at once would otherwise
+		// push its own evidence out before any of it is proven.
+		return
 	}
 	r.failures = append(r.failures, taskFailure{task, now})
 }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -168,6 +168,7 @@
 	c.countStoreSilence(now)
 	c.probeStore(now)
 	c.noticeStoreSilence(now)
+	c.offerCandidates(now)
 	c.stepOwner(ownership.Shards{Count: c.topologyCount()})
 	c.stepOwner(ownership.StoreSilence{ConfirmedAt: c.members.StoreSilentAt()})
 	c.stepOwner(ownership.Tick{})
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -146,7 +146,7 @@
 	before := c.view
 	c.view = c.members.View()
 	c.recordMembers(before)
-	c.stepOwner(ownership.Members{Candidates: c.view.Candidates()})
+	c.offerCandidates(c.clock.Now())
 	c.spreader.SetMembers(c.view.ForShares())
 	c.homes.setView(c.view)
 	c.tables.dirty = true
@@ -194,6 +194,23 @@
 	}
 }
 
+// offerCandidates says which daemons may own shards. One that cannot reach the
+// store can neither keep a shard nor acquire one: as the right owner of a shard
+// it would keep the others from stepping in until its tasks' leases are over.
+// While the store is silent here too, nobody is left out.
+func (c *control) offerCandidates(now time.Time) {
+	ids := c.view.Candidates()
+	if now.Sub(c.storeAnswered) < storeSilentAfter {
+		ids = slices.DeleteFunc(ids, c.cutOffFromStore)
+	}
+	c.stepOwner(ownership.Members{Candidates: ids})
+}
+
+func (c *control) cutOffFromStore(id model.DaemonID) bool {
+	m, known := c.members.View().Member(id)
+	return known && id != c.o.Identity.ID && m.StoreSilent >= storeSilentAfter
+}
+
 // tellMembers refreshes what this daemon says of itself.
 func (c *control) tellMembers(now time.Time) {
 	local := membership.Local{
--- a/daemon/serving.go
+++ b/daemon/serving.go
@@ -67,7 +67,7 @@
 func (c *control) heardMajority() bool {
 	others := 0
 	for _, m := range c.view.Members {
-		if m.ID != c.o.Identity.ID && m.State != membership.Dead {
+		if m.ID != c.o.Identity.ID {
 			others++
 		}
 	}
