Let a leaving instance finish its longest request

Cause: an instance was stopped a fixed 5 s after its stop was committed, of which entries may need 2 s to hear of it; a request of more than 3 s was cut off. The platform's list was read every 2 s and more, so that a VM leaving by the list alone was noticed late. Change: an instance drains for the entries' delay plus its service's timeout; the list is read every second.

--- a/core/scheduler/decide.go
+++ b/core/scheduler/decide.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/guavarill/guavarill/core/config"
 	"github.com/guavarill/guavarill/core/ledger"
 	"github.com/guavarill/guavarill/core/model"
@@ -58,11 +60,22 @@
 	t.Resume = resume
 	t.Reason = reason
 	if t.Service {
-		t.NotBefore = c.s.Now.Add(c.o.DrainDelay)
+		t.NotBefore = c.s.Now.Add(c.drainTime(t.Key.Workload))
 	}
 	c.put(t)
 }
 
+// drainTime is how long a service's instance goes on after its stop was
+// committed: until every entry has stopped sending to it, and then for as long
+// as a request may take. Stopped earlier, it would cut off the slow ones.
+func (c *cycle) drainTime(workload string) time.Duration {
+	longest := c.o.RequestTimeout
+	if w, known := c.s.Config.Workloads[workload]; known && w.Spec.Timeout > 0 {
+		longest = time.Duration(w.Spec.Timeout)
+	}
+	return c.o.DrainDelay + min(longest, c.o.MaxDrain)
+}
+
 // declared returns the accepted declaration that a task belongs to; false when
 // its generation is not the one in force or was cancelled.
 func (c *cycle) declared(key model.TaskKey) (config.AcceptedWorkload, bool) {
--- a/core/scheduler/snapshot.go
+++ b/core/scheduler/snapshot.go
@@ -13,10 +13,13 @@
 
 // Options are the scheduler's fixed settings.
 type Options struct {
-	// DrainDelay is how long a service's instance goes on after it was
-	// committed to stop, so that every entry has stopped sending to it and
-	// requests in flight finish.
+	// DrainDelay is how long entries may take to stop sending to an instance
+	// after its stop was committed.
 	DrainDelay time.Duration
+	// RequestTimeout is how long a request may take when its service declares
+	// no timeout, and MaxDrain the longest that is waited for.
+	RequestTimeout time.Duration
+	MaxDrain       time.Duration
 	// MaxStartsPerCycle bounds the placements of one cycle, and so the time
 	// it takes and the size of its commit.
 	MaxStartsPerCycle int
@@ -27,7 +30,9 @@
 // DefaultOptions suit shards of some tens of workers.
 func DefaultOptions() Options {
 	return Options{
-		DrainDelay:             5 * time.Second,
+		DrainDelay:             3 * time.Second,
+		RequestTimeout:         10 * time.Second,
+		MaxDrain:               60 * time.Second,
 		MaxStartsPerCycle:      512,
 		MaxPreemptionsPerCycle: 8,
 	}
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -74,7 +74,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Tick:           100 * time.Millisecond,
-		VMList:         2 * time.Second,
+		VMList:         time.Second,
 		ConfigPoll:     30 * time.Second,
 		Topology:       15 * time.Second,
 		Decide:         time.Second,
