Divide a service's slots only when its targets or entries changed

Cause: every daemon divided the slots of all services once a second, worked out to 0.64 s of its control loop at 2000 services and 300 entries, which also delays urgent starts. Change: a service is divided anew when its own targets or the entries changed; in between only shares that still grow are looked at. A daemon that knows no topology yet reads it every second, since it refuses manifests until then. The time line keeps 5000 events instead of 20000.

--- a/capacity/size.go
+++ b/capacity/size.go
@@ -72,7 +72,7 @@
 	tablesEvery     = 1.0
 	renewEvery      = 5.0
 	headroom        = 1.5
-	timelineEvents  = 20_000
+	timelineEvents  = 5_000
 	configWatchers  = 2
 	claimHomes      = 3
 	daySeconds      = 86_400
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -92,8 +92,8 @@
 // tables is what the engine was last given.
 type tables struct {
 	dirty    bool
-	trackers map[string]*shares.Tracker
-	services map[string]bool
+	services map[string]*serviceTable
+	entries  []shares.Entry
 	revision model.Revision
 }
 
@@ -122,10 +122,7 @@
 		peersHeard:   make(map[model.DaemonID]bool),
 		peerShards:   make(map[model.ShardID]peerShard),
 		inboxNotices: make(map[model.ShardID]bool),
-		tables: tables{
-			trackers: make(map[string]*shares.Tracker),
-			services: make(map[string]bool),
-		},
+		tables:       tables{services: make(map[string]*serviceTable)},
 	}
 	c.members = membership.New(membership.Member{
 		ID:          id.ID,
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -135,7 +135,7 @@
 		Session:        workersession.Options{OutageGrace: defaultOutageGrace},
 		Scheduler:      scheduler.DefaultOptions(),
 		RacksShard:     2,
-		TimelineEvents: 20000,
+		TimelineEvents: 5000,
 		Seed:           uint64(id.Started.UnixNano()),
 	}
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -123,6 +123,11 @@
 		return
 	}
 	c.takeTopology(ev.kv)
+	if c.topologyCount() == 0 {
+		// Another daemon may be writing the first topology: until it is known
+		// here, operators who ask this daemon are refused.
+		c.periods.topology = c.clock.Now().Add(c.jittered(retryRead))
+	}
 	c.extendTopology()
 }
 
--- a/daemon/tables.go
+++ b/daemon/tables.go
@@ -120,74 +120,116 @@
 	}
 }
 
-// updateTables gives the engine the services and targets in force: after a
-// change at once, and now and then so that shares grow.
+// serviceTable is what one service's targets were last divided into.
+type serviceTable struct {
+	tracker *shares.Tracker
+	targets []*peerv1.Target
+	desired []shares.Share
+	// settled is whether this entry uses all of its due share.
+	settled bool
+}
+
+// updateTables gives the engine the services and targets in force. Slots are
+// divided anew only for services whose targets or entries changed: the division
+// costs in proportion to targets and entries, and the control loop does nothing
+// else meanwhile. Between changes only growing shares are looked at.
 func (c *control) updateTables(now time.Time) {
-	if !c.tables.dirty && now.Before(c.periods.tables) {
+	if c.config.Current() == nil {
 		return
 	}
-	c.tables.dirty = false
-	c.periods.tables = now.Add(c.o.Timing.Tables)
-	current := c.config.Current()
-	if current == nil {
+	if c.tables.dirty {
+		c.tables.dirty = false
+		c.divideChanged(now)
 		return
 	}
-	c.configureServices()
-	byService := c.capacities()
+	if now.Before(c.periods.tables) {
+		return
+	}
+	c.periods.tables = now.Add(c.o.Timing.Tables)
+	for _, name := range sortedKeys(c.tables.services) {
+		if st := c.tables.services[name]; !st.settled {
+			c.giveTargets(now, name, st)
+		}
+	}
+}
+
+func (c *control) divideChanged(now time.Time) {
+	configured := c.configureServices()
+	entries := c.shareEntries()
+	all := configured || !slices.Equal(entries, c.tables.entries)
+	c.tables.entries = entries
+	byService := c.targetsByService()
 	for _, name := range sortedKeys(c.tables.services) {
-		c.engine.SetTargets(name, c.routingTargets(now, name, byService[name]))
+		st := c.tables.services[name]
+		if !all && slices.Equal(st.targets, byService[name]) {
+			continue
+		}
+		st.targets = byService[name]
+		st.desired = shares.Divide(entries, c.o.Identity.ID, c.capacities(name, st.targets))
+		c.giveTargets(now, name, st)
 	}
 }
 
+// giveTargets gives the engine this entry's part of a service's targets.
+func (c *control) giveTargets(now time.Time, name string, st *serviceTable) {
+	byAddress := make(map[string]*peerv1.Target, len(st.targets))
+	for _, t := range st.targets {
+		byAddress[t.GetAddress()] = t
+	}
+	current := st.tracker.Step(now, st.desired)
+	list := make([]routing.Target, 0, len(current))
+	for _, share := range current {
+		list = append(list, c.routingTarget(byAddress[share.Address], share))
+	}
+	st.settled = slices.Equal(current, st.desired)
+	c.engine.SetTargets(name, list)
+}
+
 // configureServices tells the engine of the declared services when the
-// configuration changed.
-func (c *control) configureServices() {
+// configuration changed, and reports whether it did.
+func (c *control) configureServices() bool {
 	current := c.config.Current()
 	if c.tables.revision == current.Revision {
-		return
+		return false
 	}
 	c.tables.revision = current.Revision
-	c.tables.services = make(map[string]bool)
+	tables := make(map[string]*serviceTable)
 	var services []traffic.Service
 	for _, name := range current.Names() {
 		w := current.Workloads[name]
 		if !w.Spec.IsService() || w.Cancelled {
 			continue
 		}
-		c.tables.services[name] = true
+		tables[name] = c.tables.services[name]
+		if tables[name] == nil {
+			tables[name] = &serviceTable{tracker: shares.NewTracker(c.o.Timing.ShareGrowDelay)}
+		}
 		services = append(services, traffic.Service{
 			Name:     name,
 			Timeout:  time.Duration(w.Spec.Timeout),
 			MaxQueue: w.Spec.MaxQueue,
 		})
 	}
-	for name := range c.tables.trackers {
-		if !c.tables.services[name] {
-			delete(c.tables.trackers, name)
-		}
-	}
+	c.tables.services = tables
 	c.engine.Configure(services)
+	return true
 }
 
-// capacities lists, per service, the targets known from all shards.
-func (c *control) capacities() map[string][]*peerv1.Target {
+// targetsByService lists, per service, the targets known from all shards.
+func (c *control) targetsByService() map[string][]*peerv1.Target {
 	byService := make(map[string][]*peerv1.Target)
 	for _, t := range c.table.Targets() {
-		if c.tables.services[t.GetService()] {
+		if c.tables.services[t.GetService()] != nil {
 			byService[t.GetService()] = append(byService[t.GetService()], t)
 		}
 	}
 	return byService
 }
 
-// routingTargets divides the targets' slots over the entries and returns this
-// entry's part.
-func (c *control) routingTargets(now time.Time, name string, targets []*peerv1.Target) []routing.Target {
+func (c *control) capacities(name string, targets []*peerv1.Target) []shares.Capacity {
 	spec := c.config.Current().Workloads[name].Spec
-	byAddress := make(map[string]*peerv1.Target, len(targets))
 	capacities := make([]shares.Capacity, 0, len(targets))
 	for _, t := range targets {
-		byAddress[t.GetAddress()] = t
 		capacities = append(capacities, shares.Capacity{
 			Address:     t.GetAddress(),
 			Zone:        model.Zone(t.GetAvailabilityZone()),
@@ -195,17 +237,7 @@
 			Connections: spec.Connections,
 		})
 	}
-	desired := shares.Divide(c.shareEntries(), c.o.Identity.ID, capacities)
-	tracker := c.tables.trackers[name]
-	if tracker == nil {
-		tracker = shares.NewTracker(c.o.Timing.ShareGrowDelay)
-		c.tables.trackers[name] = tracker
-	}
-	var list []routing.Target
-	for _, share := range tracker.Step(now, desired) {
-		list = append(list, c.routingTarget(byAddress[share.Address], share))
-	}
-	return list
+	return capacities
 }
 
 func (c *control) routingTarget(t *peerv1.Target, share shares.Share) routing.Target {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,6 @@
 	LogFormat string `long:"log-format" env:"GUAVARILL_LOG_FORMAT" default:"text" choice:"text" choice:"json" description:"form of log lines"`
 	LogLevel  string `long:"log-level" env:"GUAVARILL_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
 
-	TimelineEvents int    `long:"timeline-events" env:"GUAVARILL_TIMELINE_EVENTS" default:"20000" description:"events of the time line that are kept in memory"`
+	TimelineEvents int    `long:"timeline-events" env:"GUAVARILL_TIMELINE_EVENTS" default:"5000" description:"events of the time line that are kept in memory"`
 	Seed           uint64 `long:"seed" env:"GUAVARILL_SEED" description:"seed of random choices; 0 takes the time of the start"`
 }
