--- a/cli/exit_test.go
+++ b/cli/exit_test.go
@@ -123,11 +123,12 @@
 	if r := guavarill([]string{first, second}, "jobs"); r.code != ExitOK {
 		t.Errorf("all shards: exit code %d: %s", r.code, r.errOut)
 	}
-	owned, given, again := one.statuses[0], one.statuses[0], one.statuses[0]
+	owned, given, again, loading := one.statuses[0], one.statuses[0], one.statuses[0], one.statuses[0]
 	given.Owned = nil
-	again.Owned = []daemon.ShardStatus{{Shard: 0, Epoch: 13}}
+	loading.Owned = []daemon.ShardStatus{{Shard: 0, Epoch: 11}}
+	again.Owned = []daemon.ShardStatus{{Shard: 0, Loaded: true, Epoch: 13}}
 	for name, seen := range map[string][]daemon.Status{
-		"given up": {owned, given}, "taken over": {given, owned}, "lost and taken again": {owned, again},
+		"given up": {owned, given}, "taken over": {given, owned}, "lost and taken again": {owned, again}, "being loaded": {loading, owned},
 	} {
 		one.statuses = seen
 		if r := guavarill([]string{first, second}, "jobs"); r.code != ExitIncomplete || !strings.Contains(r.errOut, "[0]") {
@@ -142,10 +143,10 @@
 
 func TestTwoOwnersCountOnce(t *testing.T) {
 	old := tasksAnswer{tasks: []daemon.TaskStatus{{Task: "web@1/0", State: "running"}}}
-	old.before = daemon.Status{Shards: 1, Owned: []daemon.ShardStatus{{Shard: 0, Epoch: 4}}}
+	old.before = daemon.Status{Shards: 1, Owned: []daemon.ShardStatus{{Shard: 0, Loaded: true, Epoch: 4}}}
 	old.after = old.before
 	fresh := tasksAnswer{tasks: []daemon.TaskStatus{{Task: "web@1/0", State: "pending"}}}
-	fresh.before = daemon.Status{Shards: 1, Owned: []daemon.ShardStatus{{Shard: 0, Epoch: 9}}}
+	fresh.before = daemon.Status{Shards: 1, Owned: []daemon.ShardStatus{{Shard: 0, Loaded: true, Epoch: 9}}}
 	fresh.after = fresh.before
 	for _, answers := range [][]tasksAnswer{{old, fresh}, {fresh, old}} {
 		all := collect(answers)
@@ -167,7 +168,7 @@
 		{Task: "web@1/2", State: "moved", Shard: 0},
 		{Task: "web@1/2", State: "moved", Shard: 1},
 	}}
-	answer.before = daemon.Status{Shards: 2, Owned: []daemon.ShardStatus{{Shard: 0, Epoch: 4}, {Shard: 1, Epoch: 5}}}
+	answer.before = daemon.Status{Shards: 2, Owned: []daemon.ShardStatus{{Shard: 0, Loaded: true, Epoch: 4}, {Shard: 1, Loaded: true, Epoch: 5}}}
 	answer.after = answer.before
 	states := make(map[string]string)
 	for _, task := range collect([]tasksAnswer{answer}).tasks {
--- a/cli/golden_test.go
+++ b/cli/golden_test.go
@@ -23,7 +23,7 @@
 	one := &fakeDaemon{
 		statuses: []daemon.Status{{
 			Daemon: "entry-1", Zone: "a", Cluster: "c", Serving: true, Revision: 3, Shards: 2, Members: members,
-			Owned: []daemon.ShardStatus{{Shard: 0, Epoch: 11, Workers: []daemon.WorkerStatus{{
+			Owned: []daemon.ShardStatus{{Shard: 0, Loaded: true, Epoch: 11, Workers: []daemon.WorkerStatus{{
 				ID: "worker-00", Capacity: model.Resources{MilliCPU: 16000, MemoryMB: 61440},
 				Committed: model.Resources{MilliCPU: 4000, MemoryMB: 8192}, Tasks: 1, Leaving: true,
 			}}}},
@@ -38,7 +38,7 @@
 		statuses: []daemon.Status{{
 			Daemon: "entry-2", Zone: "b", Cluster: "c", Revision: 3, Shards: 2, Members: members,
 			Reason: "entry takes no requests: starting", StoreSilent: true,
-			Owned: []daemon.ShardStatus{{Shard: 1, Epoch: 12, Workers: []daemon.WorkerStatus{{
+			Owned: []daemon.ShardStatus{{Shard: 1, Loaded: true, Epoch: 12, Workers: []daemon.WorkerStatus{{
 				ID: "worker-01", Capacity: model.Resources{MilliCPU: 16000, MemoryMB: 61440},
 				Unreachable: true, Quarantine: "quarantined",
 			}}}},
--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -76,12 +76,14 @@
 }
 
 // steady returns the shards that the daemon owned all the while. A shard that
-// it gave up or took over meanwhile may be absent from its tasks, which would
-// then look complete.
+// it gave up, took over or still read the ledger of meanwhile may be absent from
+// its tasks, which would then look complete.
 func (t tasksAnswer) steady() map[model.ShardID]model.Epoch {
 	owned := make(map[model.ShardID]model.Epoch)
 	for _, s := range t.before.Owned {
-		owned[s.Shard] = s.Epoch
+		if s.Loaded {
+			owned[s.Shard] = s.Epoch
+		}
 	}
 	steady := make(map[model.ShardID]model.Epoch)
 	for _, s := range t.after.Owned {
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -34,6 +34,7 @@
 		reply: ev.reply,
 		op: config.NewApplyOp(request, config.ApplyOptions{
 			Key:           c.o.manifestKey(),
+			HeadKey:       c.o.manifestHeadKey(),
 			Deadline:      now.Add(c.o.Timing.ApplyDeadline),
 			RetryDelay:    applyRetryMin,
 			MaxRetryDelay: applyRetryMax,
@@ -137,8 +138,11 @@
 
 // ShardStatus is a shard as its owner sees it.
 type ShardStatus struct {
-	Shard    model.ShardID  `json:"shard"`
-	Epoch    model.Epoch    `json:"epoch"`
+	Shard model.ShardID `json:"shard"`
+	Epoch model.Epoch   `json:"epoch"`
+	// Loaded is false while the ledger is still being read: its tasks are then
+	// not known, which is not the same as none.
+	Loaded   bool           `json:"loaded"`
 	Sequence uint64         `json:"sequence"`
 	Tasks    map[string]int `json:"tasks"`
 	Workers  []WorkerStatus `json:"workers"`
@@ -202,6 +206,7 @@
 	st := ShardStatus{
 		Shard:    s.id,
 		Epoch:    s.epoch,
+		Loaded:   s.loaded,
 		Sequence: contents.Sequence(),
 		Tasks:    make(map[string]int),
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -80,7 +80,6 @@
 	site    *site.Site
 	daemons [daemonCount]*member
 	callers *callers
-	notes   []string
 }
 
 // member is one daemon of the demo; server is nil while it is down.
