Show that an hour's outage of the store ends nothing

Cause: the quorum for renewing through an outage had no proof with whole daemons. Seen failing: with renewals in an outage switched off the first one fails.

--- a/core/membership/kept_test.go
+++ b/core/membership/kept_test.go
@@ -66,6 +66,7 @@
 		"the answer was on its way":  {statement{155 * time.Second, 157 * time.Second, 51 * time.Second}, false},
 		"another time than the rest": {statement{250 * time.Second, 251 * time.Second, 60 * time.Second}, false},
 		"silent":                     {statement{155 * time.Second, 156 * time.Second, 0}, false},
+		"its word of an hour back":   {statement{time.Hour, time.Hour, time.Hour}, false},
 	}
 	for name, c := range cases {
 		m := newStoreTeller("a", "b", "c", "d")
