Work out the capacity anew after the division of slots changed

Cause: a shard's list comes whole, so every service in it looked changed; and the page still had the division of all services each second. Change: targets are compared by content; the page counts a division per changed service, and of all services when an entry comes or goes.

--- a/capacity/item.go
+++ b/capacity/item.go
@@ -71,9 +71,9 @@
 	return Table{Title: "Processor time", Unit: "% of a core", Limit: 100 * LimitCPU, Items: percent([]Item{
 		same(RoleProcess, "the process at rest", "`process.cpu`: ticks, timers, collector and calls of a daemon of seven", slope(ProcessCPU)/100, "`daemon`"),
 		{
-			Role: RoleEntry, What: "dividing all services' slots, once a second and at each change",
-			How:     "services × (`shares.divide` + `traffic.service-update`) + targets × `dissemination.target-scan` + own targets × `shares.tracker-cpu`",
-			Today:   s.Stall() / tablesEvery,
+			Role: RoleEntry, What: "dividing slots: of one service when its targets change, of all when the entries do",
+			How:     "list changes/s × (targets × `dissemination.target-scan` + `shares.divide` + `traffic.service-update`) + changes of entries/s × services × (`shares.divide` + `traffic.service-update`)",
+			Today:   s.ListChanges()*s.ListStall() + s.EntryChanges()*s.Stall(),
 			After:   nanos * s.ListChanges() * s.ListTargets() * held * (slope(DivideCPU50) + slope(EngineCPU)),
 			Carrier: "`core/shares`, `daemon/tables.go`", Change: "C1",
 		},
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -60,6 +60,7 @@
 	"n0": func(v float64) string { return thousands(fmt.Sprintf("%.0f", v)) },
 	"n1": func(v float64) string { return thousands(fmt.Sprintf("%.1f", v)) },
 	"n2": func(v float64) string { return thousands(fmt.Sprintf("%.2f", v)) },
+	"n3": func(v float64) string { return thousands(fmt.Sprintf("%.3f", v)) },
 	"kb": func(v float64) string { return thousands(fmt.Sprintf("%.1f", v/1024)) },
 	"mb": func(v float64) string { return thousands(fmt.Sprintf("%.1f", v/mebibyte)) },
 	"pct": func(v float64) string {
--- a/capacity/storm.go
+++ b/capacity/storm.go
@@ -63,14 +63,28 @@
 	return l
 }
 
-// Stall is the seconds for which one update of the engine's tables holds up
-// the control loop, today.
+// Stall is the seconds for which a change of the members holds up the control
+// loop, today: the slots of all services are divided anew.
 func (s Size) Stall() float64 {
 	perService := DivideCPU(s.Entries) + slope(EngineCPU)
 	scan := float64(s.ServiceTasks) * slope(TargetScanCPU)
 	return nanos * (float64(s.Services)*perService + scan + s.EntryTargets()*slope(TrackerCPU))
 }
 
+// ListStall is the seconds for which a change of one service's targets holds up
+// the control loop, today.
+func (s Size) ListStall() float64 {
+	scan := float64(s.ServiceTasks) * slope(TargetScanCPU)
+	return nanos * (scan + DivideCPU(s.Entries) + slope(EngineCPU))
+}
+
+// EntryChanges is how often a second the entries change, each replaced one
+// coming and going.
+func (s Size) EntryChanges() float64 {
+	entries := float64(s.Entries)
+	return 2 * s.ReplacedPerDay * entries / (entries + float64(s.Workers)) / daySeconds
+}
+
 // Hops is how many pushes deep the tree of all daemons is.
 func (s Size) Hops() float64 {
 	return math.Ceil(math.Log(float64(s.Entries)*(fanout-1)+1)/math.Log(fanout)) - 1
@@ -78,8 +92,9 @@
 
 // UrgentToday is the longest a start waits for busy control loops, from the
 // acceptance to the command to the worker: at each hop of the push, at the tick
-// that decides, and at the commit's answer.
-func (s Size) UrgentToday() float64 { return (s.Hops()+2)*s.Stall() + 0.1 }
+// that decides, and at the commit's answer; and once for a change of the
+// members, which holds up all of them together.
+func (s Size) UrgentToday() float64 { return s.Stall() + (s.Hops()+2)*s.ListStall() + 0.1 }
 
 // ReturnSeconds is how long the owners need, after an outage in which all
 // leases lapsed, for a grant and an acquisition each, while the writes ramp up.
--- a/daemon/tables.go
+++ b/daemon/tables.go
@@ -64,9 +64,7 @@
 
 func (s *shard) sameTargets(list *peerv1.ShardTargets) bool {
 	before := s.published.list
-	return before != nil && slices.EqualFunc(before.Targets, list.Targets, func(a, b *peerv1.Target) bool {
-		return proto.Equal(a, b)
-	})
+	return before != nil && slices.EqualFunc(before.Targets, list.Targets, sameTarget)
 }
 
 func (s *shard) recordTargets(list *peerv1.ShardTargets) {
@@ -161,7 +159,7 @@
 	byService := c.targetsByService()
 	for _, name := range sortedKeys(c.tables.services) {
 		st := c.tables.services[name]
-		if !all && slices.Equal(st.targets, byService[name]) {
+		if !all && slices.EqualFunc(st.targets, byService[name], sameTarget) {
 			continue
 		}
 		st.targets = byService[name]
@@ -170,6 +168,11 @@
 	}
 }
 
+// sameTarget reports whether two records say the same. A shard's list comes
+// whole with every change, so most records of a new list are new messages with
+// old content.
+func sameTarget(a, b *peerv1.Target) bool { return a == b || proto.Equal(a, b) }
+
 // giveTargets gives the engine this entry's part of a service's targets.
 func (c *control) giveTargets(now time.Time, name string, st *serviceTable) {
 	byAddress := make(map[string]*peerv1.Target, len(st.targets))
