--- a/core/routing/balancer.go
+++ b/core/routing/balancer.go
@@ -195,10 +195,13 @@
 // TargetState is what the balancer believes of one target, for metrics and
 // operators.
 type TargetState struct {
-	Address  string
-	State    State
-	Leaving  bool
+	Address string
+	State   State
+	Leaving bool
+	// InFlight counts exchanges, and Held the slots of those given up as
+	// silent that the target may still be at work on.
 	InFlight int
+	Held     int
 	Slots    int
 	// Allowance is how many of Slots may be used now.
 	Allowance int
@@ -216,7 +219,8 @@
 			Address:     t.Address,
 			State:       t.state,
 			Leaving:     t.Leaving,
-			InFlight:    t.inflight,
+			InFlight:    t.inflight - t.held,
+			Held:        t.held,
 			Slots:       t.Slots,
 			Allowance:   min(t.allowance, t.limit()),
 			Latency:     time.Duration(t.fast),
--- a/core/routing/balancer_test.go
+++ b/core/routing/balancer_test.go
@@ -97,6 +97,19 @@
 	}
 }
 
+// Symptom: at low load one instance gets everything, and others nothing for
+// hours. Sequence: one answers quicker than what is assumed of those that were
+// never asked. Cause: the assumption is never put to the test.
+func TestUnprovenTargetsAreTried(t *testing.T) {
+	x := newBench(t, targets(4, 4))
+	served := x.serve(100, func(string) Result { return Result{Latency: time.Millisecond / 4} })
+	for _, target := range targets(4, 4) {
+		if served[target.Address] < minSamples {
+			t.Errorf("%s got %d of 100 requests", target.Address, served[target.Address])
+		}
+	}
+}
+
 // Symptom: requests reach an instance that is shutting down. Sequence: a sign
 // says that it leaves; the list of targets, which lags, still shows it.
 // Cause: the list is believed over the sign.
@@ -231,7 +244,7 @@
 
 	x.now = x.now.Add(lost.SilenceAfter())
 	lost.Overdue(x.now)
-	if s := x.state("10.0.0.0:80"); s.State != Suspect || s.InFlight != 1 {
+	if s := x.state("10.0.0.0:80"); s.State != Suspect || s.InFlight != 0 || s.Held != 1 {
 		t.Fatalf("after a silence: %+v", s)
 	}
 	proof, ok := x.pick(Query{NonIdempotent: true})
@@ -247,7 +260,7 @@
 	}
 	x.now = x.now.Add(maxLimbo)
 	lost.Done(x.now, Result{Outcome: Silent})
-	if s := x.state("10.0.0.0:80"); s.State != Healthy || s.InFlight != 0 {
+	if s := x.state("10.0.0.0:80"); s.State != Healthy || s.InFlight+s.Held != 0 {
 		t.Errorf("the end of the lost exchange was held against the target: %+v", s)
 	}
 }
@@ -353,8 +366,8 @@
 				held = append(held, c)
 			}
 			for _, s := range x.b.Snapshot() {
-				if s.InFlight > 3 {
-					return fmt.Sprintf("%d in flight at %s", s.InFlight, s.Address)
+				if s.InFlight+s.Held > 3 {
+					return fmt.Sprintf("%+v", s)
 				}
 			}
 			if len(held) > 0 && x.rnd.IntN(2) == 0 {
@@ -368,8 +381,8 @@
 		}
 		x.b.Update(x.now.Add(maxLimbo), targets(6, 3))
 		for _, s := range x.b.Snapshot() {
-			if s.InFlight != 0 {
-				return fmt.Sprintf("%d in flight at %s in the end", s.InFlight, s.Address)
+			if s.InFlight+s.Held != 0 {
+				return fmt.Sprintf("in the end %+v", s)
 			}
 		}
 		return ""
@@ -400,8 +413,8 @@
 	wg.Wait()
 	b.Update(start.Add(time.Hour), targets(20, 4))
 	for _, s := range b.Snapshot() {
-		if s.InFlight != 0 {
-			t.Errorf("%d in flight at %s", s.InFlight, s.Address)
+		if s.InFlight+s.Held != 0 {
+			t.Errorf("in the end %+v", s)
 		}
 	}
 }
--- a/core/routing/limbo.go
+++ b/core/routing/limbo.go
@@ -26,6 +26,7 @@
 		c.t.inflight--
 		return
 	}
+	c.t.held++
 	c.limbo = &limboSlot{t: c.t, until: now.Add(min(now.Sub(c.started), maxLimbo))}
 	b.limbo = append(b.limbo, c.limbo)
 	if len(b.limbo) == 1 || c.limbo.until.Before(b.limboNext) {
@@ -59,5 +60,6 @@
 	}
 	s.over = true
 	s.t.inflight--
+	s.t.held--
 	b.tiers.place(s.t)
 }
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -18,7 +18,7 @@
 		if t == nil {
 			continue
 		}
-		if !b.tiers.worthIt(kind, t.latency(float64(b.o.InitialLatency)), q.Ahead, float64(b.o.InitialLatency)) {
+		if !b.tiers.worthIt(kind, t.latency(b.usual()), q.Ahead, b.usual()) {
 			return nil, false
 		}
 		return b.take(now, t), true
@@ -82,7 +82,15 @@
 // cost is the expected latency, raised by how much of the target is in use.
 func (b *Balancer) cost(t *target) float64 {
 	used := float64(t.inflight) / float64(t.limit())
-	return t.latency(float64(b.o.InitialLatency)) * (1 + used)
+	return t.latency(b.usual()) * (1 + used)
+}
+
+// usual is the mean latency of all answers, or what is assumed before any.
+func (b *Balancer) usual() float64 {
+	if b.mean > 0 {
+		return b.mean
+	}
+	return float64(b.o.InitialLatency)
 }
 
 func avoided(q Query, t *target) bool {
--- a/core/routing/target.go
+++ b/core/routing/target.go
@@ -55,7 +55,8 @@
 	gone bool
 	// lastResort targets should rest, but too many others do.
 	lastResort bool
-	inflight   int
+	inflight   int // slots taken, the held ones included
+	held       int // slots in limbo
 	// allowance is how many slots may be used now: it doubles from 1 with the
 	// answers of a target that is new or back from a rest.
 	allowance int
@@ -116,19 +117,23 @@
 	return tierFar
 }
 
-// latency is the expected latency of a request, in nanoseconds.
-func (t *target) latency(initial float64) float64 {
-	switch {
-	case t.samples >= minSamples:
-		return t.fast
-	case t.group.reference > 0:
-		return t.group.reference
-	case t.samples > 0:
+// latency is the expected latency of a request, in nanoseconds. Of a target
+// with few answers it is a little below usual: with anything above, a target
+// that once answered would be preferred to those that never had a chance to.
+func (t *target) latency(usual float64) float64 {
+	if t.samples >= minSamples {
 		return t.fast
 	}
-	return initial
+	if t.group.reference > 0 {
+		usual = t.group.reference
+	}
+	return unprovenFactor * usual
 }
 
+// unprovenFactor is the part of the usual latency that is expected of a target
+// with few answers.
+const unprovenFactor = 0.9
+
 // ratio compares the target's latency with a reference; 1 when there is too
 // little to compare.
 func (t *target) ratio(reference float64) float64 {
