Renew workers' leases by a hash of their attempts

Cause: an owner named all attempts of a worker in every renewal and was told of all of them in every report, 3.4 KB/s a daemon at today's size, with which the control traffic was over 4 KB/s. Change: a renewal names the set by a hash; the agent renews exactly that set or says that it differs, and the owner then names it. Ends are told at once, measurements when they are new, whole reports once a minute for repair. Agents that do not know the hash get names.

--- a/capacity/item.go
+++ b/capacity/item.go
@@ -227,12 +227,8 @@
 			Today: racks * slope(RackStored) / topologyEvery, After: call / topologyEvery,
 			Carrier: "`core/topology`", Change: "C3",
 		},
-		{
-			Role: RoleScheduler, What: "workers' sessions",
-			How:   "workers × (`workersession.bytes` + `grpc.framing` / 5 s)",
-			Today: workers * (slope(SessionBytes) + call/renewEvery), After: workers * (2*slope(SessionAnswer) + call) / renewEvery,
-			Carrier: "`core/workersession`", Change: "C7",
-		},
+		same(RoleScheduler, "workers' sessions", "workers × (`workersession.bytes` + `grpc.framing` / 5 s)",
+			workers*(slope(SessionBytes)+call/renewEvery), "`core/workersession`"),
 		same(RoleScheduler, "starts, to and from workers", "starts/s × `workersession.life`", owned*s.ShardStarts()*slope(LifeBytes), "`core/workersession`"),
 		{
 			Role: RoleScheduler, What: "commits",
--- a/capacity/slopes.go
+++ b/capacity/slopes.go
@@ -24,11 +24,10 @@
 	CycleChangedCPU Name = "scheduler.changed-cycle"
 	PlaceCPU        Name = "scheduler.start"
 
-	SessionHeap   Name = "workersession.heap"
-	SessionCPU    Name = "workersession.cpu"
-	SessionBytes  Name = "workersession.bytes"
-	SessionAnswer Name = "workersession.answer"
-	LifeBytes     Name = "workersession.life"
+	SessionHeap  Name = "workersession.heap"
+	SessionCPU   Name = "workersession.cpu"
+	SessionBytes Name = "workersession.bytes"
+	LifeBytes    Name = "workersession.life"
 
 	ExchangeFraming Name = "grpc.framing"
 	ExchangeCPU     Name = "grpc.cpu"
@@ -146,11 +145,10 @@
 	{CycleChangedCPU, 480_400, "ns", "cycle after a change among 2,000 workloads", "core/scheduler", "BenchmarkCapacityCycle/changed", "cpu-ns/cycle", "100x", 13.8},
 	{PlaceCPU, 24_410, "ns", "start decided, planned and proposed", "core/scheduler", "BenchmarkCapacityPlace", "cpu-ns/start", "100x", 13.8},
 
-	{SessionHeap, 8_888, "B", "worker with 15 tasks", "core/workersession", "BenchmarkCapacitySessionHeap/tasks=15", "heap-B/session", "100x", 13.8},
-	{SessionCPU, 7_730, "ns", "worker with 15 tasks and second", "core/workersession", "BenchmarkCapacitySecond", "cpu-ns/worker-s", "100x", 13.8},
-	{SessionBytes, 180.6, "B", "worker with 15 tasks and second, both directions", "core/workersession", "BenchmarkCapacitySecond", "B/worker-s", "100x", 13.8},
-	{SessionAnswer, 12, "B", "renewal's answer without a report", "core/workersession", "BenchmarkBytes", "B/answer", "100x", 13.8},
-	{LifeBytes, 324.7, "B", "task's life, both directions", "core/workersession", "BenchmarkCapacityLife", "B/life", "100x", 13.8},
+	{SessionHeap, 8_920, "B", "worker with 15 tasks", "core/workersession", "BenchmarkCapacitySessionHeap/tasks=15", "heap-B/session", "100x", 24.0},
+	{SessionCPU, 8_316, "ns", "worker with 15 tasks and second", "core/workersession", "BenchmarkCapacitySecond/hash", "cpu-ns/worker-s", "100x", 24.0},
+	{SessionBytes, 51.01, "B", "worker with 15 tasks and second, both directions", "core/workersession", "BenchmarkCapacitySecond/hash", "B/worker-s", "100x", 24.0},
+	{LifeBytes, 297.9, "B", "task's life, both directions", "core/workersession", "BenchmarkCapacityLife", "B/life", "100x", 24.0},
 
 	{ExchangeFraming, 173.4, "B", "gRPC call, framing and headers, both directions", "adapter/grpcworker", "BenchmarkWireBytes", "B/exchange", "500x", 22.1},
 	{ExchangeCPU, 57_482, "ns", "gRPC call, both ends", "adapter/grpcworker", "BenchmarkWireBytes", "ns/op", "500x", 22.1},
--- a/core/workersession/answer.go
+++ b/core/workersession/answer.go
@@ -35,12 +35,15 @@
 	s.takeResults(now, call, ev.Resp.GetResults())
 	s.takeReports(ev.Resp.GetTasks())
 	s.takeStale(call)
+	s.takeUsages(call, ev.Resp)
 	if call.wantReport {
 		s.reportAt = call.sentAt.Add(s.opt.ReportEvery)
+		s.usageAt = call.sentAt.Add(s.opt.UsageEvery)
 		s.takeMissing(call, ev.Resp.GetTasks())
 	}
 	s.dropForgotten(call)
 	s.holdOpen(now, call)
+	s.takeRenewal(now, call, ev.Resp)
 	s.takeLeaving(ev.Resp.GetLeaving())
 	s.hastenPoll(now)
 }
@@ -74,6 +77,7 @@
 	s.grantAt = receivedAt
 	s.settle()
 	if restarted {
+		s.agreed = false
 		s.endAll()
 	}
 	if !usable && s.anyRenewable() {
--- a/core/workersession/bench_test.go
+++ b/core/workersession/bench_test.go
@@ -28,13 +28,18 @@
 func (l *loop) Now() time.Time { return l.now }
 
 func newLoop(tasks int) *loop {
+	return newLoopWith(tasks, workersession.Options{}, worker.Flaws{})
+}
+
+func newLoopWith(tasks int, o workersession.Options, flaws worker.Flaws) *loop {
 	l := &loop{now: epochTime}
 	l.agent = worker.New(worker.Options{
 		ID:       "w1",
 		Capacity: model.Resources{MilliCPU: 32000, MemoryMB: 125000},
 		Clock:    l,
+		Flaws:    flaws,
 	})
-	l.session = workersession.New("w1", 7, 5, l.now, true, workersession.Options{})
+	l.session = workersession.New("w1", 7, 5, l.now, true, o)
 	l.step(workersession.MayAct{Full: true})
 	l.step(workersession.Desired{})
 	l.answer()
@@ -129,30 +134,57 @@
 	}
 }
 
-// BenchmarkBytes measures messages as encoded, without framing.
+// BenchmarkBytes measures messages as encoded, without framing: renewals by
+// hash and measurements by position, and, with an agent that knows neither,
+// renewals and measurements by name.
 func BenchmarkBytes(b *testing.B) {
-	var start, renewal, report, answer float64
+	for _, mode := range renewModes {
+		b.Run(mode.name, func(b *testing.B) { benchmarkBytes(b, mode.flaws) })
+	}
+}
+
+func benchmarkBytes(b *testing.B, flaws worker.Flaws) {
+	var sizes sizes
 	for b.Loop() {
-		l := newLoop(benchTasks)
-		start = float64(proto.Size(&workerv1.ApplyRequest{Commands: []*workerv1.Command{{
-			Kind: &workerv1.Command_Start{Start: namedStart()},
-		}}}))
-		for range 10 {
-			send := l.untilSend()
-			size := float64(proto.Size(l.agent.Apply(send.Req)))
-			if send.Req.GetWantReport() {
-				report = size
-			} else {
-				answer = size
-				renewal = float64(proto.Size(send.Req))
-			}
+		l := newLoopWith(benchTasks, workersession.Options{}, flaws)
+		for range 30 {
+			sizes.take(l.untilSend().Req, l.agent)
 			l.answer()
 		}
 	}
-	b.ReportMetric(start, "B/start")
-	b.ReportMetric(renewal, "B/renewal")
-	b.ReportMetric(answer, "B/answer")
-	b.ReportMetric(report, "B/report")
+	b.ReportMetric(float64(proto.Size(&workerv1.ApplyRequest{Commands: []*workerv1.Command{{
+		Kind: &workerv1.Command_Start{Start: namedStart()},
+	}}})), "B/start")
+	b.ReportMetric(sizes.renewal, "B/renewal")
+	b.ReportMetric(sizes.answer, "B/answer")
+	b.ReportMetric(sizes.usage, "B/usage")
+	b.ReportMetric(sizes.report, "B/report")
+}
+
+// sizes are the latest sizes of messages of each kind.
+type sizes struct{ renewal, answer, usage, report float64 }
+
+func (s *sizes) take(req *workerv1.ApplyRequest, agent *worker.Agent) {
+	answer := float64(proto.Size(agent.Apply(req)))
+	switch {
+	case req.GetWantReport():
+		s.report = answer
+	case req.GetWantUsage():
+		s.usage = answer
+	default:
+		s.answer = answer
+		s.renewal = float64(proto.Size(req))
+	}
+}
+
+// renewModes are the ways in which leases are renewed: by hash, and by name
+// with agents that do not know the hash.
+var renewModes = []struct {
+	name  string
+	flaws worker.Flaws
+}{
+	{"hash", worker.Flaws{}},
+	{"names", worker.Flaws{NoRenewHash: true}},
 }
 
 func namedStart() *workerv1.Start {
--- a/core/workersession/doc.go
+++ b/core/workersession/doc.go
@@ -10,6 +10,23 @@
 // once when no call is in flight. A command is repeated until the agent
 // answered it: the agent answers a repeat as it answered the first copy.
 //
+// # Renewals by hash
+//
+// A renewal carries the hash of the attempts that the agent is taken to hold.
+// Once the agent's answer found the same hash, the next renewals name nothing
+// else; the agent renews the whole set or, if its own differs, nothing. After a
+// mismatch, an answer without either word, a failed call, and a restart of the
+// agent, renewals name every attempt again until an answer finds the same
+// hash; after the first two at once, with a whole report.
+//
+// The bounds move when a renewal leaves, by hash as by name. No answer takes
+// them back: a message without an answer may have been carried out, and one
+// that did not match may have a copy that will.
+//
+// Measurements are asked for every UsageEvery, by the attempts' positions in
+// the set, and only those newer than the known ones; whole reports, every
+// ReportEvery, are for repair. Ends are in every answer.
+//
 // # Leases
 //
 // Each answer carries a grant, a moment on the agent's clock. A start or a
@@ -47,6 +64,7 @@
 // knowing it, until it is told to forget it and for one lease after that;
 // reports, in every answer, the attempts that the request's commands named and
 // those that are over and not forgotten, and all when asked for a whole report;
+// renews by a hash all of the set or nothing, and confirms a match;
 // and ends a task whose lease ran out by a clock that goes on while the VM is
 // suspended.
 package workersession
--- a/core/workersession/options.go
+++ b/core/workersession/options.go
@@ -11,7 +11,8 @@
 	DefaultCallTimeout       = 2 * time.Second
 	DefaultUnreachableCalls  = 3
 	renewsPerUnreachable     = 3
-	renewsPerReport          = 2
+	renewsPerUsage           = 2
+	renewsPerReport          = 12
 	retriesPerRenew          = 5
 	callTimeoutsBeforeGiveUp = 2
 )
@@ -30,7 +31,11 @@
 	// RenewEvery is the time between two renewals. Lease must be at least
 	// three times as long, or one lost message ends the worker's tasks.
 	RenewEvery time.Duration
-	// ReportEvery is the time between two requests for a whole report.
+	// UsageEvery is the time between two requests for measurements.
+	UsageEvery time.Duration
+	// ReportEvery is the time between two requests for a whole report of an
+	// agent that agrees on what it runs. Of one that does not, or does not know
+	// the hash of a renewal, one is asked for every UsageEvery.
 	ReportEvery time.Duration
 	// RetryEvery is the time before a failed call, or a command that the agent
 	// could not carry out yet, is tried again.
@@ -62,6 +67,7 @@
 	setDefault(&o.Lease, DefaultLease)
 	setDefault(&o.Margin, DefaultMargin)
 	setDefault(&o.RenewEvery, DefaultRenewEvery)
+	setDefault(&o.UsageEvery, renewsPerUsage*o.RenewEvery)
 	setDefault(&o.ReportEvery, renewsPerReport*o.RenewEvery)
 	setDefault(&o.RetryEvery, o.RenewEvery/retriesPerRenew)
 	setDefault(&o.OutageGrace, DefaultOutageGrace)
--- a/core/workersession/property_test.go
+++ b/core/workersession/property_test.go
@@ -125,6 +125,7 @@
 		{"lease counted from receipt", worldOptions(), worker.Flaws{LeaseFromReceipt: true}, asIs, allFaults()},
 		{"epoch not checked", worldOptions(), worker.Flaws{IgnoreEpoch: true}, asIs, []faultKind{evictTask, releaseOwner}},
 		{"stops and ends not remembered", worldOptions(), worker.Flaws{ForgetStops: true}, asIs, []faultKind{evictTask}},
+		{"renewed though the hash differs", worldOptions(), worker.Flaws{RenewOnMismatch: true}, asIs, []faultKind{dropTask, outageAll}},
 		{"bound without margin", noMargin, worker.Flaws{}, asIs, allFaults()},
 		{
 			"predecessor's end not proved", worldOptions(), worker.Flaws{}, noProof,
--- a/core/workersession/reach.go
+++ b/core/workersession/reach.go
@@ -47,6 +47,7 @@
 	s.call = nil
 	s.reach.failures++
 	s.renewedAt = time.Time{}
+	s.agreed = false // until an answer says so again
 	s.retryAt = now.Add(s.opt.RetryEvery)
 	s.nextCall = s.retryAt
 	if s.reach.lost {
--- a/core/workersession/script_test.go
+++ b/core/workersession/script_test.go
@@ -150,6 +150,12 @@
 	for _, t := range req.GetRenew() {
 		parts = append(parts, fmt.Sprintf("renew %s#%d", t.GetTask(), t.GetAttempt()))
 	}
+	if h := req.GetRenewHash(); len(req.GetRenew()) == 0 && h != 0 && h != workerv1.RenewHash(nil) {
+		parts = append(parts, "renew hash")
+	}
+	if req.GetWantUsage() {
+		parts = append(parts, "usage?")
+	}
 	if req.GetWantReport() {
 		parts = append(parts, "report?")
 	}
@@ -183,6 +189,9 @@
 		state := strings.ToLower(strings.TrimPrefix(t.GetState().String(), "TASK_STATE_"))
 		parts = append(parts, strings.TrimSpace(fmt.Sprintf("%s#%d is %s %s", t.GetTask(), t.GetAttempt(), state, t.GetCheckpoint())))
 	}
+	if resp.GetRenewMismatch() {
+		parts = append(parts, "mismatch")
+	}
 	if resp.GetLeaving() {
 		parts = append(parts, "leaving")
 	}
--- a/core/workersession/send.go
+++ b/core/workersession/send.go
@@ -50,7 +50,7 @@
 		req.Commands = s.commands(now)
 	}
 	if s.grantValid(now) && now.Sub(s.renewedAt) >= s.opt.RenewEvery/2 {
-		req.Renew = s.renewals()
+		s.renew(req)
 		s.renewedAt = now
 		due = true
 	}
@@ -61,15 +61,20 @@
 		req.WantReport = true
 		s.call.wantReport = true
 	}
+	s.wantUsage(now, req)
 	s.emit(Send{ID: s.call.id, Req: req, Timeout: s.opt.CallTimeout})
 }
 
 // needReport reports whether the message is to ask for a whole report: on the
-// first contact, from time to time, and while a service's address is missing.
+// first contact, from time to time, while a service's address is missing, and
+// for measurements that cannot be had by the hash.
 func (s *Session) needReport(now time.Time) bool {
 	if s.grant == nil || !now.Before(s.reportAt) {
 		return true
 	}
+	if !s.agreed && !now.Before(s.usageAt) {
+		return true
+	}
 	return slices.ContainsFunc(s.attempts.sorted, (*attempt).unsettled)
 }
 
@@ -139,7 +144,7 @@
 			continue
 		}
 		s.extend(a)
-		list = append(list, &workerv1.TaskAttempt{Task: a.name, Attempt: a.number})
+		list = append(list, a.id())
 	}
 	return list
 }
--- a/core/workersession/session.go
+++ b/core/workersession/session.go
@@ -38,6 +38,8 @@
 	retryAt   time.Time // commands wait until then
 	renewedAt time.Time // when the latest renewal was sent
 	reportAt  time.Time // when the next whole report is due
+	usageAt   time.Time // when the next measurements are due
+	agreed    bool      // the agent's latest answer found the same hash
 
 	reach reach
 
@@ -49,6 +51,10 @@
 	id         uint64
 	sentAt     time.Time
 	wantReport bool
+	wantUsage  bool
+	hashed     bool       // it carried a hash,
+	set        []*attempt // which stood for these,
+	byHash     bool       // and nothing else renewed
 }
 
 // New returns the session of the owner that acquired shard under epoch at
--- a/core/workersession/workersession_capacity_test.go
+++ b/core/workersession/workersession_capacity_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/guavarill/guavarill/capacity/measure"
 	"github.com/guavarill/guavarill/core/workersession"
+	"github.com/guavarill/guavarill/standin/worker"
 )
 
 // BenchmarkCapacitySessionHeap is the memory of the sessions with workers, by
@@ -38,9 +39,26 @@
 
 // BenchmarkCapacitySecond is one second of the session with a worker on which
 // 15 tasks run and nothing changes: ten ticks and the renewals, encoded and
-// decoded. The agent's own work is not included.
+// decoded. The agent's own work is not included. With names the agent does not
+// know the hash.
 func BenchmarkCapacitySecond(b *testing.B) {
-	l := newLoop(benchTasks)
+	for _, mode := range renewModes {
+		b.Run(mode.name, func(b *testing.B) {
+			benchmarkSecond(b, newLoopWith(benchTasks, workersession.Options{}, mode.flaws))
+		})
+	}
+}
+
+// BenchmarkCapacityReportEvery is the same by the time between whole reports.
+func BenchmarkCapacityReportEvery(b *testing.B) {
+	for _, every := range []time.Duration{10 * time.Second, 30 * time.Second, time.Minute, 2 * time.Minute, 10 * time.Minute} {
+		b.Run(every.String(), func(b *testing.B) {
+			benchmarkSecond(b, newLoopWith(benchTasks, workersession.Options{ReportEvery: every}, worker.Flaws{}))
+		})
+	}
+}
+
+func benchmarkSecond(b *testing.B, l *loop) {
 	bytes, messages := 0, 0
 	spent := time.Duration(0)
 	start := l.now
--- a/core/workersession/world_test.go
+++ b/core/workersession/world_test.go
@@ -57,6 +57,7 @@
 	cutSuccessors                  // no later owner reaches Target
 	evictTask                      // the owner evicts task Target
 	releaseOwner                   // the owner releases the shard itself
+	dropTask                       // as evictTask, without a checkpoint
 	faultKinds
 )
 
@@ -85,6 +86,7 @@
 	worker     int // -1: pending
 	running    bool
 	stopping   bool
+	discard    bool // stopping, and its progress is not wanted
 	checkpoint string
 }
 
@@ -132,6 +134,8 @@
 	faults  []fault
 	problem string
 	starts  int
+	// dropped are the attempts that an owner no longer renewed.
+	dropped map[string]bool
 
 	hosts []*host
 	mail  []mail
@@ -158,14 +162,15 @@
 
 func newWorld(seed int64, faults []fault, opt workersession.Options, flaws worker.Flaws) *world {
 	w := &world{
-		now:    epochTime,
-		rnd:    rand.New(rand.NewSource(seed)),
-		opt:    opt,
-		cuts:   make([]cut, worldWorkers),
-		heard:  make([]model.Epoch, worldWorkers),
-		faults: slices.Clone(faults),
-		noise:  worldLength,
-		length: worldLength + worldQuiet,
+		now:     epochTime,
+		rnd:     rand.New(rand.NewSource(seed)),
+		opt:     opt,
+		dropped: make(map[string]bool),
+		cuts:    make([]cut, worldWorkers),
+		heard:   make([]model.Epoch, worldWorkers),
+		faults:  slices.Clone(faults),
+		noise:   worldLength,
+		length:  worldLength + worldQuiet,
 	}
 	w.addHosts()
 	slices.SortStableFunc(w.faults, func(a, b fault) int { return int(a.At - b.At) })
@@ -276,7 +281,9 @@
 	case releaseOwner:
 		w.release()
 	case evictTask:
-		w.evict(f.Target % worldTasks)
+		w.evict(f.Target%worldTasks, false)
+	case dropTask:
+		w.evict(f.Target%worldTasks, true)
 	}
 }
 
@@ -292,12 +299,18 @@
 	w.takeOver(o.settled || w.eagerClean)
 }
 
-func (w *world) evict(i int) {
+func attemptName(task string, attempt uint32) string {
+	return fmt.Sprintf("%s#%d", task, attempt)
+}
+
+func (w *world) evict(i int, discard bool) {
 	row := &w.ledger[i]
 	if row.worker < 0 || row.stopping || w.paused(w.current.host) {
 		return
 	}
 	row.stopping = true
+	row.discard = discard
+	w.dropped[attemptName(row.key.String(), uint32(row.attempt))] = discard
 	w.wish(w.current)
 }
 
@@ -467,6 +480,7 @@
 	row.worker = -1
 	row.running = false
 	row.stopping = false
+	row.discard = false
 	w.wish(o)
 }
 
@@ -527,7 +541,7 @@
 		list = append(list, workersession.DesiredTask{
 			Attempt:    row.attemptKey(),
 			Kind:       kind,
-			Checkpoint: row.stopping,
+			Checkpoint: row.stopping && !row.discard,
 			Start:      &workerv1.Start{MilliCpu: 1000, MemoryMb: 1000, Checkpoint: row.checkpoint},
 		})
 	}
--- a/standin/worker/agent.go
+++ b/standin/worker/agent.go
@@ -45,6 +45,10 @@
 	RefusedRoom  int
 	RefusedStale int
 	LeaseExpired int
+	// RenewedByHash counts the requests that renewed by hash alone, Mismatches
+	// those whose hash did not match.
+	RenewedByHash int
+	Mismatches    int
 }
 
 // New returns an agent at its first boot.
@@ -145,7 +149,7 @@
 		named[result.Task] = true
 		resp.Results = append(resp.Results, result)
 	}
-	a.renew(req)
+	a.renew(req, resp)
 	resp.Tasks = a.reports(req.GetWantReport(), named)
 	resp.Grant = &workerv1.Grant{BootId: a.bootID(), IssuedMillis: a.millis()}
 	return resp
@@ -238,6 +242,7 @@
 	default:
 		r.state = workerv1.TaskState_TASK_STATE_STOPPED
 	}
+	r.endedMillis = a.millis()
 	r.run.End = kind
 	r.run.EndedAt = a.opt.RecordClock.Now()
 	r.run.Saved = r.checkpoint
--- a/standin/worker/command.go
+++ b/standin/worker/command.go
@@ -145,6 +145,9 @@
 		Outcome: workerv1.Outcome_OUTCOME_DONE,
 	}
 	r := a.records[s.GetTask()]
+	if r != nil && r.attempt == s.GetAttempt() {
+		r.toldStop = true
+	}
 	switch {
 	case r != nil && r.attempt > s.GetAttempt() || a.isForgotten(s.GetTask(), s.GetAttempt()):
 		result.Outcome = workerv1.Outcome_OUTCOME_STALE
@@ -160,6 +163,8 @@
 			task:    s.GetTask(),
 			attempt: s.GetAttempt(),
 			state:   workerv1.TaskState_TASK_STATE_STOPPED,
+
+			toldStop: true,
 		}
 	}
 	return result
@@ -241,16 +246,6 @@
 	}
 }
 
-// renew prolongs the leases that the request names.
-func (a *Agent) renew(req *workerv1.ApplyRequest) {
-	for _, t := range req.GetRenew() {
-		r := a.records[t.GetTask()]
-		if r != nil && r.attempt == t.GetAttempt() && r.running() {
-			a.extend(req, r)
-		}
-	}
-}
-
 // extend moves the end of r's lease, never back.
 func (a *Agent) extend(req *workerv1.ApplyRequest, r *record) {
 	end, ok := a.leaseEnd(req)
--- a/standin/worker/options.go
+++ b/standin/worker/options.go
@@ -50,6 +50,11 @@
 	// ForgetStops keeps no memory of attempts that were stopped before they
 	// came, or forgotten.
 	ForgetStops bool
+	// RenewOnMismatch renews all that runs when the hash does not match.
+	RenewOnMismatch bool
+	// NoRenewHash leaves out what was added with renew_hash, as an agent of
+	// before does. Nothing may come of it.
+	NoRenewHash bool
 }
 
 // Behaviour is how a task runs.
--- a/standin/worker/record.go
+++ b/standin/worker/record.go
@@ -18,6 +18,10 @@
 	refused    workerv1.Outcome
 	checkpoint string
 	detail     string
+	// toldStop is whether an owner told the agent to stop it.
+	toldStop bool
+	// endedMillis is when it ended, on the clock of grants.
+	endedMillis int64
 
 	// For a running task:
 	start    *workerv1.Start
