Refresh a busy service's balancer every second, and send no demand

Cause: slots held for silent exchanges come back only when the balancer is updated, which since the division of slots became rarer happened on changes alone. Demand was sent to every peer and nothing followed from it. Change: services with requests in the last two minutes are refreshed each second; demand is left out of exchanges until entries' views agree faster than shares grow, without which weighting by it would break the bound on slots.

--- a/daemon/members.go
+++ b/daemon/members.go
@@ -215,16 +215,9 @@
 func (c *control) tellMembers(now time.Time) {
 	local := membership.Local{
 		ConfigRevision: c.config.Revision(),
-		Demand:         make(map[string]membership.Demand),
 		StoreSilent:    now.Sub(c.storeAnswered),
 		AwaitsStore:    c.awaitsStore(now),
 	}
-	for name := range c.tables.services {
-		d := c.engine.Demand(name)
-		if d.InFlight > 0 || d.Queued > 0 {
-			local.Demand[name] = membership.Demand{InFlight: uint32(d.InFlight), Queued: uint32(d.Queued)}
-		}
-	}
 	for _, id := range c.sortedShards() {
 		s := c.shards[id]
 		local.OwnedShards = append(local.OwnedShards, membership.ShardEpoch{
--- a/daemon/tables.go
+++ b/daemon/tables.go
@@ -123,10 +123,18 @@
 	tracker *shares.Tracker
 	targets []*peerv1.Target
 	desired []shares.Share
+	given   []routing.Target
 	// settled is whether this entry uses all of its due share.
 	settled bool
+	// activeUntil is until when the balancer is to be updated although nothing
+	// changed: slots that it holds for silent exchanges come back by that.
+	activeUntil time.Time
 }
 
+// activeFor is how long after its last request a service counts as active,
+// longer than any slot is held.
+const activeFor = 2 * time.Minute
+
 // updateTables gives the engine the services and targets in force. Slots are
 // divided anew only for services whose targets or entries changed: the division
 // costs in proportion to targets and entries, and the control loop does nothing
@@ -145,9 +153,19 @@
 	}
 	c.periods.tables = now.Add(c.o.Timing.Tables)
 	for _, name := range sortedKeys(c.tables.services) {
-		if st := c.tables.services[name]; !st.settled {
-			c.giveTargets(now, name, st)
-		}
+		c.refreshTable(now, name, c.tables.services[name])
+	}
+}
+
+func (c *control) refreshTable(now time.Time, name string, st *serviceTable) {
+	if d := c.engine.Demand(name); d.InFlight > 0 || d.Queued > 0 {
+		st.activeUntil = now.Add(activeFor)
+	}
+	switch {
+	case !st.settled:
+		c.giveTargets(now, name, st)
+	case now.Before(st.activeUntil):
+		c.engine.SetTargets(name, st.given)
 	}
 }
 
@@ -185,6 +203,7 @@
 		list = append(list, c.routingTarget(byAddress[share.Address], share))
 	}
 	st.settled = slices.Equal(current, st.desired)
+	st.given = list
 	c.engine.SetTargets(name, list)
 }
 
