Give a choice its own copy of its target's address

Cause: traffic read a target's address while an update of the balancer replaced the record under its lock; the race detector showed it in the test of fates under faults. Change: the choice copies address and task when it is made. An entry whose instances had all fallen silent for a moment serves again: slots held for silent exchanges were given back only by picks, and with none free nobody picked. Lines of the HTTP client about unasked answers go to the debug log.

--- a/cmd/guavarilld/main.go
+++ b/cmd/guavarilld/main.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -37,6 +38,9 @@
 func run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	log := logrus.New()
 	log.SetOutput(errOut)
+	// The HTTP client writes a line for each unasked answer of a target to the
+	// standard logger; the connection is counted and closed anyway.
+	stdlog.SetOutput(log.WriterLevel(logrus.DebugLevel))
 	srv, err := start(args, log)
 	if err != nil {
 		return report(err, log, out, errOut)
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -117,6 +117,8 @@
 	*c = Choice{
 		b:       b,
 		t:       t,
+		address: t.Address,
+		task:    t.Task,
 		started: now,
 		fresh:   !t.silentAt.IsZero(),
 
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -62,8 +62,12 @@
 // Choice is a slot taken on a target. It is valid until Done, which makes it
 // available for another request.
 type Choice struct {
-	b            *Balancer
-	t            *target
+	b *Balancer
+	t *target
+	// address and task are copied when the choice is made: the target's record
+	// is replaced under the balancer's lock while traffic reads them.
+	address      string
+	task         model.AttemptKey
 	started      time.Time
 	overdueAfter time.Duration
 	silenceAfter time.Duration
@@ -76,10 +80,10 @@
 }
 
 // Address returns the target's address.
-func (c *Choice) Address() string { return c.t.Address }
+func (c *Choice) Address() string { return c.address }
 
 // Task returns the attempt that the target runs.
-func (c *Choice) Task() model.AttemptKey { return c.t.Task }
+func (c *Choice) Task() model.AttemptKey { return c.task }
 
 // Fresh reports that the request must go over a new connection: an earlier
 // one to this target went silent, and only a new one can tell whether the
--- a/standin/target/serve.go
+++ b/standin/target/serve.go
@@ -44,7 +44,8 @@
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return
+		// To return would answer with an empty success.
+		panic(http.ErrAbortHandler)
 	}
 	t.run(w, r, id, body, fault)
 }
--- a/traffic/chaos_test.go
+++ b/traffic/chaos_test.go
@@ -38,6 +38,8 @@
 	mostRepeats     = 3
 	cancelsPerMille = 50
 	leastAnswered   = 70 // of a hundred requests
+
+	retryAfterDivisor = 10
 )
 
 // history is what callers were told of one request id.
@@ -179,6 +181,7 @@
 		if err := h.record(resp, err, req); err != nil {
 			return h, err
 		}
+		waitAsTold(err)
 		if h.answered > 0 && rnd.IntN(10) > 0 {
 			break
 		}
@@ -186,6 +189,16 @@
 	return h, nil
 }
 
+// waitAsTold has a caller that was refused wait as it was told, in a shortened
+// time. Callers that repeat at once are refused faster than any are served: in
+// a second they would use up every request of the run.
+func waitAsTold(err error) {
+	var f *fate.Error
+	if errors.As(err, &f) && f.RetryAfter > 0 {
+		<-time.After(f.RetryAfter / retryAfterDivisor)
+	}
+}
+
 // wrongAnswerError is an answer that is not the caller's own, or not whole.
 type wrongAnswerError struct {
 	id   string
--- a/traffic/wait.go
+++ b/traffic/wait.go
@@ -70,6 +70,19 @@
 	s.queue.SetSlots(free, total)
 }
 
+// tryLocked offers the next in line a slot even where none is known to be
+// free. The balancer gives back the slots of exchanges that were given up, and
+// has doubtful instances tried, when it is asked for a slot, and with none free
+// it would not be asked. One would notice requests that wait for their deadline
+// while nothing is in flight.
+func (s *service) tryLocked(now time.Time) {
+	if s.queue.Len() == 0 || s.balancer.Free() > 0 {
+		return
+	}
+	s.queue.SetSlots(1, max(s.balancer.Slots(), 1))
+	s.dispatchNextLocked(now)
+}
+
 // mayTry reports whether an instance is there that is not leaving.
 func (s *service) mayTry() bool {
 	return slices.ContainsFunc(s.balancer.Snapshot(), func(t routing.TargetState) bool {
@@ -140,6 +153,10 @@
 // the one that has the longest to wait.
 func (s *service) dispatchOneLocked(now time.Time) bool {
 	s.setSlotsLocked()
+	return s.dispatchNextLocked(now)
+}
+
+func (s *service) dispatchNextLocked(now time.Time) bool {
 	next, ok, hopeless := s.queue.Next(now)
 	for _, h := range hopeless {
 		s.refuseLocked(h.ID, shedError(admission.ReasonDeadline, s.queue.RetryAfter(now, h)))
@@ -191,7 +208,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ticking = false
-	s.dispatchLocked(s.e.o.Clock.Now())
+	now := s.e.o.Clock.Now()
+	s.tryLocked(now)
+	s.dispatchLocked(now)
 }
 
 // waitersByAge returns the waiters, first come first.
