Prove placement, learning, eviction and blame, and blame workers by proof

Cause: a worker that fails all it starts went on getting tasks until the first proof; tasks whose only worker with room was bad were given up for it. Change: evidence without proof puts a worker on probation, one task at a time; a task counts failures against itself unless its worker is proven bad; failures on one worker alone do not use up attempts that the workload does not bound itself. Tests of filters, scores, learners, eviction and quarantine. Ruled out: suspicion without proof (a bad task makes its workers look bad and is then never blamed).

--- /dev/null
+++ b/core/eviction/decide_test.go
@@ -0,0 +1,327 @@
+package eviction
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/guavarill/guavarill/core/interference"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func at(seconds int) time.Time { return epoch.Add(time.Duration(seconds) * time.Second) }
+
+// effects predicts by aggressor class, with no uncertainty.
+type effects map[string]float64
+
+func (e effects) PredictWorkload(_, aggressor, _ string, _ float64) interference.Estimate {
+	return interference.Estimate{Mean: e[aggressor]}
+}
+
+func (e effects) PredictTask(victim, aggressor string, _ model.TaskKey, load float64) interference.Estimate {
+	return e.PredictWorkload(victim, aggressor, "", load)
+}
+
+var known = effects{"loud": 0.35, "quiet": 0.01, "watch": 0.35}
+
+func task(class string, index uint32) Task {
+	return Task{
+		Key:     model.TaskKey{Workload: class, Generation: 1, Index: index},
+		Class:   class,
+		Size:    model.Resources{MilliCPU: 2000, MemoryMB: 2000},
+		Percent: FullSpeed,
+		SavedAt: epoch,
+	}
+}
+
+func view(measured time.Time, slowdown float64, tasks ...Task) WorkerView {
+	return WorkerView{
+		Worker:   "w",
+		Services: []Service{{Class: "orders", Slowdown: slowdown, MeasuredAt: measured}},
+		Batch:    tasks,
+	}
+}
+
+// drive feeds a controller a view every three seconds, with a slowdown given
+// by the throttle of the tasks, and returns the actions with their times.
+func drive(c *Controller, tasks []Task, seconds int, slowdown func(s int, tasks []Task) float64) (actions []Action, times []int) {
+	for s := 0; s < seconds; s += 3 {
+		v := view(at(s-10), slowdown(s-10, tasks), tasks...)
+		for _, a := range c.Decide(at(s), v) {
+			actions, times = append(actions, a), append(times, s)
+			tasks = apply(tasks, a, at(s))
+		}
+	}
+	return actions, times
+}
+
+func apply(tasks []Task, a Action, now time.Time) []Task {
+	var left []Task
+	for _, t := range tasks {
+		if t.Key == a.Task && a.Kind == Evict {
+			continue
+		}
+		if t.Key == a.Task {
+			t.Percent, t.ThrottledAt = a.Percent, now
+		}
+		left = append(left, t)
+	}
+	return left
+}
+
+func constant(slowdown float64) func(int, []Task) float64 {
+	return func(int, []Task) float64 { return slowdown }
+}
+
+// One measurement over the limit may be noise.
+func TestOneMeasurementIsNotEnoughUnlessSevere(t *testing.T) {
+	c := NewController(DefaultOptions(), known)
+	if got := c.Decide(at(10), view(at(0), 1.6, task("loud", 1))); len(got) != 0 {
+		t.Errorf("after one: %v", got)
+	}
+	if got := c.Decide(at(11), view(at(0), 1.6, task("loud", 1))); len(got) != 0 {
+		t.Errorf("after the same one again: %v", got)
+	}
+	if got := c.Decide(at(13), view(at(3), 1.6, task("loud", 1))); len(got) != 1 || got[0].Kind != Throttle {
+		t.Errorf("after two: %v", got)
+	}
+	c = NewController(DefaultOptions(), known)
+	if got := c.Decide(at(10), view(at(0), 3, task("loud", 1))); len(got) != 1 || got[0].Percent != DefaultOptions().Floor {
+		t.Errorf("after a severe one: %v", got)
+	}
+}
+
+// Symptom: several tasks are punished for what one did. Sequence: a throttle is
+// sent; reports that were held up on their way still show the time before it.
+// Cause: acting on measurements older than the latest action.
+func TestNoActionOnMeasurementsFromBeforeTheLastOne(t *testing.T) {
+	c := NewController(DefaultOptions(), known)
+	tasks := []Task{task("loud", 1), task("loud", 2), task("loud", 3)}
+	got := c.Decide(at(20), view(at(10), 2.5, tasks...))
+	if len(got) != 1 || got[0].Kind != Throttle {
+		t.Fatalf("got %v", got)
+	}
+	tasks = apply(tasks, got[0], at(20))
+	for measured := 13; measured <= 22; measured += 3 {
+		if got := c.Decide(at(measured+30), view(at(measured), 2.5, tasks...)); len(got) != 0 {
+			t.Errorf("on a measurement of %ds: %v", measured, got)
+		}
+	}
+	if got := c.Decide(at(60), view(at(25), 2.5, tasks...)); len(got) != 1 {
+		t.Error("no action on a measurement from after the throttle")
+	}
+}
+
+func TestAtMostOneActionALag(t *testing.T) {
+	c := NewController(DefaultOptions(), known)
+	tasks := []Task{task("loud", 1), task("loud", 2), task("loud", 3)}
+	last, actions := -100, 0
+	for s := range 120 {
+		for _, a := range c.Decide(at(s), view(at(s), 3, tasks...)) {
+			if s-last < 10 {
+				t.Errorf("actions at %ds and %ds", last, s)
+			}
+			last = s
+			actions++
+			tasks = apply(tasks, a, at(s))
+		}
+	}
+	if actions < 3 {
+		t.Errorf("only %d actions", actions)
+	}
+}
+
+// Symptom: work is thrown away that a throttle would have saved.
+func TestThrottleComesBeforeEviction(t *testing.T) {
+	c := NewController(DefaultOptions(), effects{"loud": 0.39, "quiet": 0.01})
+	actions, times := drive(c, []Task{task("loud", 1), task("quiet", 1)}, 300, constant(1.7))
+	if len(actions) < 3 || actions[len(actions)-1].Kind != Evict || actions[0].Kind != Throttle || actions[0].Task.Workload != "loud" {
+		t.Fatalf("got %v", actions)
+	}
+	for i, a := range actions {
+		if a.Kind == Evict && times[i]+10 < 60 {
+			t.Errorf("evicted after %ds", times[i])
+		}
+		if a.Task.Workload == "quiet" {
+			t.Errorf("the quiet task was acted on: %v", a)
+		}
+	}
+}
+
+// Symptom: route watchers are evicted although other work was there to evict.
+func TestWatchersAreDear(t *testing.T) {
+	o := DefaultOptions()
+	o.Patience = 0
+	watcher := task("watch", 1)
+	watcher.LongRunning, watcher.Percent = true, o.Floor
+	plain := task("watched", 2)
+	plain.Percent = o.Floor
+	c := NewController(o, effects{"watched": 2, "watch": 2})
+	actions, _ := drive(c, []Task{watcher, plain}, 30, constant(3))
+	if len(actions) == 0 || actions[0].Kind != Evict || actions[0].Task != plain.Key {
+		t.Errorf("got %v", actions)
+	}
+}
+
+// Symptom: the same task is evicted over and over, and its progress with it.
+func TestEvictionCost(t *testing.T) {
+	c := DefaultCosts()
+	fresh, old, again, safe := task("a", 1), task("a", 2), task("a", 3), task("a", 4)
+	old.SavedAt = at(-600)
+	again.Evictions = 2
+	safe.SavedAt, safe.Checkpoints = at(-600), true
+	base := c.Evict(at(0), &fresh)
+	if c.Evict(at(0), &old) <= base || c.Evict(at(0), &again) <= base || c.Evict(at(0), &safe) >= c.Evict(at(0), &old) {
+		t.Errorf("fresh %v, unsaved %v, evicted before %v, saved when stopped %v",
+			base, c.Evict(at(0), &old), c.Evict(at(0), &again), c.Evict(at(0), &safe))
+	}
+}
+
+// Symptom: a task whose noise comes in waves is throttled and released once a
+// lag for ever, and its service slowed each time. The calm that is asked for
+// must grow.
+func TestReleaseSlowsDownWhenItProvesTooEarly(t *testing.T) {
+	c := NewController(DefaultOptions(), known)
+	loud := func(_ int, tasks []Task) float64 {
+		if tasks[0].Percent == FullSpeed {
+			return 1.7
+		}
+		return 1.1
+	}
+	actions, times := drive(c, []Task{task("loud", 1)}, 1800, loud)
+	var released []int
+	for i, a := range actions {
+		if a.Kind == Unthrottle {
+			released = append(released, times[i])
+		}
+	}
+	if len(released) < 3 {
+		t.Fatalf("released only %d times: %v", len(released), actions)
+	}
+	first, last := released[1]-released[0], released[len(released)-1]-released[len(released)-2]
+	if last < 3*first {
+		t.Errorf("first wait %ds, last %ds", first, last)
+	}
+}
+
+// Release goes by steps, and to no more than the ceiling.
+func TestReleaseIsGradualAndBounded(t *testing.T) {
+	o := DefaultOptions()
+	low, loud := task("quiet", 1), task("huge", 2)
+	low.Percent, loud.Percent = o.Floor, o.Floor
+	c := NewController(o, effects{"quiet": 0.01, "huge": 0.7})
+	actions, _ := drive(c, []Task{low, loud}, 600, constant(1.05))
+	want := []uint32{o.Step, o.Step, FullSpeed}
+	if len(actions) != len(want) {
+		t.Fatalf("got %v", actions)
+	}
+	for i, a := range actions {
+		if a.Kind != Unthrottle || a.Percent != want[i] {
+			t.Errorf("action %d: %v", i, a)
+		}
+	}
+	if actions[2].Task != low.Key {
+		t.Errorf("the task above its ceiling was released: %v", actions[2])
+	}
+}
+
+// A throttled task holds less; it is released only when the rest has room.
+func TestReleaseNeedsRoomForTheFullHold(t *testing.T) {
+	o := DefaultOptions()
+	throttled := task("quiet", 1)
+	throttled.Full = throttled.Size
+	throttled.Percent = o.Floor
+	throttled.Size = ThrottledHold(throttled.Full, o.Floor)
+	for _, c := range []struct {
+		free int64
+		want int
+	}{{0, 0}, {600, 1}} {
+		controller := NewController(o, known)
+		acted := 0
+		for s := 0; s < 35; s += 3 {
+			v := view(at(s-10), 1, throttled)
+			v.Free.MilliCPU = c.free
+			acted += len(controller.Decide(at(s), v))
+		}
+		if acted != c.want {
+			t.Errorf("free %d: %d actions, want %d", c.free, acted, c.want)
+		}
+	}
+}
+
+// A task that could slow a service far beyond its limit starts throttled.
+func TestStartPercent(t *testing.T) {
+	p := effects{"small": 0.1, "large": 0.6, "huge": 3}
+	for class, want := range map[string]uint32{"small": FullSpeed, "large": 50, "huge": 20} {
+		if got := StartPercent(view(at(0), 1), task(class, 1), DefaultOptions(), p); got != want {
+			t.Errorf("%s starts at %d, want %d", class, got, want)
+		}
+	}
+	if got := StartPercent(WorkerView{}, task("huge", 1), DefaultOptions(), p); got != FullSpeed {
+		t.Errorf("without services: %d", got)
+	}
+}
+
+// Symptom: the kernel kills a task because a neighbour outgrew its memory; or
+// a task is evicted although only processors are short.
+func TestShortage(t *testing.T) {
+	small, large := task("quiet", 1), task("loud", 2)
+	small.Size.MemoryMB = 500
+	v := view(at(0), 1, small, large)
+	v.Shortages = []Shortage{{Task: small.Key, Missing: model.Resources{MemoryMB: 1000}}}
+	got := NewController(DefaultOptions(), known).Decide(at(5), v)
+	if len(got) != 1 || got[0].Kind != Evict || got[0].Task != large.Key || got[0].Reason != MemoryShort {
+		t.Errorf("memory: %v", got)
+	}
+	v.Batch[1].Stopping = true
+	if got := NewController(DefaultOptions(), known).Decide(at(5), v); len(got) != 0 {
+		t.Errorf("memory that is on its way back: %v", got)
+	}
+	v.Shortages[0].Missing = model.Resources{MilliCPU: 1000}
+	v.Load = 1
+	got = NewController(DefaultOptions(), known).Decide(at(5), v)
+	if len(got) != 1 || got[0].Kind != Throttle || got[0].Task != small.Key {
+		t.Errorf("processors: %v", got)
+	}
+}
+
+// Whatever is measured, at most one action comes of it, on a task that is
+// there, not twice within a lag, and the order of the view does not matter.
+func TestDecideIsBoundedAndDeterministic(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(20261202)
+	params.MinSuccessfulTests = 100
+	properties := gopter.NewProperties(params)
+	properties.Property("bounded and deterministic", prop.ForAll(
+		func(slowdowns []float64) bool {
+			a, b := NewController(DefaultOptions(), known), NewController(DefaultOptions(), known)
+			tasks := []Task{task("loud", 1), task("loud", 2), task("quiet", 3), task("watch", 4)}
+			last := -100
+			for i, slowdown := range slowdowns {
+				now := 3 * i
+				reversed := []Task{}
+				for _, t := range tasks {
+					reversed = append([]Task{t}, reversed...)
+				}
+				got := a.Decide(at(now), view(at(now-10), slowdown, tasks...))
+				other := b.Decide(at(now), view(at(now-10), slowdown, reversed...))
+				if len(got) != len(other) || len(got) > 1 {
+					return false
+				}
+				if len(got) == 0 {
+					continue
+				}
+				if got[0] != other[0] || now-last < 10 {
+					return false
+				}
+				last = now
+				tasks = apply(tasks, got[0], at(now))
+			}
+			return true
+		}, gen.SliceOfN(120, gen.Float64Range(1, 3))))
+	properties.TestingRun(t)
+}
--- a/core/eviction/release.go
+++ b/core/eviction/release.go
@@ -1,7 +1,8 @@
 package eviction
 
 // releaseOne unthrottles one task by one step, the dearest first and among
-// equals the one that has waited longest. None goes above its ceiling.
+// equals the one that has waited longest. None goes above its ceiling,
+// and none whose larger hold has no room is raised.
 func (d *decision) releaseOne(reason Reason) (Action, bool) {
 	var best *Task
 	for i := range d.view.Batch {
@@ -9,6 +10,9 @@
 		if t.Stopping || t.Percent >= d.ceiling(t) {
 			continue
 		}
+		if !t.growth(d.raised(t)).Fits(d.view.Free) {
+			continue
+		}
 		if best == nil || d.releasedBefore(t, best) {
 			best = t
 		}
--- a/core/eviction/view.go
+++ b/core/eviction/view.go
@@ -12,10 +12,14 @@
 
 // Task is a batch task on a worker.
 type Task struct {
-	Key         model.TaskKey
-	Class       string
-	Priority    model.Priority
-	Size        model.Resources
+	Key      model.TaskKey
+	Class    string
+	Priority model.Priority
+	// Size is what is committed for it now.
+	Size model.Resources
+	// Full is what is committed for it at full speed; zero stands for Size.
+	// See ThrottledHold.
+	Full        model.Resources
 	LongRunning bool
 	// Percent of its committed processors that it may use; FullSpeed when not
 	// throttled.
@@ -54,8 +58,10 @@
 
 // WorkerView is what is known of one worker.
 type WorkerView struct {
-	Worker    model.WorkerID
-	Load      float64
+	Worker model.WorkerID
+	Load   float64
+	// Free is the room that is not committed.
+	Free      model.Resources
 	Services  []Service
 	Batch     []Task
 	Shortages []Shortage
--- /dev/null
+++ b/core/interference/model_test.go
@@ -0,0 +1,205 @@
+package interference
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func key(workload string, index uint32) model.TaskKey {
+	return model.TaskKey{Workload: workload, Generation: 1, Index: index}
+}
+
+func at(seconds int) time.Time { return epoch.Add(time.Duration(seconds) * time.Second) }
+
+// observe hands the model a measurement of orders/1 on w.
+func observe(m *Model, now, measured time.Time, slowdown float64) Result {
+	return m.Observe(now, Observation{
+		Worker: "w", Victim: key("orders", 1), Class: "orders", MeasuredAt: measured, Slowdown: slowdown, Load: 0.5,
+	})
+}
+
+// Symptom: a quiet task is throttled for what a loud one did. Sequence: the
+// loud task ends, a quiet one starts in its place, then the report of ten
+// seconds ago arrives. Cause: charging a late measurement to today's tasks.
+func TestLateMeasurementIsChargedToThoseWhoWereThere(t *testing.T) {
+	m := New(DefaultOptions())
+	m.Started(at(0), "w", key("orders", 1), "orders")
+	for i := range 40 {
+		start := 30 * i
+		m.Started(at(start), "w", key("loud", uint32(i)), "loud")
+		m.Stopped(at(start+15), "w", key("loud", uint32(i)))
+		m.Started(at(start+15), "w", key("quiet", uint32(i)), "quiet")
+		if got := observe(m, at(start+20), at(start+10), 1.6); got != Learned {
+			t.Fatalf("round %d: result %d", i, got)
+		}
+		observe(m, at(start+30), at(start+20), 1)
+		m.Stopped(at(start+30), "w", key("quiet", uint32(i)))
+	}
+	loud := m.PredictWorkload("orders", "loud", "loud", 0.5)
+	quiet := m.PredictWorkload("orders", "quiet", "quiet", 0.5)
+	if math.Abs(loud.Mean-0.6) > 0.15 || quiet.Mean > 0.05 {
+		t.Errorf("loud %.2f (0.6 is true), quiet %.2f (0 is true)", loud.Mean, quiet.Mean)
+	}
+}
+
+// Symptom: the model grows sure on repeated evidence. A report that arrives
+// twice, or after a later one, must change nothing.
+func TestRepeatedAndUnusableMeasurements(t *testing.T) {
+	m := New(DefaultOptions())
+	m.Started(at(0), "w", key("orders", 1), "orders")
+	if got := observe(m, at(5), at(4), 1.5); got != Alone {
+		t.Errorf("alone: %d", got)
+	}
+	m.Started(at(10), "w", key("job", 1), "job")
+	if got := observe(m, at(30), at(20), 1.5); got != Learned {
+		t.Fatalf("first: %d", got)
+	}
+	before := m.Predict("orders", "job", 0.5)
+	for name, c := range map[string]struct {
+		now, measured time.Time
+		slowdown      float64
+		want          Result
+	}{
+		"again":           {at(31), at(20), 1.5, RepeatedMeasurement},
+		"out of order":    {at(31), at(15), 3, RepeatedMeasurement},
+		"from the future": {at(31), at(40), 1.5, Malformed},
+		"not a number":    {at(31), at(31), math.NaN(), Malformed},
+		"zero":            {at(31), at(31), 0, Malformed},
+	} {
+		if got := observe(m, c.now, c.measured, c.slowdown); got != c.want {
+			t.Errorf("%s: result %d, want %d", name, got, c.want)
+		}
+	}
+	if got := m.Predict("orders", "job", 0.5); got != before {
+		t.Errorf("prediction moved from %v to %v", before, got)
+	}
+	other := Observation{Worker: "w", Victim: key("orders", 2), MeasuredAt: at(-100), Slowdown: 2}
+	if got := m.Observe(at(31), other); got != BeforeMemory {
+		t.Errorf("before memory: %d", got)
+	}
+}
+
+// A pair never seen predicts what its aggressor does to others, and says that
+// it is less sure of it.
+func TestUnseenPairLeansOnItsAggressor(t *testing.T) {
+	m := trained(t, 0.5)
+	prior := m.Predict("orders", "unseen", 0.5)
+	other := m.Predict("fixtures", "loud", 0.5)
+	seen := m.PredictWorkload("orders", "loud", "loud", 0.5)
+	if other.Mean <= prior.Mean || other.Mean >= seen.Mean {
+		t.Errorf("unseen victim %.2f, not between prior %.2f and seen %.2f", other.Mean, prior.Mean, seen.Mean)
+	}
+	if other.Std <= seen.Std {
+		t.Errorf("unseen victim is as sure (%.3f) as the seen one (%.3f)", other.Std, seen.Std)
+	}
+}
+
+// trained returns a model that saw one loud task of the given effect for long.
+func trained(t *testing.T, effect float64) *Model {
+	t.Helper()
+	m := New(DefaultOptions())
+	m.Started(at(0), "w", key("orders", 1), "orders")
+	m.Started(at(0), "w", key("loud", 1), "loud")
+	for i := range 300 {
+		if got := observe(m, at(3*i+13), at(3*i+3), 1+effect); got != Learned {
+			t.Fatalf("result %d", got)
+		}
+	}
+	return m
+}
+
+// Symptom: a workload was loud last month and is still kept from every
+// service. Knowledge must fade back to the prior.
+func TestKnowledgeDecays(t *testing.T) {
+	m := trained(t, 0.8)
+	before := m.PredictWorkload("orders", "loud", "loud", 0.5).Mean
+	later := epoch.Add(10 * DefaultOptions().Decay)
+	m.Started(later, "x", key("loud", 2), "loud")
+	m.Started(later, "x", key("orders", 2), "orders")
+	m.Observe(later.Add(time.Second), Observation{
+		Worker: "x", Victim: key("orders", 2), Class: "orders", MeasuredAt: later.Add(time.Second), Slowdown: 1, Load: 0.5,
+	})
+	after := m.PredictWorkload("orders", "loud", "loud", 0.5).Mean
+	if before < 0.5 || after > 0.2*before {
+		t.Errorf("before %.2f, after a long time and one quiet measurement %.2f", before, after)
+	}
+}
+
+// Symptom: the wrong one of several tasks is throttled. Loud phases of one of
+// three tasks must raise that one's present effect above the others', which
+// differ from it in nothing else.
+func TestLoudnessFindsTheLoudTask(t *testing.T) {
+	m := New(DefaultOptions())
+	rnd := rand.New(rand.NewPCG(1, 1))
+	m.Started(at(0), "w", key("orders", 1), "orders")
+	for i := range uint32(3) {
+		m.Started(at(0), "w", key("job", i), "job")
+	}
+	for i := range 100 {
+		now := at(3*i + 3)
+		noise := func() float64 { return 1 + 0.02*rnd.NormFloat64() }
+		observe(m, now, now, 1.6*noise())
+		for victim := range uint32(3) {
+			slowdown := 1.6
+			if victim == 1 {
+				slowdown = 1
+			}
+			m.Observe(now, Observation{
+				Worker: "w", Victim: key("job", victim), Class: "job", MeasuredAt: now, Slowdown: slowdown * noise(), Load: 0.5,
+			})
+		}
+	}
+	loud := m.PredictTask("orders", "job", key("job", 1), 0.5).Mean
+	for _, i := range []uint32{0, 2} {
+		if quiet := m.PredictTask("orders", "job", key("job", i), 0.5).Mean; quiet >= loud/2 {
+			t.Errorf("quiet task %d is charged %.2f, the loud one %.2f", i, quiet, loud)
+		}
+	}
+}
+
+// A task throttled to a fifth is held responsible for a fifth of what it would
+// do at full speed.
+func TestThrottledShareIsTakenIntoAccount(t *testing.T) {
+	m := New(DefaultOptions())
+	m.Started(at(0), "w", key("orders", 1), "orders")
+	m.Started(at(0), "w", key("loud", 1), "loud")
+	m.Throttled(at(0), "w", key("loud", 1), 0.2)
+	for i := range 300 {
+		observe(m, at(3*i+13), at(3*i+3), 1.1)
+	}
+	if got := m.PredictTask("orders", "loud", key("loud", 1), 0.5).Mean; got < 0.3 || got > 0.7 {
+		t.Errorf("effect at full speed %.2f, want about 0.5", got)
+	}
+}
+
+func BenchmarkPredict(b *testing.B) {
+	m := New(DefaultOptions())
+	m.Started(at(0), "w", key("orders", 1), "orders")
+	m.Started(at(0), "w", key("loud", 1), "loud")
+	observe(m, at(13), at(3), 1.5)
+	b.ReportAllocs()
+	for b.Loop() {
+		m.PredictWorkload("orders", "loud", "loud", 0.5)
+	}
+}
+
+// BenchmarkObserve learns from one service's report beside a dozen tasks.
+func BenchmarkObserve(b *testing.B) {
+	m := New(DefaultOptions())
+	m.Started(at(0), "w", key("orders", 1), "orders")
+	for i := range uint32(12) {
+		m.Started(at(0), "w", key("job", i), "job")
+	}
+	b.ReportAllocs()
+	now := at(1)
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		observe(m, now, now, 1.3)
+	}
+}
--- /dev/null
+++ b/core/placement/filter_room_test.go
@@ -0,0 +1,24 @@
+package placement
+
+import "testing"
+
+// Symptom: a worker is committed beyond one of its dimensions. Cause: a filter
+// that compares only some of them.
+func TestRoomFilterChecksEveryDimension(t *testing.T) {
+	s, w := first(fleet(1, 1, 1, res(1000, 1000, 1))...)
+	cases := map[string]struct {
+		cpu, memory, accelerators int64
+		want                      bool
+	}{
+		"all fit":               {1000, 1000, 1, true},
+		"processors short":      {1001, 1, 0, false},
+		"memory short":          {1, 1001, 0, false},
+		"accelerators short":    {1, 1, 2, false},
+		"nothing asked for fit": {0, 0, 0, true},
+	}
+	for name, c := range cases {
+		if got := (RoomFilter{}).Admit(s, batch(1, res(c.cpu, c.memory, c.accelerators)), w); got != c.want {
+			t.Errorf("%s: admitted %v, want %v", name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/core/placement/filter_state_test.go
@@ -0,0 +1,36 @@
+package placement
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// Symptom: a task starts on a worker that is quarantined, leaving or
+// unreachable. Each state alone must keep every task away, and be named.
+func TestWorkerStateKeepsTasksAway(t *testing.T) {
+	cases := map[string]func(w *Worker){
+		QuarantineFilterName:  func(w *Worker) { w.Quarantined = true },
+		LeavingFilterName:     func(w *Worker) { w.Leaving = true },
+		UnreachableFilterName: func(w *Worker) { w.Unreachable = true },
+	}
+	for name, change := range cases {
+		workers := fleet(1, 1, 1, big)
+		change(&workers[0])
+		_, err := Default(Options{}).Place(NewSnapshot(workers, nil), batch(1, res(1, 1, 0)))
+		var unplaceable *UnplaceableError
+		if !errors.As(err, &unplaceable) || unplaceable.Reasons[name] != 1 {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+func TestLeavingByThePlatformsList(t *testing.T) {
+	workers := fleet(2, 1, 1, big)
+	workers[0].VM.State = model.VMLeaving
+	d, err := Default(Options{}).Place(NewSnapshot(workers, nil), batch(1, res(1, 1, 0)))
+	if err != nil || d.Worker != workers[1].VM.ID {
+		t.Fatalf("got %v, %v", d, err)
+	}
+}
--- a/core/placement/filter_survive.go
+++ b/core/placement/filter_survive.go
@@ -33,9 +33,10 @@
 		return true
 	}
 	n := instances(r, c)
+	own := s.effects.profile(r.Class, r.Workload, true)
 	return below(countAt(c.zones, w.zone), n, f.Zone, s.zones.inUse) &&
 		below(countAt(c.racks, w.rack), n, f.Rack, s.racks.inUse) &&
-		below(c.workers[w.VM.ID], n, f.Worker, len(s.eligible))
+		below(w.instancesOf(own), n, f.Worker, len(s.eligible))
 }
 
 // instances returns how many instances the shares are of.
--- /dev/null
+++ b/core/placement/score_separation_test.go
@@ -0,0 +1,21 @@
+package placement
+
+import "testing"
+
+// Symptom: loud tasks have nowhere harmless to go, because quiet ones filled
+// the workers without services.
+func TestSeparationScore(t *testing.T) {
+	workers := fleet(2, 1, 1, big)
+	workers[0].Tasks = []Resident{{Key: instance(1, 1).Key, Class: "orders", Service: true}}
+	s := NewSnapshot(workers, fixedEffects{"loud": 0.4, "quiet": 0.01})
+	score := DefaultSeparationScore()
+	loud, quiet := batch(1, big), batch(2, big)
+	loud.Workload, loud.Class, quiet.Class = "noise", "loud", "quiet"
+	with, without := s.workers[0], s.workers[1]
+	if score.Score(s, loud, with) >= score.Score(s, loud, without) {
+		t.Error("a loud task prefers the service's worker")
+	}
+	if score.Score(s, quiet, with) <= score.Score(s, quiet, without) {
+		t.Error("a quiet task takes the worker without a service")
+	}
+}
--- /dev/null
+++ b/core/placement/shapes_test.go
@@ -0,0 +1,44 @@
+package placement
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// Symptom: a job that no worker can hold waits for ever without a word.
+func TestNeverFits(t *testing.T) {
+	shapes := append(fleet(2, 1, 1, res(16000, 60000, 0)), fleet(1, 1, 1, res(8000, 30000, 4))...)
+	shapes[2].VM.ID = "special"
+	s := NewSnapshot(shapes, nil)
+	cases := map[string]struct {
+		size model.Resources
+		want model.Dimension
+	}{
+		"too many processors":             {res(17000, 1, 0), model.DimensionCPU},
+		"too much memory":                 {res(1, 60001, 0), model.DimensionMemory},
+		"too many accelerators":           {res(1, 1, 5), model.DimensionAccelerators},
+		"each fits some worker, none all": {res(12000, 1, 1), model.DimensionCPU},
+	}
+	for name, c := range cases {
+		_, err := Default(Options{}).Place(s, batch(1, c.size))
+		var never *NeverFitsError
+		if !errors.As(err, &never) || never.Dimension != c.want {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+// A worker that is full, or none at all, is no reason to say never.
+func TestFullIsNotNever(t *testing.T) {
+	workers := fleet(1, 1, 1, big)
+	workers[0].Free = model.Resources{}
+	for _, s := range []*Snapshot{NewSnapshot(workers, nil), NewSnapshot(nil, nil)} {
+		_, err := Default(Options{}).Place(s, batch(1, res(1000, 1000, 0)))
+		var unplaceable *UnplaceableError
+		if !errors.As(err, &unplaceable) {
+			t.Errorf("got %v", err)
+		}
+	}
+}
--- a/core/placement/snapshot.go
+++ b/core/placement/snapshot.go
@@ -202,7 +202,7 @@
 		class:   class,
 		profile: s.effects.profile(t.Class, t.Key.Workload, t.Service),
 		service: t.Service,
-		count:   n,
+		count:   int32(n),
 	})
 	if !t.Service {
 		return
@@ -212,7 +212,7 @@
 	}
 	c, ok := s.spread[t.Key.Workload]
 	if !ok {
-		c = newSpreadCount()
+		c = new(spreadCount)
 		s.spread[t.Key.Workload] = c
 	}
 	c.add(w, n)
--- a/core/placement/spreadcount.go
+++ b/core/placement/spreadcount.go
@@ -1,30 +1,19 @@
 package placement
 
-import "github.com/guavarill/guavarill/core/model"
-
 // place numbers a zone or a rack of a snapshot.
 type place int32
 
 // spreadCount is where one service's instances are.
 type spreadCount struct {
-	total   int
-	zones   []int
-	racks   []int
-	workers map[model.WorkerID]int
-}
-
-func newSpreadCount() *spreadCount {
-	return &spreadCount{workers: make(map[model.WorkerID]int)}
+	total int
+	zones []int
+	racks []int
 }
 
 func (c *spreadCount) add(w *Worker, n int) {
 	c.total += n
 	c.zones = bump(c.zones, w.zone, n)
 	c.racks = bump(c.racks, w.rack, n)
-	c.workers[w.VM.ID] += n
-	if c.workers[w.VM.ID] == 0 {
-		delete(c.workers, w.VM.ID)
-	}
 }
 
 func bump(counts []int, at place, n int) []int {
--- a/core/placement/worker.go
+++ b/core/placement/worker.go
@@ -36,8 +36,8 @@
 type group struct {
 	class   classID
 	profile profileID
+	count   int32
 	service bool
-	count   int
 }
 
 // eligible reports whether any new task may be placed on w.
@@ -58,3 +58,13 @@
 	}
 	w.residents = append(w.residents, g)
 }
+
+// instancesOf returns how many instances of a service the worker has.
+func (w *Worker) instancesOf(service profileID) int {
+	for i := range w.residents {
+		if w.residents[i].profile == service {
+			return int(w.residents[i].count)
+		}
+	}
+	return 0
+}
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -30,8 +30,8 @@
 	openSince time.Time
 	// probed holds the tasks that worked during this probation.
 	probed map[model.TaskKey]struct{}
-	// strikesFrom is the time from which failures count: those before the
-	// latest quarantine were paid for by it.
+	// strikesFrom is the time from which failures count: those before the end
+	// of the latest quarantine were paid for by it.
 	strikesFrom time.Time
 }
 
--- a/core/quarantine/strikes.go
+++ b/core/quarantine/strikes.go
@@ -21,25 +21,42 @@
 	maxUnknownWeight = 0.5
 )
 
-// strikes returns the weight of the evidence against a worker.
-func (j *Judge) strikes(w model.WorkerID, r *record) float64 {
-	sum := 0.0
-	unproven := make(map[string]float64)
+// evidence is what speaks against a worker.
+type evidence struct {
+	// proven is the weight of tasks that later worked elsewhere, unproven that
+	// of tasks of which no more is known than that others like them work.
+	proven, unproven float64
+}
+
+// strikes returns the weight that may close a worker. Without proof it stays
+// short of the threshold: bad tasks that happened to be dealt to one worker
+// look just like a bad worker until they are tried elsewhere.
+func (e evidence) strikes(threshold float64) float64 {
+	return e.proven + min(e.unproven, maxUnprovenShare*threshold)
+}
+
+// maxUnprovenShare is the part of a threshold that needs no proof.
+const maxUnprovenShare = 2.0 / 3
+
+// against gathers the evidence against a worker.
+func (j *Judge) against(w model.WorkerID, r *record) evidence {
+	var e evidence
+	byWorkload := make(map[string]float64)
 	for _, f := range r.failures {
 		if f.at.Before(r.strikesFrom) {
 			continue
 		}
 		weight, limit := j.strike(w, f)
 		if limit == 0 {
-			sum += weight
+			e.proven += weight
 			continue
 		}
-		before := unproven[f.task.Workload]
+		before := byWorkload[f.task.Workload]
 		after := max(before, min(limit, before+weight))
-		unproven[f.task.Workload] = after
-		sum += after - before
+		byWorkload[f.task.Workload] = after
+		e.unproven += after - before
 	}
-	return sum
+	return e
 }
 
 // strike returns the weight of one failure, and the most that its workload can
@@ -58,8 +75,8 @@
 	return unknownWeight, maxUnknownWeight
 }
 
-// failedOnTrusted reports whether a task failed on another worker that is
-// itself not known to be bad.
+// failedOnTrusted reports whether a task failed on another worker that is not
+// itself known to be bad.
 func (j *Judge) failedOnTrusted(task *history, than model.WorkerID) bool {
 	for w := range task.failed {
 		if w != than && !j.knownBad(w) {
@@ -69,9 +86,10 @@
 	return false
 }
 
+// knownBad reports whether a worker was quarantined not long ago.
 func (j *Judge) knownBad(w model.WorkerID) bool {
 	r, ok := j.workers[w]
-	return ok && r.state != Open
+	return ok && (r.state == Quarantined || r.level > 0)
 }
 
 // large reports whether strikes are a large enough part of what ran on a
@@ -86,22 +104,23 @@
 	return strikes >= j.options.FailShare*(strikes+float64(worked))
 }
 
-// suspectShare is the part of Strikes from which a worker is under suspicion:
-// its failures no longer count against tasks.
+// suspectShare is the part of Strikes from which a worker is under suspicion.
 const suspectShare = 0.5
 
-// suspect reports whether a worker is quarantined, on probation or on its way
-// there.
+// suspect reports whether a worker is quarantined or on its way there, so that
+// failures on it do not count against tasks. Proof is needed for that: a task
+// that makes its workers look bad would otherwise never be blamed.
 func (j *Judge) suspect(w model.WorkerID) bool {
 	r, ok := j.workers[w]
 	if !ok {
 		return false
 	}
-	if r.state != Open {
+	if r.state != Open && r.level > 0 {
 		return true
 	}
-	strikes := j.strikes(w, r)
-	return strikes >= suspectShare*j.options.Strikes && j.large(strikes, r)
+	e := j.against(w, r)
+	strikes := e.strikes(j.options.Strikes)
+	return e.proven > 0 && strikes >= suspectShare*j.options.Strikes && j.large(strikes, r)
 }
 
 // commonCause reports whether most of the workers that had an outcome lately
--- a/core/quarantine/task.go
+++ b/core/quarantine/task.go
@@ -16,7 +16,7 @@
 		failures++
 	}
 	v := TaskVerdict{Blame: blame}
-	if reason, over := j.over(o, blame, failures); over {
+	if reason, over := j.over(o, blame, failures, distinct); over {
 		v.GaveUp = &GaveUpError{Task: o.Task, Reason: reason, Failures: failures, Workers: distinct}
 		return v
 	}
@@ -36,7 +36,11 @@
 	return BlameUnclear
 }
 
-func (j *Judge) over(o Outcome, blame Blame, failures uint32) (GiveUpReason, bool) {
+// over says whether the task is given up. Failures on one worker alone do not
+// use up its attempts, unless its workload bounds them itself: with no room
+// elsewhere a good task meets the same bad worker again and again, and would be
+// lost for it.
+func (j *Judge) over(o Outcome, blame Blame, failures uint32, distinct int) (GiveUpReason, bool) {
 	bound := o.MaxAttempts
 	if bound <= 0 {
 		bound = j.options.MaxAttempts
@@ -44,7 +48,7 @@
 	switch {
 	case blame == BlameTask:
 		return FailsEverywhere, true
-	case blame.Counts() && failures >= uint32(bound):
+	case blame.Counts() && failures >= uint32(bound) && (distinct > 1 || o.MaxAttempts > 0):
 		return AttemptsExhausted, true
 	case j.tasks[o.Task].streak >= j.options.HardFailures:
 		return AttemptsExhausted, true
