--- a/daemon/control.go
+++ b/daemon/control.go
@@ -58,12 +58,14 @@
 	nextID  uint64
 
 	configWatch configWatch
-	peersHeard  map[model.DaemonID]bool
-	peerShards  map[model.ShardID]peerShard
+	// storeRead is whether the stored configuration was read since the start,
+	// peersHeard the daemons that answered since then.
+	storeRead  bool
+	peersHeard map[model.DaemonID]bool
+	peerShards map[model.ShardID]peerShard
 	// inboxNotices are shards to which tasks were handed and whose owners were
 	// not told yet.
 	inboxNotices map[model.ShardID]bool
-	storeRead    bool
 
 	// storeAnswered is when the store last decided a call of this daemon, or
 	// no call was waiting for it; storeCalls counts those that wait, and
--- a/daemon/worker.go
+++ b/daemon/worker.go
@@ -264,7 +264,7 @@
 	return start
 }
 
-// fullSpeed is the percentage that a task without a throttle has.
+// percent returns what part of its processors a task may use.
 func (w *worker) percent(key model.TaskKey) uint32 {
 	if th, throttled := w.throttles[key]; throttled {
 		return th.percent
