Compare the policy with and without smaller holds for throttled tasks

Cause: the table mixed two changes, one of which the daemon does not make. Change: the policy of the comparison keeps full holds; smaller ones are a row of their own. Measurement scaffold only.

--- a/core/eviction/policy_compare_test.go
+++ b/core/eviction/policy_compare_test.go
@@ -90,7 +90,6 @@
 
 // controlled is the product's own policy.
 func controlled(s *sim, w *simWorker) {
-	s.shrink(w)
 	view := s.view(w)
 	byKey := map[model.TaskKey]*simTask{}
 	for _, t := range w.tasks {
@@ -127,7 +126,7 @@
 		Key: t.key, Class: t.workload.class.name, Size: t.held, LongRunning: t.long, Percent: t.percent,
 		ThrottledAt: t.throttledAt, SavedAt: t.savedAt, Checkpoints: true, Evictions: t.evictions,
 	}
-	if t.held != t.full {
+	if s.policy.shrink {
 		v.Full = t.full
 	}
 	return v
@@ -145,7 +144,7 @@
 		return
 	}
 	target := want
-	if t.held != t.full {
+	if s.policy.shrink {
 		target = eviction.ThrottledHold(want, t.percent)
 	}
 	granted, missing := interference.Grow(t.held, target, t.worker.room.Free)
@@ -157,6 +156,10 @@
 	view.Shortages = append(view.Shortages, eviction.Shortage{Task: t.key, Service: t.service, Missing: missing})
 }
 
+// distinctPolicies is how many policies there are before they are repeated with
+// one instance on each worker.
+const distinctPolicies = 7
+
 // policies are compared twice: with the instances where the product's
 // placement puts them, and with one on each worker.
 func policies() []policy {
@@ -166,9 +169,10 @@
 		{name: "first fit+threshold", place: firstFit, control: threshold},
 		{name: "random+threshold", place: randomFit, control: threshold},
 		{name: "placement alone", place: placed, learn: true},
-		{name: "guavarill", place: placed, learn: true, control: controlled, start: startPercent, shrink: true},
+		{name: "guavarill", place: placed, learn: true, control: controlled, start: startPercent},
+		{name: "guavarill+smaller holds", place: placed, learn: true, control: controlled, start: startPercent, shrink: true},
 	}
-	for _, p := range list {
+	for _, p := range list[:distinctPolicies] {
 		p.name, p.even = p.name+" (one a worker)", true
 		list = append(list, p)
 	}
@@ -204,23 +208,18 @@
 // BenchmarkPolicyWorse measures where the product's policy does less well.
 func BenchmarkPolicyWorse(b *testing.B) {
 	st := sites()[0]
-	for _, p := range policies()[:6] {
+	for _, p := range policies()[:distinctPolicies] {
 		b.Run("short waves/"+p.name, func(b *testing.B) { compare(b, st, shortWaves(), p) })
 		b.Run("busy/"+p.name, func(b *testing.B) { compare(b, busy(st), batchClasses(), p) })
 	}
 }
 
-// BenchmarkPolicyParts measures the product's policy without some of its parts.
-func BenchmarkPolicyParts(b *testing.B) {
-	parts := []policy{
-		{name: "full holds", place: placed, learn: true, control: controlled, start: startPercent},
-		{name: "full speed at start", place: placed, learn: true, control: controlled, shrink: true},
-		{name: "neither", place: placed, learn: true, control: controlled},
-	}
+// BenchmarkPolicyStart measures the product's policy without the throttle that
+// tasks start with.
+func BenchmarkPolicyStart(b *testing.B) {
+	p := policy{name: "full speed at start", place: placed, learn: true, control: controlled}
 	for _, st := range sites() {
-		for _, p := range parts {
-			b.Run(st.name+"/"+p.name, func(b *testing.B) { compare(b, st, batchClasses(), p) })
-		}
+		b.Run(st.name+"/"+p.name, func(b *testing.B) { compare(b, st, batchClasses(), p) })
 	}
 }
 
--- a/core/eviction/policy_test.go
+++ b/core/eviction/policy_test.go
@@ -325,7 +325,7 @@
 }
 
 func (s *sim) throttle(t *simTask, percent uint32) {
-	if percent > t.percent && !s.resize(t, eviction.ThrottledHold(t.full, percent)) {
+	if s.policy.shrink && !s.resize(t, eviction.ThrottledHold(t.full, percent)) {
 		return
 	}
 	t.percent, t.throttledAt = percent, s.now
@@ -333,19 +333,6 @@
 	s.out.throttles++
 }
 
-// shrink gives the processors that throttled tasks cannot use to those that
-// wait.
-func (s *sim) shrink(w *simWorker) {
-	if !s.policy.shrink || len(s.queue) == 0 {
-		return
-	}
-	for _, t := range w.tasks {
-		if t.percent < eviction.FullSpeed {
-			s.resize(t, eviction.ThrottledHold(t.full, t.percent))
-		}
-	}
-}
-
 func (s *sim) resize(t *simTask, size model.Resources) bool {
 	if !s.snapshot.Resize(t.key, t.worker.id, size) {
 		return false
