Work out shards' workers and the largest capacities once a change

Cause: every commit of a shard sorted the whole list of VMs to find the shard's workers, and every scheduling cycle sorted it again for the largest capacities, though both follow from the list and the topology alone; the order of task keys, and sorting a map's keys, stood written out three times beside TaskKey.Compare and the standard library. Change: both are worked out when the list or the topology changes; the copies call Compare and slices.Sorted. No time was measured.

--- a/core/eviction/preempt.go
+++ b/core/eviction/preempt.go
@@ -75,7 +75,7 @@
 	for _, v := range chosen {
 		p.Victims = append(p.Victims, v.task.Key)
 	}
-	slices.SortFunc(p.Victims, compareKeys)
+	slices.SortFunc(p.Victims, model.TaskKey.Compare)
 	return p, true
 }
 
@@ -142,7 +142,7 @@
 			}
 			return 1
 		}
-		return compareKeys(a.task.Key, b.task.Key)
+		return a.task.Key.Compare(b.task.Key)
 	})
 	given := model.Resources{}
 	for _, v := range chosen {
@@ -178,13 +178,3 @@
 	}
 	return sum
 }
-
-func compareKeys(a, b model.TaskKey) int {
-	switch {
-	case a.Less(b):
-		return -1
-	case b.Less(a):
-		return 1
-	}
-	return 0
-}
--- a/core/ledger/batch.go
+++ b/core/ledger/batch.go
@@ -93,17 +93,7 @@
 }
 
 func sortedKeys(puts map[model.TaskKey]*Task) []model.TaskKey {
-	keys := slices.Collect(maps.Keys(puts))
-	slices.SortFunc(keys, func(a, b model.TaskKey) int {
-		switch {
-		case a.Less(b):
-			return -1
-		case b.Less(a):
-			return 1
-		}
-		return 0
-	})
-	return keys
+	return slices.SortedFunc(maps.Keys(puts), model.TaskKey.Compare)
 }
 
 func (b *batch) require(key string, kind port.CompareKind, revision int64) {
--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -132,7 +133,7 @@
 // failed: what it did here is evidence for or against them.
 func (j *Judge) reconsider(now time.Time, o Outcome) []WorkerVerdict {
 	var changed []WorkerVerdict
-	for _, w := range sortedKeys(j.task(o.Task).failed) {
+	for _, w := range slices.Sorted(maps.Keys(j.task(o.Task).failed)) {
 		if w == o.Worker {
 			continue
 		}
@@ -251,15 +252,6 @@
 	}
 }
 
-func sortedKeys(m map[model.WorkerID]time.Time) []model.WorkerID {
-	keys := make([]model.WorkerID, 0, len(m))
-	for w := range m {
-		keys = append(keys, w)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // jitter returns a number from 0 to 1 that depends on the attempt alone, so
 // that tasks that failed together do not return together.
 func jitter(o Outcome) float64 {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -48,6 +48,10 @@
 	topologyMod int64
 	vms         map[model.WorkerID]model.VM
 	vmsKnown    bool
+	// shardVMs are the listed workers of each shard, ordered by id, and largest
+	// the capacities that no other listed worker's exceeds.
+	shardVMs map[model.ShardID][]model.VM
+	largest  []model.Resources
 
 	shards map[model.ShardID]*shard
 	// slowdowns and sizes are learned from all shards owned here.
--- a/daemon/decide.go
+++ b/daemon/decide.go
@@ -59,7 +59,7 @@
 		Synced:    s.synced,
 		Ledger:    s.ledger.Effective(),
 		Workers:   s.workerViews(now),
-		Largest:   s.c.largestWorkers(),
+		Largest:   s.c.largest,
 		ShardRoom: s.c.shardRoom(),
 		Hold:      s.c.sizes.Hold,
 		Predictor: s.c.slowdowns,
@@ -88,25 +88,6 @@
 	return views
 }
 
-// largestWorkers returns the capacities that no other listed worker's exceeds
-// in every dimension.
-func (c *control) largestWorkers() []model.Resources {
-	var largest []model.Resources
-	for _, id := range sortedKeys(c.vms) {
-		vm := c.vms[id]
-		if vm.Role != model.RoleWorker || covered(vm.Capacity, largest) {
-			continue
-		}
-		largest = slices.DeleteFunc(largest, func(r model.Resources) bool { return r.Fits(vm.Capacity) })
-		largest = append(largest, vm.Capacity)
-	}
-	return largest
-}
-
-func covered(r model.Resources, by []model.Resources) bool {
-	return slices.ContainsFunc(by, func(o model.Resources) bool { return r.Fits(o) })
-}
-
 // tickPolicy throttles, evicts and unthrottles batch tasks that slow services.
 func (s *shard) tickPolicy(now time.Time) {
 	if !s.mayDecide(now) {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -77,6 +77,7 @@
 		}
 	}
 	c.vms = next
+	c.indexVMs()
 	if !c.vmsKnown {
 		// A daemon that is alone never sees its members change.
 		c.vmsKnown = true
@@ -89,19 +90,28 @@
 	c.markListedLeaving()
 }
 
-// shardVMs returns the listed workers of a shard, ordered by id.
-func (c *control) shardVMs(id model.ShardID) []model.VM {
-	if c.topology == nil {
-		return nil
-	}
-	var vms []model.VM
+// indexVMs works out what follows from the list and the topology. Shards ask for
+// it with every commit and every cycle; the list and the topology change seldom.
+func (c *control) indexVMs() {
+	c.shardVMs = make(map[model.ShardID][]model.VM)
+	c.largest = nil
 	for _, name := range sortedKeys(c.vms) {
 		vm := c.vms[name]
-		if shard, known := c.topology.ShardOf(vm.Rack); known && shard == id {
-			vms = append(vms, vm)
+		c.largest = withCapacity(c.largest, vm.Capacity)
+		if shard, known := c.topology.ShardOf(vm.Rack); known {
+			c.shardVMs[shard] = append(c.shardVMs[shard], vm)
 		}
 	}
-	return vms
+}
+
+// withCapacity adds a capacity to those that no other exceeds in every
+// dimension.
+func withCapacity(largest []model.Resources, capacity model.Resources) []model.Resources {
+	if slices.ContainsFunc(largest, capacity.Fits) {
+		return largest
+	}
+	largest = slices.DeleteFunc(largest, func(r model.Resources) bool { return r.Fits(capacity) })
+	return append(largest, capacity)
 }
 
 func (c *control) readTopology() {
@@ -149,6 +159,7 @@
 		return
 	}
 	c.topology, c.topologyMod = t, kv.ModRevision
+	c.indexVMs()
 	for _, id := range c.sortedShards() {
 		c.shards[id].refreshWorkers()
 	}
--- a/daemon/worker.go
+++ b/daemon/worker.go
@@ -59,7 +59,7 @@
 	for _, w := range s.workers {
 		w.listed = false
 	}
-	for _, vm := range s.c.shardVMs(s.id) {
+	for _, vm := range s.c.shardVMs[s.id] {
 		s.listWorker(vm)
 	}
 	for _, id := range s.ledger.Contents().Workers() {
