--- /dev/null
+++ b/core/jobsched/advice.go
@@ -0,0 +1,134 @@
+package jobsched
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// Advise asks the advice service which of the workers may run a step.
+type Advise struct {
+	// Step is one of its tasks; the index means nothing.
+	Step    job.TaskKey
+	Workers []model.WorkerID
+}
+
+// Advised is the answer to an Advise, or its failure.
+type Advised struct {
+	Step    job.TaskKey
+	Asked   []model.WorkerID
+	Verdict Verdict
+	// Tickets holds the workers that may run the step.
+	Tickets map[model.WorkerID]string
+	// Validity is how long a ticket may be used.
+	Validity time.Duration
+}
+
+func (Advise) effect() {}
+func (Advised) event() {}
+
+const (
+	// adviceWorkers is how many workers one call asks about: the answer takes
+	// longer with each.
+	adviceWorkers = 30
+	// adviceSlack ends the use of a ticket before the worker does.
+	adviceSlack = 500 * time.Millisecond
+	// advicePause is the time before a failed call is made again.
+	advicePause = 300 * time.Millisecond
+)
+
+// advice is what is known of the workers that may run a step. Which may does
+// not change; a ticket ends.
+type advice struct {
+	tickets map[model.WorkerID]ticket
+	denied  map[model.WorkerID]struct{}
+	asking  bool
+	askAt   time.Time
+}
+
+type ticket struct {
+	value string
+	until time.Time
+}
+
+func (a *advice) ticket(id model.WorkerID) string { return a.tickets[id].value }
+
+func (a *advice) valid(id model.WorkerID, now time.Time) bool { return now.Before(a.tickets[id].until) }
+
+// reject forgets a ticket that the worker did not take.
+func (a *advice) reject(id model.WorkerID) { delete(a.tickets, id) }
+
+// askAdvice asks about the workers that a step of an advised queue could use
+// next and has no ticket for.
+func (m *Machine) askAdvice(s *step) {
+	if !m.queue(s.job()).Advised || s.advice.asking || m.now.Before(s.advice.askAt) {
+		return
+	}
+	var ask []*worker
+	for _, w := range m.workers {
+		_, denied := s.advice.denied[w.id]
+		if denied || s.advice.valid(w.id, m.now) || !m.allowedButTicket(s, w) {
+			continue
+		}
+		ask = append(ask, w)
+	}
+	if len(ask) == 0 {
+		return
+	}
+	slices.SortFunc(ask, func(a, b *worker) int {
+		if d := m.score(s.tasks[0], b) - m.score(s.tasks[0], a); d != 0 {
+			return sign(d)
+		}
+		return strings.Compare(string(a.id), string(b.id))
+	})
+	ids := make([]model.WorkerID, 0, adviceWorkers)
+	for _, w := range ask[:min(len(ask), adviceWorkers)] {
+		ids = append(ids, w.id)
+	}
+	s.advice.asking = true
+	m.emit(Advise{Step: s.tasks[0].key(), Workers: ids})
+}
+
+func sign(d float64) int {
+	if d < 0 {
+		return -1
+	}
+	return 1
+}
+
+func (m *Machine) allowedButTicket(s *step, w *worker) bool {
+	for _, f := range placementFilters[:len(placementFilters)-1] {
+		if !f(m, s, w) {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Machine) advised(ev Advised) {
+	t := m.task(ev.Step)
+	if t == nil {
+		return
+	}
+	a := &t.step.advice
+	a.asking = false
+	if ev.Verdict != VerdictDone {
+		a.askAt = m.now.Add(advicePause)
+		return
+	}
+	if a.tickets == nil {
+		a.tickets = make(map[model.WorkerID]ticket)
+		a.denied = make(map[model.WorkerID]struct{})
+	}
+	for _, id := range ev.Asked {
+		if value, ok := ev.Tickets[id]; ok {
+			a.tickets[id] = ticket{value: value, until: m.now.Add(ev.Validity - adviceSlack)}
+		} else {
+			a.denied[id] = struct{}{}
+		}
+	}
+	m.changed = true
+}
--- /dev/null
+++ b/core/jobsched/attempt.go
@@ -0,0 +1,70 @@
+package jobsched
+
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// phase is how far an attempt has come, as far as the machine knows.
+type phase int
+
+const (
+	// phaseStarting: the start is sent and not answered.
+	phaseStarting phase = iota
+	// phaseRunning: the worker has said that it runs.
+	phaseRunning
+	// phaseDoubtful: the start got no answer; the attempt may run now or may be
+	// begun seconds later, until a stop has barred it.
+	phaseDoubtful
+	// phaseStopping: it runs, or ran, and is to stop.
+	phaseStopping
+)
+
+// attemptKey names an attempt within one worker.
+type attemptKey struct {
+	task    job.TaskKey
+	attempt int
+}
+
+// attempt is one placement of a task. It exists until it is certain that the
+// task does not run there and will not.
+type attempt struct {
+	key    attemptKey
+	worker *worker
+	// task is nil for an attempt that nobody wants: of a job that is over, or
+	// that the machine does not know.
+	task  *task
+	phase phase
+	size  model.Resources
+	// bestEffortCPU is the processor time that it would use, if its share is
+	// not committed.
+	bestEffortCPU int64
+	longRunning   bool
+	startedAt     time.Time
+	// barredAt is when the worker acknowledged the last stop; a report asked
+	// for later that does not list the attempt shows that it is over.
+	barredAt    time.Time
+	stopSentAt  time.Time
+	stopPending bool
+	percent     int
+	// advancedAt is when percent last grew.
+	advancedAt time.Time
+	reading    int64
+	// throttle is the share last acknowledged, throttleSent the one on its way.
+	throttle        int
+	throttlePending bool
+}
+
+func (a *attempt) name() AttemptName {
+	return AttemptName{Worker: a.worker.id, Key: a.key.task, Attempt: a.key.attempt}
+}
+
+// step returns the step that the attempt works for, or nil.
+func (a *attempt) step() *step {
+	if a.task == nil {
+		return nil
+	}
+	return a.task.step
+}
--- /dev/null
+++ b/core/jobsched/commit.go
@@ -0,0 +1,137 @@
+package jobsched
+
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+const (
+	// commitInterval is the least time between the sending of two commits: ends
+	// that come within it share a call to the store.
+	commitInterval = 20 * time.Millisecond
+	// summaryInterval is how often a commit is made for the sake of its summary
+	// alone; readers take a summary of 2 s as current.
+	summaryInterval = time.Second
+	// commitRecords bounds the entries of one commit. The store takes 32, of
+	// which the commit itself needs two.
+	commitRecords = 29
+)
+
+// commitState follows the one commit that may be in flight.
+type commitState struct {
+	number   uint64
+	inFlight bool
+	sentAt   time.Time
+	// ends holds the ends whose consequences the commit makes durable; nil when
+	// records had to wait for the next.
+	ends map[model.WorkerID]int64
+	jobs []job.ID
+}
+
+// sendCommit stores what has changed. A worker may forget an end only when all
+// that followed from it is stored, so ends are acknowledged after the commit
+// that leaves no record waiting.
+func (m *Machine) sendCommit() {
+	c := &m.commit
+	m.expire()
+	if c.inFlight || m.now.Sub(c.sentAt) < commitInterval {
+		return
+	}
+	nothing := len(m.dirty) == 0 && len(m.removals) == 0
+	if nothing {
+		m.acknowledgeEnds(m.takenEnds())
+		if m.now.Sub(c.sentAt) < summaryInterval {
+			return
+		}
+	}
+	commit := Commit{Number: c.number + 1, Summary: m.summary()}
+	c.jobs = m.fillCommit(&commit)
+	c.ends = nil
+	if len(m.dirty) == 0 {
+		c.ends = m.takenEnds()
+	}
+	c.number++
+	c.inFlight = true
+	c.sentAt = m.now
+	m.emit(commit)
+}
+
+// fillCommit moves records from the dirty set into the commit.
+func (m *Machine) fillCommit(commit *Commit) []job.ID {
+	var ids []job.ID
+	entries := 0
+	for id := range m.dirty {
+		j := m.jobs[id]
+		final := j.state.Final()
+		if entries++; final {
+			entries++
+		}
+		if entries > commitRecords {
+			break
+		}
+		commit.Puts = append(commit.Puts, ProgressRecord{ID: id, Progress: j.progress()})
+		if final {
+			commit.RemoveAccepted = append(commit.RemoveAccepted, id)
+		}
+		ids = append(ids, id)
+		delete(m.dirty, id)
+	}
+	room := max(commitRecords-entries, 0)
+	n := min(room, len(m.removals))
+	commit.RemoveProgress = append(commit.RemoveProgress, m.removals[:n]...)
+	m.removals = m.removals[n:]
+	return ids
+}
+
+func (m *Machine) takenEnds() map[model.WorkerID]int64 {
+	ends := make(map[model.WorkerID]int64)
+	for id, w := range m.workers {
+		if w.seenEnds > w.ackedEnds {
+			ends[id] = w.seenEnds
+		}
+	}
+	return ends
+}
+
+func (m *Machine) acknowledgeEnds(ends map[model.WorkerID]int64) {
+	for id, number := range ends {
+		w := m.workers[id]
+		if w == nil || number <= w.ackedEnds {
+			continue
+		}
+		w.ackedEnds = number
+		w.renewAt = m.now
+	}
+}
+
+func (m *Machine) committed(ev Committed) {
+	c := &m.commit
+	if !c.inFlight || ev.Number != c.number {
+		return
+	}
+	c.inFlight = false
+	m.acknowledgeEnds(c.ends)
+	for _, id := range c.jobs {
+		if j := m.jobs[id]; j != nil {
+			m.dropIfOver(j)
+		}
+	}
+	c.ends, c.jobs = nil, nil
+}
+
+func (m *Machine) summary() Summary {
+	s := Summary{WrittenMs: m.wall.UnixMilli(), Waiting: m.waiting()}
+	for _, w := range m.workers {
+		if len(w.attempts) > 0 && (!w.listed || !w.silentSince.IsZero()) {
+			s.Unanswered = append(s.Unanswered, w.entry)
+		}
+	}
+	for id := range m.unresolved {
+		if w := m.workers[id]; w != nil && len(w.attempts) == 0 {
+			s.Unanswered = append(s.Unanswered, w.entry)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/core/jobsched/effect.go
@@ -0,0 +1,111 @@
+package jobsched
+
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// Effect is something that the machine wants done.
+type Effect interface{ effect() }
+
+// Order is what every order to a worker carries.
+type Order struct {
+	Worker  model.WorkerID
+	Address string
+	Epoch   model.Epoch
+}
+
+// Renew renews the lease of all that runs on a worker and asks what does.
+type Renew struct {
+	Order
+	// UntilMs is the lease's end on the worker's clock; 0 renews nothing.
+	UntilMs int64
+	// AckedEnds is the number of the last end that need not be kept.
+	AckedEnds int64
+	// Wait is how long the worker may wait for an end before it answers.
+	Wait time.Duration
+}
+
+// Start starts an attempt.
+type Start struct {
+	Order
+	Key        job.TaskKey
+	Attempt    int
+	Payload    string
+	UntilMs    int64
+	Checkpoint string
+	Ticket     string
+}
+
+// Stop stops an attempt, and bars it where it has not begun.
+type Stop struct {
+	Order
+	Key     job.TaskKey
+	Attempt int
+}
+
+// Throttle bounds the share of its speed at which an attempt works.
+type Throttle struct {
+	Order
+	Key     job.TaskKey
+	Attempt int
+	Percent int
+}
+
+// Commit stores records; one is in flight at a time. Committed answers it.
+type Commit struct {
+	Number uint64
+	Puts   []ProgressRecord
+	// RemoveAccepted lists jobs whose state is final.
+	RemoveAccepted []job.ID
+	// RemoveProgress lists jobs that need not be remembered any longer.
+	RemoveProgress []job.ID
+	Summary        Summary
+}
+
+// ProgressRecord is one job's record.
+type ProgressRecord struct {
+	ID       job.ID
+	Progress *job.Progress
+}
+
+// Summary is stored with every commit.
+type Summary struct {
+	// WrittenMs is the leader's time of day in milliseconds since 1970.
+	WrittenMs int64 `json:"writtenMs"`
+	// Waiting counts, by queue, the jobs without a schedule of which no task
+	// has started.
+	Waiting map[string]int `json:"waiting,omitempty"`
+	// Unanswered lists workers on which attempts may run and which the
+	// platform may no longer list. A daemon that takes over must wait for them
+	// too, or it could start their tasks a second time.
+	Unanswered []WorkerEntry `json:"unanswered,omitempty"`
+}
+
+// Note is a decision for the log. The machine notes what touches a job and what
+// changes its beliefs, and nothing else.
+type Note struct {
+	// Decision is a short name, the same for each of its kind.
+	Decision string
+	Job      job.ID
+	Task     string
+	Attempt  int
+	Worker   model.WorkerID
+	// Reason holds the inputs that decided it.
+	Reason string
+}
+
+func (Renew) effect()    {}
+func (Start) effect()    {}
+func (Stop) effect()     {}
+func (Throttle) effect() {}
+func (Commit) effect()   {}
+func (Note) effect()     {}
+
+// Deposed says that a worker has seen the orders of a later leader: the machine
+// must not be used any longer.
+type Deposed struct{ Worker model.WorkerID }
+
+func (Deposed) effect() {}
--- /dev/null
+++ b/core/jobsched/jobs.go
@@ -0,0 +1,269 @@
+package jobsched
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+)
+
+// attemptGap is what a leader that takes over adds to the attempt numbers of
+// tasks: more than the attempts that an earlier one can have made of a task
+// between two commits.
+const attemptGap = 16
+
+func (m *Machine) jobAccepted(ev JobAccepted) {
+	if _, over := m.final[ev.ID]; over {
+		return
+	}
+	j := m.jobs[ev.ID]
+	if j == nil {
+		j = m.addJob(ev.ID, ev.Record)
+		m.emit(Note{Decision: "job taken in", Job: ev.ID, Reason: "queue " + ev.Record.Queue.Name})
+	}
+	if ev.Record.Canceled && !j.state.Final() {
+		m.conclude(j, job.Canceled, "the caller canceled it")
+	}
+	m.changed = true
+}
+
+func (m *Machine) addJob(id job.ID, record *job.Accepted) *jobState {
+	j := &jobState{id: id, record: record, state: job.Queued, occurrences: make(map[int]*occurrence)}
+	m.jobs[id] = j
+	return j
+}
+
+// recoverJob takes a job in as an earlier leader left it. progress is nil when
+// nothing was recorded of it.
+func (m *Machine) recoverJob(id job.ID, record *job.Accepted, progress *job.Progress) {
+	j := m.addJob(id, record)
+	j.recovered = true
+	if progress != nil {
+		j.state = progress.State
+		j.begun = progress.State == job.Running
+		m.recoverOccurrences(j, progress)
+	}
+	if record.Canceled {
+		m.conclude(j, job.Canceled, "the caller canceled it")
+		return
+	}
+	if record.Spec.Schedule == nil && j.next == 0 {
+		// An earlier leader may have begun it without a record.
+		m.begin(j, attemptGap)
+	}
+	m.concludeIfDone(j)
+}
+
+func (m *Machine) recoverOccurrences(j *jobState, progress *job.Progress) {
+	for number := range j.total() {
+		recorded, ok := progress.Occurrences[number]
+		if !ok {
+			break
+		}
+		if recorded.Done {
+			j.next++
+			j.done++
+			continue
+		}
+		o := m.begin(j, 0)
+		o.restore(recorded, attemptGap)
+		m.occurrenceDone(o)
+	}
+}
+
+// begin begins the next occurrence.
+func (m *Machine) begin(j *jobState, gap int) *occurrence {
+	o := newOccurrence(j, j.next)
+	j.occurrences[j.next] = o
+	j.next++
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			t.last = gap
+		}
+		m.pending[s] = struct{}{}
+	}
+	if m.unwanted > 0 {
+		m.claimUnwanted(o)
+	}
+	m.changed = true
+	return o
+}
+
+// claimUnwanted gives attempts to the tasks of an occurrence that has just
+// begun. They were started by an earlier leader which knew the job first, and
+// are being stopped; until they are over, their tasks must not start again.
+func (m *Machine) claimUnwanted(o *occurrence) {
+	for _, w := range m.workers {
+		for _, a := range w.attempts {
+			key := a.key.task
+			if a.task != nil || key.Job != o.job.id || key.Occurrence != o.number {
+				continue
+			}
+			if key.Step >= len(o.steps) || key.Index >= len(o.steps[key.Step].tasks) {
+				continue
+			}
+			t := o.steps[key.Step].tasks[key.Index]
+			a.task = t
+			t.attempts = append(t.attempts, a)
+			t.last = max(t.last, a.key.attempt)
+			o.job.attempts++
+			m.unwanted--
+		}
+	}
+}
+
+// beginDue begins what has become due.
+func (m *Machine) beginDue() {
+	for _, j := range m.jobs {
+		for !j.state.Final() && j.next < j.total() && m.due(j) {
+			// A recovered job's next repetition may have begun unrecorded.
+			gap := 0
+			if j.recovered {
+				gap = attemptGap
+			}
+			m.begin(j, gap)
+			if j.record.Spec.Schedule != nil {
+				m.markDirty(j)
+			}
+		}
+	}
+}
+
+func (m *Machine) due(j *jobState) bool {
+	s := j.record.Spec.Schedule
+	return s == nil || !m.wall.Before(s.Due(j.next))
+}
+
+// occurrenceDone settles an occurrence whose steps may all be done.
+func (m *Machine) occurrenceDone(o *occurrence) {
+	if o.left > 0 || o.job.occurrences[o.number] != o {
+		return
+	}
+	delete(o.job.occurrences, o.number)
+	o.job.done++
+	m.markDirty(o.job)
+}
+
+func (m *Machine) concludeIfDone(j *jobState) {
+	if !j.state.Final() && j.done == j.total() {
+		m.conclude(j, job.Completed, "all tasks are done")
+	}
+}
+
+// conclude gives a job its final state and stops what is left of it.
+func (m *Machine) conclude(j *jobState, state job.State, reason string) {
+	j.state = state
+	m.emit(Note{Decision: "job " + string(state), Job: j.id, Reason: reason})
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			delete(m.pending, s)
+			for _, t := range s.tasks {
+				for _, a := range slices.Clone(t.attempts) {
+					m.requestStop(a, "job "+string(state))
+				}
+			}
+		}
+	}
+	m.markDirty(j)
+	m.remember(j.id)
+	m.dropIfOver(j)
+}
+
+// remember keeps the id of a job that is over until its record may go.
+func (m *Machine) remember(id job.ID) {
+	m.final[id] = m.now.Add(m.options.KeepFinal)
+	m.expiry = append(m.expiry, id)
+}
+
+// dropIfOver forgets a job that is over and stored and has no attempts.
+func (m *Machine) dropIfOver(j *jobState) {
+	_, dirty := m.dirty[j.id]
+	if j.state.Final() && j.attempts == 0 && !dirty {
+		delete(m.jobs, j.id)
+	}
+}
+
+func (m *Machine) markDirty(j *jobState) { m.dirty[j.id] = struct{}{} }
+
+// task returns the task with the key, or nil when its job is over or unknown
+// or the task has not become due.
+func (m *Machine) task(key job.TaskKey) *task {
+	j := m.jobs[key.Job]
+	if j == nil || j.state.Final() {
+		return nil
+	}
+	if key.Occurrence == j.next && j.next < j.total() && j.recovered {
+		// An earlier leader began it and did not record it.
+		m.begin(j, attemptGap)
+	}
+	o := j.occurrences[key.Occurrence]
+	if o == nil || key.Step >= len(o.steps) || key.Index >= len(o.steps[key.Step].tasks) {
+		return nil
+	}
+	return o.steps[key.Step].tasks[key.Index]
+}
+
+// finishTask takes in that a task is done.
+func (m *Machine) finishTask(t *task) {
+	o := t.step.occurrence
+	for _, a := range slices.Clone(t.attempts) {
+		m.requestStop(a, "another attempt is done")
+	}
+	for _, s := range o.taskDone(t) {
+		m.pending[s] = struct{}{}
+	}
+	m.markDirty(o.job)
+	m.changed = true
+	m.occurrenceDone(o)
+	m.concludeIfDone(o.job)
+}
+
+// countFailure takes in that a task, or once an attempt its gang, has failed,
+// and gives the job up when that was the last attempt it had.
+func (m *Machine) countFailure(t *task, attempt int) {
+	s := t.step
+	if s.spec.LongRunning {
+		return
+	}
+	if s.spec.Gang {
+		if attempt <= s.failedAttempt {
+			return
+		}
+		s.failedAttempt = attempt
+		for _, member := range s.tasks {
+			member.failures++
+		}
+	} else {
+		t.failures++
+	}
+	m.markDirty(s.job())
+	if limit := m.queue(s.job()).MaxAttempts; t.failures >= limit {
+		reason := fmt.Sprintf("task %s failed %d times of %d", t.key(), t.failures, limit)
+		m.conclude(s.job(), job.Failed, reason)
+	}
+}
+
+// expire removes the records of jobs that were over long ago.
+func (m *Machine) expire() {
+	for len(m.expiry) > 0 && !m.now.Before(m.final[m.expiry[0]]) {
+		id := m.expiry[0]
+		m.expiry = m.expiry[1:]
+		delete(m.final, id)
+		m.removals = append(m.removals, id)
+	}
+}
+
+// waiting counts, by queue, the jobs without a schedule that have not begun.
+func (m *Machine) waiting() map[string]int {
+	counts := make(map[string]int)
+	for _, j := range m.jobs {
+		if !j.begun && !j.state.Final() && j.record.Spec.Schedule == nil {
+			counts[j.record.Queue.Name]++
+		}
+	}
+	return counts
+}
+
+// submitted returns when the job was accepted.
+func (j *jobState) submitted() time.Time { return time.UnixMilli(j.record.AtMs) }
--- /dev/null
+++ b/core/jobsched/jobstate.go
@@ -0,0 +1,223 @@
+package jobsched
+
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+)
+
+// jobState is a job whose state is not final, or some attempt of which may
+// still run.
+type jobState struct {
+	id     job.ID
+	record *job.Accepted
+	state  job.State
+	// begun is whether a task has started, which ends its being counted as
+	// waiting.
+	begun bool
+	// recovered is set for a job that an earlier leader may have begun.
+	recovered   bool
+	occurrences map[int]*occurrence
+	// next is the number of the first occurrence that has not begun.
+	next int
+	// done counts the occurrences all of whose tasks are done.
+	done int
+	// attempts counts the attempts of all its tasks that may run.
+	attempts int
+}
+
+// total returns the number of occurrences.
+func (j *jobState) total() int {
+	if s := j.record.Spec.Schedule; s != nil {
+		return s.Repetitions
+	}
+	return 1
+}
+
+// occurrence is one repetition of a job's steps.
+type occurrence struct {
+	job    *jobState
+	number int
+	steps  []*step
+	// left counts the steps that are not done.
+	left int
+}
+
+// step is one step of an occurrence.
+type step struct {
+	occurrence *occurrence
+	number     int
+	spec       *job.Step
+	tasks      []*task
+	// left counts the tasks that are not done, blocking the steps that must be
+	// done before.
+	left, blocking int
+	next           []*step
+	// checkpoint is the gang's last one, which is good for every member.
+	checkpoint string
+	// failedAttempt is the last attempt of a gang that was counted as failed.
+	failedAttempt int
+	// notBefore holds the step's next starts back after a refusal.
+	notBefore time.Time
+	advice    advice
+}
+
+func (s *step) job() *jobState { return s.occurrence.job }
+
+// ready reports whether the steps before it are done and it is not.
+func (s *step) ready() bool { return s.blocking == 0 && s.left > 0 }
+
+// task is one task of a step.
+type task struct {
+	step  *step
+	index int
+	done  bool
+	// attempts holds those that may run; more than one only for a moment, or
+	// for speculative tasks.
+	attempts []*attempt
+	// last is the highest attempt number that may have been used.
+	last       int
+	failures   int
+	checkpoint string
+	// failedOn is the worker on which it failed last.
+	failedOn *worker
+}
+
+func (t *task) key() job.TaskKey {
+	s := t.step
+	return job.TaskKey{Job: s.job().id, Occurrence: s.occurrence.number, Step: s.number, Index: t.index}
+}
+
+// idle reports whether the task wants an attempt.
+func (t *task) idle() bool { return !t.done && len(t.attempts) == 0 }
+
+// newOccurrence makes an occurrence none of whose tasks is done.
+func newOccurrence(j *jobState, number int) *occurrence {
+	o := &occurrence{job: j, number: number, left: len(j.record.Spec.Steps)}
+	for i := range j.record.Spec.Steps {
+		o.steps = append(o.steps, newStep(o, i))
+	}
+	for _, s := range o.steps {
+		for _, earlier := range s.spec.After {
+			o.steps[earlier].next = append(o.steps[earlier].next, s)
+			s.blocking++
+		}
+	}
+	return o
+}
+
+func newStep(o *occurrence, number int) *step {
+	spec := &o.job.record.Spec.Steps[number]
+	s := &step{occurrence: o, number: number, spec: spec, left: spec.Count}
+	tasks := make([]task, spec.Count)
+	for i := range tasks {
+		tasks[i] = task{step: s, index: i}
+		s.tasks = append(s.tasks, &tasks[i])
+	}
+	return s
+}
+
+// taskDone marks a task as done and returns the steps that become ready by it.
+func (o *occurrence) taskDone(t *task) []*step {
+	if t.done {
+		return nil
+	}
+	t.done = true
+	t.checkpoint = ""
+	t.step.left--
+	if t.step.left > 0 {
+		return nil
+	}
+	o.left--
+	var ready []*step
+	for _, s := range t.step.next {
+		s.blocking--
+		if s.blocking == 0 {
+			ready = append(ready, s)
+		}
+	}
+	return ready
+}
+
+// restore sets an occurrence to its recorded progress. attemptGap is added to
+// the recorded attempt numbers, for those that were used and not recorded.
+func (o *occurrence) restore(p job.OccurrenceProgress, attemptGap int) {
+	for i := range min(len(p.Steps), len(o.steps)) {
+		s := o.steps[i]
+		for index := range min(len(p.Steps[i].Done), len(s.tasks)) {
+			if p.Steps[i].Done[index] == '1' {
+				o.taskDone(s.tasks[index])
+			}
+		}
+		for index, t := range p.Steps[i].Tasks {
+			if index >= 0 && index < len(s.tasks) {
+				s.tasks[index].restore(t)
+			}
+		}
+	}
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			t.last += attemptGap
+		}
+	}
+}
+
+func (t *task) restore(p job.TaskProgress) {
+	t.last = p.Attempts
+	t.failures = p.Failures
+	t.checkpoint = p.Checkpoint
+	if t.step.spec.Gang {
+		t.step.checkpoint = p.Checkpoint
+	}
+}
+
+// progress returns the job's record.
+func (j *jobState) progress() *job.Progress {
+	p := &job.Progress{State: j.state}
+	if j.state.Final() {
+		return p
+	}
+	p.Occurrences = make(map[int]job.OccurrenceProgress, len(j.occurrences))
+	for number := range j.next {
+		if o := j.occurrences[number]; o == nil {
+			p.Occurrences[number] = job.OccurrenceProgress{Done: true}
+		} else {
+			p.Occurrences[number] = o.progress()
+		}
+	}
+	return p
+}
+
+func (o *occurrence) progress() job.OccurrenceProgress {
+	p := job.OccurrenceProgress{Steps: make([]job.StepProgress, len(o.steps))}
+	for i, s := range o.steps {
+		p.Steps[i] = s.progress()
+	}
+	return p
+}
+
+func (s *step) progress() job.StepProgress {
+	var p job.StepProgress
+	if s.left < len(s.tasks) {
+		done := make([]byte, len(s.tasks))
+		for i, t := range s.tasks {
+			done[i] = '0'
+			if t.done {
+				done[i] = '1'
+			}
+		}
+		p.Done = string(done)
+	}
+	for i, t := range s.tasks {
+		// The first attempt alone is not worth a line: whoever takes over skips
+		// the numbers that may have been used.
+		if t.done || t.last <= 1 && t.failures == 0 && t.checkpoint == "" {
+			continue
+		}
+		if p.Tasks == nil {
+			p.Tasks = make(map[int]job.TaskProgress)
+		}
+		p.Tasks[i] = job.TaskProgress{Attempts: t.last, Failures: t.failures, Checkpoint: t.checkpoint}
+	}
+	return p
+}
--- /dev/null
+++ b/core/jobsched/machine.go
@@ -0,0 +1,195 @@
+package jobsched
+
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// Options are the figures that the platform's contract gives.
+type Options struct {
+	// Lease is how long what runs may go without a renewal.
+	Lease time.Duration
+	// LeaderTTL is how long an earlier leader may go on after it has lost its
+	// right, without having heard.
+	LeaderTTL time.Duration
+	// StopTime is how long a worker takes to stop an attempt.
+	StopTime time.Duration
+	// KeepFinal is how long the state of a job that is over can be read.
+	KeepFinal time.Duration
+	// ThrottleDelay is how long a throttle takes to work.
+	ThrottleDelay time.Duration
+}
+
+// Machine is the state of the daemon that leads.
+type Machine struct {
+	options Options
+	epoch   model.Epoch
+	config  *job.Config
+
+	jobs map[job.ID]*jobState
+	// final holds the jobs whose state is final, with the time at which their
+	// records may go.
+	final map[job.ID]time.Time
+	// expiry lists the ids of final in the order of their times.
+	expiry []job.ID
+
+	workers map[model.WorkerID]*worker
+	// pending holds the steps that are ready and may have idle tasks.
+	pending map[*step]struct{}
+	// recoveredAt is when the machine took over.
+	recoveredAt time.Time
+	// unresolved holds the workers on which an earlier leader may have started
+	// what the machine does not know, until the time given.
+	unresolved map[model.WorkerID]time.Time
+	listed     bool
+	deposed    bool
+	// unwanted counts the attempts that no task wants.
+	unwanted int
+
+	dirty      map[job.ID]struct{}
+	removals   []job.ID
+	commit     commitState
+	scheduleAt time.Time
+	changed    bool
+
+	now     time.Time
+	wall    time.Time
+	effects []Effect
+}
+
+// Recovered is what a leader reads from the store when it takes over.
+type Recovered struct {
+	Config   *job.Config
+	Accepted map[job.ID]*job.Accepted
+	Progress map[job.ID]*job.Progress
+	// Unanswered is from the summary of the last commit.
+	Unanswered []WorkerEntry
+}
+
+// New makes the machine of a leader that has just taken over.
+func New(now time.Time, epoch model.Epoch, o Options, r Recovered) *Machine {
+	m := &Machine{
+		options: o, epoch: epoch, config: r.Config, now: now, recoveredAt: now,
+		jobs: make(map[job.ID]*jobState), final: make(map[job.ID]time.Time),
+		workers: make(map[model.WorkerID]*worker), pending: make(map[*step]struct{}),
+		unresolved: make(map[model.WorkerID]time.Time), dirty: make(map[job.ID]struct{}),
+	}
+	for id, progress := range r.Progress {
+		if progress.State.Final() {
+			m.remember(id)
+		}
+	}
+	for id, accepted := range r.Accepted {
+		if _, over := m.final[id]; !over {
+			m.recoverJob(id, accepted, r.Progress[id])
+		}
+	}
+	for _, entry := range r.Unanswered {
+		m.workers[entry.ID] = newWorker(entry)
+		m.awaitWorker(m.workers[entry.ID])
+	}
+	return m
+}
+
+// Resume lets a machine go on that was without its right for a while in which
+// no other daemon led. What was on its way is settled as if unanswered.
+func (m *Machine) Resume(now time.Time, epoch model.Epoch) {
+	m.now = now
+	m.epoch = epoch
+	for _, w := range m.workers {
+		w.renewAt = now
+	}
+}
+
+// Handle takes an event in. The effects that follow come with Advance.
+func (m *Machine) Handle(now time.Time, ev Event) {
+	m.now = now
+	switch ev := ev.(type) {
+	case ConfigChanged:
+		m.configChanged(ev.Config)
+	case WorkersListed:
+		m.workersListed(ev.Workers)
+	case JobAccepted:
+		m.jobAccepted(ev)
+	case Renewed:
+		m.renewed(ev)
+	case Started:
+		m.started(ev)
+	case Stopped:
+		m.stopped(ev)
+	case Throttled:
+		m.throttled(ev)
+	case Committed:
+		m.committed(ev)
+	case Advised:
+		m.advised(ev)
+	}
+}
+
+// Advance returns what is to be done. wall is the time of day, by which
+// repetitions are due. A daemon calls it after each batch of events, and at
+// least every TickInterval.
+func (m *Machine) Advance(now, wall time.Time) []Effect {
+	m.now, m.wall = now, wall
+	if m.deposed {
+		return nil
+	}
+	m.expireWorkers()
+	m.beginDue()
+	m.watchAttempts()
+	m.sendStops()
+	if m.changed || !now.Before(m.scheduleAt) {
+		m.schedule()
+		m.changed = false
+		m.scheduleAt = now.Add(scheduleInterval)
+	}
+	m.sendRenewals()
+	m.sendThrottles()
+	m.sendCommit()
+	effects := m.effects
+	m.effects = nil
+	return effects
+}
+
+const (
+	// TickInterval is how often Advance is to be called without an event.
+	TickInterval = 50 * time.Millisecond
+	// scheduleInterval is how often placement is tried when nothing changed:
+	// what holds a step or a worker back ends with time alone.
+	scheduleInterval = 200 * time.Millisecond
+)
+
+func (m *Machine) emit(e Effect) { m.effects = append(m.effects, e) }
+
+func (m *Machine) order(w *worker) Order {
+	return Order{Worker: w.id, Address: w.entry.Address, Epoch: m.epoch}
+}
+
+func (m *Machine) configChanged(c *job.Config) {
+	if m.config == nil || c.Version > m.config.Version {
+		m.config = c
+		m.changed = true
+	}
+}
+
+// queue returns the queue of a job by the newer of the configuration in force
+// and the one that the job was accepted under. A queue that has gone keeps the
+// jobs it took.
+func (m *Machine) queue(j *jobState) *job.Queue {
+	if m.config != nil && m.config.Version >= j.record.ConfigVersion {
+		if q := m.config.Queues[j.record.Queue.Name]; q != nil {
+			return q
+		}
+	}
+	return &j.record.Queue
+}
+
+// Jobs returns how many jobs are not over, and how many attempts may run.
+func (m *Machine) Jobs() (jobs, attempts int) {
+	for _, w := range m.workers {
+		attempts += len(w.attempts)
+	}
+	return len(m.jobs), attempts
+}
--- /dev/null
+++ b/core/jobsched/orders.go
@@ -0,0 +1,300 @@
+package jobsched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+)
+
+const (
+	// roomPause closes a worker after it refused a task for want of room: its
+	// next report will show what the machine did not know of.
+	roomPause = 600 * time.Millisecond
+	// unhealthyPause closes a worker that said that it is not well.
+	unhealthyPause = time.Second
+	// invalidPause holds a step back that a worker could not understand.
+	invalidPause = 2 * time.Second
+	// stopRetry is the time after which a stop without an answer is sent again.
+	stopRetry = 400 * time.Millisecond
+)
+
+// addAttempt makes an attempt of a task on a worker.
+func (m *Machine) addAttempt(t *task, w *worker, number int, p phase) *attempt {
+	spec := t.step.spec
+	a := &attempt{
+		key: attemptKey{task: t.key(), attempt: number}, worker: w, task: t, phase: p,
+		size: spec.Committed(), longRunning: spec.LongRunning, advancedAt: m.now,
+		throttle: fullSpeed,
+	}
+	if spec.BestEffort {
+		a.bestEffortCPU = spec.Size.MilliCPU
+	}
+	t.attempts = append(t.attempts, a)
+	t.last = max(t.last, number)
+	t.step.job().attempts++
+	w.add(a)
+	return a
+}
+
+// addUnwanted makes an attempt that no task wants. The size of a task that is
+// not known is taken as the whole worker, so that nothing is started beside it.
+func (m *Machine) addUnwanted(w *worker, r *RunningAttempt) *attempt {
+	a := &attempt{
+		key: attemptKey{task: r.Key, attempt: r.Attempt}, worker: w, phase: phaseRunning,
+		size: w.entry.Capacity, advancedAt: m.now, throttle: fullSpeed,
+	}
+	if j := m.jobs[r.Key.Job]; j != nil && r.Key.Step < len(j.record.Spec.Steps) {
+		a.size = j.record.Spec.Steps[r.Key.Step].Committed()
+	}
+	m.unwanted++
+	w.add(a)
+	return a
+}
+
+// startAttempt starts a task on a worker.
+func (m *Machine) startAttempt(t *task, w *worker, number int) {
+	a := m.addAttempt(t, w, number, phaseStarting)
+	m.emit(Start{
+		Order: m.order(w), Key: a.key.task, Attempt: number, Payload: t.step.job().record.Spec.Payload,
+		UntilMs: w.until(m.now, m.options.Lease), Checkpoint: t.startCheckpoint(),
+		Ticket: t.step.advice.ticket(w.id),
+	})
+	if w.renewAt.After(m.now.Add(renewWait)) {
+		w.renewAt = m.now.Add(renewWait)
+	}
+}
+
+func (t *task) startCheckpoint() string {
+	if t.step.spec.Gang {
+		return t.step.checkpoint
+	}
+	return t.checkpoint
+}
+
+// started takes in the answer to a start.
+func (m *Machine) started(ev Started) {
+	w, a := m.find(ev.AttemptName)
+	if a == nil {
+		return
+	}
+	w.sampleClock(m.now, ev.ClockMs)
+	if a.phase != phaseStarting && ev.Verdict != VerdictFenced {
+		return
+	}
+	switch ev.Verdict {
+	case VerdictDone:
+		m.attemptRuns(a)
+		return
+	case VerdictUnknown:
+		m.doubt(a)
+		return
+	case VerdictFenced:
+		m.depose(w)
+		return
+	case VerdictNoRoom:
+		w.closedUntil = m.now.Add(roomPause)
+	case VerdictExpired:
+		w.clockAt = time.Time{}
+		w.renewAt = m.now
+	case VerdictUnhealthy, VerdictUnreachable:
+		w.closedUntil = m.now.Add(unhealthyPause)
+	case VerdictOtherInstance:
+		m.workerOver(w)
+		return
+	case VerdictInvalid:
+		a.step().notBefore = m.now.Add(invalidPause)
+	case VerdictNoTicket:
+		a.step().advice.reject(w.id)
+	}
+	m.emit(Note{Decision: "start refused", Job: a.key.task.Job, Task: a.key.task.String(), Attempt: a.key.attempt,
+		Worker: w.id, Reason: ev.Verdict.String()})
+	if w.renewAt.After(m.now) {
+		w.renewAt = m.now
+	}
+	m.endAttempt(a, endLost, "")
+}
+
+// attemptRuns takes in that a worker runs an attempt that was in question.
+func (m *Machine) attemptRuns(a *attempt) {
+	doubtful := a.phase == phaseDoubtful
+	a.startedAt = m.now
+	a.phase = phaseRunning
+	if a.task == nil {
+		return
+	}
+	m.begun(a.task)
+	if doubtful {
+		// A stop is on its way already.
+		a.phase = phaseStopping
+	}
+}
+
+// begun takes in that a task of the job has started.
+func (m *Machine) begun(t *task) {
+	j := t.step.job()
+	if j.begun {
+		return
+	}
+	j.begun = true
+	if !j.state.Final() {
+		j.state = job.Running
+		m.markDirty(j)
+	}
+}
+
+// doubt takes in that a start got no answer. It may be carried out seconds
+// later, when the task runs elsewhere; so the worker is told to bar it, and
+// the task waits until that is certain.
+func (m *Machine) doubt(a *attempt) {
+	a.phase = phaseDoubtful
+	m.emit(Note{Decision: "start unanswered", Job: a.key.task.Job, Task: a.key.task.String(), Attempt: a.key.attempt,
+		Worker: a.worker.id, Reason: "it is barred before the task starts elsewhere"})
+	a.stopPending = true
+	a.worker.closedUntil = m.now.Add(unhealthyPause)
+}
+
+// requestStop stops an attempt.
+func (m *Machine) requestStop(a *attempt, reason string) {
+	if a.phase == phaseStopping {
+		return
+	}
+	a.phase = phaseStopping
+	a.stopPending = true
+	m.emit(Note{Decision: "attempt stopped", Job: a.key.task.Job, Task: a.key.task.String(), Attempt: a.key.attempt,
+		Worker: a.worker.id, Reason: reason})
+}
+
+// sendStops sends the stops that are due, and again those without an answer.
+func (m *Machine) sendStops() {
+	for _, w := range m.workers {
+		for _, a := range w.attempts {
+			if a.stopPending && m.now.Sub(a.stopSentAt) >= stopRetry {
+				a.stopSentAt = m.now
+				m.emit(Stop{Order: m.order(w), Key: a.key.task, Attempt: a.key.attempt})
+			}
+		}
+	}
+}
+
+// stopped takes in the answer to a stop. The attempt is over when a report
+// shows it.
+func (m *Machine) stopped(ev Stopped) {
+	w, a := m.find(ev.AttemptName)
+	if a == nil {
+		return
+	}
+	switch ev.Verdict {
+	case VerdictDone:
+		a.stopPending = false
+		a.barredAt = m.now
+		if !w.renewing {
+			w.renewAt = m.now
+		}
+	case VerdictFenced:
+		m.depose(w)
+	case VerdictOtherInstance:
+		m.workerOver(w)
+	}
+}
+
+func (m *Machine) find(name AttemptName) (*worker, *attempt) {
+	w := m.worker(name.Worker)
+	if w == nil {
+		return nil, nil
+	}
+	return w, w.attempts[attemptKey{task: name.Key, attempt: name.Attempt}]
+}
+
+// endAttempt forgets an attempt and settles its task.
+func (m *Machine) endAttempt(a *attempt, cause EndCause, checkpoint string) {
+	a.worker.remove(a)
+	m.changed = true
+	t := a.task
+	if t == nil {
+		m.unwanted--
+		return
+	}
+	j := t.step.job()
+	t.attempts = slices.DeleteFunc(t.attempts, func(other *attempt) bool { return other == a })
+	j.attempts--
+	if j.state.Final() {
+		m.dropIfOver(j)
+		return
+	}
+	if checkpoint != "" && !t.done {
+		t.checkpoint = checkpoint
+		if t.step.spec.Gang {
+			t.step.checkpoint = checkpoint
+		}
+	}
+	m.settle(t, a, cause)
+	if !j.state.Final() && !t.done {
+		m.pending[t.step] = struct{}{}
+	}
+}
+
+// settle draws the consequence of an end for its task and its worker.
+func (m *Machine) settle(t *task, a *attempt, cause EndCause) {
+	switch cause {
+	case EndDone:
+		a.worker.health.succeeded()
+		m.taskEndedDone(t)
+	case EndFailed:
+		a.worker.health.failed(m.now)
+		t.failedOn = a.worker
+		m.countFailure(t, a.key.attempt)
+		if t.step.spec.LongRunning {
+			m.markDirty(t.step.job())
+		}
+	case EndStopped, EndExpired, EndBroken, EndIncomplete:
+		m.markDirty(t.step.job())
+	}
+}
+
+// taskEndedDone takes in the end of an attempt that did its work. One member
+// of a gang that is done stands for all; a long-running task starts again.
+func (m *Machine) taskEndedDone(t *task) {
+	if t.step.spec.LongRunning {
+		return
+	}
+	if !t.step.spec.Gang {
+		m.finishTask(t)
+		return
+	}
+	for _, member := range t.step.tasks {
+		if !member.done {
+			m.finishMember(member)
+		}
+	}
+}
+
+// finishMember marks a member of a gang as done; its attempt ends by itself.
+func (m *Machine) finishMember(t *task) {
+	o := t.step.occurrence
+	for _, s := range o.taskDone(t) {
+		m.pending[s] = struct{}{}
+	}
+	m.markDirty(o.job)
+	m.changed = true
+	m.occurrenceDone(o)
+	m.concludeIfDone(o.job)
+}
+
+// compareTasks orders task keys, then by rest.
+func compareTasks(a, b job.TaskKey, rest int) int {
+	switch {
+	case a.Job != b.Job:
+		if a.Job < b.Job {
+			return -1
+		}
+		return 1
+	case a.Occurrence != b.Occurrence:
+		return a.Occurrence - b.Occurrence
+	case a.Step != b.Step:
+		return a.Step - b.Step
+	case a.Index != b.Index:
+		return a.Index - b.Index
+	}
+	return rest
+}
--- /dev/null
+++ b/core/jobsched/renew.go
@@ -0,0 +1,213 @@
+package jobsched
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// renewWait is how long a worker with attempts may wait for an end before
+	// it answers. It bounds the age of readings, which the worker itself takes
+	// over half a second.
+	renewWait = 500 * time.Millisecond
+	// idleInterval is the time between two looks at a worker without attempts:
+	// nothing there has a lease to renew.
+	idleInterval = 2 * time.Second
+	// unstoredInterval is the time between looks while ends wait to be stored:
+	// a worker that has ends to tell answers at once.
+	unstoredInterval = 200 * time.Millisecond
+	// retryFirst and retryMost bound the time between calls to a worker that
+	// does not answer.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+	// MaxReportedEnds is how many ends a worker reports at a time.
+	MaxReportedEnds = 500
+)
+
+// sendRenewals looks at every worker whose turn has come.
+func (m *Machine) sendRenewals() {
+	for _, w := range m.workers {
+		if w.renewing || m.now.Before(w.renewAt) {
+			continue
+		}
+		unstored := w.seenEnds > w.ackedEnds
+		r := Renew{Order: m.order(w), AckedEnds: w.ackedEnds}
+		if len(w.attempts) > 0 {
+			r.UntilMs = w.until(m.now, m.options.Lease)
+		}
+		if len(w.attempts) > 0 && w.answered && !unstored {
+			r.Wait = renewWait
+		}
+		w.renewing = true
+		m.emit(r)
+	}
+}
+
+// renewed takes in a worker's report.
+func (m *Machine) renewed(ev Renewed) {
+	w := m.worker(ev.Worker)
+	if w == nil {
+		return
+	}
+	w.renewing = false
+	switch ev.Verdict {
+	case VerdictDone:
+	case VerdictNotSent:
+		return
+	case VerdictFenced:
+		m.depose(w)
+		return
+	case VerdictOtherInstance:
+		m.workerOver(w)
+		w.renewAt = m.now.Add(idleInterval)
+		return
+	default:
+		m.silent(w, ev.SentAt)
+		pause := m.now.Sub(w.silentSince) / 2
+		w.renewAt = m.now.Add(min(max(pause, retryFirst), retryMost))
+		return
+	}
+	m.heard(w)
+	w.sampleClock(m.now, ev.Report.ClockMs)
+	m.takeEnds(w, ev.Report.Ended)
+	m.reconcile(w, ev.SentAt, ev.Report)
+	m.adjustThrottle(w)
+	w.renewAt = m.nextRenewal(w)
+}
+
+func (m *Machine) nextRenewal(w *worker) time.Time {
+	switch {
+	case w.seenEnds > w.ackedEnds:
+		return m.now.Add(unstoredInterval)
+	case len(w.attempts) == 0:
+		return m.now.Add(idleInterval)
+	}
+	return m.now
+}
+
+// depose ends the machine: a later leader has spoken to a worker.
+func (m *Machine) depose(w *worker) {
+	if m.deposed {
+		return
+	}
+	m.deposed = true
+	m.emit(Note{Decision: "deposed", Worker: w.id, Reason: fmt.Sprintf("the worker has seen an epoch after %d", m.epoch)})
+	m.emit(Deposed{Worker: w.id})
+}
+
+// takeEnds takes in the ends that have not been taken in before.
+func (m *Machine) takeEnds(w *worker, ends []EndedAttempt) {
+	for i := range ends {
+		e := &ends[i]
+		if e.Number <= w.seenEnds {
+			continue
+		}
+		w.seenEnds = e.Number
+		m.takeEnd(w, e)
+	}
+}
+
+func (m *Machine) takeEnd(w *worker, e *EndedAttempt) {
+	key := attemptKey{task: e.Key, attempt: e.Attempt}
+	if _, declared := w.lost[key]; declared {
+		delete(w.lost, key)
+		return
+	}
+	a := w.attempts[key]
+	if a == nil {
+		a = m.adoptEnded(w, e)
+	}
+	if a == nil {
+		return
+	}
+	m.emit(Note{Decision: "attempt ended", Job: e.Key.Job, Task: e.Key.String(), Attempt: e.Attempt,
+		Worker: w.id, Reason: string(e.Cause)})
+	m.endAttempt(a, e.Cause, e.Checkpoint)
+}
+
+// adoptEnded makes an attempt of an end that an earlier leader started, so that
+// it is settled like any other. It returns nil when no task wants it.
+func (m *Machine) adoptEnded(w *worker, e *EndedAttempt) *attempt {
+	t := m.task(e.Key)
+	if t == nil || t.done {
+		return nil
+	}
+	return m.addAttempt(t, w, e.Attempt, phaseRunning)
+}
+
+// reconcile compares the attempts that the worker reports with those that the
+// machine knows of. The report was asked for at sentAt.
+func (m *Machine) reconcile(w *worker, sentAt time.Time, report Report) {
+	listed := make(map[attemptKey]struct{}, len(report.Running))
+	for i := range report.Running {
+		r := &report.Running[i]
+		key := attemptKey{task: r.Key, attempt: r.Attempt}
+		listed[key] = struct{}{}
+		a := w.attempts[key]
+		if a == nil {
+			a = m.adoptRunning(w, r)
+		}
+		m.observe(a, r)
+	}
+	if len(report.Ended) >= MaxReportedEnds {
+		// The end of an attempt that is not listed may be among the others.
+		return
+	}
+	for _, a := range sortedAttempts(w) {
+		if _, ok := listed[a.key]; !ok && a.overBefore(sentAt) {
+			m.emit(Note{Decision: "attempt not there", Job: a.key.task.Job, Task: a.key.task.String(),
+				Attempt: a.key.attempt, Worker: w.id, Reason: "not in its report"})
+			m.endAttempt(a, endLost, "")
+		}
+	}
+}
+
+// overBefore reports whether an attempt that a report asked for at sentAt does
+// not list is over: it was known to run before, or to be barred.
+func (a *attempt) overBefore(sentAt time.Time) bool {
+	switch a.phase {
+	case phaseRunning:
+		return a.startedAt.Before(sentAt)
+	case phaseDoubtful, phaseStopping:
+		return !a.barredAt.IsZero() && a.barredAt.Before(sentAt)
+	}
+	return false
+}
+
+// adoptRunning takes in an attempt that the machine did not start, or declared
+// lost. It is kept if its task has no other, and stopped otherwise.
+func (m *Machine) adoptRunning(w *worker, r *RunningAttempt) *attempt {
+	delete(w.lost, attemptKey{task: r.Key, attempt: r.Attempt})
+	t := m.task(r.Key)
+	wanted := t != nil && t.idle() && r.Attempt >= t.last-attemptGap
+	if !wanted {
+		a := m.addUnwanted(w, r)
+		m.requestStop(a, "no task wants it")
+		return a
+	}
+	a := m.addAttempt(t, w, r.Attempt, phaseRunning)
+	a.startedAt = m.now
+	m.begun(t)
+	m.emit(Note{Decision: "attempt adopted", Job: r.Key.Job, Task: r.Key.String(), Attempt: r.Attempt, Worker: w.id,
+		Reason: "an earlier leader started it"})
+	return a
+}
+
+// observe takes in what a report says of an attempt.
+func (m *Machine) observe(a *attempt, r *RunningAttempt) {
+	if a.phase == phaseStarting || a.phase == phaseDoubtful {
+		m.attemptRuns(a)
+	}
+	if r.Percent != a.percent {
+		a.percent = r.Percent
+		a.advancedAt = m.now
+	}
+	a.reading = r.Reading
+	if a.task == nil || r.Checkpoint == "" || r.Checkpoint == a.task.checkpoint {
+		return
+	}
+	a.task.checkpoint = r.Checkpoint
+	if a.step().spec.Gang {
+		a.step().checkpoint = r.Checkpoint
+	}
+}
--- /dev/null
+++ b/core/jobsched/schedule.go
@@ -0,0 +1,193 @@
+package jobsched
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// schedule starts what is ready and fits, the most urgent first.
+func (m *Machine) schedule() {
+	for _, s := range m.pendingSteps() {
+		switch {
+		case m.heldBack(s, m.now):
+		case s.spec.Gang:
+			m.startGang(s)
+		default:
+			m.startStep(s)
+		}
+	}
+}
+
+// pendingSteps returns the steps that are ready, the most urgent first.
+func (m *Machine) pendingSteps() []*step {
+	steps := make([]*step, 0, len(m.pending))
+	for s := range m.pending {
+		if s.ready() {
+			steps = append(steps, s)
+		} else if s.left == 0 {
+			delete(m.pending, s)
+		}
+	}
+	slices.SortFunc(steps, m.compareUrgency)
+	return steps
+}
+
+// compareUrgency puts long-running tasks first, since each second without them
+// is lost for good; then the lower priority number, then the older job.
+func (m *Machine) compareUrgency(a, b *step) int {
+	if a.spec.LongRunning != b.spec.LongRunning {
+		if a.spec.LongRunning {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(m.queue(a.job()).Priority, m.queue(b.job()).Priority),
+		cmp.Compare(a.dueMs(), b.dueMs()),
+		strings.Compare(string(a.job().id), string(b.job().id)),
+		cmp.Compare(a.occurrence.number, b.occurrence.number),
+		cmp.Compare(a.number, b.number),
+	)
+}
+
+// dueMs returns when the step's occurrence was due, or its job accepted.
+func (s *step) dueMs() int64 {
+	if schedule := s.job().record.Spec.Schedule; schedule != nil {
+		return schedule.Due(s.occurrence.number).UnixMilli()
+	}
+	return s.job().record.AtMs
+}
+
+func (s *step) name() string { return s.tasks[0].key().StepName() }
+
+// startStep starts as many idle tasks of the step as fit.
+func (m *Machine) startStep(s *step) {
+	left := false
+	for _, t := range s.tasks {
+		if !t.idle() {
+			continue
+		}
+		w := m.choose(t)
+		if w == nil {
+			left = true
+			break
+		}
+		m.startAttempt(t, w, t.last+1)
+	}
+	if !left {
+		delete(m.pending, s)
+		return
+	}
+	m.askAdvice(s)
+}
+
+// choose returns the best worker for the task, or nil if there is none.
+func (m *Machine) choose(t *task) *worker {
+	var best *worker
+	bestScore := 0.0
+	for _, w := range m.workers {
+		if !m.allowed(t.step, w) {
+			continue
+		}
+		score := m.score(t, w)
+		if best == nil || score > bestScore || score == bestScore && w.id < best.id {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// startGang starts all tasks of a gang at once under one attempt number, when
+// all of them fit and none of an earlier attempt is left. The members wait for
+// each other only a short time, so none is started alone.
+func (m *Machine) startGang(s *step) {
+	number := 0
+	for _, t := range s.tasks {
+		if len(t.attempts) > 0 {
+			return
+		}
+		number = max(number, t.last)
+	}
+	placed, ok := m.placeGang(s)
+	if !ok {
+		m.askAdvice(s)
+		return
+	}
+	for i, t := range s.tasks {
+		t.last = number
+		m.startAttempt(t, placed[i], number+1)
+	}
+	delete(m.pending, s)
+}
+
+// placeGang finds a worker for each member, on one rack where that matters and
+// is possible.
+func (m *Machine) placeGang(s *step) ([]*worker, bool) {
+	if s.spec.SameRack {
+		for _, rack := range m.racks() {
+			if placed, ok := m.placeGangOn(s, rack); ok {
+				return placed, true
+			}
+		}
+	}
+	return m.placeGangOn(s, "")
+}
+
+// placeGangOn places a gang on one rack, or anywhere if rack is empty. Each
+// worker's room is taken by trial attempts that are taken back at the end.
+func (m *Machine) placeGangOn(s *step, rack model.Rack) ([]*worker, bool) {
+	var placed []*worker
+	var trials []*attempt
+	defer func() {
+		for _, a := range trials {
+			a.worker.remove(a)
+		}
+	}()
+	for _, t := range s.tasks {
+		w := m.chooseOn(t, rack)
+		if w == nil {
+			return nil, false
+		}
+		trial := &attempt{key: attemptKey{task: t.key()}, worker: w, task: t, size: s.spec.Committed()}
+		w.add(trial)
+		trials = append(trials, trial)
+		placed = append(placed, w)
+	}
+	return placed, true
+}
+
+func (m *Machine) chooseOn(t *task, rack model.Rack) *worker {
+	if rack == "" {
+		return m.choose(t)
+	}
+	var best *worker
+	for _, w := range m.workers {
+		if w.entry.Rack != rack || !m.allowed(t.step, w) {
+			continue
+		}
+		if best == nil || m.score(t, w) > m.score(t, best) {
+			best = w
+		}
+	}
+	return best
+}
+
+// racks returns the racks of the workers, the one with the most free
+// processors first.
+func (m *Machine) racks() []model.Rack {
+	free := make(map[model.Rack]int64)
+	for _, w := range m.workers {
+		free[w.entry.Rack] += w.room().MilliCPU
+	}
+	racks := make([]model.Rack, 0, len(free))
+	for rack := range free {
+		racks = append(racks, rack)
+	}
+	slices.SortFunc(racks, func(a, b model.Rack) int {
+		return cmp.Or(cmp.Compare(free[b], free[a]), strings.Compare(string(a), string(b)))
+	})
+	return racks
+}
--- /dev/null
+++ b/core/jobsched/score.go
@@ -0,0 +1,85 @@
+package jobsched
+
+// placementScore says how good a worker is for a task of the step; the highest
+// sum wins.
+type placementScore func(m *Machine, t *task, w *worker) float64
+
+var placementScores = []placementScore{
+	scoreBalance, scoreDataRack, scoreSameRack, scoreOtherWorker, scoreServing,
+}
+
+func (m *Machine) score(t *task, w *worker) float64 {
+	sum := 0.0
+	for _, s := range placementScores {
+		sum += s(m, t, w)
+	}
+	return sum
+}
+
+const (
+	// dataRackScore outweighs any difference in load: away from its data a task
+	// takes two to three times as long.
+	dataRackScore = 10.0
+	sameRackScore = 10.0
+	// failedThereScore keeps a task off the worker that it failed on while
+	// there is any other.
+	failedThereScore = -20.0
+	// servingScore keeps best-effort work off workers whose long-running tasks
+	// it would slow down, while there are others.
+	servingScore = -2.0
+)
+
+// scoreBalance prefers the worker that is least loaded in its fullest dimension.
+func scoreBalance(_ *Machine, t *task, w *worker) float64 {
+	capacity := w.entry.Capacity
+	if t.step.spec.BestEffort {
+		return part(w.freeCPU(), capacity.MilliCPU)
+	}
+	room := w.room()
+	return min(part(room.MilliCPU-w.bestEffortCPU/4, capacity.MilliCPU), part(room.MemoryMB, capacity.MemoryMB))
+}
+
+func part(amount, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(amount) / float64(whole)
+}
+
+func scoreDataRack(_ *Machine, t *task, w *worker) float64 {
+	if rack := t.step.spec.DataRack; rack != "" && w.entry.Rack == rack {
+		return dataRackScore
+	}
+	return 0
+}
+
+// scoreSameRack keeps a step together that is slow on several racks.
+func scoreSameRack(_ *Machine, t *task, w *worker) float64 {
+	if !t.step.spec.SameRack {
+		return 0
+	}
+	for _, other := range t.step.tasks {
+		for _, a := range other.attempts {
+			if a.worker.entry.Rack == w.entry.Rack {
+				return sameRackScore
+			}
+		}
+	}
+	return 0
+}
+
+func scoreOtherWorker(_ *Machine, t *task, w *worker) float64 {
+	if t.failedOn == w {
+		return failedThereScore
+	}
+	return 0
+}
+
+// scoreServing keeps best-effort work away from tasks with a latency target,
+// the more the closer these are to it.
+func scoreServing(_ *Machine, t *task, w *worker) float64 {
+	if !t.step.spec.BestEffort || !w.serves() {
+		return 0
+	}
+	return servingScore * (0.5 + w.throttle.pressure)
+}
--- /dev/null
+++ b/core/jobsched/watch.go
@@ -0,0 +1,77 @@
+package jobsched
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// stallTime is how long an attempt may stand still, by its reports, before
+	// it is started elsewhere. Its share of done work grows by the percent, and
+	// the longest tasks of the users take some seconds for all hundred.
+	stallTime = 1500 * time.Millisecond
+	// bestEffortStallTime is the same for work that may find no processor free.
+	bestEffortStallTime = 5 * time.Second
+)
+
+// watchAttempts stops attempts that are better run elsewhere.
+func (m *Machine) watchAttempts() {
+	for _, w := range m.workers {
+		if w.entry.Draining {
+			m.evacuate(w)
+		}
+		for _, a := range w.attempts {
+			if a.stalled(m.now) {
+				w.health.failed(m.now)
+				a.task.failedOn = w
+				m.requestStop(a, fmt.Sprintf("stands still at %d%%", a.percent))
+			}
+		}
+	}
+}
+
+// stalled reports whether the attempt has not advanced for long, although its
+// worker answers.
+func (a *attempt) stalled(now time.Time) bool {
+	if a.phase != phaseRunning || a.task == nil || !a.worker.silentSince.IsZero() {
+		return false
+	}
+	if a.percent >= 100 || a.throttle < fullSpeed || a.step().spec.Gang {
+		return false
+	}
+	limit := stallTime
+	if a.bestEffortCPU > 0 {
+		limit = bestEffortStallTime
+	}
+	last := a.advancedAt
+	if a.startedAt.After(last) {
+		last = a.startedAt
+	}
+	return now.Sub(last) > limit
+}
+
+// evacuate moves what a leaving worker would end. Long-running tasks go at
+// once; others go if they resume where they were stopped, and are not likely to
+// be done in time.
+func (m *Machine) evacuate(w *worker) {
+	for _, a := range w.attempts {
+		if a.phase != phaseRunning || a.task == nil || a.step().spec.Gang {
+			continue
+		}
+		spec := a.step().spec
+		switch {
+		case spec.LongRunning:
+			m.requestStop(a, "its worker leaves")
+		case spec.Checkpointing && a.remaining(m.now) > w.entry.Remaining:
+			m.requestStop(a, "its worker leaves before it is done")
+		}
+	}
+}
+
+// remaining estimates how long the attempt still takes, by its pace so far.
+func (a *attempt) remaining(now time.Time) time.Duration {
+	if a.percent <= 0 {
+		return time.Duration(a.step().spec.EstimateMs) * time.Millisecond
+	}
+	return now.Sub(a.startedAt) * time.Duration(100-a.percent) / time.Duration(a.percent)
+}
--- /dev/null
+++ b/core/jobsched/worker.go
@@ -0,0 +1,120 @@
+package jobsched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// worker is the session with one incarnation of a worker.
+type worker struct {
+	id    model.WorkerID
+	entry WorkerEntry
+	// listed is whether the last list had it.
+	listed bool
+	// answered is whether it has answered under the machine's epoch; before
+	// that nothing is started on it.
+	answered bool
+	// clockMs is the worker's clock, read at clockAt.
+	clockMs int64
+	clockAt time.Time
+	// leaseBound is when all that runs there has certainly lost its lease,
+	// unless the lease is renewed.
+	leaseBound time.Time
+	// silentSince is when the first of the unanswered calls was sent; zero when
+	// the last was answered.
+	silentSince time.Time
+	renewing    bool
+	renewAt     time.Time
+	// seenEnds numbers the last end taken in, ackedEnds the last one whose
+	// consequence is stored.
+	seenEnds  int64
+	ackedEnds int64
+	attempts  map[attemptKey]*attempt
+	committed model.Resources
+	// bestEffortCPU is the sum of its best-effort attempts.
+	bestEffortCPU int64
+	// lost are attempts that were declared lost with their lease. Their later
+	// ends say nothing.
+	lost map[attemptKey]struct{}
+	// closedUntil holds back new starts after a refusal.
+	closedUntil time.Time
+	health      health
+	throttle    throttleState
+}
+
+func newWorker(e WorkerEntry) *worker {
+	return &worker{
+		id: e.ID, entry: e, attempts: make(map[attemptKey]*attempt),
+		lost: make(map[attemptKey]struct{}), throttle: throttleState{percent: fullSpeed},
+	}
+}
+
+// room returns what is not committed.
+func (w *worker) room() model.Resources { return w.entry.Capacity.Sub(w.committed) }
+
+// freeCPU estimates the processor time that best-effort work could use.
+func (w *worker) freeCPU() int64 {
+	used := int64(float64(w.committed.MilliCPU) * committedUse)
+	return w.entry.Capacity.MilliCPU - used - w.bestEffortCPU
+}
+
+// committedUse is the part of committed processor time that is taken as used
+// when best-effort work is placed. Long-running tasks use about half of theirs
+// and ordinary ones all; the figure lies between.
+const committedUse = 0.8
+
+func (w *worker) hasLabel(label string) bool { return slices.Contains(w.entry.Labels, label) }
+
+// add takes an attempt in and commits its size.
+func (w *worker) add(a *attempt) {
+	w.attempts[a.key] = a
+	w.committed = w.committed.Add(a.size)
+	w.bestEffortCPU += a.bestEffortCPU
+}
+
+// remove forgets an attempt and frees its size.
+func (w *worker) remove(a *attempt) {
+	delete(w.attempts, a.key)
+	w.committed = w.committed.Sub(a.size)
+	w.bestEffortCPU -= a.bestEffortCPU
+}
+
+// sampleClock notes a reading of the worker's clock.
+func (w *worker) sampleClock(now time.Time, clockMs int64) {
+	if clockMs > 0 {
+		w.clockMs, w.clockAt = clockMs, now
+	}
+}
+
+// until returns the end, on the worker's clock, of a lease of the given length
+// that begins now, and 0 while the worker's clock is not known. It moves the
+// bound after which nothing of the lease is left: the worker's clock may run
+// slow, and may have fallen behind since it was read.
+func (w *worker) until(now time.Time, lease time.Duration) int64 {
+	if w.clockAt.IsZero() {
+		return 0
+	}
+	since := now.Sub(w.clockAt)
+	drift := time.Duration(float64(since+lease) * clockDrift)
+	bound := now.Add(lease + drift + leaseSlack)
+	if bound.After(w.leaseBound) {
+		w.leaseBound = bound
+	}
+	return w.clockMs + (since + lease).Milliseconds()
+}
+
+const (
+	// clockDrift is how slow a worker's clock may be: 2% by the platform's
+	// contract, and a little for the rounding.
+	clockDrift = 0.025
+	// leaseSlack covers the worker's own delay in ending what has no lease.
+	leaseSlack = 200 * time.Millisecond
+)
+
+// usable reports whether new tasks may go there at all.
+func (w *worker) usable(now time.Time) bool {
+	return w.listed && w.answered && !w.entry.Draining && w.silentSince.IsZero() &&
+		!now.Before(w.closedUntil) && !w.clockAt.IsZero() && w.health.open(now)
+}
--- /dev/null
+++ b/core/jobsched/workers.go
@@ -0,0 +1,148 @@
+package jobsched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// workersListed takes the platform's list in. A worker that is missing from it
+// may have left, may have lost its entry in an outage of the platform's store,
+// or may be cut off and run on: nothing is started on it, and what runs there
+// is over when it says so or when its lease has certainly run out.
+func (m *Machine) workersListed(entries []WorkerEntry) {
+	first := !m.listed
+	m.listed = true
+	for _, w := range m.workers {
+		w.listed = false
+	}
+	for _, e := range entries {
+		w := m.workers[e.ID]
+		if w == nil {
+			w = newWorker(e)
+			m.workers[e.ID] = w
+			m.emit(Note{Decision: "worker found", Worker: e.ID, Reason: "address " + e.Address + ", rack " + string(e.Rack)})
+			if first {
+				m.awaitWorker(w)
+			}
+		}
+		m.updateEntry(w, e)
+	}
+	m.changed = true
+}
+
+func (m *Machine) updateEntry(w *worker, e WorkerEntry) {
+	if e.Draining && !w.entry.Draining {
+		m.emit(Note{Decision: "worker drains", Worker: w.id, Reason: "remaining " + e.Remaining.String()})
+	}
+	w.listed = true
+	w.entry = e
+}
+
+// awaitWorker notes that an earlier leader may have started tasks on w that the
+// machine does not know of yet.
+func (m *Machine) awaitWorker(w *worker) {
+	bound := m.recoveredAt.Add(m.options.LeaderTTL + m.options.Lease)
+	bound = bound.Add(time.Duration(float64(m.options.Lease)*clockDrift) + leaseSlack)
+	w.leaseBound = bound
+	m.unresolved[w.id] = bound
+}
+
+// held reports whether a task must wait because an earlier leader may have
+// started it on a worker that has not answered yet. Jobs that came after the
+// take-over can have been started elsewhere only while that leader may still
+// have been at work.
+func (m *Machine) held(j *jobState) bool {
+	if len(m.unresolved) == 0 {
+		return !m.listed
+	}
+	return j.recovered || m.now.Before(m.recoveredAt.Add(m.options.LeaderTTL))
+}
+
+// expireWorkers settles workers that have not answered for so long that
+// nothing can run there any more.
+func (m *Machine) expireWorkers() {
+	for id, bound := range m.unresolved {
+		if !m.now.Before(bound) {
+			delete(m.unresolved, id)
+			m.changed = true
+		}
+	}
+	for _, w := range m.workers {
+		if w.silentSince.IsZero() && w.answered || m.now.Before(w.leaseBound) {
+			continue
+		}
+		m.loseAttempts(w, "its lease ran out without an answer")
+		if !w.listed {
+			m.forget(w)
+		}
+	}
+}
+
+// loseAttempts declares all attempts on w as lost.
+func (m *Machine) loseAttempts(w *worker, reason string) {
+	for _, a := range sortedAttempts(w) {
+		w.lost[a.key] = struct{}{}
+		m.emit(Note{Decision: "attempt lost", Job: a.key.task.Job, Task: a.key.task.String(),
+			Attempt: a.key.attempt, Worker: w.id, Reason: reason})
+		m.endAttempt(a, endLost, "")
+	}
+}
+
+func (m *Machine) forget(w *worker) {
+	delete(m.workers, w.id)
+	delete(m.unresolved, w.id)
+	m.emit(Note{Decision: "worker gone", Worker: w.id, Reason: "not listed, and no answer"})
+}
+
+// workerOver takes in that the incarnation has ended, with all that ran on it.
+func (m *Machine) workerOver(w *worker) {
+	m.loseAttempts(w, "another incarnation answers at its address")
+	w.closedUntil = m.now.Add(time.Second)
+	delete(m.unresolved, w.id)
+	if !w.listed {
+		m.forget(w)
+	}
+}
+
+// silent notes that a call to w got no answer.
+func (m *Machine) silent(w *worker, sentAt time.Time) {
+	if w.silentSince.IsZero() {
+		w.silentSince = sentAt
+		m.emit(Note{Decision: "worker silent", Worker: w.id, Reason: "no answer"})
+	}
+}
+
+// heard notes that w has answered a Renew.
+func (m *Machine) heard(w *worker) {
+	if !w.silentSince.IsZero() {
+		m.emit(Note{Decision: "worker answers again", Worker: w.id,
+			Reason: "after " + m.now.Sub(w.silentSince).Round(time.Millisecond).String()})
+	}
+	w.silentSince = time.Time{}
+	if !w.answered {
+		w.answered = true
+		m.changed = true
+	}
+	if _, ok := m.unresolved[w.id]; ok {
+		delete(m.unresolved, w.id)
+		m.changed = true
+	}
+}
+
+// worker returns the session with the worker, or nil.
+func (m *Machine) worker(id model.WorkerID) *worker { return m.workers[id] }
+
+// sortedAttempts returns the attempts of w in the order of their keys, so that
+// sessions are the same each time.
+func sortedAttempts(w *worker) []*attempt {
+	list := make([]*attempt, 0, len(w.attempts))
+	for _, a := range w.attempts {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b *attempt) int {
+		return compareTasks(a.key.task, b.key.task, a.key.attempt-b.key.attempt)
+	})
+	return list
+}
--- /dev/null
+++ b/jobservice/clock.go
@@ -0,0 +1,33 @@
+package jobservice
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Clock gives the time for leases and the time of day.
+type Clock interface {
+	// Now is a steady time that goes on while the machine is suspended. The
+	// usual monotonic clock stands still then, and a leader that wakes after
+	// seconds would take its lapsed lease for valid.
+	Now() time.Time
+	// Wall is the time of day.
+	Wall() time.Time
+}
+
+// BootClock is the machine's clock.
+type BootClock struct{}
+
+// Now returns the time since boot, as a time without a meaning of its own.
+func (BootClock) Now() time.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Linux has had this clock since version 2.6.39.
+		panic(err)
+	}
+	return time.Unix(ts.Sec, ts.Nsec)
+}
+
+// Wall returns the time of day.
+func (BootClock) Wall() time.Time { return time.Now() }
--- /dev/null
+++ b/jobservice/intake.go
@@ -0,0 +1,262 @@
+package jobservice
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/jobsched"
+	"github.com/guavarill/guavarill/port"
+)
+
+// UnavailableError says that a request was not carried out, and will not be,
+// because the store cannot be reached.
+type UnavailableError struct{ Cause error }
+
+// Error implements error.
+func (e *UnavailableError) Error() string { return fmt.Sprintf("not done: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// UncertainError says that a request may or may not have been carried out, or
+// that its answer is not known.
+type UncertainError struct{ Cause error }
+
+// Error implements error.
+func (e *UncertainError) Error() string { return fmt.Sprintf("not known: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *UncertainError) Unwrap() error { return e.Cause }
+
+// UnknownJobError says that no such job exists.
+type UnknownJobError struct{ ID job.ID }
+
+// Error implements error.
+func (e *UnknownJobError) Error() string { return fmt.Sprintf("job %s does not exist", e.ID) }
+
+// StaleError says that the leader has written nothing for too long.
+type StaleError struct{ Age time.Duration }
+
+// Error implements error.
+func (e *StaleError) Error() string { return fmt.Sprintf("the counts are %s old", e.Age) }
+
+// Intake serves callers at any daemon, by the store alone.
+type Intake struct {
+	store port.Store
+	clock Clock
+}
+
+// NewIntake makes an Intake.
+func NewIntake(store port.Store, clock Clock) *Intake { return &Intake{store: store, clock: clock} }
+
+const (
+	// storeTimeout bounds one call to the store for a caller. The store answers
+	// in 4 ms when it is well, in some hundred when it is slow.
+	storeTimeout = 800 * time.Millisecond
+	// retryPause is the time between two tries of a call for a caller.
+	retryPause = 40 * time.Millisecond
+	// acceptTries bounds the tries of one hand-in.
+	acceptTries = 3
+	// summaryMaxAge is how old the counts of a queue may be: the 2 s that they
+	// are allowed, and a little for the difference of two clocks.
+	summaryMaxAge = 2500 * time.Millisecond
+)
+
+// Accept stores a job unless it is there already, under its id. The error is an
+// *UnavailableError when the job is not stored and will not be, and an
+// *UncertainError when it may be.
+//
+// A try whose answer was lost may still be carried out, but not beside another
+// one: all of them want the id to be free.
+func (in *Intake) Accept(ctx context.Context, id job.ID, record *job.Accepted) error {
+	conditions := []port.Condition{
+		{Key: acceptedKey(id), Kind: port.CompareModRevision},
+		{Key: progressKey(id), Kind: port.CompareModRevision},
+	}
+	changes := []port.Op{{Key: acceptedKey(id), Value: record.Encode()}}
+	uncertain := false
+	var last error
+	for try := range acceptTries {
+		if try > 0 && !pause(ctx, retryPause) {
+			break
+		}
+		_, err := in.txn(ctx, conditions, changes)
+		if err == nil {
+			// Whether this try stored it or found it there, it is accepted.
+			return nil
+		}
+		last = err
+		uncertain = uncertain || !notDone(err)
+	}
+	if uncertain {
+		return &UncertainError{Cause: last}
+	}
+	return &UnavailableError{Cause: last}
+}
+
+// State returns what is to be told of a job. The error is an *UnknownJobError
+// or an *UncertainError.
+func (in *Intake) State(ctx context.Context, id job.ID) (job.State, error) {
+	progress, err := in.progress(ctx, id)
+	if err != nil || progress != nil {
+		return stateOf(progress), err
+	}
+	accepted, _, err := in.accepted(ctx, id)
+	switch {
+	case err != nil:
+		return "", err
+	case accepted != nil && accepted.Canceled:
+		return job.Canceled, nil
+	case accepted != nil:
+		return job.Queued, nil
+	}
+	// It may have begun and ended between the two reads.
+	progress, err = in.progress(ctx, id)
+	if err != nil || progress != nil {
+		return stateOf(progress), err
+	}
+	return "", &UnknownJobError{ID: id}
+}
+
+func stateOf(p *job.Progress) job.State {
+	if p == nil {
+		return ""
+	}
+	return p.State
+}
+
+// Cancel marks a job as canceled. The error is an *UnknownJobError when there
+// is none that is not over, an *UnavailableError or an *UncertainError.
+func (in *Intake) Cancel(ctx context.Context, id job.ID) error {
+	for {
+		accepted, revision, err := in.accepted(ctx, id)
+		switch {
+		case err != nil:
+			return err
+		case accepted == nil:
+			return &UnknownJobError{ID: id}
+		case accepted.Canceled:
+			return nil
+		}
+		accepted.Canceled = true
+		condition := []port.Condition{{Key: acceptedKey(id), Kind: port.CompareModRevision, Revision: revision}}
+		result, err := in.txn(ctx, condition, []port.Op{{Key: acceptedKey(id), Value: accepted.Encode()}})
+		switch {
+		case err == nil && result.Succeeded:
+			return nil
+		case err != nil && !pause(ctx, retryPause):
+			return &UncertainError{Cause: err}
+		}
+	}
+}
+
+// Waiting returns how many jobs of a queue wait for their first task to start.
+// The error is an *UncertainError or a *StaleError.
+func (in *Intake) Waiting(ctx context.Context, queue string) (int, error) {
+	kv, err := in.get(ctx, ledgerKey)
+	if err != nil {
+		return 0, &UncertainError{Cause: err}
+	}
+	ledger, err := decodeLedger(kv.Value)
+	if err != nil {
+		return 0, &UncertainError{Cause: err}
+	}
+	age := in.clock.Wall().Sub(time.UnixMilli(ledger.Summary.WrittenMs))
+	if age > summaryMaxAge {
+		return 0, &StaleError{Age: age}
+	}
+	return ledger.Summary.Waiting[queue], nil
+}
+
+func (in *Intake) progress(ctx context.Context, id job.ID) (*job.Progress, error) {
+	kv, err := in.get(ctx, progressKey(id))
+	if err != nil {
+		return nil, &UncertainError{Cause: err}
+	}
+	if kv.ModRevision == 0 {
+		return nil, nil
+	}
+	p, err := job.DecodeProgress(kv.Value)
+	if err != nil {
+		return nil, &UncertainError{Cause: err}
+	}
+	return p, nil
+}
+
+func (in *Intake) accepted(ctx context.Context, id job.ID) (*job.Accepted, int64, error) {
+	kv, err := in.get(ctx, acceptedKey(id))
+	if err != nil {
+		return nil, 0, &UncertainError{Cause: err}
+	}
+	if kv.ModRevision == 0 {
+		return nil, 0, nil
+	}
+	a, err := job.DecodeAccepted(kv.Value)
+	if err != nil {
+		return nil, 0, &UncertainError{Cause: err}
+	}
+	return a, kv.ModRevision, nil
+}
+
+// get reads a key, and once more if that fails.
+func (in *Intake) get(ctx context.Context, key string) (port.KeyValue, error) {
+	kv, err := in.getOnce(ctx, key)
+	if err == nil || !pause(ctx, retryPause) {
+		return kv, err
+	}
+	return in.getOnce(ctx, key)
+}
+
+func (in *Intake) getOnce(ctx context.Context, key string) (port.KeyValue, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return in.store.Get(ctx, key)
+}
+
+func (in *Intake) txn(ctx context.Context, conditions []port.Condition, changes []port.Op) (port.TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return in.store.Txn(ctx, conditions, changes)
+}
+
+// notDone reports whether the store has certainly not made a change.
+func notDone(err error) bool {
+	var failure *port.StoreError
+	return errors.As(err, &failure) && failure.Outcome == port.OutcomeNotDone
+}
+
+// pause waits, and returns false if ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// ledgerRecord is the value of ledgerKey.
+type ledgerRecord struct {
+	// Incarnation is the leader's process, Number that of its commit; together
+	// they tell a leader whether a commit without an answer was made.
+	Incarnation string           `json:"incarnation"`
+	Number      uint64           `json:"number"`
+	Summary     jobsched.Summary `json:"summary"`
+}
+
+func decodeLedger(data []byte) (ledgerRecord, error) {
+	var l ledgerRecord
+	if len(data) == 0 {
+		return l, nil
+	}
+	if err := json.Unmarshal(data, &l); err != nil {
+		return l, &job.RecordError{Kind: "ledger", Cause: err}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/jobservice/options.go
@@ -0,0 +1,59 @@
+package jobservice
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavarill/guavarill/core/jobsched"
+	"github.com/guavarill/guavarill/port"
+)
+
+// Options are what a Leader works with.
+type Options struct {
+	// Daemon is the name of the VM, the same over restarts; Incarnation that of
+	// the process.
+	Daemon, Incarnation string
+	Store               port.Store
+	Workers             port.TaskWorkers
+	List                port.WorkerList
+	Advisor             port.Advisor
+	Config              port.ConfigFeed
+	Clock               Clock
+	Log                 *logrus.Logger
+	// LeaderTTL is the length of the leader's lease in the store: how long the
+	// others wait for one that has gone, and how long it may go on without the
+	// store.
+	LeaderTTL time.Duration
+	Machine   jobsched.Options
+}
+
+const (
+	// leaseCallTimeout bounds a call for the leader's lease, well within the
+	// lease and beyond the answers of a slow store.
+	leaseCallTimeout = 700 * time.Millisecond
+	// renewalsPerLease is how often the leader's lease is renewed in its time;
+	// a renewal costs a tenth of a read.
+	renewalsPerLease = 5
+	// leaseMargin ends the leader's right before the store does: clocks differ
+	// by at most 2%, and an order needs a moment to be sent.
+	leaseMargin = 100 * time.Millisecond
+	// listInterval is the time between two reads of the platform's list of
+	// workers. A leaving worker must get no task two seconds after it said so.
+	listInterval = 500 * time.Millisecond
+	// leaderPoll is how often a daemon that follows reads the leader's key
+	// itself: a watch may stay silent when the key is taken away.
+	leaderPoll = 2 * time.Second
+	// campaignPause is the time between two tries to lead.
+	campaignPause = 100 * time.Millisecond
+	// commitTimeout bounds one try of a commit.
+	commitTimeout = 1500 * time.Millisecond
+	// commitPause is the time between two tries of a commit.
+	commitPause = 30 * time.Millisecond
+	// eventBuffer is how many events may wait for the control goroutine, and
+	// eventBatch how many it takes in before it acts.
+	eventBuffer = 1024
+	eventBatch  = 256
+	// listTimeout bounds a read of lists, which may be large.
+	listTimeout = 2 * time.Second
+)
--- /dev/null
+++ b/jobservice/orders.go
@@ -0,0 +1,86 @@
+package jobservice
+
+import (
+	"context"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/jobsched"
+)
+
+const (
+	// orderTimeout bounds an order to a worker. Workers answer in milliseconds;
+	// an order that hangs is barred and the task goes elsewhere.
+	orderTimeout = time.Second
+	// renewSlack is what a renewal may take beyond the wait that it allows.
+	renewSlack = 700 * time.Millisecond
+	// adviceTimeout bounds a call for advice, which takes some hundred
+	// milliseconds and waits in turn behind others.
+	adviceTimeout = 4 * time.Second
+)
+
+// order sends an order in the background and posts its answer. The answer is
+// posted also when the term has ended, for the term may go on.
+func (t *term) order(ctx context.Context, e jobsched.Effect) {
+	go func() {
+		ev := t.send(context.WithoutCancel(ctx), e)
+		t.events <- ev
+	}()
+}
+
+// send sends an order if the daemon still leads, and returns the event that
+// tells of it.
+func (t *term) send(ctx context.Context, e jobsched.Effect) jobsched.Event {
+	ctx, cancel := context.WithTimeout(ctx, t.timeout(e))
+	defer cancel()
+	leads := t.leader.mayAct()
+	switch e := e.(type) {
+	case jobsched.Renew:
+		return t.renew(ctx, e, leads)
+	case jobsched.Start:
+		ev := jobsched.Started{AttemptName: name(e.Order, e.Key, e.Attempt), Verdict: jobsched.VerdictNotSent}
+		if leads {
+			ev.Verdict, ev.ClockMs = t.leader.o.Workers.Start(ctx, e)
+		}
+		return ev
+	case jobsched.Stop:
+		ev := jobsched.Stopped{AttemptName: name(e.Order, e.Key, e.Attempt), Verdict: jobsched.VerdictNotSent}
+		if leads {
+			ev.Verdict = t.leader.o.Workers.Stop(ctx, e)
+		}
+		return ev
+	case jobsched.Throttle:
+		ev := jobsched.Throttled{
+			AttemptName: name(e.Order, e.Key, e.Attempt), Percent: e.Percent, Verdict: jobsched.VerdictNotSent,
+		}
+		if leads {
+			ev.Verdict = t.leader.o.Workers.Throttle(ctx, e)
+		}
+		return ev
+	case jobsched.Advise:
+		return t.leader.o.Advisor.Advise(ctx, e)
+	}
+	return nil
+}
+
+func (t *term) renew(ctx context.Context, e jobsched.Renew, leads bool) jobsched.Event {
+	ev := jobsched.Renewed{Worker: e.Worker, SentAt: t.leader.o.Clock.Now(), Verdict: jobsched.VerdictNotSent}
+	if leads {
+		ev.Verdict, ev.Report = t.leader.o.Workers.Renew(ctx, e)
+	}
+	return ev
+}
+
+func (t *term) timeout(e jobsched.Effect) time.Duration {
+	switch e := e.(type) {
+	case jobsched.Renew:
+		return e.Wait + renewSlack
+	case jobsched.Advise:
+		return adviceTimeout
+	}
+	return orderTimeout
+}
+
+func name(o jobsched.Order, key job.TaskKey, attempt int) jobsched.AttemptName {
+	return jobsched.AttemptName{Worker: o.Worker, Key: key, Attempt: attempt}
+}
--- /dev/null
+++ b/jobservice/term.go
@@ -0,0 +1,269 @@
+package jobservice
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/jobsched"
+	"github.com/guavarill/guavarill/port"
+)
+
+// recover reads what an earlier leader left.
+func (t *term) recover(ctx context.Context) error {
+	l := t.leader
+	began := l.o.Clock.Now()
+	r := jobsched.Recovered{Config: l.o.Config.Current()}
+	ledger, err := l.get(ctx, ledgerKey)
+	if err != nil {
+		return err
+	}
+	record, err := decodeLedger(ledger.Value)
+	if err != nil {
+		return err
+	}
+	r.Unanswered = record.Summary.Unanswered
+	// Accepted jobs first: one that ends between the two reads is in both, and
+	// its progress says that it is over.
+	if r.Accepted, t.jobsFrom, err = readAll(ctx, l.o.Store, acceptedPrefix, job.DecodeAccepted); err != nil {
+		return err
+	}
+	if r.Progress, _, err = readAll(ctx, l.o.Store, progressPrefix, job.DecodeProgress); err != nil {
+		return err
+	}
+	t.machine = jobsched.New(l.o.Clock.Now(), t.epoch, l.o.Machine, r)
+	l.log.WithFields(logrus.Fields{
+		"epoch": t.epoch, "jobs": len(r.Accepted), "records": len(r.Progress),
+		"took": l.o.Clock.Now().Sub(began).String(),
+	}).Info("state read")
+	return nil
+}
+
+// readAll reads the records below a prefix, by job.
+func readAll[T any](ctx context.Context, store port.Store, prefix string, decode func([]byte) (*T, error)) (map[job.ID]*T, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	items, revision, err := store.List(ctx, prefix)
+	if err != nil {
+		return nil, 0, err
+	}
+	records := make(map[job.ID]*T, len(items))
+	for _, kv := range items {
+		id, err := jobOf(kv.Key, prefix)
+		if err != nil {
+			return nil, 0, err
+		}
+		record, err := decode(kv.Value)
+		if err != nil {
+			return nil, 0, err
+		}
+		records[id] = record
+	}
+	return records, revision, nil
+}
+
+// loop is the control goroutine of a term. It returns whether a later leader
+// has been seen.
+func (t *term) loop(ctx context.Context) (deposed bool) {
+	ticker := time.NewTicker(jobsched.TickInterval)
+	defer ticker.Stop()
+	if t.pending != nil {
+		t.sendCommit(ctx, *t.pending)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		case ev := <-t.events:
+			if t.handle(ev) {
+				return true
+			}
+			if t.drain() {
+				return true
+			}
+		}
+		if !t.leader.mayAct() {
+			return false
+		}
+		clock := t.leader.o.Clock
+		if t.carryOut(ctx, t.machine.Advance(clock.Now(), clock.Wall())) {
+			return true
+		}
+	}
+}
+
+// drain handles the events that wait, and returns whether the term is over.
+func (t *term) drain() bool {
+	for range eventBatch {
+		select {
+		case ev := <-t.events:
+			if t.handle(ev) {
+				return true
+			}
+		default:
+			return false
+		}
+	}
+	return false
+}
+
+// commitFailed says that another leader has written the ledger.
+type commitFailed struct{ jobsched.Committed }
+
+func (t *term) handle(ev jobsched.Event) (over bool) {
+	switch ev := ev.(type) {
+	case commitFailed:
+		return true
+	case committedAt:
+		t.ledger = ev.revision
+		t.pending = nil
+		t.machine.Handle(t.leader.o.Clock.Now(), ev.Committed)
+	default:
+		t.machine.Handle(t.leader.o.Clock.Now(), ev)
+	}
+	return false
+}
+
+// carryOut carries out effects, and returns whether the machine is deposed.
+func (t *term) carryOut(ctx context.Context, effects []jobsched.Effect) (deposed bool) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case jobsched.Note:
+			t.note(e)
+		case jobsched.Deposed:
+			deposed = true
+		case jobsched.Commit:
+			t.pending = &e
+			t.sendCommit(ctx, e)
+		default:
+			t.order(ctx, e)
+		}
+	}
+	return deposed
+}
+
+// note writes a decision to the log.
+func (t *term) note(n jobsched.Note) {
+	fields := logrus.Fields{"decision": n.Decision, "reason": n.Reason, "epoch": t.epoch}
+	if n.Job != "" {
+		fields["job"] = n.Job
+	}
+	if n.Task != "" {
+		fields["task"] = n.Task
+		fields["attempt"] = n.Attempt
+	}
+	if n.Worker != "" {
+		fields["worker"] = n.Worker
+	}
+	t.leader.log.WithFields(fields).Info(n.Decision)
+}
+
+// committedAt is a Committed with the revision that it left.
+type committedAt struct {
+	jobsched.Committed
+	revision int64
+}
+
+// sendCommit stores a commit in the background.
+func (t *term) sendCommit(ctx context.Context, c jobsched.Commit) {
+	ledger := t.ledger
+	go t.commit(ctx, c, ledger)
+}
+
+// commit tries until the commit is certainly made, another leader has come, or
+// ctx ends.
+func (t *term) commit(ctx context.Context, c jobsched.Commit, ledger int64) {
+	changes := t.changes(c)
+	condition := []port.Condition{{Key: ledgerKey, Kind: port.CompareModRevision, Revision: ledger}}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, commitTimeout)
+		result, err := t.leader.o.Store.Txn(call, condition, changes)
+		cancel()
+		switch {
+		case err != nil:
+			t.leader.log.WithError(err).WithField("commit", c.Number).Debug("commit is tried again")
+			pause(ctx, commitPause)
+		case result.Succeeded:
+			t.post(ctx, committedAt{jobsched.Committed{Number: c.Number}, result.Revision})
+			return
+		default:
+			if t.settleCommit(ctx, c) {
+				return
+			}
+		}
+	}
+}
+
+// settleCommit finds out whether a commit whose condition no longer holds was
+// made by an earlier try, or another leader has come. It returns false when
+// the store could not be asked.
+func (t *term) settleCommit(ctx context.Context, c jobsched.Commit) bool {
+	kv, err := t.leader.get(ctx, ledgerKey)
+	if err != nil {
+		pause(ctx, commitPause)
+		return false
+	}
+	record, err := decodeLedger(kv.Value)
+	if err == nil && record.Incarnation == t.leader.o.Incarnation && record.Number == c.Number {
+		t.post(ctx, committedAt{jobsched.Committed{Number: c.Number}, kv.ModRevision})
+		return true
+	}
+	t.post(ctx, commitFailed{})
+	return true
+}
+
+// changes returns the writes of a commit.
+func (t *term) changes(c jobsched.Commit) []port.Op {
+	record := ledgerRecord{Incarnation: t.leader.o.Incarnation, Number: c.Number, Summary: c.Summary}
+	changes := []port.Op{{Key: ledgerKey, Value: encodeRecord(record)}}
+	for _, p := range c.Puts {
+		changes = append(changes, port.Op{Key: progressKey(p.ID), Value: p.Progress.Encode()})
+	}
+	for _, id := range c.RemoveAccepted {
+		changes = append(changes, port.Op{Key: acceptedKey(id), Delete: true})
+	}
+	for _, id := range c.RemoveProgress {
+		changes = append(changes, port.Op{Key: progressKey(id), Delete: true})
+	}
+	return changes
+}
+
+// finishTimeout bounds the last commit of a leader that is stopped.
+const finishTimeout = 500 * time.Millisecond
+
+// finish waits for the commit in flight, so that the next leader finds it.
+func (t *term) finish() {
+	if t.pending == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	t.commit(ctx, *t.pending, t.ledger)
+}
+
+// post hands an event to the control goroutine.
+func (t *term) post(ctx context.Context, ev jobsched.Event) {
+	select {
+	case t.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// encodeRecord marshals the records of this package, which all have a JSON form.
+func encodeRecord(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func isKind(err error, kind port.StoreErrorKind) bool {
+	var failure *port.StoreError
+	return errors.As(err, &failure) && failure.Kind == kind
+}
--- /dev/null
+++ b/port/jobs.go
@@ -0,0 +1,48 @@
+package port
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/jobsched"
+)
+
+// TaskWorkers carries orders to the workers that run the tasks of jobs. Every
+// call returns: a failure is a verdict, and a lost answer VerdictUnknown.
+type TaskWorkers interface {
+	Renew(ctx context.Context, r jobsched.Renew) (jobsched.Verdict, jobsched.Report)
+	// Start also returns the worker's clock in milliseconds, 0 if not given.
+	Start(ctx context.Context, s jobsched.Start) (jobsched.Verdict, int64)
+	Stop(ctx context.Context, s jobsched.Stop) jobsched.Verdict
+	Throttle(ctx context.Context, t jobsched.Throttle) jobsched.Verdict
+}
+
+// WorkerList reads the platform's list of workers. An error is a
+// *WorkerListError.
+type WorkerList interface {
+	List(ctx context.Context) ([]jobsched.WorkerEntry, error)
+}
+
+// Advisor asks the advice service which workers may run a step.
+type Advisor interface {
+	Advise(ctx context.Context, a jobsched.Advise) jobsched.Advised
+}
+
+// ConfigFeed brings the operator's configuration.
+type ConfigFeed interface {
+	// Current returns the newest version that has been read, or nil.
+	Current() *job.Config
+	// Changed returns a channel that is closed when a newer version than the
+	// current one has been read.
+	Changed() <-chan struct{}
+}
+
+// WorkerListError is a failed read of the platform's list of workers.
+type WorkerListError struct{ Cause error }
+
+// Error implements error.
+func (e *WorkerListError) Error() string { return fmt.Sprintf("list of workers: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *WorkerListError) Unwrap() error { return e.Cause }
