Learn which images disturb which, and keep such pairs apart

Change: the product's learner of interference takes the half-second readings, compared with those of the step's other tasks; placement keeps disturbing pairs apart and puts serving tasks of one image together; only work known to disturb is throttled first, and moved when it stands still. Also: an attempt found on a worker always counts for its task. It was counted as nobody's when two take-overs had raised the attempt numbers, and the task ran twice.

--- a/core/job/spec.go
+++ b/core/job/spec.go
@@ -143,3 +143,19 @@
 	}
 	return nil
 }
+
+// ChainMs returns the longest chain of steps that follow one another, by their
+// estimates, in milliseconds.
+func (s *Spec) ChainMs() int64 {
+	ends := make([]int64, len(s.Steps))
+	longest := int64(0)
+	for i := range s.Steps {
+		begin := int64(0)
+		for _, earlier := range s.Steps[i].After {
+			begin = max(begin, ends[earlier])
+		}
+		ends[i] = begin + s.Steps[i].EstimateMs
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -51,9 +51,14 @@
 	percent     int
 	// advancedAt is when percent last grew.
 	advancedAt time.Time
-	reading    int64
-	// throttle is the share last acknowledged, throttleSent the one on its way.
+	// reading is the last one, taken in at readAt.
+	reading int64
+	readAt  time.Time
+	// learnKey names the attempt to the learner of interference.
+	learnKey model.TaskKey
+	// throttle is the share last acknowledged, at throttledAt.
 	throttle        int
+	throttledAt     time.Time
 	throttlePending bool
 }
 
--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -7,7 +7,7 @@
 
 // placementFilters are asked in this order, the cheap and selective first.
 var placementFilters = []placementFilter{
-	filterUsable, filterService, filterRoom, filterLabel, filterSpread, filterProbing, filterTicket,
+	filterUsable, filterService, filterRoom, filterLabel, filterSpread, filterProbing, filterInterference, filterTicket,
 }
 
 func (m *Machine) allowed(s *step, w *worker) bool {
@@ -59,6 +59,12 @@
 	return !w.health.probing() || len(w.attempts) == 0 && !s.spec.Gang
 }
 
+// filterInterference keeps best-effort work away from the serving tasks that it
+// is known to slow down.
+func filterInterference(m *Machine, s *step, w *worker) bool {
+	return !s.spec.BestEffort || m.worstEffect(w, s.spec.Image) <= harmfulEffect
+}
+
 // filterTicket keeps the tasks of advised queues on workers with a ticket.
 func filterTicket(m *Machine, s *step, w *worker) bool {
 	return !m.queue(s.job()).Advised || s.advice.valid(w.id, m.now)
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -41,6 +41,8 @@
 	steps  []*step
 	// left counts the steps that are not done.
 	left int
+	// chainMs is the longest chain of estimated work, in milliseconds.
+	chainMs int64
 }
 
 // step is one step of an occurrence.
@@ -103,6 +105,7 @@
 			s.blocking++
 		}
 	}
+	o.chainMs = j.record.Spec.ChainMs()
 	return o
 }
 
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/guavarill/guavarill/core/interference"
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/model"
 )
@@ -54,9 +55,17 @@
 	scheduleAt time.Time
 	changed    bool
 
-	now     time.Time
-	wall    time.Time
-	effects []Effect
+	learner *interference.Model
+	// learnSerial numbers the attempts for the learner.
+	learnSerial uint64
+	// victims counts the serving tasks by the number of their image.
+	victims []int
+	effects effectCache
+
+	now  time.Time
+	wall time.Time
+	// out holds the effects since the last Advance.
+	out []Effect
 }
 
 // Recovered is what a leader reads from the store when it takes over.
@@ -75,6 +84,7 @@
 		jobs: make(map[job.ID]*jobState), final: make(map[job.ID]time.Time),
 		workers: make(map[model.WorkerID]*worker), pending: make(map[*step]struct{}),
 		unresolved: make(map[model.WorkerID]time.Time), dirty: make(map[job.ID]struct{}),
+		learner: interference.New(learnerOptions()),
 	}
 	for id, progress := range r.Progress {
 		if progress.State.Final() {
@@ -148,8 +158,8 @@
 	m.sendRenewals()
 	m.sendThrottles()
 	m.sendCommit()
-	effects := m.effects
-	m.effects = nil
+	effects := m.out
+	m.out = nil
 	return effects
 }
 
@@ -161,7 +171,7 @@
 	scheduleInterval = 200 * time.Millisecond
 )
 
-func (m *Machine) emit(e Effect) { m.effects = append(m.effects, e) }
+func (m *Machine) emit(e Effect) { m.out = append(m.out, e) }
 
 func (m *Machine) order(w *worker) Order {
 	return Order{Worker: w.id, Address: w.entry.Address, Epoch: m.epoch}
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -34,6 +34,10 @@
 	t.last = max(t.last, number)
 	t.step.job().attempts++
 	w.add(a)
+	m.countVictim(a, 1)
+	if p == phaseRunning {
+		m.learnStart(a)
+	}
 	return a
 }
 
@@ -123,6 +127,7 @@
 	if a.task == nil {
 		return
 	}
+	m.learnStart(a)
 	m.begun(a.task)
 	if doubtful {
 		// A stop is on its way already.
@@ -209,6 +214,8 @@
 // endAttempt forgets an attempt and settles its task.
 func (m *Machine) endAttempt(a *attempt, cause EndCause, checkpoint string) {
 	a.worker.remove(a)
+	m.countVictim(a, -1)
+	m.learnStop(a)
 	m.changed = true
 	t := a.task
 	if t == nil {
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -71,6 +71,7 @@
 	w.sampleClock(m.now, ev.Report.ClockMs)
 	m.takeEnds(w, ev.Report.Ended)
 	m.reconcile(w, ev.SentAt, ev.Report)
+	m.learn(w)
 	m.adjustThrottle(w)
 	w.renewAt = m.nextRenewal(w)
 }
@@ -179,14 +180,18 @@
 func (m *Machine) adoptRunning(w *worker, r *RunningAttempt) *attempt {
 	delete(w.lost, attemptKey{task: r.Key, attempt: r.Attempt})
 	t := m.task(r.Key)
-	wanted := t != nil && t.idle() && r.Attempt >= t.last-attemptGap
-	if !wanted {
+	if t == nil || t.done {
 		a := m.addUnwanted(w, r)
 		m.requestStop(a, "no task wants it")
 		return a
 	}
+	alone := t.idle()
 	a := m.addAttempt(t, w, r.Attempt, phaseRunning)
 	a.startedAt = m.now
+	if !alone {
+		m.requestStop(a, "its task has another attempt")
+		return a
+	}
 	m.begun(t)
 	m.emit(Note{Decision: "attempt adopted", Job: r.Key.Job, Task: r.Key.String(), Attempt: r.Attempt, Worker: w.id,
 		Reason: "an earlier leader started it"})
@@ -203,6 +208,7 @@
 		a.advancedAt = m.now
 	}
 	a.reading = r.Reading
+	a.readAt = m.now
 	if a.task == nil || r.Checkpoint == "" || r.Checkpoint == a.task.checkpoint {
 		return
 	}
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -36,7 +36,9 @@
 }
 
 // compareUrgency puts long-running tasks first, since each second without them
-// is lost for good; then the lower priority number, then the older job.
+// is lost for good; then the lower priority number; then jobs that can still
+// meet their objective, those that can only be late, and those that are too
+// late to be of use; then the earlier objective.
 func (m *Machine) compareUrgency(a, b *step) int {
 	if a.spec.LongRunning != b.spec.LongRunning {
 		if a.spec.LongRunning {
@@ -46,7 +48,8 @@
 	}
 	return cmp.Or(
 		cmp.Compare(m.queue(a.job()).Priority, m.queue(b.job()).Priority),
-		cmp.Compare(a.dueMs(), b.dueMs()),
+		cmp.Compare(m.lateness(a), m.lateness(b)),
+		cmp.Compare(m.objectiveMs(a), m.objectiveMs(b)),
 		strings.Compare(string(a.job().id), string(b.job().id)),
 		cmp.Compare(a.occurrence.number, b.occurrence.number),
 		cmp.Compare(a.number, b.number),
@@ -61,6 +64,36 @@
 	return s.job().record.AtMs
 }
 
+// allowanceMs returns the time from its being due that the occurrence may take.
+func (m *Machine) allowanceMs(s *step) int64 {
+	q := m.queue(s.job())
+	return int64(q.Stretch*float64(s.occurrence.chainMs)) + q.LatencyTargetMs
+}
+
+// objectiveMs returns the time by which the occurrence should be done.
+func (m *Machine) objectiveMs(s *step) int64 { return s.dueMs() + m.allowanceMs(s) }
+
+// lateFactor is how many times its allowance a job may take before it is of no
+// more use to its caller.
+const lateFactor = 3
+
+// The kinds of lateness, in the order of urgency.
+const (
+	inTime = iota
+	late
+	tooLate
+)
+
+func (m *Machine) lateness(s *step) int {
+	switch now := m.wall.UnixMilli(); {
+	case now < m.objectiveMs(s):
+		return inTime
+	case now < s.dueMs()+lateFactor*m.allowanceMs(s):
+		return late
+	}
+	return tooLate
+}
+
 func (s *step) name() string { return s.tasks[0].key().StepName() }
 
 // startStep starts as many idle tasks of the step as fit.
--- a/core/jobsched/score.go
+++ b/core/jobsched/score.go
@@ -26,7 +26,9 @@
 	failedThereScore = -20.0
 	// servingScore keeps best-effort work off workers whose long-running tasks
 	// it would slow down, while there are others.
-	servingScore = -2.0
+	servingScore = -1.0
+	// sameImageScore puts serving tasks of one image together.
+	sameImageScore = 1.0
 )
 
 // scoreBalance prefers the worker that is least loaded in its fullest dimension.
@@ -76,10 +78,29 @@
 }
 
 // scoreServing keeps best-effort work away from tasks with a latency target,
-// the more the closer these are to it.
-func scoreServing(_ *Machine, t *task, w *worker) float64 {
-	if !t.step.spec.BestEffort || !w.serves() {
+// the more the closer these are to it and the more it may slow them down; and
+// puts serving tasks together with others of their image, so that there are
+// workers left where a best-effort image disturbs nobody.
+func scoreServing(m *Machine, t *task, w *worker) float64 {
+	spec := t.step.spec
+	switch {
+	case spec.BestEffort && w.serves():
+		return servingScore * (w.throttle.pressure + m.worstEffect(w, spec.Image))
+	case spec.LatencyTargetMs > 0:
+		return sameImageScore * m.imageShare(w, spec.Image)
+	}
+	return 0
+}
+
+// imageShare returns by how much the worker's serving tasks are of the image
+// rather than of others, from -1 to 1; 0 when there is none.
+func (m *Machine) imageShare(w *worker, image string) float64 {
+	if w.servingTasks == 0 {
 		return 0
 	}
-	return servingScore * (0.5 + w.throttle.pressure)
+	same := 0
+	if i := m.effects.imageIndex(image); i < len(w.victims) {
+		same = w.victims[i]
+	}
+	return float64(2*same-w.servingTasks) / float64(w.servingTasks)
 }
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -9,7 +9,9 @@
 // for the sake of its long-running tasks. Readings are late and rough, so the
 // share is cut at once and given back slowly.
 type throttleState struct {
-	percent int
+	// percent is for the attempts that are known to disturb, others for the
+	// rest, which is cut only when that was not enough.
+	percent, others int
 	// pressure is the worst reading over its target, smoothed.
 	pressure float64
 	changeAt time.Time
@@ -17,37 +19,36 @@
 
 const (
 	// pressureHigh and pressureLow are the parts of the latency target above
-	// which best-effort work is slowed, and below which it is let go.
-	pressureHigh = 0.75
-	pressureLow  = 0.5
+	// which best-effort work is slowed, and below which it is let go. The load
+	// of the serving tasks alone takes them to 0.65.
+	pressureHigh = 0.9
+	pressureLow  = 0.75
+	// pressureAim is the part of the target that a cut aims at.
+	pressureAim = 0.75
+	// pressureOver is the part from which work that is not known to disturb is
+	// slowed too.
+	pressureOver = 1.0
 	// throttleStep is what is given back at a time, in percent.
-	throttleStep = 20
+	throttleStep = 25
 	// throttleFloor is the share below which work is stopped altogether: what
 	// goes on at a crawl still disturbs.
-	throttleFloor = 15
+	throttleFloor = 10
 	// pressureWeight is the weight of a new, lower reading.
-	pressureWeight = 0.5
+	pressureWeight = 0.7
+	// moveAfter is how long work that disturbs stands still before it is moved.
+	moveAfter = 600 * time.Millisecond
 )
 
 // serves reports whether a task with a latency target runs there.
-func (w *worker) serves() bool {
-	for _, a := range w.attempts {
-		if s := a.step(); s != nil && s.spec.LatencyTargetMs > 0 {
-			return true
-		}
-	}
-	return false
-}
+func (w *worker) serves() bool { return w.servingTasks > 0 }
 
 // measurePressure takes in the readings of a new report.
 func (w *worker) measurePressure() {
 	worst := 0.0
 	for _, a := range w.attempts {
-		s := a.step()
-		if s == nil || s.spec.LatencyTargetMs == 0 || a.phase != phaseRunning {
-			continue
+		if a.serving() {
+			worst = max(worst, float64(a.reading)/float64(a.step().spec.LatencyTargetMs))
 		}
-		worst = max(worst, float64(a.reading)/float64(s.spec.LatencyTargetMs))
 	}
 	t := &w.throttle
 	if worst > t.pressure {
@@ -57,43 +58,93 @@
 	}
 }
 
-// adjustThrottle decides the share for the worker's best-effort work.
+// adjustThrottle decides the shares for the worker's best-effort work.
 func (m *Machine) adjustThrottle(w *worker) {
 	w.measurePressure()
 	t := &w.throttle
 	if m.now.Before(t.changeAt) {
 		return
 	}
-	before := t.percent
+	before := *t
 	switch {
-	case t.pressure > pressureHigh && t.percent > 0:
-		t.percent /= 2
-		if t.percent < throttleFloor {
-			t.percent = 0
-		}
-	case t.pressure < pressureLow && t.percent < fullSpeed:
+	case t.pressure > pressureOver && (t.percent == 0 || !m.disturbed(w)):
+		t.others = cutShare(t.others, t.pressure)
+	case t.pressure > pressureHigh:
+		t.percent = cutShare(t.percent, t.pressure)
+	case t.pressure < pressureLow && t.others < fullSpeed:
+		t.others = min(t.others+throttleStep, fullSpeed)
+	case t.pressure < pressureLow:
 		t.percent = min(t.percent+throttleStep, fullSpeed)
 	}
-	if t.percent != before {
+	if t.percent != before.percent || t.others != before.others {
 		// A reading covers the last half second: the next one that shows the
 		// change comes after the delay and that long.
 		t.changeAt = m.now.Add(m.options.ThrottleDelay + renewWait)
 	}
 }
 
-// sendThrottles tells the workers the shares that they do not have yet.
+// cutShare returns a lower share. Tails grow faster than the disturbance, so
+// the square of what is too much is taken off.
+func cutShare(percent int, pressure float64) int {
+	ratio := pressureAim / pressure
+	percent = int(float64(percent) * ratio * ratio)
+	if percent < throttleFloor {
+		return 0
+	}
+	return percent
+}
+
+// disturbed reports whether a best-effort attempt on w is known to disturb.
+func (m *Machine) disturbed(w *worker) bool {
+	for _, a := range w.attempts {
+		if m.disturbs(a) {
+			return true
+		}
+	}
+	return false
+}
+
+// disturbs reports whether the attempt is best-effort work that is known to
+// slow down a serving task on its worker.
+func (m *Machine) disturbs(a *attempt) bool {
+	if a.bestEffortCPU == 0 || a.task == nil {
+		return false
+	}
+	return m.worstEffect(a.worker, a.step().spec.Image) > harmfulEffect
+}
+
+// wantedShare returns the share at which an attempt should work.
+func (m *Machine) wantedShare(a *attempt) int {
+	if m.disturbs(a) {
+		return a.worker.throttle.percent
+	}
+	return a.worker.throttle.others
+}
+
+// sendThrottles tells the workers the shares that they do not have yet, and
+// moves work that has stood still for long because it disturbs.
 func (m *Machine) sendThrottles() {
 	for _, w := range m.workers {
+		if w.bestEffortCPU == 0 {
+			continue
+		}
 		for _, a := range w.attempts {
-			if a.bestEffortCPU == 0 || a.phase != phaseRunning || a.throttlePending || a.throttle == w.throttle.percent {
+			if a.bestEffortCPU == 0 || a.phase != phaseRunning || a.task == nil || a.throttlePending {
 				continue
 			}
-			a.throttlePending = true
-			m.emit(Throttle{Order: m.order(w), Key: a.key.task, Attempt: a.key.attempt, Percent: w.throttle.percent})
+			if share := m.wantedShare(a); share != a.throttle {
+				a.throttlePending = true
+				m.emit(Throttle{Order: m.order(w), Key: a.key.task, Attempt: a.key.attempt, Percent: share})
+			} else if share == 0 && m.now.Sub(a.throttledAt) > moveAfter && a.movable() {
+				m.requestStop(a, "it slows down the tasks beside it")
+			}
 		}
 	}
 }
 
+// movable reports whether little is lost when the attempt is stopped.
+func (a *attempt) movable() bool { return a.step().spec.Checkpointing || a.percent < 30 }
+
 func (m *Machine) throttled(ev Throttled) {
 	w, a := m.find(ev.AttemptName)
 	if a == nil {
@@ -102,7 +153,13 @@
 	a.throttlePending = false
 	switch ev.Verdict {
 	case VerdictDone:
+		if a.throttle != 0 || ev.Percent != 0 {
+			a.throttledAt = m.now
+		}
 		a.throttle = ev.Percent
+		if a.learnKey.Generation != 0 {
+			m.learner.Throttled(m.now, w.id, a.learnKey, float64(ev.Percent)/fullSpeed)
+		}
 	case VerdictFenced:
 		m.depose(w)
 	}
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -33,8 +33,12 @@
 	ackedEnds int64
 	attempts  map[attemptKey]*attempt
 	committed model.Resources
-	// bestEffortCPU is the sum of its best-effort attempts.
-	bestEffortCPU int64
+	// bestEffortCPU and longRunningCPU are sums over its attempts, in
+	// thousandths of a core; only the second is committed.
+	bestEffortCPU, longRunningCPU int64
+	// victims counts its serving tasks by the number of their image.
+	victims      []int
+	servingTasks int
 	// lost are attempts that were declared lost with their lease. Their later
 	// ends say nothing.
 	lost map[attemptKey]struct{}
@@ -47,7 +51,7 @@
 func newWorker(e WorkerEntry) *worker {
 	return &worker{
 		id: e.ID, entry: e, attempts: make(map[attemptKey]*attempt),
-		lost: make(map[attemptKey]struct{}), throttle: throttleState{percent: fullSpeed},
+		lost: make(map[attemptKey]struct{}), throttle: throttleState{percent: fullSpeed, others: fullSpeed},
 	}
 }
 
@@ -56,14 +60,14 @@
 
 // freeCPU estimates the processor time that best-effort work could use.
 func (w *worker) freeCPU() int64 {
-	used := int64(float64(w.committed.MilliCPU) * committedUse)
+	used := w.committed.MilliCPU - int64(float64(w.longRunningCPU)*(1-longRunningUse))
 	return w.entry.Capacity.MilliCPU - used - w.bestEffortCPU
 }
 
-// committedUse is the part of committed processor time that is taken as used
-// when best-effort work is placed. Long-running tasks use about half of theirs
-// and ordinary ones all; the figure lies between.
-const committedUse = 0.8
+// longRunningUse is the part of their committed processor time that
+// long-running tasks use. They declare what they need at the peak of a load
+// that swings about its half.
+const longRunningUse = 0.5
 
 func (w *worker) hasLabel(label string) bool { return slices.Contains(w.entry.Labels, label) }
 
@@ -72,6 +76,9 @@
 	w.attempts[a.key] = a
 	w.committed = w.committed.Add(a.size)
 	w.bestEffortCPU += a.bestEffortCPU
+	if a.longRunning {
+		w.longRunningCPU += a.size.MilliCPU
+	}
 }
 
 // remove forgets an attempt and frees its size.
@@ -79,6 +86,9 @@
 	delete(w.attempts, a.key)
 	w.committed = w.committed.Sub(a.size)
 	w.bestEffortCPU -= a.bestEffortCPU
+	if a.longRunning {
+		w.longRunningCPU -= a.size.MilliCPU
+	}
 }
 
 // sampleClock notes a reading of the worker's clock.
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -93,6 +93,7 @@
 func (m *Machine) forget(w *worker) {
 	delete(m.workers, w.id)
 	delete(m.unresolved, w.id)
+	m.learner.DropWorker(w.id)
 	m.emit(Note{Decision: "worker gone", Worker: w.id, Reason: "not listed, and no answer"})
 }
 
