--- a/core/jobsched/advice.go
+++ b/core/jobsched/advice.go
@@ -70,7 +70,7 @@
 	var ask []*worker
 	for _, w := range m.workers {
 		_, denied := s.advice.denied[w.id]
-		if denied || s.advice.valid(w.id, m.now) || !m.allowedButTicket(s, w) {
+		if denied || s.advice.valid(w.id, m.now) || !m.allowedButTicket(s.tasks[0], w) {
 			continue
 		}
 		ask = append(ask, w)
@@ -99,13 +99,9 @@
 	return 1
 }
 
-func (m *Machine) allowedButTicket(s *step, w *worker) bool {
-	for _, f := range placementFilters[:len(placementFilters)-1] {
-		if !f(m, s, w) {
-			return false
-		}
-	}
-	return true
+// allowedButTicket reports whether only the ticket may be missing.
+func (m *Machine) allowedButTicket(t *task, w *worker) bool {
+	return m.passes(roomFilters, t, w) && m.passes(fitFilters[:len(fitFilters)-1], t, w)
 }
 
 func (m *Machine) advised(ev Advised) {
--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -2,46 +2,58 @@
 
 import "time"
 
-// placementFilter reports whether a task of the step may go to the worker.
-type placementFilter func(m *Machine, s *step, w *worker) bool
+// placementFilter reports whether a task may go to the worker.
+type placementFilter func(m *Machine, t *task, w *worker) bool
 
-// placementFilters are asked in this order, the cheap and selective first.
-var placementFilters = []placementFilter{
-	filterUsable, filterService, filterRoom, filterLabel, filterSpread, filterProbing, filterInterference, filterTicket,
+// The filters are asked in this order, the cheap and selective first.
+var (
+	// fitFilters hold for a worker whatever runs on it now.
+	fitFilters = []placementFilter{filterUsable, filterService, filterLabel, filterProbing, filterTicket}
+	// roomFilters depend on what runs there.
+	roomFilters = []placementFilter{filterRoom, filterSpread, filterInterference}
+)
+
+// allowed reports whether the task may go to the worker now.
+func (m *Machine) allowed(t *task, w *worker) bool {
+	return m.passes(roomFilters, t, w) && m.passes(fitFilters, t, w)
 }
 
-func (m *Machine) allowed(s *step, w *worker) bool {
-	for _, f := range placementFilters {
-		if !f(m, s, w) {
+func (m *Machine) passes(filters []placementFilter, t *task, w *worker) bool {
+	for _, f := range filters {
+		if !f(m, t, w) {
 			return false
 		}
 	}
 	return true
 }
 
-func filterUsable(m *Machine, _ *step, w *worker) bool { return w.usable(m.now) }
+func filterUsable(m *Machine, _ *task, w *worker) bool { return w.usable(m.now) }
 
 // filterService keeps tasks on the workers of the service that the
 // configuration names for their queue.
-func filterService(m *Machine, s *step, w *worker) bool {
-	return w.entry.Service == m.queue(s.job()).Service
+func filterService(m *Machine, t *task, w *worker) bool {
+	return w.entry.Service == m.queue(t.step.job()).Service
 }
 
 // filterRoom keeps a worker within its capacity. What is being stopped, and
-// what may be started by an order that got no answer, still counts.
-func filterRoom(_ *Machine, s *step, w *worker) bool {
-	if !s.spec.Committed().Fits(w.room()) {
+// what may be started by an order that got no answer, still counts; so does
+// what is reserved for others.
+func filterRoom(_ *Machine, t *task, w *worker) bool {
+	s := t.step
+	if !s.spec.Committed().Fits(w.roomFor(t)) {
 		return false
 	}
 	return !s.spec.BestEffort || s.spec.Size.MilliCPU <= w.freeCPU()
 }
 
-func filterLabel(_ *Machine, s *step, w *worker) bool {
-	return s.spec.Label == "" || w.hasLabel(s.spec.Label)
+func filterLabel(_ *Machine, t *task, w *worker) bool {
+	label := t.step.spec.Label
+	return label == "" || w.hasLabel(label)
 }
 
 // filterSpread keeps to the bound on the tasks of one step on one worker.
-func filterSpread(_ *Machine, s *step, w *worker) bool {
+func filterSpread(_ *Machine, t *task, w *worker) bool {
+	s := t.step
 	if s.spec.MaxPerWorker == 0 {
 		return true
 	}
@@ -55,19 +67,19 @@
 }
 
 // filterProbing gives a worker under suspicion one task at a time.
-func filterProbing(_ *Machine, s *step, w *worker) bool {
-	return !w.health.probing() || len(w.attempts) == 0 && !s.spec.Gang
+func filterProbing(_ *Machine, t *task, w *worker) bool {
+	return !w.health.probing() || len(w.attempts) == 0 && !t.step.spec.Gang
 }
 
 // filterInterference keeps best-effort work away from the serving tasks that it
 // is known to slow down.
-func filterInterference(m *Machine, s *step, w *worker) bool {
-	return !s.spec.BestEffort || m.worstEffect(w, s.spec.Image) <= harmfulEffect
+func filterInterference(m *Machine, t *task, w *worker) bool {
+	return !t.step.spec.BestEffort || m.worstEffect(w, t.step.spec.Image) <= harmfulEffect
 }
 
 // filterTicket keeps the tasks of advised queues on workers with a ticket.
-func filterTicket(m *Machine, s *step, w *worker) bool {
-	return !m.queue(s.job()).Advised || s.advice.valid(w.id, m.now)
+func filterTicket(m *Machine, t *task, w *worker) bool {
+	return !m.queue(t.step.job()).Advised || t.step.advice.valid(w.id, m.now)
 }
 
 // heldBack reports whether nothing of the step may start now.
--- /dev/null
+++ b/core/jobsched/preempt.go
@@ -0,0 +1,142 @@
+package jobsched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// reservation keeps room on a worker for a task while others are stopped to
+// make it. Without it the room would go to whatever is placed next, and the
+// task would wait as long as smaller ones keep coming.
+type reservation struct {
+	task  *task
+	size  model.Resources
+	until time.Time
+}
+
+// reservationSlack is how long a reservation outlasts the time of a stop: the
+// end of a stopped attempt is seen with the next report.
+const reservationSlack = 1500 * time.Millisecond
+
+// roomFor returns what is neither committed nor reserved for other tasks.
+func (w *worker) roomFor(t *task) model.Resources {
+	room := w.room()
+	for _, r := range w.reserved {
+		if r.task != t {
+			room = room.Sub(r.size)
+		}
+	}
+	return room
+}
+
+// release ends the reservations that are over, or of a task that has started.
+func (w *worker) release(now time.Time) {
+	if len(w.reserved) == 0 {
+		return
+	}
+	w.reserved = slices.DeleteFunc(w.reserved, func(r reservation) bool {
+		return !now.Before(r.until) || !r.task.idle()
+	})
+}
+
+// isReserved reports whether room is being made for the task already.
+func (m *Machine) isReserved(t *task) bool {
+	for _, w := range m.workers {
+		if slices.ContainsFunc(w.reserved, func(r reservation) bool { return r.task == t }) {
+			return true
+		}
+	}
+	return false
+}
+
+// preempt makes room for a task that fits nowhere by stopping what is less
+// urgent, on the worker where that loses least. It returns false when no worker
+// has enough to stop.
+func (m *Machine) preempt(t *task) bool {
+	if t.step.spec.BestEffort || t.step.spec.Gang {
+		return false
+	}
+	if m.isReserved(t) {
+		return true
+	}
+	var best *worker
+	var victims []*attempt
+	lost := 0.0
+	for _, w := range m.workers {
+		if !m.passes(fitFilters, t, w) || !filterSpread(m, t, w) {
+			continue
+		}
+		list, cost, ok := m.displaced(t, w)
+		if ok && (best == nil || cost < lost) {
+			best, victims, lost = w, list, cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.reserved = append(best.reserved, reservation{
+		task: t, size: t.step.spec.Committed(), until: m.now.Add(m.options.StopTime + reservationSlack),
+	})
+	for _, a := range victims {
+		m.requestStop(a, "more urgent work needs its room: "+t.key().String())
+	}
+	return true
+}
+
+// displaced returns attempts on w that leave enough room for the task when they
+// are stopped, those first that lose least, and the work lost in seconds.
+func (m *Machine) displaced(t *task, w *worker) ([]*attempt, float64, bool) {
+	need := t.step.spec.Committed()
+	room := w.roomFor(t)
+	var victims []*attempt
+	cost := 0.0
+	for _, a := range w.attempts {
+		if a.phase == phaseStopping {
+			room = room.Add(a.size)
+		}
+	}
+	if need.Fits(room) {
+		return nil, 0, true
+	}
+	for _, a := range m.lessUrgent(t, w) {
+		victims = append(victims, a)
+		room = room.Add(a.size)
+		cost += m.lostWork(a)
+		if need.Fits(room) {
+			return victims, cost, true
+		}
+	}
+	return nil, 0, false
+}
+
+// lessUrgent returns the attempts on w that the task may displace, those first
+// whose stop loses least.
+func (m *Machine) lessUrgent(t *task, w *worker) []*attempt {
+	var list []*attempt
+	for _, a := range sortedAttempts(w) {
+		if a.phase != phaseRunning || a.task == nil || a.longRunning || a.step().spec.Gang {
+			continue
+		}
+		lower := m.queue(a.step().job()).Priority > m.queue(t.step.job()).Priority
+		if lower || t.step.spec.LongRunning && a.bestEffortCPU > 0 {
+			list = append(list, a)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *attempt) int { return cmp.Compare(m.lostWork(a), m.lostWork(b)) })
+	return list
+}
+
+// lostWork estimates, in seconds, what the stop of an attempt loses.
+func (m *Machine) lostWork(a *attempt) float64 {
+	if a.step().spec.Checkpointing {
+		return checkpointedLoss
+	}
+	return m.now.Sub(a.startedAt).Seconds() + checkpointedLoss
+}
+
+// checkpointedLoss is what the stop of an attempt loses that resumes from a
+// checkpoint: the restoring, and the wait for another worker.
+const checkpointedLoss = 0.4
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -10,6 +10,9 @@
 
 // schedule starts what is ready and fits, the most urgent first.
 func (m *Machine) schedule() {
+	for _, w := range m.workers {
+		w.release(m.now)
+	}
 	for _, s := range m.pendingSteps() {
 		switch {
 		case m.heldBack(s, m.now):
@@ -106,6 +109,9 @@
 		w := m.choose(t)
 		if w == nil {
 			left = true
+			if m.preempt(t) {
+				continue
+			}
 			break
 		}
 		m.startAttempt(t, w, t.last+1)
@@ -122,7 +128,7 @@
 	var best *worker
 	bestScore := 0.0
 	for _, w := range m.workers {
-		if !m.allowed(t.step, w) {
+		if !m.allowed(t, w) {
 			continue
 		}
 		score := m.score(t, w)
@@ -198,7 +204,7 @@
 	}
 	var best *worker
 	for _, w := range m.workers {
-		if w.entry.Rack != rack || !m.allowed(t.step, w) {
+		if w.entry.Rack != rack || !m.allowed(t, w) {
 			continue
 		}
 		if best == nil || m.score(t, w) > m.score(t, best) {
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -37,6 +37,9 @@
 	pressureWeight = 0.7
 	// moveAfter is how long work that disturbs stands still before it is moved.
 	moveAfter = 600 * time.Millisecond
+	// mostLost is how much of its work, in percent, an attempt without
+	// checkpoints may lose by being moved.
+	mostLost = 30
 )
 
 // serves reports whether a task with a latency target runs there.
@@ -135,15 +138,26 @@
 			if share := m.wantedShare(a); share != a.throttle {
 				a.throttlePending = true
 				m.emit(Throttle{Order: m.order(w), Key: a.key.task, Attempt: a.key.attempt, Percent: share})
-			} else if share == 0 && m.now.Sub(a.throttledAt) > moveAfter && a.movable() {
+			} else if share == 0 && m.now.Sub(a.throttledAt) > moveAfter && m.movable(a) {
 				m.requestStop(a, "it slows down the tasks beside it")
 			}
 		}
 	}
 }
 
-// movable reports whether little is lost when the attempt is stopped.
-func (a *attempt) movable() bool { return a.step().spec.Checkpointing || a.percent < 30 }
+// movable reports whether little is lost when the attempt is stopped, and
+// there is a worker that would take it.
+func (m *Machine) movable(a *attempt) bool {
+	if !a.step().spec.Checkpointing && a.percent >= mostLost {
+		return false
+	}
+	for _, w := range m.workers {
+		if w != a.worker && m.allowed(a.task, w) {
+			return true
+		}
+	}
+	return false
+}
 
 func (m *Machine) throttled(ev Throttled) {
 	w, a := m.find(ev.AttemptName)
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -44,8 +44,10 @@
 	lost map[attemptKey]struct{}
 	// closedUntil holds back new starts after a refusal.
 	closedUntil time.Time
-	health      health
-	throttle    throttleState
+	// reserved is room that is being made for tasks.
+	reserved []reservation
+	health   health
+	throttle throttleState
 }
 
 func newWorker(e WorkerEntry) *worker {
