--- /dev/null
+++ b/standin/platform/worker.go
@@ -0,0 +1,329 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Worker is one incarnation of a worker. Its tasks take TaskTime each, or run
+// until they are stopped when that is 0.
+type Worker struct {
+	ID       string
+	TaskTime time.Duration
+	// Audit is told of every start and end; it may be nil.
+	Audit *Audit
+
+	mu       sync.Mutex
+	began    time.Time
+	epoch    int64
+	lease    time.Time
+	expiry   *time.Timer
+	running  map[string]*run
+	barred   map[string]int
+	finished []end
+	number   int64
+	ended    chan struct{}
+	gone     bool
+	starts   int
+}
+
+type run struct {
+	task   string
+	number int
+	began  time.Time
+	timer  *time.Timer
+}
+
+type end struct {
+	number int64
+	task   string
+	run    int
+	how    string
+}
+
+// NewWorker makes a worker.
+func NewWorker(id string, taskTime time.Duration, audit *Audit) *Worker {
+	return &Worker{
+		ID: id, TaskTime: taskTime, Audit: audit, began: time.Now(), running: make(map[string]*run),
+		barred: make(map[string]int), ended: make(chan struct{}),
+	}
+}
+
+// Entry is what the worker says of itself in the store.
+type Entry struct {
+	Service  string         `json:"service"`
+	Address  string         `json:"address"`
+	Zone     string         `json:"zone"`
+	State    string         `json:"state"`
+	Capacity map[string]int `json:"capacity"`
+	Labels   []string       `json:"labels"`
+}
+
+// Stop makes the worker answer nothing any more, and ends what it runs.
+func (w *Worker) Stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gone = true
+	for task, r := range w.running {
+		r.timer.Stop()
+		w.Audit.ended(task, w.ID)
+	}
+	w.running = make(map[string]*run)
+}
+
+// Running returns the names of the tasks that run, in order.
+func (w *Worker) Running() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	names := make([]string, 0, len(w.running))
+	for task := range w.running {
+		names = append(names, task)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Starts returns how many attempts were started.
+func (w *Worker) Starts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.starts
+}
+
+// order is the body of every call to a worker.
+type order struct {
+	Task         string `json:"task"`
+	Run          int    `json:"run"`
+	UntilMs      int64  `json:"untilMs"`
+	FencingToken int64  `json:"fencingToken"`
+	LastSeen     int64  `json:"lastSeen"`
+	WaitMs       int64  `json:"waitMs"`
+	Percent      int    `json:"percent"`
+}
+
+type orderAnswer struct {
+	ClockMs  int64   `json:"clockMs"`
+	Reason   string  `json:"reason,omitempty"`
+	Running  [][]any `json:"running,omitempty"`
+	Finished [][]any `json:"finished,omitempty"`
+}
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	var o order
+	if json.NewDecoder(r.Body).Decode(&o) != nil {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	gone := w.gone
+	w.mu.Unlock()
+	if gone {
+		panic(http.ErrAbortHandler)
+	}
+	if want := r.Header.Get("X-Expected-Instance"); want != "" && want != w.ID {
+		answer(out, http.StatusMisdirectedRequest, orderAnswer{ClockMs: w.clock()})
+		return
+	}
+	if !w.admit(o.FencingToken) {
+		answer(out, http.StatusConflict, orderAnswer{ClockMs: w.clock(), Reason: "fence"})
+		return
+	}
+	switch r.URL.Path {
+	case "/run-start":
+		w.serveStart(out, o)
+	case "/run-stop":
+		w.serveStop(out, o)
+	case "/hold":
+		w.serveHold(out, r, o)
+	case "/pace":
+		answer(out, http.StatusOK, orderAnswer{ClockMs: w.clock()})
+	default:
+		out.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (w *Worker) clock() int64 { return time.Since(w.began).Milliseconds() + 1 }
+
+func (w *Worker) admit(epoch int64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if epoch < w.epoch {
+		return false
+	}
+	w.epoch = epoch
+	return true
+}
+
+func (w *Worker) extend(untilMs int64) {
+	until := w.began.Add(time.Duration(untilMs-1) * time.Millisecond)
+	if !until.After(w.lease) {
+		return
+	}
+	w.lease = until
+	if w.expiry == nil {
+		w.expiry = time.AfterFunc(time.Until(until), w.expire)
+	} else {
+		w.expiry.Reset(time.Until(until))
+	}
+}
+
+// expire ends all that runs: its lease has run out.
+func (w *Worker) expire() {
+	w.mu.Lock()
+	running := make([]*run, 0, len(w.running))
+	for _, r := range w.running {
+		running = append(running, r)
+	}
+	w.mu.Unlock()
+	for _, r := range running {
+		r.timer.Stop()
+		w.finish(r, "lapsed")
+	}
+}
+
+func (w *Worker) serveStart(out http.ResponseWriter, o order) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	reply := orderAnswer{ClockMs: w.clock()}
+	switch {
+	case o.UntilMs <= reply.ClockMs:
+		reply.Reason = "late"
+	case w.barred[o.Task] >= o.Run:
+		reply.Reason = "old"
+	}
+	if reply.Reason != "" {
+		answer(out, http.StatusConflict, reply)
+		return
+	}
+	w.extend(o.UntilMs)
+	if w.running[o.Task] == nil {
+		w.begin(o)
+	}
+	answer(out, http.StatusOK, reply)
+}
+
+func (w *Worker) begin(o order) {
+	r := &run{task: o.Task, number: o.Run, began: time.Now()}
+	w.starts++
+	w.running[o.Task] = r
+	w.Audit.started(o.Task, w.ID)
+	life := w.TaskTime
+	if life == 0 {
+		life = time.Hour
+	}
+	r.timer = time.AfterFunc(life, func() { w.finish(r, "done") })
+}
+
+func (w *Worker) finish(r *run, how string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.running[r.task] != r {
+		return
+	}
+	delete(w.running, r.task)
+	w.Audit.ended(r.task, w.ID)
+	w.barred[r.task] = max(w.barred[r.task], r.number)
+	w.number++
+	w.finished = append(w.finished, end{number: w.number, task: r.task, run: r.number, how: how})
+	close(w.ended)
+	w.ended = make(chan struct{})
+}
+
+func (w *Worker) serveStop(out http.ResponseWriter, o order) {
+	w.mu.Lock()
+	w.barred[o.Task] = max(w.barred[o.Task], o.Run)
+	r := w.running[o.Task]
+	w.mu.Unlock()
+	if r != nil && r.number == o.Run {
+		r.timer.Stop()
+		w.finish(r, "stopped")
+	}
+	answer(out, http.StatusOK, orderAnswer{ClockMs: w.clock()})
+}
+
+func (w *Worker) serveHold(out http.ResponseWriter, r *http.Request, o order) {
+	deadline := time.NewTimer(time.Duration(o.WaitMs) * time.Millisecond)
+	defer deadline.Stop()
+	for {
+		reply, ended := w.hold(o)
+		if len(reply.Finished) > 0 {
+			answer(out, http.StatusOK, reply)
+			return
+		}
+		select {
+		case <-ended:
+		case <-r.Context().Done():
+			return
+		case <-deadline.C:
+			reply, _ = w.hold(o)
+			answer(out, http.StatusOK, reply)
+			return
+		}
+	}
+}
+
+func (w *Worker) hold(o order) (orderAnswer, chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.extend(o.UntilMs)
+	for len(w.finished) > 0 && w.finished[0].number <= o.LastSeen {
+		w.finished = w.finished[1:]
+	}
+	reply := orderAnswer{ClockMs: w.clock()}
+	for task, r := range w.running {
+		percent := 100
+		if w.TaskTime > 0 {
+			percent = int(100 * time.Since(r.began) / w.TaskTime)
+		}
+		reply.Running = append(reply.Running, []any{task, r.number, "", min(percent, 99), 0})
+	}
+	for _, e := range w.finished {
+		reply.Finished = append(reply.Finished, []any{e.number, e.task, e.run, e.how, ""})
+	}
+	return reply, w.ended
+}
+
+// Audit sees what all workers run, and remembers tasks that ran twice at a time.
+type Audit struct {
+	mu      sync.Mutex
+	running map[string]string
+	twice   []string
+}
+
+// NewAudit makes an Audit.
+func NewAudit() *Audit { return &Audit{running: make(map[string]string)} }
+
+func (a *Audit) started(task, worker string) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if other, ok := a.running[task]; ok {
+		a.twice = append(a.twice, fmt.Sprintf("%s on %s and %s", task, other, worker))
+	}
+	a.running[task] = worker
+}
+
+func (a *Audit) ended(task, worker string) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.running[task] == worker {
+		delete(a.running, task)
+	}
+}
+
+// Twice returns the tasks that ran twice at a time.
+func (a *Audit) Twice() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.twice
+}
