--- a/core/job/record.go
+++ b/core/job/record.go
@@ -73,8 +73,12 @@
 // TaskProgress is what one task has reached.
 type TaskProgress struct {
 	// Attempts is the highest attempt number that may have been used.
-	Attempts   int    `json:"attempts,omitempty"`
-	Failures   int    `json:"failures,omitempty"`
+	Attempts int `json:"attempts,omitempty"`
+	Failures int `json:"failures,omitempty"`
+	// LastFailed is the highest attempt that Failures counts. The worker tells
+	// of a failure until it hears that it is stored, so the next leader may be
+	// told of it again.
+	LastFailed int    `json:"lastFailed,omitempty"`
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -29,6 +29,7 @@
 	accepted map[job.ID]*job.Accepted
 	progress map[job.ID]*job.Progress
 	summary  Summary
+	roster   []WorkerEntry
 	// storeDown holds commits back.
 	storeDown bool
 	held      []Commit
@@ -46,9 +47,16 @@
 
 // taskTruth is what the workers did for one task.
 type taskTruth struct {
-	running  map[model.WorkerID]int
-	done     bool
+	running map[model.WorkerID]int
+	// done is whether an attempt has ever ended so.
+	done bool
+	// settled is whether such an end has been acknowledged before the worker's
+	// lease ran out, and failures counts the failed ones that were.
+	settled  bool
 	failures int
+	// failed counts all that ever failed.
+	failed    int
+	lastStart time.Time
 }
 
 type delivery struct {
@@ -69,17 +77,26 @@
 	lease    time.Time
 	attempts map[attemptKey]*fakeAttempt
 	barred   map[job.TaskKey]int
-	ended    []EndedAttempt
+	ended    []fakeEnd
 	number   int64
 	// failAll makes every attempt fail; freeze keeps them from advancing.
 	failAll, freeze bool
 }
 
+// fakeEnd is an end that the worker keeps.
+type fakeEnd struct {
+	EndedAttempt
+	at time.Time
+	// void is set when the lease ran out before the end was acknowledged.
+	void bool
+}
+
 type fakeAttempt struct {
 	key      attemptKey
 	step     *job.Step
 	need     time.Duration
 	worked   time.Duration
+	waited   time.Duration
 	stopping time.Time
 	share    int
 }
@@ -135,7 +152,7 @@
 	c.held = nil
 	r := Recovered{
 		Config: c.config, Accepted: make(map[job.ID]*job.Accepted), Progress: make(map[job.ID]*job.Progress),
-		Unanswered: c.summary.Unanswered,
+		Roster: c.roster,
 	}
 	for id, a := range c.accepted {
 		r.Accepted[id] = a
@@ -284,7 +301,8 @@
 	if c.rnd.Float64() < c.delayOrders {
 		late := 2*time.Second + time.Duration(c.rnd.Int64N(int64(6*time.Second)))
 		c.after(late, func() {
-			if !w.dead && !w.cutOff {
+			if !w.dead && !w.cutOff && o.Epoch >= w.epoch {
+				w.epoch = o.Epoch
 				act(w)
 			}
 		})
@@ -353,14 +371,20 @@
 
 func (c *cluster) store(e Commit) {
 	c.summary = e.Summary
+	if e.Roster != nil {
+		c.roster = e.Roster
+	}
 	for _, p := range e.Puts {
 		old := c.progress[p.ID]
 		if old != nil && old.State.Final() && p.Progress.State != old.State {
 			c.t.Errorf("job %s was %s and is %s", p.ID, old.State, p.Progress.State)
 		}
 		c.progress[p.ID] = reread(c.t, p.Progress)
-		if p.Progress.State == job.Completed {
+		switch p.Progress.State {
+		case job.Completed:
 			c.checkCompleted(p.ID)
+		case job.Failed:
+			c.checkFailed(p.ID)
 		}
 	}
 	for _, id := range e.RemoveAccepted {
@@ -380,6 +404,23 @@
 	return q
 }
 
+// checkFailed holds a job shown as failed against the failures that there were.
+func (c *cluster) checkFailed(id job.ID) {
+	record := c.accepted[id]
+	if record == nil {
+		return
+	}
+	limit := c.config.Queues[record.Queue.Name].MaxAttempts
+	for number := range record.Spec.Steps {
+		for index := range record.Spec.Steps[number].Count {
+			if c.task(job.TaskKey{Job: id, Step: number, Index: index}).failed >= limit {
+				return
+			}
+		}
+	}
+	c.t.Errorf("job %s is failed, and no task has failed %d times", id, limit)
+}
+
 func (c *cluster) checkCompleted(id job.ID) {
 	record := c.accepted[id]
 	if record == nil {
--- a/core/jobsched/commit.go
+++ b/core/jobsched/commit.go
@@ -15,8 +15,8 @@
 	// alone; readers take a summary of 2 s as current.
 	summaryInterval = time.Second
 	// commitRecords bounds the entries of one commit. The store takes 32, of
-	// which the commit itself needs two.
-	commitRecords = 29
+	// which the commit itself needs three.
+	commitRecords = 28
 )
 
 // commitState follows the one commit that may be in flight.
@@ -28,6 +28,8 @@
 	// records had to wait for the next.
 	ends map[model.WorkerID]int64
 	jobs []job.ID
+	// roster holds the workers whose being on the roster it makes durable.
+	roster []*worker
 }
 
 // sendCommit stores what has changed. A worker may forget an end only when all
@@ -39,7 +41,7 @@
 	if c.inFlight || m.now.Sub(c.sentAt) < commitInterval {
 		return
 	}
-	nothing := len(m.dirty) == 0 && len(m.removals) == 0
+	nothing := len(m.dirty) == 0 && len(m.removals) == 0 && !m.rosterChanged
 	if nothing {
 		m.acknowledgeEnds(m.takenEnds())
 		if m.now.Sub(c.sentAt) < summaryInterval {
@@ -48,6 +50,10 @@
 	}
 	commit := Commit{Number: c.number + 1, Summary: m.summary()}
 	c.jobs = m.fillCommit(&commit)
+	if m.rosterChanged {
+		commit.Roster, c.roster = m.roster()
+		m.rosterChanged = false
+	}
 	c.ends = nil
 	if len(m.dirty) == 0 {
 		c.ends = m.takenEnds()
@@ -118,20 +124,24 @@
 			m.dropIfOver(j)
 		}
 	}
-	c.ends, c.jobs = nil, nil
+	for _, w := range c.roster {
+		w.onRoster = true
+		m.changed = true
+	}
+	c.ends, c.jobs, c.roster = nil, nil, nil
 }
 
-func (m *Machine) summary() Summary {
-	s := Summary{WrittenMs: m.wall.UnixMilli(), Waiting: m.waiting()}
+// roster returns the workers on which attempts may run, now or soon.
+func (m *Machine) roster() ([]WorkerEntry, []*worker) {
+	entries := make([]WorkerEntry, 0, len(m.workers))
+	workers := make([]*worker, 0, len(m.workers))
 	for _, w := range m.workers {
-		if len(w.attempts) > 0 && (!w.listed || !w.silentSince.IsZero()) {
-			s.Unanswered = append(s.Unanswered, w.entry)
-		}
+		entries = append(entries, w.entry)
+		workers = append(workers, w)
 	}
-	for id := range m.unresolved {
-		if w := m.workers[id]; w != nil && len(w.attempts) == 0 {
-			s.Unanswered = append(s.Unanswered, w.entry)
-		}
-	}
-	return s
+	return entries, workers
+}
+
+func (m *Machine) summary() Summary {
+	return Summary{WrittenMs: m.wall.UnixMilli(), Waiting: m.waiting()}
 }
--- a/core/jobsched/effect.go
+++ b/core/jobsched/effect.go
@@ -63,6 +63,12 @@
 	// RemoveProgress lists jobs that need not be remembered any longer.
 	RemoveProgress []job.ID
 	Summary        Summary
+	// Roster lists all workers on which attempts may run; nil when it has not
+	// changed. A daemon that takes over must hear from each of them, or wait,
+	// before it starts what may run there. The platform's list does not do: it
+	// lacks workers that are cut off and run on, and for a while after an
+	// outage of the platform's store many that are well.
+	Roster []WorkerEntry
 }
 
 // ProgressRecord is one job's record.
@@ -78,10 +84,6 @@
 	// Waiting counts, by queue, the jobs without a schedule of which no task
 	// has started.
 	Waiting map[string]int `json:"waiting,omitempty"`
-	// Unanswered lists workers on which attempts may run and which the
-	// platform may no longer list. A daemon that takes over must wait for them
-	// too, or it could start their tasks a second time.
-	Unanswered []WorkerEntry `json:"unanswered,omitempty"`
 }
 
 // Note is a decision for the log. The machine notes what touches a job and what
--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -15,6 +15,11 @@
 	if w.dead {
 		return
 	}
+	if w.c.now.After(w.lease) {
+		for i := range w.ended {
+			w.ended[i].void = true
+		}
+	}
 	for _, a := range w.sorted() {
 		switch {
 		case !a.stopping.IsZero() && !w.c.now.Before(a.stopping):
@@ -22,6 +27,10 @@
 		case w.c.now.After(w.lease):
 			w.end(a, EndExpired)
 		case w.freeze || !a.stopping.IsZero():
+		case a.step.Gang && len(w.c.members(a.key)) < a.step.Count:
+			if a.waited += d; a.waited >= gangWait {
+				w.end(a, EndIncomplete)
+			}
 		default:
 			a.worked += d * time.Duration(a.share) / 100
 			if a.worked >= a.need && !a.step.LongRunning {
@@ -42,22 +51,65 @@
 	return list
 }
 
+// gangWait is how long a member of a gang waits for the others.
+const gangWait = 3 * time.Second
+
+// member is an attempt of a gang and its worker.
+type member struct {
+	worker  *fakeWorker
+	attempt *fakeAttempt
+}
+
+// members returns the attempts of a gang that are present under one number.
+func (c *cluster) members(key attemptKey) []member {
+	var found []member
+	for _, id := range c.workerIDs() {
+		w := c.workers[id]
+		for _, a := range w.attempts {
+			same := a.key.task
+			same.Index = key.task.Index
+			if same == key.task && a.key.attempt == key.attempt && a.stopping.IsZero() {
+				found = append(found, member{w, a})
+			}
+		}
+	}
+	return found
+}
+
+// end ends an attempt and, in a gang, the others: as done if it is, else broken.
 func (w *fakeWorker) end(a *fakeAttempt, cause EndCause) {
 	if cause == EndDone && w.failAll {
 		cause = EndFailed
 	}
+	if !a.step.Gang {
+		w.endOne(a, cause)
+		return
+	}
+	others := w.c.members(a.key)
+	w.endOne(a, cause)
+	for _, m := range others {
+		switch {
+		case m.attempt == a || m.worker.dead:
+		case cause == EndDone:
+			m.worker.endOne(m.attempt, EndDone)
+		case cause != EndIncomplete:
+			m.worker.endOne(m.attempt, EndBroken)
+		}
+	}
+}
+
+func (w *fakeWorker) endOne(a *fakeAttempt, cause EndCause) {
 	delete(w.attempts, a.key)
 	truth := w.c.task(a.key.task)
 	delete(truth.running, w.entry.ID)
-	switch cause {
-	case EndDone:
-		truth.done = true
-	case EndFailed:
-		truth.failures++
+	truth.done = truth.done || cause == EndDone
+	if cause == EndFailed {
+		truth.failed++
 	}
 	w.barred[a.key.task] = max(w.barred[a.key.task], a.key.attempt)
 	w.number++
-	w.ended = append(w.ended, EndedAttempt{Number: w.number, Key: a.key.task, Attempt: a.key.attempt, Cause: cause})
+	end := EndedAttempt{Number: w.number, Key: a.key.task, Attempt: a.key.attempt, Cause: cause}
+	w.ended = append(w.ended, fakeEnd{EndedAttempt: end, at: w.c.now})
 }
 
 // crash ends the worker with all that runs on it.
@@ -113,9 +165,10 @@
 	if len(truth.running) > 0 {
 		c.t.Errorf("%s: %s attempt %d starts on %s while it runs on %v", at, s.Key, s.Attempt, w.entry.ID, truth.running)
 	}
-	if truth.done {
+	if truth.settled {
 		c.t.Errorf("%s: %s starts on %s after it is done", at, s.Key, w.entry.ID)
 	}
+	truth.lastStart = c.now
 	if limit := c.config.Queues["batch"].MaxAttempts; truth.failures >= limit && !step.LongRunning {
 		c.t.Errorf("%s: %s starts after %d failures", at, s.Key, truth.failures)
 	}
@@ -128,6 +181,23 @@
 	}
 }
 
+// settle takes in that an end is acknowledged.
+func (w *fakeWorker) settle(e fakeEnd) {
+	if e.void {
+		return
+	}
+	truth := w.c.task(e.Key)
+	switch e.Cause {
+	case EndFailed:
+		truth.failures++
+	case EndDone:
+		truth.settled = true
+		if truth.lastStart.After(e.at) {
+			w.c.t.Errorf("%s was started after it was done on %s", e.Key, w.entry.ID)
+		}
+	}
+}
+
 func (w *fakeWorker) stop(s Stop) Verdict {
 	w.barred[s.Key] = max(w.barred[s.Key], s.Attempt)
 	if a := w.attempts[attemptKey{task: s.Key, attempt: s.Attempt}]; a != nil && a.stopping.IsZero() {
@@ -147,8 +217,14 @@
 	if r.UntilMs > 0 {
 		w.extend(r.UntilMs)
 	}
-	w.ended = slices.DeleteFunc(w.ended, func(e EndedAttempt) bool { return e.Number <= r.AckedEnds })
-	report := Report{ClockMs: w.clockMs(), Ended: slices.Clone(w.ended)}
+	for len(w.ended) > 0 && w.ended[0].Number <= r.AckedEnds {
+		w.settle(w.ended[0])
+		w.ended = w.ended[1:]
+	}
+	report := Report{ClockMs: w.clockMs()}
+	for _, e := range w.ended {
+		report.Ended = append(report.Ended, e.EndedAttempt)
+	}
 	for _, a := range w.sorted() {
 		percent := 100
 		if a.need > 0 && !a.step.LongRunning {
--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -66,9 +66,17 @@
 	return count < s.spec.MaxPerWorker
 }
 
-// filterProbing gives a worker under suspicion one task at a time.
+// filterProbing gives a worker under suspicion one new task at a time.
 func filterProbing(_ *Machine, t *task, w *worker) bool {
-	return !w.health.probing() || len(w.attempts) == 0 && !t.step.spec.Gang
+	if !w.health.probing() {
+		return true
+	}
+	for _, a := range w.attempts {
+		if a.phase == phaseStarting || a.startedAt.After(w.health.failedAt) {
+			return false
+		}
+	}
+	return !t.step.spec.Gang
 }
 
 // filterInterference keeps best-effort work away from the serving tasks that it
--- a/core/jobsched/health.go
+++ b/core/jobsched/health.go
@@ -9,6 +9,7 @@
 // and then a single one at a time until one is done.
 type health struct {
 	failures  int
+	failedAt  time.Time
 	closedTil time.Time
 }
 
@@ -21,12 +22,18 @@
 	// workers of the users' reports recover after 4 to 8 s.
 	closedFirst = 2 * time.Second
 	closedMost  = 8 * time.Second
+	// probeTime is how long an attempt must have run since the last failure to
+	// count as a success. Long-running tasks never end, and without it a worker
+	// that has only such would stay closed for good; what a failing worker
+	// starts fails within its run time, mostly less than a second.
+	probeTime = 2500 * time.Millisecond
 )
 
 func (h *health) succeeded() { *h = health{} }
 
 func (h *health) failed(now time.Time) {
 	h.failures++
+	h.failedAt = now
 	if h.failures < failuresToClose {
 		return
 	}
@@ -36,5 +43,12 @@
 
 func (h *health) open(now time.Time) bool { return !now.Before(h.closedTil) }
 
+// survived takes in that an attempt runs since startedAt.
+func (h *health) survived(startedAt, now time.Time) {
+	if h.failures > 0 && startedAt.After(h.failedAt) && now.Sub(startedAt) > probeTime {
+		h.succeeded()
+	}
+}
+
 // probing reports whether the worker gets one task at a time.
 func (h *health) probing() bool { return h.failures >= failuresToClose }
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -219,23 +219,20 @@
 	m.concludeIfDone(o.job)
 }
 
-// countFailure takes in that a task, or once an attempt its gang, has failed,
-// and gives the job up when that was the last attempt it had.
+// countFailure takes in that a task, or its gang, has failed, each attempt
+// once, and gives the job up when that was the last attempt it had.
 func (m *Machine) countFailure(t *task, attempt int) {
 	s := t.step
-	if s.spec.LongRunning {
+	if s.spec.LongRunning || attempt <= t.lastFailed {
 		return
 	}
+	failed := []*task{t}
 	if s.spec.Gang {
-		if attempt <= s.failedAttempt {
-			return
-		}
-		s.failedAttempt = attempt
-		for _, member := range s.tasks {
-			member.failures++
-		}
-	} else {
-		t.failures++
+		failed = s.tasks
+	}
+	for _, member := range failed {
+		member.failures++
+		member.lastFailed = attempt
 	}
 	m.markDirty(s.job())
 	if limit := m.queue(s.job()).MaxAttempts; t.failures >= limit {
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -57,8 +57,6 @@
 	next           []*step
 	// checkpoint is the gang's last one, which is good for every member.
 	checkpoint string
-	// failedAttempt is the last attempt of a gang that was counted as failed.
-	failedAttempt int
 	// notBefore holds the step's next starts back after a refusal.
 	notBefore time.Time
 	advice    advice
@@ -78,8 +76,10 @@
 	// for speculative tasks.
 	attempts []*attempt
 	// last is the highest attempt number that may have been used.
-	last       int
-	failures   int
+	last     int
+	failures int
+	// lastFailed is the highest attempt that failures counts.
+	lastFailed int
 	checkpoint string
 	// failedOn is the worker on which it failed last.
 	failedOn *worker
@@ -168,6 +168,7 @@
 func (t *task) restore(p job.TaskProgress) {
 	t.last = p.Attempts
 	t.failures = p.Failures
+	t.lastFailed = p.LastFailed
 	t.checkpoint = p.Checkpoint
 	if t.step.spec.Gang {
 		t.step.checkpoint = p.Checkpoint
@@ -220,7 +221,9 @@
 		if p.Tasks == nil {
 			p.Tasks = make(map[int]job.TaskProgress)
 		}
-		p.Tasks[i] = job.TaskProgress{Attempts: t.last, Failures: t.failures, Checkpoint: t.checkpoint}
+		p.Tasks[i] = job.TaskProgress{
+			Attempts: t.last, Failures: t.failures, LastFailed: t.lastFailed, Checkpoint: t.checkpoint,
+		}
 	}
 	return p
 }
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -43,9 +43,10 @@
 	recoveredAt time.Time
 	// unresolved holds the workers on which an earlier leader may have started
 	// what the machine does not know, until the time given.
-	unresolved map[model.WorkerID]time.Time
-	listed     bool
-	deposed    bool
+	unresolved    map[model.WorkerID]time.Time
+	listed        bool
+	rosterChanged bool
+	deposed       bool
 	// unwanted counts the attempts that no task wants.
 	unwanted int
 
@@ -77,8 +78,8 @@
 	Config   *job.Config
 	Accepted map[job.ID]*job.Accepted
 	Progress map[job.ID]*job.Progress
-	// Unanswered is from the summary of the last commit.
-	Unanswered []WorkerEntry
+	// Roster is the one that was stored last.
+	Roster []WorkerEntry
 }
 
 // New makes the machine of a leader that has just taken over.
@@ -100,9 +101,11 @@
 			m.recoverJob(id, accepted, r.Progress[id])
 		}
 	}
-	for _, entry := range r.Unanswered {
-		m.workers[entry.ID] = newWorker(entry)
-		m.awaitWorker(m.workers[entry.ID])
+	for _, entry := range r.Roster {
+		w := newWorker(entry)
+		w.onRoster = true
+		m.workers[entry.ID] = w
+		m.awaitWorker(w)
 	}
 	return m
 }
--- /dev/null
+++ b/core/jobsched/property_test.go
@@ -0,0 +1,138 @@
+package jobsched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/guavarill/guavarill/core/job"
+)
+
+// TestNothingRunsTwiceUnderFaults plays random jobs under random faults: lost
+// answers, orders carried out seconds late, workers that crash, are cut off,
+// fail or freeze, outages of the store, and leaders that come and go. The
+// workers check each start: no task runs twice, after it is done, before the
+// steps it follows, beyond its attempts, or where it does not fit. In the end
+// every job is over or canceled.
+func TestNothingRunsTwiceUnderFaults(t *testing.T) {
+	parameters := gopter.DefaultTestParameters()
+	parameters.MinSuccessfulTests = 40
+	parameters.Rng.Seed(20)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("faults", prop.ForAllNoShrink(func(seed uint64) bool {
+		return playFaults(t, seed)
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+// playFaults plays one seed and returns whether nothing was found.
+func playFaults(t *testing.T, seed uint64) bool {
+	ok := t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+		c := newCluster(t, seed, 8)
+		rnd := rand.New(rand.NewPCG(seed, 2))
+		c.loseAnswers, c.delayOrders = 0.03, 0.03
+		ids := c.faultyDay(rnd)
+		c.calm()
+		c.run(40 * time.Second)
+		for _, id := range ids {
+			if s := c.state(id); !s.Final() {
+				t.Errorf("job %s is %s in the end: %s", id, s, c.describe(id))
+			}
+		}
+	})
+	return ok
+}
+
+// faultyDay plays jobs and faults and returns the jobs.
+func (c *cluster) faultyDay(rnd *rand.Rand) []job.ID {
+	var ids []job.ID
+	next := 8
+	for i := range 60 {
+		ids = append(ids, c.randomJob(rnd, i+1))
+		c.run(time.Duration(rnd.IntN(500)) * time.Millisecond)
+		w := c.workers[c.workerIDs()[rnd.IntN(len(c.workers))]]
+		switch rnd.IntN(16) {
+		case 0:
+			w.crash()
+			w.listed = false
+			c.addWorker(next)
+			next++
+		case 1:
+			w.cutOff = !w.cutOff
+		case 2:
+			w.failAll = !w.failAll
+		case 3:
+			w.freeze = !w.freeze
+		case 4:
+			c.lead()
+		case 5:
+			c.storeDown = true
+		case 6:
+			c.restoreStore()
+		case 7:
+			w.listed = !w.listed && !w.dead
+		case 8:
+			c.cancel(ids[rnd.IntN(len(ids))])
+		}
+	}
+	return ids
+}
+
+// calm ends all faults.
+func (c *cluster) calm() {
+	c.loseAnswers, c.delayOrders = 0, 0
+	c.restoreStore()
+	for _, w := range c.workers {
+		w.cutOff, w.failAll, w.freeze = false, false, false
+		w.listed = !w.dead
+	}
+}
+
+// randomJob submits a job of one to three steps.
+func (c *cluster) randomJob(rnd *rand.Rand, number int) job.ID {
+	var steps []job.Step
+	for s := range 1 + rnd.IntN(3) {
+		estimate := time.Duration(100+rnd.IntN(1500)) * time.Millisecond
+		step := makeStep(1+rnd.IntN(6), int64(500+rnd.IntN(3000)), estimate)
+		if s > 0 {
+			step.After = []int{rnd.IntN(s)}
+		}
+		step.BestEffort = rnd.IntN(3) == 0
+		step.Checkpointing = rnd.IntN(2) == 0
+		step.Gang = rnd.IntN(6) == 0
+		if rnd.IntN(4) == 0 {
+			step.MaxPerWorker = 2
+		}
+		steps = append(steps, step)
+	}
+	queue := "batch"
+	if rnd.IntN(2) == 0 {
+		queue = "urgent"
+	}
+	return c.submit(number, queue, steps...)
+}
+
+// describe tells where the tasks of a job are, for a failure's report.
+func (c *cluster) describe(id job.ID) string {
+	j := c.machine.jobs[id]
+	if j == nil {
+		return "unknown to the leader"
+	}
+	text := ""
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			text += fmt.Sprintf("step %d left %d blocking %d:", s.number, s.left, s.blocking)
+			for _, task := range s.tasks {
+				for _, a := range task.attempts {
+					text += fmt.Sprintf(" %d@%s phase %d", task.index, a.worker.id, a.phase)
+				}
+			}
+		}
+	}
+	return text
+}
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -32,11 +32,13 @@
 		}
 		unstored := w.seenEnds > w.ackedEnds
 		r := Renew{Order: m.order(w), AckedEnds: w.ackedEnds}
-		if len(w.attempts) > 0 {
+		// The lease of a worker that does not answer is not renewed: the call may
+		// reach it all the same, and its attempts could never be declared lost.
+		if len(w.attempts) > 0 && w.silentSince.IsZero() {
 			r.UntilMs = w.until(m.now, m.options.Lease)
-		}
-		if len(w.attempts) > 0 && w.answered && !unstored {
-			r.Wait = renewWait
+			if w.answered && !unstored {
+				r.Wait = renewWait
+			}
 		}
 		w.renewing = true
 		m.emit(r)
--- /dev/null
+++ b/core/jobsched/takeover_test.go
@@ -0,0 +1,201 @@
+package jobsched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+)
+
+func longRunning(count int, cpu int64) job.Step {
+	s := makeStep(count, cpu, time.Second)
+	s.LongRunning = true
+	return s
+}
+
+func (c *cluster) runningOf(id job.ID) int {
+	n := 0
+	for key, truth := range c.truth {
+		if key.Job == id {
+			n += len(truth.running)
+		}
+	}
+	return n
+}
+
+// TestAttemptsSurviveSeveralTakeovers
+//
+// Symptom: tasks ran twice after the second take-over. Events: a leader takes
+// over, adopts attempt 1, and stores that numbers up to 17 may have been used;
+// another takes over from it. Cause: the second took an attempt with so low a
+// number for a stale one and counted it for no task.
+func TestAttemptsSurviveSeveralTakeovers(t *testing.T) {
+	c := newCluster(t, 1, 4)
+	c.run(200 * time.Millisecond)
+	id := c.submit(1, "urgent", longRunning(4, 2000))
+	c.run(time.Second)
+	for range 4 {
+		c.lead()
+		c.run(2 * time.Second)
+	}
+	if n := c.runningOf(id); n != 4 || c.starts != 4 {
+		t.Errorf("%d tasks run after %d starts, want 4 after 4", n, c.starts)
+	}
+}
+
+// TestWorkerMissingFromTheListAtATakeover
+//
+// Symptom: tasks ran twice after an outage of the platform's store. Events: the
+// entries of workers lapse with the store; a new leader reads a list that lacks
+// a worker which is well. Cause: it took the list for all there is, and started
+// the worker's tasks elsewhere.
+func TestWorkerMissingFromTheListAtATakeover(t *testing.T) {
+	c := newCluster(t, 1, 4)
+	c.run(200 * time.Millisecond)
+	id := c.submit(1, "urgent", longRunning(8, 2000))
+	c.run(time.Second)
+	for _, w := range c.workers {
+		w.listed = false
+	}
+	c.workers["w003"].listed = true
+	c.lead()
+	c.run(500 * time.Millisecond)
+	for _, w := range c.workers {
+		w.listed = true
+	}
+	c.run(8 * time.Second)
+	if n := c.runningOf(id); n != 8 || c.starts != 8 {
+		t.Errorf("%d tasks run after %d starts, want 8 after 8", n, c.starts)
+	}
+}
+
+// TestWorkerCutOffAtATakeover: a worker cannot be reached when a leader takes
+// over, and runs on until its lease ends. Its tasks must wait that long and
+// start elsewhere then; the others go on at once.
+func TestWorkerCutOffAtATakeover(t *testing.T) {
+	c := newCluster(t, 1, 4)
+	c.run(200 * time.Millisecond)
+	id := c.submit(1, "urgent", longRunning(8, 2000))
+	c.run(time.Second)
+	c.workers["w002"].cutOff = true
+	c.lead()
+	c.run(12 * time.Second)
+	if n := c.runningOf(id); n != 8 {
+		t.Errorf("%d tasks run, want 8", n)
+	}
+}
+
+// TestFailingWorkerOpensAgain
+//
+// Symptom: a long-running task had no worker for 13 s although one had room.
+// Events: a worker fails what it starts for a while and is closed; it still runs
+// older long-running tasks. Cause: it was to get one task at a time until one
+// was done, when nothing else ran there; long-running tasks are never done.
+func TestFailingWorkerOpensAgain(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.run(200 * time.Millisecond)
+	c.submit(1, "urgent", longRunning(2, 2000))
+	c.run(time.Second)
+	c.workers["w001"].crash()
+	c.workers["w001"].listed = false
+	w := c.workers["w000"]
+	w.failAll = true
+	for i := range 3 {
+		c.submit(10+i, "batch", makeStep(1, 1000, 200*time.Millisecond))
+		c.run(400 * time.Millisecond)
+	}
+	w.failAll = false
+	id := c.submit(20, "urgent", longRunning(3, 2000))
+	c.run(15 * time.Second)
+	if n := c.runningOf(id); n != 3 {
+		t.Errorf("%d tasks run, want 3", n)
+	}
+}
+
+// TestUrgentTasksDisplaceBestEffortWork
+//
+// Symptom: a long-running task waited while smaller best-effort ones kept
+// coming. Cause: whatever room came free went to the first that fitted.
+func TestUrgentTasksDisplaceBestEffortWork(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.run(200 * time.Millisecond)
+	hungry := makeStep(60, 500, 20*time.Second)
+	hungry.BestEffort, hungry.Checkpointing, hungry.Size.MemoryMB = true, true, 4000
+	c.submit(1, "batch", hungry)
+	c.run(time.Second)
+	big := longRunning(2, 4000)
+	big.Size.MemoryMB = 20000
+	id := c.submit(2, "urgent", big)
+	c.run(4 * time.Second)
+	if n := c.runningOf(id); n != 2 {
+		t.Errorf("%d long-running tasks run, want 2", n)
+	}
+}
+
+// TestEndsAreAcknowledgedOnlyWhenStored: while the store is away, ends stay with
+// the workers, and a leader that takes over then finds them there.
+func TestEndsAreAcknowledgedOnlyWhenStored(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.run(200 * time.Millisecond)
+	c.storeDown = true
+	id := c.submit(1, "batch", makeStep(4, 1000, 300*time.Millisecond))
+	c.run(2 * time.Second)
+	if s := c.state(id); s == job.Completed {
+		t.Fatal("shown as completed without the store")
+	}
+	c.storeDown = false
+	c.lead()
+	c.run(2 * time.Second)
+	if s := c.state(id); s != job.Completed || c.starts != 4 {
+		t.Errorf("state %s after %d starts, want completed after 4", s, c.starts)
+	}
+}
+
+// TestFailureIsCountedOnceOverATakeover
+//
+// Symptom: a job was shown as failed although no task had failed so often.
+// Events: a failure is counted and stored; the leader is lost before the worker
+// hears that it need not keep the end; the next leader finds it there. Cause:
+// it counted the same failure again.
+func TestFailureIsCountedOnceOverATakeover(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.run(200 * time.Millisecond)
+	for _, w := range c.workers {
+		w.failAll = true
+	}
+	id := c.submit(1, "batch", makeStep(1, 1000, 100*time.Millisecond))
+	for c.stored(id).Failures == 0 {
+		c.tick()
+	}
+	for _, w := range c.workers {
+		w.failAll = false
+	}
+	for range 4 {
+		// The ends come to each leader, and are stored, before it acknowledges.
+		c.lead()
+		c.machine.Handle(c.now, Renewed{Worker: "w000", SentAt: c.now, Verdict: VerdictDone, Report: c.workers["w000"].hold(Renew{})})
+		c.machine.Handle(c.now, Renewed{Worker: "w001", SentAt: c.now, Verdict: VerdictDone, Report: c.workers["w001"].hold(Renew{})})
+		for _, e := range c.machine.Advance(c.now, c.wall) {
+			if commit, ok := e.(Commit); ok {
+				c.store(commit)
+			}
+		}
+	}
+	if n := c.stored(id).Failures; n != 1 {
+		t.Errorf("%d failures are counted, want 1", n)
+	}
+	c.lead()
+	c.run(10 * time.Second)
+	if s := c.state(id); s != job.Completed {
+		t.Errorf("state %s, want completed", s)
+	}
+}
+
+// stored returns what is stored of a job's first task.
+func (c *cluster) stored(id job.ID) job.TaskProgress {
+	p := c.progress[id]
+	if p == nil || len(p.Occurrences) == 0 {
+		return job.TaskProgress{}
+	}
+	return p.Occurrences[0].Steps[0].Tasks[0]
+}
--- a/core/jobsched/watch.go
+++ b/core/jobsched/watch.go
@@ -21,6 +21,9 @@
 			m.evacuate(w)
 		}
 		for _, a := range w.attempts {
+			if a.phase == phaseRunning && w.silentSince.IsZero() {
+				w.health.survived(a.startedAt, m.now)
+			}
 			if a.stalled(m.now) {
 				w.health.failed(m.now)
 				a.task.failedOn = w
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -13,6 +13,9 @@
 	entry WorkerEntry
 	// listed is whether the last list had it.
 	listed bool
+	// onRoster is whether it is on the stored roster; before that nothing is
+	// started on it.
+	onRoster bool
 	// answered is whether it has answered under the machine's epoch; before
 	// that nothing is started on it.
 	answered bool
@@ -127,6 +130,6 @@
 
 // usable reports whether new tasks may go there at all.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.answered && !w.entry.Draining && w.silentSince.IsZero() &&
+	return w.listed && w.answered && w.onRoster && !w.entry.Draining && w.silentSince.IsZero() &&
 		!now.Before(w.closedUntil) && !w.clockAt.IsZero() && w.health.open(now)
 }
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -12,7 +12,6 @@
 // or may be cut off and run on: nothing is started on it, and what runs there
 // is over when it says so or when its lease has certainly run out.
 func (m *Machine) workersListed(entries []WorkerEntry) {
-	first := !m.listed
 	m.listed = true
 	for _, w := range m.workers {
 		w.listed = false
@@ -22,10 +21,8 @@
 		if w == nil {
 			w = newWorker(e)
 			m.workers[e.ID] = w
+			m.rosterChanged = true
 			m.emit(Note{Decision: "worker found", Worker: e.ID, Reason: "address " + e.Address + ", rack " + string(e.Rack)})
-			if first {
-				m.awaitWorker(w)
-			}
 		}
 		m.updateEntry(w, e)
 	}
@@ -93,6 +90,7 @@
 func (m *Machine) forget(w *worker) {
 	delete(m.workers, w.id)
 	delete(m.unresolved, w.id)
+	m.rosterChanged = true
 	m.learner.DropWorker(w.id)
 	m.emit(Note{Decision: "worker gone", Worker: w.id, Reason: "not listed, and no answer"})
 }
--- a/jobservice/keys.go
+++ b/jobservice/keys.go
@@ -14,6 +14,8 @@
 	// nobody has written it since. So a commit that is carried out late, or
 	// sent by a daemon that leads no longer, changes nothing.
 	ledgerKey = "guavarill/ledger"
+	// rosterKey holds the workers on which attempts may run.
+	rosterKey = "guavarill/roster"
 	// acceptedPrefix precedes the id of each accepted job that is not over.
 	acceptedPrefix = "guavarill/jobs/"
 	// progressPrefix precedes the id of each job that has begun.
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -18,15 +18,13 @@
 	l := t.leader
 	began := l.o.Clock.Now()
 	r := jobsched.Recovered{Config: l.o.Config.Current()}
-	ledger, err := l.get(ctx, ledgerKey)
+	roster, err := l.get(ctx, rosterKey)
 	if err != nil {
 		return err
 	}
-	record, err := decodeLedger(ledger.Value)
-	if err != nil {
+	if r.Roster, err = decodeRoster(roster.Value); err != nil {
 		return err
 	}
-	r.Unanswered = record.Summary.Unanswered
 	// Accepted jobs first: one that ends between the two reads is in both, and
 	// its progress says that it is over.
 	if r.Accepted, t.jobsFrom, err = readAll(ctx, l.o.Store, acceptedPrefix, job.DecodeAccepted); err != nil {
@@ -43,6 +41,17 @@
 	return nil
 }
 
+func decodeRoster(data []byte) ([]jobsched.WorkerEntry, error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
+	var roster []jobsched.WorkerEntry
+	if err := json.Unmarshal(data, &roster); err != nil {
+		return nil, &job.RecordError{Kind: "roster", Cause: err}
+	}
+	return roster, nil
+}
+
 // readAll reads the records below a prefix, by job.
 func readAll[T any](ctx context.Context, store port.Store, prefix string, decode func([]byte) (*T, error)) (map[job.ID]*T, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -225,6 +234,9 @@
 func (t *term) changes(c jobsched.Commit) []port.Op {
 	record := ledgerRecord{Incarnation: t.leader.o.Incarnation, Number: c.Number, Summary: c.Summary}
 	changes := []port.Op{{Key: ledgerKey, Value: encodeRecord(record)}}
+	if c.Roster != nil {
+		changes = append(changes, port.Op{Key: rosterKey, Value: encodeRecord(c.Roster)})
+	}
 	for _, p := range c.Puts {
 		changes = append(changes, port.Op{Key: progressKey(p.ID), Value: p.Progress.Encode()})
 	}
