Count each failed attempt, in whatever order they are told

Failures of attempts that had been declared lost were passed over altogether, though they are acknowledged. Ruled out: a number of failures (the same one can be told twice). Change: the record lists the failed attempts.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -74,11 +74,10 @@
 type TaskProgress struct {
 	// Attempts is the highest attempt number that may have been used.
 	Attempts int `json:"attempts,omitempty"`
-	Failures int `json:"failures,omitempty"`
-	// LastFailed is the highest attempt that Failures counts. The worker tells
-	// of a failure until it hears that it is stored, so the next leader may be
-	// told of it again.
-	LastFailed int    `json:"lastFailed,omitempty"`
+	// Failed lists the attempts that failed. A worker tells of a failure until
+	// it hears that it is stored, so the next leader may be told of it again,
+	// and in another order.
+	Failed     []int  `json:"failed,omitempty"`
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -223,7 +223,7 @@
 // once, and gives the job up when that was the last attempt it had.
 func (m *Machine) countFailure(t *task, attempt int) {
 	s := t.step
-	if s.spec.LongRunning || attempt <= t.lastFailed {
+	if s.spec.LongRunning || slices.Contains(t.failed, attempt) {
 		return
 	}
 	failed := []*task{t}
@@ -231,12 +231,11 @@
 		failed = s.tasks
 	}
 	for _, member := range failed {
-		member.failures++
-		member.lastFailed = attempt
+		member.failed = append(member.failed, attempt)
 	}
 	m.markDirty(s.job())
-	if limit := m.queue(s.job()).MaxAttempts; t.failures >= limit {
-		reason := fmt.Sprintf("task %s failed %d times of %d", t.key(), t.failures, limit)
+	if limit := m.queue(s.job()).MaxAttempts; len(t.failed) >= limit {
+		reason := fmt.Sprintf("task %s failed %d times of %d", t.key(), len(t.failed), limit)
 		m.conclude(s.job(), job.Failed, reason)
 	}
 }
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -1,6 +1,7 @@
 package jobsched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/guavarill/guavarill/core/job"
@@ -76,10 +77,9 @@
 	// for speculative tasks.
 	attempts []*attempt
 	// last is the highest attempt number that may have been used.
-	last     int
-	failures int
-	// lastFailed is the highest attempt that failures counts.
-	lastFailed int
+	last int
+	// failed lists the attempts that failed.
+	failed     []int
 	checkpoint string
 	// failedOn is the worker on which it failed last.
 	failedOn *worker
@@ -167,8 +167,7 @@
 
 func (t *task) restore(p job.TaskProgress) {
 	t.last = p.Attempts
-	t.failures = p.Failures
-	t.lastFailed = p.LastFailed
+	t.failed = p.Failed
 	t.checkpoint = p.Checkpoint
 	if t.step.spec.Gang {
 		t.step.checkpoint = p.Checkpoint
@@ -215,15 +214,13 @@
 	for i, t := range s.tasks {
 		// The first attempt alone is not worth a line: whoever takes over skips
 		// the numbers that may have been used.
-		if t.done || t.last <= 1 && t.failures == 0 && t.checkpoint == "" {
+		if t.done || t.last <= 1 && len(t.failed) == 0 && t.checkpoint == "" {
 			continue
 		}
 		if p.Tasks == nil {
 			p.Tasks = make(map[int]job.TaskProgress)
 		}
-		p.Tasks[i] = job.TaskProgress{
-			Attempts: t.last, Failures: t.failures, LastFailed: t.lastFailed, Checkpoint: t.checkpoint,
-		}
+		p.Tasks[i] = job.TaskProgress{Attempts: t.last, Failed: slices.Clone(t.failed), Checkpoint: t.checkpoint}
 	}
 	return p
 }
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -113,7 +113,12 @@
 func (m *Machine) takeEnd(w *worker, e *EndedAttempt) {
 	key := attemptKey{task: e.Key, attempt: e.Attempt}
 	if _, declared := w.lost[key]; declared {
+		// What it did is of no use any more, but a failure counts: it will be
+		// acknowledged, and the task has so many attempts less.
 		delete(w.lost, key)
+		if t := m.task(e.Key); t != nil && e.Cause == EndFailed && !t.done {
+			m.countFailure(t, e.Attempt)
+		}
 		return
 	}
 	a := w.attempts[key]
--- a/core/jobsched/takeover_test.go
+++ b/core/jobsched/takeover_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/model"
 )
 
 func longRunning(count int, cpu int64) job.Step {
@@ -164,7 +165,7 @@
 		w.failAll = true
 	}
 	id := c.submit(1, "batch", makeStep(1, 1000, 100*time.Millisecond))
-	for c.stored(id).Failures == 0 {
+	for len(c.stored(id).Failed) == 0 {
 		c.tick()
 	}
 	for _, w := range c.workers {
@@ -181,7 +182,7 @@
 			}
 		}
 	}
-	if n := c.stored(id).Failures; n != 1 {
+	if n := len(c.stored(id).Failed); n != 1 {
 		t.Errorf("%d failures are counted, want 1", n)
 	}
 	c.lead()
@@ -199,3 +200,50 @@
 	}
 	return p.Occurrences[0].Steps[0].Tasks[0]
 }
+
+// TestFailuresAreCountedInAnyOrder
+//
+// Symptom: a task was started again after all its attempts had failed. Events:
+// attempts 1 and 2 fail on two workers while the store is away; the next leader
+// hears of attempt 2 first. Cause: it counted only failures of later attempts
+// than the last it had counted.
+func TestFailuresAreCountedInAnyOrder(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.run(200 * time.Millisecond)
+	id := c.submit(1, "batch", makeStep(1, 1000, 100*time.Millisecond))
+	c.lead()
+	key := job.TaskKey{Job: id}
+	for i, worker := range []model.WorkerID{"w001", "w000"} {
+		end := EndedAttempt{Number: 1, Key: key, Attempt: 2 - i, Cause: EndFailed}
+		report := Report{ClockMs: c.clock(worker), Ended: []EndedAttempt{end}}
+		c.machine.Handle(c.now, Renewed{Worker: worker, SentAt: c.now, Verdict: VerdictDone, Report: report})
+	}
+	if n := len(c.machine.task(key).failed); n != 2 {
+		t.Errorf("%d failures are counted, want 2", n)
+	}
+}
+
+// TestFailureOfALostAttemptCounts
+//
+// Symptom: a task had more attempts than it may. Events: a worker is cut off,
+// its attempt fails there, and is declared lost; the worker comes back and tells
+// of the failure, which is acknowledged. Cause: ends of lost attempts were
+// passed over.
+func TestFailureOfALostAttemptCounts(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.run(200 * time.Millisecond)
+	w := c.workers["w000"]
+	w.failAll = true
+	id := c.submit(1, "batch", makeStep(1, 1000, time.Second))
+	c.run(500 * time.Millisecond)
+	w.cutOff = true
+	c.run(8 * time.Second)
+	w.cutOff, w.failAll = false, false
+	c.run(100 * time.Millisecond)
+	for len(c.stored(id).Failed) == 0 && c.now.Sub(testEpoch) < 20*time.Second {
+		c.tick()
+	}
+	if n := len(c.stored(id).Failed); n != 1 {
+		t.Errorf("%d failures are counted, want 1", n)
+	}
+}
