--- /dev/null
+++ b/adapter/grpcrelay/records.go
@@ -0,0 +1,154 @@
+package grpcrelay
+
+import (
+	"context"
+	"sync"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	relayv1 "github.com/guavarill/guavarill/api/relay/v1"
+	"github.com/guavarill/guavarill/jobservice"
+	"github.com/guavarill/guavarill/port"
+)
+
+// RecordsServer lets other daemons reach the store through this one.
+type RecordsServer struct {
+	relayv1.UnimplementedRecordsServer
+	store jobservice.Records
+	// available says whether this daemon reaches the store itself.
+	available func() bool
+}
+
+// NewRecordsServer makes a RecordsServer and registers it with a server.
+func NewRecordsServer(s *grpc.Server, store jobservice.Records, available func() bool) *RecordsServer {
+	r := &RecordsServer{store: store, available: available}
+	relayv1.RegisterRecordsServer(s, r)
+	return r
+}
+
+// Get implements relayv1.RecordsServer.
+func (r *RecordsServer) Get(ctx context.Context, req *relayv1.GetRequest) (*relayv1.GetResponse, error) {
+	if !r.available() {
+		return nil, status.Error(codes.FailedPrecondition, "no access to the store")
+	}
+	kv, err := r.store.Get(ctx, req.Key)
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	return &relayv1.GetResponse{Value: kv.Value, Revision: kv.ModRevision}, nil
+}
+
+// Txn implements relayv1.RecordsServer.
+func (r *RecordsServer) Txn(ctx context.Context, req *relayv1.TxnRequest) (*relayv1.TxnResponse, error) {
+	if !r.available() {
+		return nil, status.Error(codes.FailedPrecondition, "no access to the store")
+	}
+	conditions := make([]port.Condition, len(req.Conditions))
+	for i, c := range req.Conditions {
+		conditions[i] = port.Condition{Key: c.Key, Kind: port.CompareModRevision, Revision: c.Revision}
+	}
+	changes := make([]port.Op, len(req.Puts))
+	for i, p := range req.Puts {
+		changes[i] = port.Op{Key: p.Key, Value: p.Value}
+	}
+	result, err := r.store.Txn(ctx, conditions, changes)
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	return &relayv1.TxnResponse{Succeeded: result.Succeeded, Revision: result.Revision}, nil
+}
+
+// encodeError tells the caller with the status FailedPrecondition that nothing was
+// done, and with any other that it is not known.
+func encodeError(err error) error {
+	if jobservice.NotDone(err) {
+		return status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return status.Error(codes.Unknown, err.Error())
+}
+
+// RecordsClient reaches the store through other daemons. It is a
+// jobservice.PeerRecords.
+type RecordsClient struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+var _ jobservice.PeerRecords = (*RecordsClient)(nil)
+
+// NewRecordsClient makes a RecordsClient without connections.
+func NewRecordsClient() *RecordsClient {
+	return &RecordsClient{conns: make(map[string]*grpc.ClientConn)}
+}
+
+// At returns the way through the daemon at the address.
+func (c *RecordsClient) At(address string) jobservice.Records {
+	return &peerRecords{client: c, address: address}
+}
+
+// conn returns the connection to a daemon, made at the first call.
+func (c *RecordsClient) conn(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn := c.conns[address]; conn != nil {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err == nil {
+		c.conns[address] = conn
+	}
+	return conn, err
+}
+
+// peerRecords is the way through one daemon.
+type peerRecords struct {
+	client  *RecordsClient
+	address string
+}
+
+// Get implements jobservice.Records.
+func (p *peerRecords) Get(ctx context.Context, key string) (port.KeyValue, error) {
+	conn, err := p.client.conn(p.address)
+	if err != nil {
+		return port.KeyValue{}, decodeError("Get", err)
+	}
+	resp, err := relayv1.NewRecordsClient(conn).Get(ctx, &relayv1.GetRequest{Key: key})
+	if err != nil {
+		return port.KeyValue{}, decodeError("Get", err)
+	}
+	return port.KeyValue{Key: key, Value: resp.Value, ModRevision: resp.Revision}, nil
+}
+
+// Txn implements jobservice.Records.
+func (p *peerRecords) Txn(ctx context.Context, conditions []port.Condition, changes []port.Op) (port.TxnResult, error) {
+	conn, err := p.client.conn(p.address)
+	if err != nil {
+		return port.TxnResult{}, decodeError("Txn", err)
+	}
+	req := &relayv1.TxnRequest{}
+	for _, c := range conditions {
+		req.Conditions = append(req.Conditions, &relayv1.Condition{Key: c.Key, Revision: c.Revision})
+	}
+	for _, op := range changes {
+		req.Puts = append(req.Puts, &relayv1.Put{Key: op.Key, Value: op.Value})
+	}
+	resp, err := relayv1.NewRecordsClient(conn).Txn(ctx, req)
+	if err != nil {
+		return port.TxnResult{}, decodeError("Txn", err)
+	}
+	return port.TxnResult{Succeeded: resp.Succeeded, Revision: resp.Revision}, nil
+}
+
+// decodeError tells what is known of a call that failed: nothing was done where
+// the peer has said so. The library's own status Unavailable also comes of
+// connections that break halfway.
+func decodeError(call string, err error) error {
+	failure := &port.StoreError{Call: call, Kind: port.StoreUnavailable, Outcome: port.OutcomeUnknown, Cause: err}
+	if status.Code(err) == codes.FailedPrecondition {
+		failure.Outcome = port.OutcomeNotDone
+	}
+	return failure
+}
--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -46,21 +46,22 @@
 
 // Intake serves callers at any daemon, by the store alone.
 type Intake struct {
-	store port.Store
+	store Records
 	clock Clock
 }
 
 // NewIntake makes an Intake.
-func NewIntake(store port.Store, clock Clock) *Intake { return &Intake{store: store, clock: clock} }
+func NewIntake(store Records, clock Clock) *Intake { return &Intake{store: store, clock: clock} }
 
 const (
-	// storeTimeout bounds one call to the store for a caller. The store answers
-	// in 4 ms when it is well, in some hundred when it is slow.
+	// acceptTimeout bounds a hand-in. The caller has some seconds for it; half
+	// of them are left for a try at another daemon.
+	acceptTimeout = 1300 * time.Millisecond
+	// storeTimeout bounds one call to the store outside of callers' requests.
+	// The store answers in 4 ms when it is well, in some hundred when it is slow.
 	storeTimeout = 800 * time.Millisecond
 	// retryPause is the time between two tries of a call for a caller.
 	retryPause = 40 * time.Millisecond
-	// acceptTries bounds the tries of one hand-in.
-	acceptTries = 3
 	// summaryMaxAge is how old the counts of a queue may be: the 2 s that they
 	// are allowed, and a little for the difference of two clocks.
 	summaryMaxAge = 2500 * time.Millisecond
@@ -78,24 +79,17 @@
 		{Key: progressKey(id), Kind: port.CompareModRevision},
 	}
 	changes := []port.Op{{Key: acceptedKey(id), Value: record.Encode()}}
-	uncertain := false
-	var last error
-	for try := range acceptTries {
-		if try > 0 && !pause(ctx, retryPause) {
-			break
-		}
-		_, err := in.txn(ctx, conditions, changes)
-		if err == nil {
-			// Whether this try stored it or found it there, it is accepted.
-			return nil
-		}
-		last = err
-		uncertain = uncertain || !notDone(err)
-	}
-	if uncertain {
-		return &UncertainError{Cause: last}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	_, err := in.store.Txn(ctx, conditions, changes)
+	switch {
+	case err == nil:
+		// Whether this try stored it or found it there, it is accepted.
+		return nil
+	case NotDone(err):
+		return &UnavailableError{Cause: err}
 	}
-	return &UnavailableError{Cause: last}
+	return &UncertainError{Cause: err}
 }
 
 // State returns what is to be told of a job. The error is an *UnknownJobError
@@ -144,7 +138,7 @@
 		}
 		accepted.Canceled = true
 		condition := []port.Condition{{Key: acceptedKey(id), Kind: port.CompareModRevision, Revision: revision}}
-		result, err := in.txn(ctx, condition, []port.Op{{Key: acceptedKey(id), Value: accepted.Encode()}})
+		result, err := in.store.Txn(ctx, condition, []port.Op{{Key: acceptedKey(id), Value: accepted.Encode()}})
 		switch {
 		case err == nil && result.Succeeded:
 			return nil
@@ -157,7 +151,7 @@
 // Waiting returns how many jobs of a queue wait for their first task to start.
 // The error is an *UncertainError or a *StaleError.
 func (in *Intake) Waiting(ctx context.Context, queue string) (int, error) {
-	kv, err := in.get(ctx, ledgerKey)
+	kv, err := in.store.Get(ctx, ledgerKey)
 	if err != nil {
 		return 0, &UncertainError{Cause: err}
 	}
@@ -173,7 +167,7 @@
 }
 
 func (in *Intake) progress(ctx context.Context, id job.ID) (*job.Progress, error) {
-	kv, err := in.get(ctx, progressKey(id))
+	kv, err := in.store.Get(ctx, progressKey(id))
 	if err != nil {
 		return nil, &UncertainError{Cause: err}
 	}
@@ -188,7 +182,7 @@
 }
 
 func (in *Intake) accepted(ctx context.Context, id job.ID) (*job.Accepted, int64, error) {
-	kv, err := in.get(ctx, acceptedKey(id))
+	kv, err := in.store.Get(ctx, acceptedKey(id))
 	if err != nil {
 		return nil, 0, &UncertainError{Cause: err}
 	}
@@ -202,29 +196,8 @@
 	return a, kv.ModRevision, nil
 }
 
-// get reads a key, and once more if that fails.
-func (in *Intake) get(ctx context.Context, key string) (port.KeyValue, error) {
-	kv, err := in.getOnce(ctx, key)
-	if err == nil || !pause(ctx, retryPause) {
-		return kv, err
-	}
-	return in.getOnce(ctx, key)
-}
-
-func (in *Intake) getOnce(ctx context.Context, key string) (port.KeyValue, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	return in.store.Get(ctx, key)
-}
-
-func (in *Intake) txn(ctx context.Context, conditions []port.Condition, changes []port.Op) (port.TxnResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	return in.store.Txn(ctx, conditions, changes)
-}
-
-// notDone reports whether the store has certainly not made a change.
-func notDone(err error) bool {
+// NotDone reports whether the store has certainly not made a change.
+func NotDone(err error) bool {
 	var failure *port.StoreError
 	return errors.As(err, &failure) && failure.Outcome == port.OutcomeNotDone
 }
--- a/jobservice/leader.go
+++ b/jobservice/leader.go
@@ -190,7 +190,7 @@
 
 // acquiredAfterAll finds out whether an acquisition without an answer was made.
 func (l *Leader) acquiredAfterAll(ctx context.Context, lease port.LeaseID, cause error) (int64, error) {
-	if notDone(cause) {
+	if NotDone(cause) {
 		return 0, cause
 	}
 	kv, err := l.get(ctx, leaderKey)
--- /dev/null
+++ b/jobservice/records.go
@@ -0,0 +1,182 @@
+package jobservice
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavarill/guavarill/port"
+)
+
+// Records reads and writes records in the store. It is the part of a
+// port.Store that callers' requests need.
+type Records interface {
+	Get(ctx context.Context, key string) (port.KeyValue, error)
+	Txn(ctx context.Context, conditions []port.Condition, changes []port.Op) (port.TxnResult, error)
+}
+
+// PeerRecords reaches the store through another daemon. Errors are those of a
+// port.Store.
+type PeerRecords interface {
+	// At returns the way through the daemon at the address.
+	At(address string) Records
+}
+
+// SharedRecords reaches the store, or when it turns this daemon away, through
+// another daemon. The store may serve some machines and not others for seconds,
+// in which callers would be refused that another daemon could serve.
+type SharedRecords struct {
+	own   port.Store
+	peers PeerRecords
+	self  string
+	log   *logrus.Entry
+	// away is set while the own way fails.
+	away atomic.Bool
+	// members holds the addresses of the daemons that were there last.
+	members atomic.Pointer[[]string]
+}
+
+// NewSharedRecords makes a SharedRecords; Run keeps it informed. self is the
+// name of this daemon among the members.
+func NewSharedRecords(own port.Store, peers PeerRecords, self string, log *logrus.Logger) *SharedRecords {
+	s := &SharedRecords{own: own, peers: peers, self: self, log: log.WithField("component", "records")}
+	s.members.Store(new([]string))
+	return s
+}
+
+const (
+	// ownTimeout bounds a call on the own way: beyond the answers of a slow
+	// store, and short enough to try another way while the caller waits.
+	ownTimeout = 550 * time.Millisecond
+	// peerTimeout bounds a call through another daemon.
+	peerTimeout = 600 * time.Millisecond
+	// peerTries is how many other daemons are asked.
+	peerTries = 2
+	// probeInterval is the time between two looks whether the own way is back,
+	// and probeTimeout bounds one.
+	probeInterval = 150 * time.Millisecond
+	probeTimeout  = 400 * time.Millisecond
+	// membersAge is how old the known members may be.
+	membersAge = 3 * time.Second
+)
+
+// Available reports whether the own way to the store works.
+func (s *SharedRecords) Available() bool { return !s.away.Load() }
+
+// Members returns how many other daemons are known.
+func (s *SharedRecords) Members() int { return len(*s.members.Load()) }
+
+// Get reads a key.
+func (s *SharedRecords) Get(ctx context.Context, key string) (port.KeyValue, error) {
+	var kv port.KeyValue
+	err := s.try(ctx, func(ctx context.Context, r Records) (err error) {
+		kv, err = r.Get(ctx, key)
+		return err
+	})
+	return kv, err
+}
+
+// Txn makes changes under conditions. It may be made on several ways, so the
+// conditions must not hold any more once it is made. The outcome of its error
+// is OutcomeNotDone only if it was made on no way.
+func (s *SharedRecords) Txn(ctx context.Context, conditions []port.Condition, changes []port.Op) (port.TxnResult, error) {
+	var result port.TxnResult
+	err := s.try(ctx, func(ctx context.Context, r Records) (err error) {
+		result, err = r.Txn(ctx, conditions, changes)
+		return err
+	})
+	return result, err
+}
+
+// try makes a call on the own way and then through others until one answers.
+func (s *SharedRecords) try(ctx context.Context, call func(context.Context, Records) error) error {
+	var last error
+	if s.Available() {
+		err := s.bounded(ctx, ownTimeout, s.own, call)
+		if err == nil {
+			return nil
+		}
+		s.lost(ctx, err)
+		last = err
+	}
+	members := *s.members.Load()
+	for _, i := range rand.Perm(len(members))[:min(peerTries, len(members))] {
+		if ctx.Err() != nil {
+			break
+		}
+		err := s.bounded(ctx, peerTimeout, s.peers.At(members[i]), call)
+		if err == nil {
+			return nil
+		}
+		last = worse(last, err)
+	}
+	if last == nil {
+		last = &port.StoreError{Call: "try", Kind: port.StoreUnavailable, Outcome: port.OutcomeNotDone}
+	}
+	return last
+}
+
+func (s *SharedRecords) bounded(ctx context.Context, limit time.Duration, r Records, call func(context.Context, Records) error) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return call(ctx, r)
+}
+
+// worse returns the error that says less about a change.
+func worse(a, b error) error {
+	if a != nil && !NotDone(a) {
+		return a
+	}
+	return b
+}
+
+// lost notes that the own way has failed; a caller that has gone says nothing.
+func (s *SharedRecords) lost(ctx context.Context, err error) {
+	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
+		return
+	}
+	if !s.away.Swap(true) {
+		s.log.WithError(err).Warn("lost the store; other daemons are asked")
+	}
+}
+
+// Run looks whether the own way is back while it fails, and keeps the members.
+func (s *SharedRecords) Run(ctx context.Context) {
+	var readAt time.Time
+	for pause(ctx, probeInterval) {
+		if s.away.Load() {
+			s.probe(ctx)
+			continue
+		}
+		if time.Since(readAt) > membersAge {
+			s.readMembers(ctx)
+			readAt = time.Now()
+		}
+	}
+}
+
+func (s *SharedRecords) probe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if _, err := s.own.Get(ctx, leaderKey); err != nil {
+		return
+	}
+	s.away.Store(false)
+	s.log.Info("the store answers again")
+}
+
+func (s *SharedRecords) readMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, ownTimeout)
+	defer cancel()
+	entries, _, err := s.own.List(ctx, membersPrefix)
+	if err != nil {
+		s.log.WithError(err).Debug("members not read; those known stay")
+		return
+	}
+	addresses := others(entries, s.self)
+	s.members.Store(&addresses)
+}
