Learn pairs of images with their covariances

Change: interference.Pairs, a Kalman filter with full covariance a victim image and an intercept; calm readings come from the tasks that are predicted to be disturbed least; harmful from 0.12 instead of 0.35.

--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -56,6 +56,8 @@
 	readAt  time.Time
 	// learnKey names the attempt to the learner of interference.
 	learnKey model.TaskKey
+	// image is the number of its image, when learnKey is set.
+	image int
 	// throttle is the share last acknowledged, at throttledAt.
 	throttle        int
 	throttledAt     time.Time
--- a/core/jobsched/interference.go
+++ b/core/jobsched/interference.go
@@ -1,6 +1,7 @@
 package jobsched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,12 +11,11 @@
 
 // learnerOptions sets the learner of interference for half-second readings.
 // Which image disturbs which differs by the pair: most pairs do not disturb at
-// all, some double the tail latency or worse.
-func learnerOptions() interference.Options {
-	return interference.Options{
-		PriorMean: 0.1, ClassStd: 0.2, PairStd: 0.8, BucketStd: 0.02, WorkloadStd: 0.01,
-		LoudnessStd: 0.3, NoiseStd: 0.15, NoiseRatio: 0.2,
-		Decay: 10 * time.Minute, LoudnessDecay: 5 * time.Second, Retain: 3 * time.Second,
+// all, some triple the tail latency.
+func learnerOptions() interference.PairsOptions {
+	return interference.PairsOptions{
+		PriorMean: 0.1, PriorStd: 1, NoiseStd: 0.15, NoiseRatio: 0.3, MostExcess: 3,
+		Drift: 2 * time.Minute, Retain: 3 * time.Second,
 	}
 }
 
@@ -32,8 +32,11 @@
 	// a part of its target: all of its tasks may be disturbed.
 	calmPressure = 0.6
 	// harmfulEffect is the predicted slowdown, above 1, from which an image is
-	// kept away from another. Readings of undisturbed tasks vary by a tenth.
-	harmfulEffect = 0.35
+	// kept away from another. It is just above the prior, so that a pair that was
+	// never seen may be tried, and below what is learned of any pair that
+	// disturbs: that comes out too low, because such work is soon throttled.
+	// At 0.2 and 0.35 two and ten times as much work was moved.
+	harmfulEffect = 0.12
 )
 
 // learnable reports whether the attempt is a victim or an aggressor.
@@ -49,6 +52,10 @@
 	}
 	m.learnSerial++
 	image := a.step().spec.Image
+	a.image = m.effects.imageIndex(image)
+	if a.bestEffortCPU > 0 {
+		m.bestEffortImages[image] = struct{}{}
+	}
 	a.learnKey = model.TaskKey{Workload: image, Generation: m.learnSerial}
 	m.learner.Started(m.now, a.worker.id, a.learnKey, image)
 }
@@ -66,43 +73,79 @@
 		if !a.serving() || a.learnKey.Generation == 0 {
 			continue
 		}
-		calm := a.step().calmReading(m.now)
+		calm := m.calmReading(a.step())
 		if calm == 0 {
 			continue
 		}
 		m.learner.Observe(m.now, interference.Observation{
 			Worker: w.id, Victim: a.learnKey, Class: a.step().spec.Image, MeasuredAt: m.now.Add(-readingAge),
 			Slowdown: max(float64(a.reading)/calm, 1),
-		})
+		}, m.aggressive)
 	}
 }
 
+// aggressive reports whether best-effort work has the image.
+func (m *Machine) aggressive(image string) bool {
+	_, ok := m.bestEffortImages[image]
+	return ok
+}
+
 // serving reports whether the attempt is at work for users of its own.
 func (a *attempt) serving() bool {
 	s := a.step()
 	return s != nil && s.spec.LatencyTargetMs > 0 && a.phase == phaseRunning && a.percent >= 100 && a.reading > 0
 }
 
+// peer is a serving task of a step, with its reading and what its neighbours
+// are predicted to add.
+type peer struct {
+	reading int64
+	excess  float64
+}
+
 // calmReading estimates the tail latency that the step's tasks would have now
-// without neighbours: they share their load, so the lower ones of their
-// readings show it. It returns 0 when too few are known.
-func (s *step) calmReading(now time.Time) float64 {
-	readings := make([]int64, 0, len(s.tasks))
+// without neighbours. They share their load, so it is one figure for all; the
+// readings of those that are predicted to be disturbed least show it. It
+// returns 0 when too few are known.
+//
+// The lowest readings alone would not do: when most of a step's tasks are
+// disturbed it would look calm, and those who disturb it harmless. Predictions
+// only rank the tasks here; to divide by them would let an error in them grow.
+func (m *Machine) calmReading(s *step) float64 {
+	peers := make([]peer, 0, len(s.tasks))
 	for _, t := range s.tasks {
 		for _, a := range t.attempts {
-			if a.serving() && now.Sub(a.readAt) < freshReading {
-				readings = append(readings, a.reading)
+			if a.serving() && m.now.Sub(a.readAt) < freshReading {
+				peers = append(peers, peer{a.reading, m.predictedExcess(a)})
 			}
 		}
 	}
-	if len(readings) < leastPeers {
+	if len(peers) < leastPeers {
 		return 0
 	}
-	slices.Sort(readings)
-	calm := float64(readings[len(readings)/4])
+	slices.SortFunc(peers, func(a, b peer) int {
+		return cmp.Or(cmp.Compare(a.excess, b.excess), cmp.Compare(a.reading, b.reading))
+	})
+	calmest := peers[:max(len(peers)/3, 2)]
+	slices.SortFunc(calmest, func(a, b peer) int { return cmp.Compare(a.reading, b.reading) })
+	calm := float64(calmest[(len(calmest)-1)/2].reading)
 	return min(calm, calmPressure*float64(s.spec.LatencyTargetMs))
 }
 
+// predictedExcess returns the slowdown, above 1, that the best-effort work on
+// its worker is predicted to bring to a serving attempt.
+func (m *Machine) predictedExcess(victim *attempt) float64 {
+	m.refreshEffects()
+	effects := m.effects.effects[victim.image]
+	sum := 0.0
+	for _, a := range victim.worker.attempts {
+		if a.bestEffortCPU > 0 && a.learnKey.Generation != 0 {
+			sum += effects[a.image] * float64(a.throttle) / fullSpeed
+		}
+	}
+	return sum
+}
+
 // effectCache holds the predicted effects between images. Placement asks for
 // them far more often than they change.
 type effectCache struct {
@@ -128,15 +171,13 @@
 	i := len(c.names)
 	c.index[image] = i
 	c.names = append(c.names, image)
-	// The table is made anew with the next question.
-	c.refreshedAt = time.Time{}
 	return i
 }
 
-// refreshEffects asks the learner anew when the answers are old.
+// refreshEffects asks the learner anew when the answers are old, or lack an image.
 func (m *Machine) refreshEffects() {
 	c := &m.effects
-	if m.now.Sub(c.refreshedAt) < effectRefresh {
+	if m.now.Sub(c.refreshedAt) < effectRefresh && len(c.effects) == len(c.names) {
 		return
 	}
 	c.refreshedAt = m.now
@@ -145,7 +186,7 @@
 		c.effects[v] = make([]float64, len(c.names))
 		for a, aggressor := range c.names {
 			if v < len(m.victims) && m.victims[v] > 0 {
-				c.effects[v][a] = m.learner.Predict(victim, aggressor, 0).Mean
+				c.effects[v][a] = m.learner.Predict(victim, aggressor).Mean
 			}
 		}
 	}
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -60,7 +60,9 @@
 	crowded  bool
 	unplaced map[shape][]model.Resources
 
-	learner *interference.Model
+	learner *interference.Pairs
+	// bestEffortImages holds the images of best-effort work.
+	bestEffortImages map[string]struct{}
 	// learnSerial numbers the attempts for the learner.
 	learnSerial uint64
 	// victims counts the serving tasks by the number of their image.
@@ -89,7 +91,7 @@
 		jobs: make(map[job.ID]*jobState), final: make(map[job.ID]time.Time),
 		workers: make(map[model.WorkerID]*worker), pending: make(map[*step]struct{}),
 		unresolved: make(map[model.WorkerID]time.Time), dirty: make(map[job.ID]struct{}),
-		learner: interference.New(learnerOptions()), unplaced: make(map[shape][]model.Resources),
+		learner: interference.NewPairs(learnerOptions()), bestEffortImages: make(map[string]struct{}), unplaced: make(map[shape][]model.Resources),
 	}
 	for id, progress := range r.Progress {
 		if progress.State.Final() {
