Blame workers once a step, weigh carriers, give way to more processors

Cause: two failures in a row closed a worker even when the jobs were hopeless; on the grown deployments weak daemons carried as much as strong ones and could take the lead. Ruled out: the refusals of workers (none in the log). Change: one blame a step; carriers chosen by rendezvous weighted with their processors; a daemon waits 8 ms divided by its cores before it takes the lead.

--- a/adapter/grpcrelay/router.go
+++ b/adapter/grpcrelay/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,6 +10,7 @@
 	relayv1 "github.com/guavarill/guavarill/api/relay/v1"
 	"github.com/guavarill/guavarill/core/jobsched"
 	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/jobservice"
 	"github.com/guavarill/guavarill/port"
 )
 
@@ -23,7 +25,8 @@
 
 type openLink struct {
 	*link
-	close context.CancelFunc
+	weight float64
+	close  context.CancelFunc
 }
 
 var _ port.TaskWorkers = (*Router)(nil)
@@ -33,11 +36,11 @@
 	return &Router{own: own, links: make(map[string]*openLink)}
 }
 
-// SetCarriers opens links to the carriers at the addresses and closes others.
-func (r *Router) SetCarriers(addresses []string) {
-	wanted := make(map[string]bool, len(addresses))
-	for _, address := range addresses {
-		wanted[address] = true
+// SetCarriers opens links to the carriers and closes others.
+func (r *Router) SetCarriers(carriers []jobservice.Carrier) {
+	wanted := make(map[string]bool, len(carriers))
+	for _, c := range carriers {
+		wanted[c.Address] = true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -47,11 +50,11 @@
 			delete(r.links, address)
 		}
 	}
-	for address := range wanted {
-		if r.links[address] == nil {
+	for _, c := range carriers {
+		if r.links[c.Address] == nil {
 			ctx, cancel := context.WithCancel(context.Background())
-			l := &openLink{link: newLink(address), close: cancel}
-			r.links[address] = l
+			l := &openLink{link: newLink(c.Address), weight: c.Weight, close: cancel}
+			r.links[c.Address] = l
 			go l.run(ctx)
 		}
 	}
@@ -64,19 +67,26 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var best *openLink
-	var bestWeight uint64
+	bestScore := 0.0
 	for address, l := range r.links {
 		if !l.healthy() {
 			continue
 		}
-		weight := xxhash.Sum64String(address + "/" + string(worker))
-		if best == nil || weight > bestWeight {
-			best, bestWeight = l, weight
+		if score := rendezvous(address, worker, l.weight); best == nil || score > bestScore {
+			best, bestScore = l, score
 		}
 	}
 	return best
 }
 
+// rendezvous scores a carrier for a worker: the highest one carries, each as
+// often as its weight says, and a carrier that goes moves only its own workers.
+func rendezvous(address string, worker model.WorkerID, weight float64) float64 {
+	hash := xxhash.Sum64String(address + "/" + string(worker))
+	unit := (float64(hash>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(unit)
+}
+
 // Renew implements port.TaskWorkers.
 func (r *Router) Renew(ctx context.Context, e jobsched.Renew) (jobsched.Verdict, jobsched.Report) {
 	l := r.carrier(e.Worker)
--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -64,10 +64,6 @@
 	throttlePending bool
 }
 
-func (a *attempt) name() AttemptName {
-	return AttemptName{Worker: a.worker.id, Key: a.key.task, Attempt: a.key.attempt}
-}
-
 // step returns the step that the attempt works for, or nil.
 func (a *attempt) step() *step {
 	if a.task == nil {
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -60,6 +60,8 @@
 	checkpoint string
 	// notBefore holds the step's next starts back after a refusal.
 	notBefore time.Time
+	// blamed is whether a worker was blamed for a failure of the step.
+	blamed bool
 	// waitsSince is since when the step finds no worker, noteAt when that may
 	// be noted again.
 	waitsSince, noteAt time.Time
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -249,7 +249,7 @@
 		a.worker.health.succeeded()
 		m.taskEndedDone(t)
 	case EndFailed:
-		a.worker.health.failed(m.now)
+		m.blame(t.step, a.worker)
 		t.failedOn = a.worker
 		m.countFailure(t, a.key.attempt)
 		if t.step.spec.LongRunning {
@@ -260,6 +260,16 @@
 	}
 }
 
+// blame counts a step's first failure against the worker. Later ones say more
+// of the job than of the workers: without this a few hopeless jobs close many
+// sound workers, with one failing task on each.
+func (m *Machine) blame(s *step, w *worker) {
+	if !s.blamed {
+		s.blamed = true
+		w.health.failed(m.now)
+	}
+}
+
 // taskEndedDone takes in the end of an attempt that did its work. One member
 // of a gang that is done stands for all; a long-running task starts again.
 func (m *Machine) taskEndedDone(t *task) {
--- a/core/jobsched/takeover_test.go
+++ b/core/jobsched/takeover_test.go
@@ -277,3 +277,31 @@
 			c.runningOf(loudJob), c.runningOf(quietJob))
 	}
 }
+
+// TestHopelessJobsDoNotCloseWorkers
+//
+// Symptom: a long-running task waited 20 s although workers had room. Events:
+// jobs that can never be done come, each with a task on every worker. Cause:
+// two failures in a row closed a worker, whosever fault they were.
+func TestHopelessJobsDoNotCloseWorkers(t *testing.T) {
+	c := newCluster(t, 1, 4)
+	c.run(200 * time.Millisecond)
+	for _, w := range c.workers {
+		w.failAll = true
+	}
+	for i := range 3 {
+		hopeless := makeStep(4, 1000, 100*time.Millisecond)
+		hopeless.MaxPerWorker = 1
+		c.submit(1+i, "batch", hopeless)
+		c.run(400 * time.Millisecond)
+	}
+	closed := 0
+	for _, w := range c.machine.workers {
+		if !w.health.open(c.now) {
+			closed++
+		}
+	}
+	if closed > 1 {
+		t.Errorf("%d of 4 workers are closed", closed)
+	}
+}
--- a/jobservice/leader.go
+++ b/jobservice/leader.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,7 +67,6 @@
 	// ledger is the revision of ledgerKey after the last commit of the term.
 	ledger  int64
 	pending *jobsched.Commit
-	orders  sync.WaitGroup
 	// jobsFrom is the store's revision up to which the machine knows the jobs.
 	jobsFrom int64
 }
@@ -109,6 +107,7 @@
 			return 0, err
 		}
 		if kv.ModRevision == 0 {
+			l.giveWay(ctx)
 			return 0, nil
 		}
 		var holder leaderRecord
@@ -125,6 +124,13 @@
 	}
 }
 
+// giveWay waits a moment, so that a daemon with more processors takes the lead
+// first, and not all at once ask for it.
+func (l *Leader) giveWay(ctx context.Context) {
+	delay := min(time.Duration(float64(campaignDelay)/max(l.o.Processors, 0.01)), campaignDelayMost)
+	pause(ctx, delay+time.Duration(rand.Int64N(int64(campaignDelay))))
+}
+
 // awaitChange returns when the leader's key has changed, or is to be read again.
 func (l *Leader) awaitChange(ctx context.Context, revision int64) {
 	ctx, cancel := context.WithTimeout(ctx, leaderPoll)
@@ -140,8 +146,6 @@
 			return
 		}
 		if ev.Deleted {
-			// All daemons hear of it at once; the first few settle it.
-			pause(ctx, time.Duration(rand.Int64N(int64(campaignPause/4))))
 			return
 		}
 	}
--- a/jobservice/members.go
+++ b/jobservice/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strings"
 	"time"
 
@@ -11,7 +12,7 @@
 )
 
 // membersPrefix precedes the name of each daemon that is there; the value is
-// the address at which it takes the orders of a leader.
+// its Carrier.
 const membersPrefix = "guavarill/members/"
 
 const (
@@ -28,15 +29,24 @@
 
 // Member enters a daemon in the store.
 type Member struct {
-	store   port.Store
-	name    string
-	address string
-	log     *logrus.Entry
+	store port.Store
+	name  string
+	self  Carrier
+	log   *logrus.Entry
+}
+
+// Carrier is a daemon that may carry a leader's orders.
+type Carrier struct {
+	// Address is where it takes them.
+	Address string `json:"address"`
+	// Weight is how many it can carry, in proportion to others: its share of a
+	// core.
+	Weight float64 `json:"weight"`
 }
 
 // NewMember makes a Member; Run enters it.
-func NewMember(store port.Store, name, address string, log *logrus.Logger) *Member {
-	return &Member{store: store, name: name, address: address, log: log.WithField("component", "member")}
+func NewMember(store port.Store, name string, self Carrier, log *logrus.Logger) *Member {
+	return &Member{store: store, name: name, self: self, log: log.WithField("component", "member")}
 }
 
 // Run keeps the entry until ctx ends, and removes it then.
@@ -62,7 +72,7 @@
 	if err != nil {
 		return 0, err
 	}
-	entry := port.Op{Key: membersPrefix + m.name, Value: []byte(m.address), Lease: lease}
+	entry := port.Op{Key: membersPrefix + m.name, Value: encodeRecord(m.self), Lease: lease}
 	_, err = m.store.Txn(ctx, nil, []port.Op{entry})
 	return lease, err
 }
@@ -90,7 +100,7 @@
 
 // Carriers is told which daemons may carry the leader's orders.
 type Carriers interface {
-	SetCarriers(addresses []string)
+	SetCarriers(carriers []Carrier)
 }
 
 // followMembers hands the other daemons to the carriers until ctx ends. While
@@ -106,7 +116,7 @@
 		entries, _, err := o.Store.List(call, membersPrefix)
 		cancel()
 		if err == nil {
-			o.Carriers.SetCarriers(others(entries, o.Daemon))
+			o.Carriers.SetCarriers(others(entries, o.Daemon, t.leader.log))
 		} else {
 			t.leader.log.WithError(err).Debug("members not read; those known stay")
 		}
@@ -114,12 +124,19 @@
 	}
 }
 
-func others(entries []port.KeyValue, self string) []string {
-	addresses := make([]string, 0, len(entries))
+// others returns the daemons but self.
+func others(entries []port.KeyValue, self string, log *logrus.Entry) []Carrier {
+	carriers := make([]Carrier, 0, len(entries))
 	for _, kv := range entries {
-		if strings.TrimPrefix(kv.Key, membersPrefix) != self {
-			addresses = append(addresses, string(kv.Value))
+		if strings.TrimPrefix(kv.Key, membersPrefix) == self {
+			continue
+		}
+		var c Carrier
+		if err := json.Unmarshal(kv.Value, &c); err != nil {
+			log.WithError(err).WithField("key", kv.Key).Warn("member cannot be read; passed over")
+			continue
 		}
+		carriers = append(carriers, c)
 	}
-	return addresses
+	return carriers
 }
--- a/jobservice/options.go
+++ b/jobservice/options.go
@@ -14,9 +14,12 @@
 	// Daemon is the name of the VM, the same over restarts; Incarnation that of
 	// the process.
 	Daemon, Incarnation string
-	Store               port.Store
-	Workers             port.TaskWorkers
-	List                port.WorkerList
+	// Processors is how many cores the daemon has. One with more of them is
+	// faster to take a lead that is free.
+	Processors float64
+	Store      port.Store
+	Workers    port.TaskWorkers
+	List       port.WorkerList
 	// Carriers may be nil: the leader sends its orders itself then.
 	Carriers Carriers
 	Advisor  port.Advisor
@@ -49,6 +52,11 @@
 	leaderPoll = 2 * time.Second
 	// campaignPause is the time between two tries to lead.
 	campaignPause = 100 * time.Millisecond
+	// campaignDelay is how long a daemon with one core waits before it takes a
+	// lead that is free; with less it waits longer, up to campaignDelayMost. A
+	// leader of 350 workers needs half a core at its peak.
+	campaignDelay     = 8 * time.Millisecond
+	campaignDelayMost = 100 * time.Millisecond
 	// commitTimeout bounds one try of a commit.
 	commitTimeout = 1500 * time.Millisecond
 	// commitPause is the time between two tries of a commit.
--- a/jobservice/records.go
+++ b/jobservice/records.go
@@ -38,15 +38,15 @@
 	metrics *Metrics
 	// away is set while the own way fails.
 	away atomic.Bool
-	// members holds the addresses of the daemons that were there last.
-	members atomic.Pointer[[]string]
+	// members holds the other daemons that were there last.
+	members atomic.Pointer[[]Carrier]
 }
 
 // NewSharedRecords makes a SharedRecords; Run keeps it informed. self is the
 // name of this daemon among the members.
 func NewSharedRecords(own port.Store, peers PeerRecords, self string, log *logrus.Logger, m *Metrics) *SharedRecords {
 	s := &SharedRecords{own: own, peers: peers, self: self, log: log.WithField("component", "records"), metrics: m}
-	s.members.Store(new([]string))
+	s.members.Store(new([]Carrier))
 	return s
 }
 
@@ -110,7 +110,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		err := s.bounded(ctx, peerTimeout, s.peers.At(members[i]), call)
+		err := s.bounded(ctx, peerTimeout, s.peers.At(members[i].Address), call)
 		if err == nil {
 			return nil
 		}
@@ -180,6 +180,6 @@
 		s.log.WithError(err).Debug("members not read; those known stay")
 		return
 	}
-	addresses := others(entries, s.self)
-	s.members.Store(&addresses)
+	members := others(entries, s.self, s.log)
+	s.members.Store(&members)
 }
