--- a/adapter/grpcrelay/carrier.go
+++ b/adapter/grpcrelay/carrier.go
@@ -9,6 +9,7 @@
 
 	relayv1 "github.com/guavarill/guavarill/api/relay/v1"
 	"github.com/guavarill/guavarill/core/jobsched"
+	"github.com/guavarill/guavarill/jobservice"
 	"github.com/guavarill/guavarill/port"
 )
 
@@ -21,10 +22,6 @@
 	// beatInterval is how often a carrier sends something, if only to show that
 	// it is there.
 	beatInterval = 150 * time.Millisecond
-	// orderTimeout bounds a carried order to a worker.
-	orderTimeout = time.Second
-	// renewSlack is what a renewal may take beyond the wait that it allows.
-	renewSlack = 700 * time.Millisecond
 )
 
 // Carrier carries the orders of a leader.
@@ -67,26 +64,26 @@
 	switch kind := o.Kind.(type) {
 	case *relayv1.Order_Renew:
 		renew := decodeRenew(o, kind.Renew)
-		ctx, cancel := context.WithTimeout(ctx, renew.Wait+renewSlack)
+		ctx, cancel := context.WithTimeout(ctx, renew.Wait+jobservice.RenewSlack)
 		defer cancel()
 		var report jobsched.Report
 		verdict, report = c.workers.Renew(ctx, renew)
 		encodeReport(outcome, report)
 	case *relayv1.Order_Start:
 		if start, ok := decodeStart(o, kind.Start); ok {
-			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+			ctx, cancel := context.WithTimeout(ctx, jobservice.OrderTimeout)
 			defer cancel()
 			verdict, outcome.ClockMs = c.workers.Start(ctx, start)
 		}
 	case *relayv1.Order_Stop:
 		if stop, ok := decodeStop(o, kind.Stop); ok {
-			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+			ctx, cancel := context.WithTimeout(ctx, jobservice.OrderTimeout)
 			defer cancel()
 			verdict = c.workers.Stop(ctx, stop)
 		}
 	case *relayv1.Order_Throttle:
 		if throttle, ok := decodeThrottle(o, kind.Throttle); ok {
-			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+			ctx, cancel := context.WithTimeout(ctx, jobservice.OrderTimeout)
 			defer cancel()
 			verdict = c.workers.Throttle(ctx, throttle)
 		}
--- a/core/job/identity.go
+++ b/core/job/identity.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// ID is the name that a caller gives to a job: 16 lower-case hexadecimal digits.
+// ID is the name that a caller gives to a job: 16 hexadecimal digits.
 type ID string
 
 // idLength is the number of digits of an ID.
--- /dev/null
+++ b/jobservice/campaign.go
@@ -0,0 +1,179 @@
+package jobservice
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavarill/guavarill/core/jobsched"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/port"
+)
+
+// leaderRecord is the value of leaderKey.
+type leaderRecord struct {
+	Daemon      string `json:"daemon"`
+	Incarnation string `json:"incarnation"`
+}
+
+// campaign waits until nobody leads and tries to. It returns nil when another
+// daemon was faster.
+func (l *Leader) campaign(ctx context.Context) (*term, error) {
+	held, err := l.awaitVacancy(ctx)
+	if err != nil {
+		return nil, err
+	}
+	lease, grantedAt, err := l.grant(ctx)
+	if err != nil {
+		return nil, err
+	}
+	won, err := l.acquire(ctx, lease, held)
+	if err != nil || won == 0 {
+		l.revoke(lease)
+		return nil, err
+	}
+	l.extend(grantedAt)
+	l.log.WithFields(logrus.Fields{"epoch": won, "lease": lease}).Info("leads")
+	return l.take(ctx, lease, won)
+}
+
+// awaitVacancy returns when the leader's key is free, or belongs to an earlier
+// process of this daemon, which is gone for certain: then its revision.
+func (l *Leader) awaitVacancy(ctx context.Context) (int64, error) {
+	for {
+		kv, err := l.get(ctx, leaderKey)
+		if err != nil {
+			return 0, err
+		}
+		if kv.ModRevision == 0 {
+			l.giveWay(ctx)
+			return 0, nil
+		}
+		var holder leaderRecord
+		if err := json.Unmarshal(kv.Value, &holder); err != nil {
+			l.log.WithError(err).Warn("leader's key cannot be read; waiting for its lease to end")
+		}
+		if holder.Daemon == l.o.Daemon {
+			return kv.ModRevision, nil
+		}
+		l.awaitChange(ctx, kv.ModRevision)
+		if ctx.Err() != nil {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// giveWay waits a moment, so that a daemon with more processors takes the lead
+// first, and not all at once ask for it.
+func (l *Leader) giveWay(ctx context.Context) {
+	delay := min(time.Duration(float64(campaignDelay)/max(l.o.Processors, 0.01)), campaignDelayMost)
+	Pause(ctx, delay+time.Duration(rand.Int64N(int64(campaignDelay))))
+}
+
+// awaitChange returns when the leader's key has changed, or is to be read again.
+func (l *Leader) awaitChange(ctx context.Context, revision int64) {
+	ctx, cancel := context.WithTimeout(ctx, leaderPoll)
+	defer cancel()
+	events, err := l.o.Store.Watch(ctx, leaderKey, revision)
+	if err != nil {
+		Pause(ctx, campaignPause)
+		return
+	}
+	for ev := range events {
+		if ev.Err != nil {
+			Pause(ctx, campaignPause)
+			return
+		}
+		if ev.Deleted {
+			return
+		}
+	}
+}
+
+func (l *Leader) grant(ctx context.Context) (port.LeaseID, time.Time, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+	defer cancel()
+	at := l.o.Clock.Now()
+	lease, err := l.o.Store.GrantLease(ctx, l.o.LeaderTTL)
+	return lease, at, err
+}
+
+// acquire takes the lead and returns the revision at which it did, or 0 when
+// another daemon has it. held is the revision of a key that it may replace.
+// The ledger's key is written with it, so that no commit of an earlier leader
+// can be carried out any more.
+func (l *Leader) acquire(ctx context.Context, lease port.LeaseID, held int64) (int64, error) {
+	record := encodeRecord(leaderRecord{Daemon: l.o.Daemon, Incarnation: l.o.Incarnation})
+	conditions := []port.Condition{{Key: leaderKey, Kind: port.CompareModRevision, Revision: held}}
+	ledger, err := l.get(ctx, ledgerKey)
+	if err != nil {
+		return 0, err
+	}
+	conditions = append(conditions, port.Condition{
+		Key: ledgerKey, Kind: port.CompareModRevision, Revision: ledger.ModRevision,
+	})
+	value := ledger.Value
+	if value == nil {
+		value = encodeRecord(ledgerRecord{})
+	}
+	changes := []port.Op{
+		{Key: leaderKey, Value: record, Lease: lease},
+		{Key: ledgerKey, Value: value},
+	}
+	if l.kept != nil && l.kept.ledger != ledger.ModRevision {
+		l.log.Info("another daemon has led meanwhile; state is read anew")
+		l.kept = nil
+	}
+	call, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+	defer cancel()
+	result, err := l.o.Store.Txn(call, conditions, changes)
+	if err == nil {
+		if !result.Succeeded {
+			return 0, nil
+		}
+		return result.Revision, nil
+	}
+	return l.acquiredAfterAll(ctx, lease, err)
+}
+
+// acquiredAfterAll finds out whether an acquisition without an answer was made.
+func (l *Leader) acquiredAfterAll(ctx context.Context, lease port.LeaseID, cause error) (int64, error) {
+	if NotDone(cause) {
+		return 0, cause
+	}
+	kv, err := l.get(ctx, leaderKey)
+	if err != nil {
+		return 0, err
+	}
+	if kv.ModRevision != 0 && kv.Lease == lease {
+		return kv.ModRevision, nil
+	}
+	return 0, cause
+}
+
+// take makes the term, of the kept state where that is still good.
+func (l *Leader) take(ctx context.Context, lease port.LeaseID, revision int64) (*term, error) {
+	if t := l.kept; t != nil {
+		l.kept = nil
+		t.lease, t.epoch, t.ledger = lease, model.Epoch(revision), revision
+		t.machine.Resume(l.o.Clock.Now(), t.epoch)
+		l.log.WithField("epoch", revision).Info("goes on with the state it had")
+		return t, nil
+	}
+	t := &term{
+		leader: l, lease: lease, epoch: model.Epoch(revision), ledger: revision,
+		events: make(chan jobsched.Event, eventBuffer),
+	}
+	renewing, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go l.renewLease(renewing, t.lease, func() {})
+	if err := t.recover(ctx); err != nil {
+		l.deadline.Store(0)
+		l.revoke(lease)
+		return nil, err
+	}
+	return t, nil
+}
--- a/jobservice/follow.go
+++ b/jobservice/follow.go
@@ -16,7 +16,7 @@
 	from := t.jobsFrom
 	for ctx.Err() == nil {
 		from = t.watchJobs(ctx, from)
-		if ctx.Err() != nil || !pause(ctx, campaignPause) {
+		if ctx.Err() != nil || !Pause(ctx, campaignPause) {
 			return
 		}
 		accepted, revision, err := readAll(ctx, t.leader.o.Store, acceptedPrefix, job.DecodeAccepted)
@@ -77,7 +77,7 @@
 		} else {
 			t.leader.log.WithError(err).Debug("workers not read; tried again")
 		}
-		pause(ctx, listInterval-min(time.Since(began), listInterval/2))
+		Pause(ctx, listInterval-min(time.Since(began), listInterval/2))
 	}
 }
 
--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -142,7 +142,7 @@
 		switch {
 		case err == nil && result.Succeeded:
 			return nil
-		case err != nil && !pause(ctx, retryPause):
+		case err != nil && !Pause(ctx, retryPause):
 			return &UncertainError{Cause: err}
 		}
 	}
@@ -202,8 +202,8 @@
 	return errors.As(err, &failure) && failure.Outcome == port.OutcomeNotDone
 }
 
-// pause waits, and returns false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
+// Pause waits, and returns false if ctx ended first.
+func Pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/jobservice/members.go
+++ b/jobservice/members.go
@@ -55,7 +55,7 @@
 		lease, err := m.enter(ctx)
 		if err != nil {
 			m.log.WithError(err).Debug("not entered; tried again")
-			pause(ctx, memberPause)
+			Pause(ctx, memberPause)
 			continue
 		}
 		m.keep(ctx, lease)
@@ -79,7 +79,7 @@
 
 // keep renews the entry until it is gone or ctx ends.
 func (m *Member) keep(ctx context.Context, lease port.LeaseID) {
-	for pause(ctx, memberRenewal) {
+	for Pause(ctx, memberRenewal) {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		_, err := m.store.KeepAlive(call, lease)
 		cancel()
@@ -120,7 +120,7 @@
 		} else {
 			t.leader.log.WithError(err).Debug("members not read; those known stay")
 		}
-		pause(ctx, membersInterval)
+		Pause(ctx, membersInterval)
 	}
 }
 
--- a/jobservice/orders.go
+++ b/jobservice/orders.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// orderTimeout bounds an order to a worker. Workers answer in milliseconds;
+	// OrderTimeout bounds an order to a worker. Workers answer in milliseconds;
 	// an order that hangs is barred and the task goes elsewhere.
-	orderTimeout = time.Second
-	// renewSlack is what a renewal may take beyond the wait that it allows.
-	renewSlack = 700 * time.Millisecond
+	OrderTimeout = time.Second
+	// RenewSlack is what a renewal may take beyond the wait that it allows.
+	RenewSlack = 700 * time.Millisecond
 	// adviceTimeout bounds a call for advice, which takes some hundred
 	// milliseconds and waits in turn behind others.
 	adviceTimeout = 4 * time.Second
@@ -85,11 +85,11 @@
 func (t *term) timeout(e jobsched.Effect) time.Duration {
 	switch e := e.(type) {
 	case jobsched.Renew:
-		return e.Wait + renewSlack
+		return e.Wait + RenewSlack
 	case jobsched.Advise:
 		return adviceTimeout
 	}
-	return orderTimeout
+	return OrderTimeout
 }
 
 func name(o jobsched.Order, key job.TaskKey, attempt int) jobsched.AttemptName {
--- a/jobservice/records.go
+++ b/jobservice/records.go
@@ -150,7 +150,7 @@
 // Run looks whether the own way is back while it fails, and keeps the members.
 func (s *SharedRecords) Run(ctx context.Context) {
 	var readAt time.Time
-	for pause(ctx, probeInterval) {
+	for Pause(ctx, probeInterval) {
 		if s.away.Load() {
 			s.probe(ctx)
 			continue
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -217,7 +217,7 @@
 		switch {
 		case err != nil:
 			t.leader.log.WithError(err).WithField("commit", c.Number).Debug("commit is tried again")
-			pause(ctx, commitPause)
+			Pause(ctx, commitPause)
 		case result.Succeeded:
 			t.post(ctx, committedAt{jobsched.Committed{Number: c.Number}, result.Revision})
 			return
@@ -235,7 +235,7 @@
 func (t *term) settleCommit(ctx context.Context, c jobsched.Commit) bool {
 	kv, err := t.leader.get(ctx, ledgerKey)
 	if err != nil {
-		pause(ctx, commitPause)
+		Pause(ctx, commitPause)
 		return false
 	}
 	record, err := decodeLedger(kv.Value)
