Use room that was made at once; forget failures of long ago

Two failures minutes apart closed a worker that has only long-running tasks. Ruled out: closed or leaving workers (none of those with room was). Change: a reservation's task starts as soon as it fits, unless its job is over; failures are forgotten 4 s after the worker was open last.

--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -67,8 +67,8 @@
 }
 
 // filterProbing gives a worker under suspicion one new task at a time.
-func filterProbing(_ *Machine, t *task, w *worker) bool {
-	if !w.health.probing() {
+func filterProbing(m *Machine, t *task, w *worker) bool {
+	if !w.health.probing(m.now) {
 		return true
 	}
 	for _, a := range w.attempts {
--- a/core/jobsched/health.go
+++ b/core/jobsched/health.go
@@ -27,11 +27,17 @@
 	// that has only such would stay closed for good; what a failing worker
 	// starts fails within its run time, mostly less than a second.
 	probeTime = 2500 * time.Millisecond
+	// failureMemory is how long a failure counts, from the worker's being open.
+	// Long-running tasks fail by themselves now and then; on a worker that has
+	// little else nothing is done in between, and two such failures, minutes
+	// apart, would close it.
+	failureMemory = 4 * time.Second
 )
 
 func (h *health) succeeded() { *h = health{} }
 
 func (h *health) failed(now time.Time) {
+	h.forget(now)
 	h.failures++
 	h.failedAt = now
 	if h.failures < failuresToClose {
@@ -50,5 +56,19 @@
 	}
 }
 
+// forget forgets failures of long ago.
+func (h *health) forget(now time.Time) {
+	last := h.failedAt
+	if h.closedTil.After(last) {
+		last = h.closedTil
+	}
+	if now.Sub(last) > failureMemory {
+		*h = health{}
+	}
+}
+
 // probing reports whether the worker gets one task at a time.
-func (h *health) probing() bool { return h.failures >= failuresToClose }
+func (h *health) probing(now time.Time) bool {
+	h.forget(now)
+	return h.failures >= failuresToClose
+}
--- /dev/null
+++ b/core/jobsched/health_test.go
@@ -0,0 +1,41 @@
+package jobsched
+
+import (
+	"testing"
+	"time"
+)
+
+// TestFailuresFarApartDoNotCloseAWorker
+//
+// Symptom: a long-running task waited 20 s while a worker had room for it.
+// Events: the worker has only long-running tasks, two of which fail by
+// themselves, half a minute apart. Cause: failures counted until something was
+// done there, and nothing ever was.
+func TestFailuresFarApartDoNotCloseAWorker(t *testing.T) {
+	var h health
+	h.failed(testEpoch)
+	later := testEpoch.Add(30 * time.Second)
+	h.failed(later)
+	if !h.open(later) || h.probing(later) {
+		t.Error("the worker is closed")
+	}
+}
+
+// TestFailingWorkerIsClosedLongerEachTime: a worker that goes on failing what it
+// is probed with stays closed twice as long each time.
+func TestFailingWorkerIsClosedLongerEachTime(t *testing.T) {
+	var h health
+	now := testEpoch
+	h.failed(now)
+	h.failed(now)
+	for _, pause := range []time.Duration{closedFirst, 2 * closedFirst, 4 * closedFirst, closedMost} {
+		if h.open(now.Add(pause-time.Millisecond)) || !h.open(now.Add(pause)) {
+			t.Errorf("not closed for %s", pause)
+		}
+		now = now.Add(pause + time.Second)
+		if !h.probing(now) {
+			t.Error("not on probation")
+		}
+		h.failed(now)
+	}
+}
--- a/core/jobsched/preempt.go
+++ b/core/jobsched/preempt.go
@@ -32,16 +32,30 @@
 	return room
 }
 
-// release ends the reservations that are over, or of a task that has started.
+// release ends the reservations that are over, or of a task that has started or
+// whose job is over.
 func (w *worker) release(now time.Time) {
 	if len(w.reserved) == 0 {
 		return
 	}
 	w.reserved = slices.DeleteFunc(w.reserved, func(r reservation) bool {
-		return !now.Before(r.until) || !r.task.idle()
+		return !now.Before(r.until) || !r.task.idle() || r.task.step.job().state.Final()
 	})
 }
 
+// startReserved starts the tasks for which room was made on the worker as soon
+// as it is there. Left to their step's turn they might come too late: it ends
+// with the first of its tasks that fits nowhere.
+func (m *Machine) startReserved(w *worker) {
+	for _, r := range slices.Clone(w.reserved) {
+		t := r.task
+		if t.idle() && t.step.ready() && !m.heldBack(t.step, m.now) && m.allowed(t, w) {
+			m.startAttempt(t, w, t.last+1)
+		}
+	}
+	w.release(m.now)
+}
+
 // isReserved reports whether room is being made for the task already.
 func (m *Machine) isReserved(t *task) bool {
 	for _, w := range m.workers {
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -13,6 +13,7 @@
 func (m *Machine) schedule() {
 	for _, w := range m.workers {
 		w.release(m.now)
+		m.startReserved(w)
 	}
 	m.crowded = false
 	clear(m.unplaced)
--- a/core/jobsched/takeover_test.go
+++ b/core/jobsched/takeover_test.go
@@ -325,3 +325,25 @@
 		t.Errorf("%d long-running tasks run, want 1", n)
 	}
 }
+
+// TestReservedTaskOfACanceledJobDoesNotStart: room is being made for a task when
+// its job is canceled; when the room is there, nothing may start.
+func TestReservedTaskOfACanceledJobDoesNotStart(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.run(200 * time.Millisecond)
+	hungry := makeStep(30, 500, 20*time.Second)
+	hungry.BestEffort, hungry.Checkpointing, hungry.Size.MemoryMB = true, true, 4000
+	c.submit(1, "batch", hungry)
+	c.run(time.Second)
+	big := longRunning(1, 4000)
+	big.Size.MemoryMB = 20000
+	id := c.submit(2, "urgent", big)
+	for len(c.machine.worker("w000").reserved) == 0 {
+		c.tick()
+	}
+	c.cancel(id)
+	c.run(3 * time.Second)
+	if n := c.truth[job.TaskKey{Job: id}]; n != nil && len(n.running) > 0 {
+		t.Error("a task of the canceled job runs")
+	}
+}
