Take the learner of pairs out again; export what the model learned

Cause: two learners stood side by side. Ruled out: a test in a crowd with exact readings (both find the pairs there). Change: Model gets Export and Import; Pairs is gone.

--- /dev/null
+++ b/core/interference/export_test.go
@@ -0,0 +1,34 @@
+package interference
+
+import (
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// TestWhatWasLearnedIsImported: a model that begins with what another knew
+// predicts the same, and is less sure.
+func TestWhatWasLearnedIsImported(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	m := New(DefaultOptions())
+	victim, loud := model.TaskKey{Workload: "v"}, model.TaskKey{Workload: "loud"}
+	m.Started(now, "w", victim, "v")
+	m.Started(now, "w", loud, "loud")
+	for i := range 20 {
+		at := now.Add(time.Duration(i+1) * time.Second)
+		m.Observe(at, Observation{Worker: "w", Victim: victim, Class: "v", MeasuredAt: at, Slowdown: 2})
+	}
+	other := New(DefaultOptions())
+	other.Import(now, m.Export())
+	learned, imported := m.Predict("v", "loud", 0.9), other.Predict("v", "loud", 0.9)
+	if d := learned.Mean - imported.Mean; d > 0.01 || d < -0.01 {
+		t.Errorf("mean %.3f became %.3f", learned.Mean, imported.Mean)
+	}
+	if imported.Std < learned.Std {
+		t.Errorf("deviation %.3f became %.3f", learned.Std, imported.Std)
+	}
+	if stranger := other.Predict("v", "never seen", 0); stranger.Mean != DefaultOptions().PriorMean {
+		t.Errorf("an unknown aggressor has %.3f", stranger.Mean)
+	}
+}
--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -31,7 +31,7 @@
 	progress map[job.ID]*job.Progress
 	summary  Summary
 	roster   []WorkerEntry
-	learned  []interference.PairEffect
+	learned  []interference.Effect
 	// storeDown holds commits back.
 	storeDown bool
 	held      []Commit
--- a/core/jobsched/effect.go
+++ b/core/jobsched/effect.go
@@ -73,7 +73,7 @@
 	// Learned is what is known of interference; nil when it is not to be stored
 	// now. The next leader begins with it: to learn it anew takes ten seconds
 	// in which disturbing work is put beside serving tasks.
-	Learned []interference.PairEffect
+	Learned []interference.Effect
 }
 
 // ProgressRecord is one job's record.
--- a/core/jobsched/interference.go
+++ b/core/jobsched/interference.go
@@ -12,10 +12,11 @@
 // learnerOptions sets the learner of interference for half-second readings.
 // Which image disturbs which differs by the pair: most pairs do not disturb at
 // all, some triple the tail latency.
-func learnerOptions() interference.PairsOptions {
-	return interference.PairsOptions{
-		PriorMean: 0.1, PriorStd: 1, NoiseStd: 0.15, NoiseRatio: 0.3, MostExcess: 3,
-		Drift: 2 * time.Minute, Retain: 3 * time.Second,
+func learnerOptions() interference.Options {
+	return interference.Options{
+		PriorMean: 0.1, ClassStd: 0.2, PairStd: 0.8, BucketStd: 0.02, WorkloadStd: 0.01,
+		LoudnessStd: 0.3, NoiseStd: 0.15, NoiseRatio: 0.2,
+		Decay: 10 * time.Minute, LoudnessDecay: 5 * time.Second, Retain: 3 * time.Second,
 	}
 }
 
@@ -53,9 +54,6 @@
 	m.learnSerial++
 	image := a.step().spec.Image
 	a.image = m.effects.imageIndex(image)
-	if a.bestEffortCPU > 0 {
-		m.bestEffortImages[image] = struct{}{}
-	}
 	a.learnKey = model.TaskKey{Workload: image, Generation: m.learnSerial}
 	m.learner.Started(m.now, a.worker.id, a.learnKey, image)
 }
@@ -80,16 +78,10 @@
 		m.learner.Observe(m.now, interference.Observation{
 			Worker: w.id, Victim: a.learnKey, Class: a.step().spec.Image, MeasuredAt: m.now.Add(-readingAge),
 			Slowdown: max(float64(a.reading)/calm, 1),
-		}, m.aggressive)
+		})
 	}
 }
 
-// aggressive reports whether best-effort work has the image.
-func (m *Machine) aggressive(image string) bool {
-	_, ok := m.bestEffortImages[image]
-	return ok
-}
-
 // serving reports whether the attempt is at work for users of its own.
 func (a *attempt) serving() bool {
 	s := a.step()
@@ -186,7 +178,7 @@
 		c.effects[v] = make([]float64, len(c.names))
 		for a, aggressor := range c.names {
 			if v < len(m.victims) && m.victims[v] > 0 {
-				c.effects[v][a] = m.learner.Predict(victim, aggressor).Mean
+				c.effects[v][a] = m.learner.Predict(victim, aggressor, 0).Mean
 			}
 		}
 	}
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -64,9 +64,7 @@
 	crowded  bool
 	unplaced map[shape][]model.Resources
 
-	learner *interference.Pairs
-	// bestEffortImages holds the images of best-effort work.
-	bestEffortImages map[string]struct{}
+	learner *interference.Model
 	// learnSerial numbers the attempts for the learner.
 	learnSerial uint64
 	// victims counts the serving tasks by the number of their image.
@@ -87,7 +85,7 @@
 	// Roster is the one that was stored last.
 	Roster []WorkerEntry
 	// Learned is what was stored of interference.
-	Learned []interference.PairEffect
+	Learned []interference.Effect
 }
 
 // New makes the machine of a leader that has just taken over.
@@ -97,7 +95,7 @@
 		jobs: make(map[job.ID]*jobState), final: make(map[job.ID]time.Time),
 		workers: make(map[model.WorkerID]*worker), pending: make(map[*step]struct{}),
 		unresolved: make(map[model.WorkerID]time.Time), dirty: make(map[job.ID]struct{}),
-		stops: make(map[*attempt]struct{}), learner: interference.NewPairs(learnerOptions()), bestEffortImages: make(map[string]struct{}), unplaced: make(map[shape][]model.Resources),
+		stops: make(map[*attempt]struct{}), learner: interference.New(learnerOptions()), unplaced: make(map[shape][]model.Resources),
 	}
 	m.learner.Import(now, r.Learned)
 	for id, progress := range r.Progress {
--- a/core/jobsched/takeover_test.go
+++ b/core/jobsched/takeover_test.go
@@ -256,7 +256,7 @@
 // for about ten seconds.
 func TestWhatWasLearnedIsTakenOver(t *testing.T) {
 	c := newCluster(t, 1, 2)
-	c.machine.learner.Import(c.now, []interference.PairEffect{
+	c.machine.learner.Import(c.now, []interference.Effect{
 		{Victim: "serving", Aggressor: "loud", Mean: 1.5, Std: 0.1},
 		{Victim: "serving", Aggressor: "quiet", Mean: 0, Std: 0.1},
 	})
