Tell the daemon that its machine is deposed

Cause: once a worker had refused the machine's epoch it returned no effects any more, not even the one that says so; with its lease alive in the store the daemon stayed a leader that does nothing and never stood for the lead again. Found by reading. Ruled out: that the commit tells it (a deposed machine sends none). Change: Deposed is returned; orders not sent yet are dropped.

--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -118,7 +118,7 @@
 }
 
 // Resume lets a machine go on that was without its right for a while in which
-// no other daemon led. What was on its way is settled as if unanswered.
+// no other daemon led. The answers to its earlier orders come as before.
 func (m *Machine) Resume(now time.Time, epoch model.Epoch) {
 	m.now = now
 	m.epoch = epoch
@@ -157,14 +157,20 @@
 // least every TickInterval.
 func (m *Machine) Advance(now, wall time.Time) []Effect {
 	m.now, m.wall = now, wall
-	if m.deposed {
-		return nil
+	if !m.deposed {
+		m.advance()
 	}
+	effects := m.out
+	m.out = nil
+	return effects
+}
+
+func (m *Machine) advance() {
 	m.expireWorkers()
 	m.beginDue()
-	sweep := now.Sub(m.sweptAt) >= sweepInterval
+	sweep := m.now.Sub(m.sweptAt) >= sweepInterval
 	if sweep {
-		m.sweptAt = now
+		m.sweptAt = m.now
 		m.watchAttempts()
 	}
 	m.sendStops()
@@ -174,9 +180,6 @@
 		m.sendThrottles()
 	}
 	m.sendCommit()
-	effects := m.out
-	m.out = nil
-	return effects
 }
 
 // scheduleIfDue places tasks when something has changed, and from time to time.
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -20,8 +20,8 @@
 	// does not answer.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
-	// MaxReportedEnds is how many ends a worker reports at a time.
-	MaxReportedEnds = 500
+	// maxReportedEnds is how many ends a worker reports at a time.
+	maxReportedEnds = 500
 )
 
 // sendRenewals looks at every worker whose turn has come.
@@ -94,6 +94,8 @@
 		return
 	}
 	m.deposed = true
+	// Orders that are not sent yet would only be refused.
+	m.out = nil
 	m.emit(Note{Decision: "deposed", Worker: w.id, Reason: fmt.Sprintf("the worker has seen an epoch after %d", m.epoch)})
 	m.emit(Deposed{Worker: w.id})
 }
@@ -156,7 +158,7 @@
 		}
 		m.observe(a, r)
 	}
-	if len(report.Ended) >= MaxReportedEnds {
+	if len(report.Ended) >= maxReportedEnds {
 		// The end of an attempt that is not listed may be among the others.
 		return
 	}
--- a/core/jobsched/takeover_test.go
+++ b/core/jobsched/takeover_test.go
@@ -347,3 +347,29 @@
 		t.Error("a task of the canceled job runs")
 	}
 }
+
+// TestDeposedLeaderSaysSo
+//
+// Symptom: a daemon that had lost the lead kept its lease in the store, did
+// nothing, and never stood for the lead again. Events: the leader's key is taken
+// away while its lease lives on; another daemon leads; a worker refuses the old
+// one's order. Cause: the machine stopped before it told its daemon.
+func TestDeposedLeaderSaysSo(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.run(200 * time.Millisecond)
+	c.submit(1, "urgent", longRunning(2, 2000))
+	c.machine.Handle(c.now, Renewed{Worker: "w000", SentAt: c.now, Verdict: VerdictFenced})
+	deposed := false
+	for _, e := range c.machine.Advance(c.now, c.wall) {
+		switch e.(type) {
+		case Deposed:
+			deposed = true
+		case Note:
+		default:
+			t.Errorf("%T after the lead was lost", e)
+		}
+	}
+	if !deposed {
+		t.Error("the daemon is not told")
+	}
+}
