--- a/core/jobsched/property_test.go
+++ b/core/jobsched/property_test.go
@@ -30,6 +30,22 @@
 	properties.TestingRun(t)
 }
 
+// TestSeedsThatOnceFailed plays seeds that showed something, some times each:
+// the order of a map's entries is another in each play.
+func TestSeedsThatOnceFailed(t *testing.T) {
+	seeds := []uint64{
+		// A gang failed in each of its three attempts with another member, and
+		// its job was given up, as the platform's contract has it. The check
+		// wanted three failures of one task.
+		16490044440741563784,
+	}
+	for _, seed := range seeds {
+		for range 5 {
+			playFaults(t, seed)
+		}
+	}
+}
+
 // playFaults plays one seed and returns whether nothing was found.
 func playFaults(t *testing.T, seed uint64) bool {
 	ok := t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
