Count a claimed serving task before its end is taken off

Cause: found on reading the whole change: an attempt that a job claims after the leader had found it running was taken off the worker's count of serving tasks at its end without ever having been added; the count went to -1, and best-effort work was no longer kept away from the next serving task there. Ruled out: the trial attempts of gangs (added and taken off in the same way). Change: claiming counts it. One line; nothing else behaves differently.

--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -110,6 +110,7 @@
 			t.attempts = append(t.attempts, a)
 			t.last = max(t.last, a.key.attempt)
 			o.job.attempts++
+			m.countVictim(a, 1)
 			m.unwanted--
 		}
 	}
--- a/core/jobsched/takeover_test.go
+++ b/core/jobsched/takeover_test.go
@@ -373,3 +373,31 @@
 		t.Error("the daemon is not told")
 	}
 }
+
+// TestClaimedServingTaskIsCountedOnce
+//
+// Symptom: best-effort work was put beside serving tasks that it disturbs.
+// Events: a worker runs a serving task of a job that the new leader does not
+// know yet; the job comes, and the attempt ends. Cause: its end was taken off
+// the count of serving tasks, to which it had never been added.
+func TestClaimedServingTaskIsCountedOnce(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.run(200 * time.Millisecond)
+	serving := longRunning(1, 2000)
+	serving.Image, serving.LatencyTargetMs = "serving", 150
+	key := job.TaskKey{Job: "0000000000000001"}
+	report := Report{ClockMs: c.clock("w000"), Running: []RunningAttempt{{Key: key, Attempt: 1, Percent: 100}}}
+	c.machine.Handle(c.now, Renewed{Worker: "w000", SentAt: c.now, Verdict: VerdictDone, Report: report})
+	c.submit(1, "urgent", serving)
+	c.machine.Advance(c.now, c.wall)
+	w := c.machine.worker("w000")
+	if w.servingTasks != 1 {
+		t.Errorf("%d serving tasks are counted, want the one that is being stopped", w.servingTasks)
+	}
+	for _, a := range sortedAttempts(w) {
+		c.machine.endAttempt(a, EndStopped, "")
+	}
+	if w.servingTasks != 0 {
+		t.Errorf("%d serving tasks are counted after the end, want 0", w.servingTasks)
+	}
+}
