--- /dev/null
+++ b/adapter/jobapi/server.go
@@ -0,0 +1,219 @@
+package jobapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/joblog"
+	"github.com/guavarill/guavarill/core/jobsched"
+	"github.com/guavarill/guavarill/jobservice"
+	"github.com/guavarill/guavarill/port"
+)
+
+const (
+	// requestTimeout bounds the answer to a call: twice what a submission may
+	// take, and less than clients wait by default.
+	requestTimeout = 3 * time.Second
+	// defaultBodyBytes bounds a submission while the configuration sets no limit.
+	defaultBodyBytes = 256 << 10
+	// retryAfterS is when to come back after a refusal: outages of the store
+	// last seconds, and other daemons may serve at once.
+	retryAfterS = "1"
+	// listLimit bounds a list of jobs: more than a table is read for.
+	listLimit = 5000
+)
+
+// Inspector tells what the leader believes.
+type Inspector interface {
+	Inspect(ctx context.Context, id job.ID) (jobsched.JobView, error)
+	List(ctx context.Context, limit int) ([]jobsched.JobView, error)
+}
+
+// Options is what a Server serves.
+type Options struct {
+	Intake    *jobservice.Intake
+	Config    port.ConfigFeed
+	Inspector Inspector
+	Status    func() Status
+	// Recent returns the daemon's latest log lines.
+	Recent func() []byte
+	Log    *logrus.Logger
+}
+
+// Server serves the interface.
+type Server struct {
+	o   Options
+	log *logrus.Entry
+}
+
+// NewHandler returns the handler of the interface.
+func NewHandler(o Options) http.Handler {
+	s := &Server{o: o, log: o.Log.WithField("component", "job api")}
+	e := echo.New()
+	e.HideBanner = true
+	e.HTTPErrorHandler = s.answerError
+	e.Use(bounded)
+	e.POST("/v1/queues/:queue/jobs/:id", s.submit)
+	e.GET("/v1/queues/:queue", s.queue)
+	e.GET("/v1/jobs", s.list)
+	e.GET("/v1/jobs/:id", s.state)
+	e.GET("/v1/jobs/:id/tasks", s.tasks)
+	e.DELETE("/v1/jobs/:id", s.cancel)
+	e.GET("/v1/status", s.status)
+	e.GET("/v1/log", s.recent)
+	return e
+}
+
+// bounded ends calls that take too long.
+func bounded(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		ctx, cancel := context.WithTimeout(c.Request().Context(), requestTimeout)
+		defer cancel()
+		c.SetRequest(c.Request().WithContext(ctx))
+		return next(c)
+	}
+}
+
+func (s *Server) submit(c echo.Context) error {
+	id, err := job.ParseID(c.Param("id"))
+	if err != nil {
+		return err
+	}
+	config, queue, err := s.findQueue(c.Param("queue"))
+	if err != nil {
+		return err
+	}
+	spec, err := readSpec(c.Request().Body, config.Limits.BodyBytes)
+	if err != nil {
+		return err
+	}
+	if err := s.o.Intake.Submit(c.Request().Context(), id, spec, queue, config.Version); err != nil {
+		return err
+	}
+	s.log.WithFields(jobservice.AcceptedFields(id, spec, queue, config.Version)).Info(joblog.MessageAccepted)
+	return c.JSON(http.StatusOK, JobState{ID: id, State: job.Queued})
+}
+
+// findQueue returns a queue and the configuration that has it.
+func (s *Server) findQueue(name string) (*job.Config, *job.Queue, error) {
+	config := s.o.Config.Current()
+	if config == nil {
+		return nil, nil, &jobservice.UnavailableError{Cause: errNoConfiguration}
+	}
+	queue := config.Queues[name]
+	if queue == nil {
+		return nil, nil, &unknownQueueError{name: name}
+	}
+	return config, queue, nil
+}
+
+var errNoConfiguration = errors.New("no configuration has been read yet")
+
+// readSpec reads a submission. An error is a *job.InvalidError or a
+// *tooLargeError.
+func readSpec(body io.Reader, limit int64) (*job.Spec, error) {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, &job.InvalidError{Field: "body", Reason: "ended early: " + err.Error()}
+	}
+	if int64(len(data)) > limit {
+		return nil, &tooLargeError{}
+	}
+	spec := new(job.Spec)
+	if err := json.Unmarshal(data, spec); err != nil {
+		return nil, &job.InvalidError{Field: "body", Reason: "is no job: " + err.Error()}
+	}
+	return spec, nil
+}
+
+func (s *Server) queue(c echo.Context) error {
+	_, queue, err := s.findQueue(c.Param("queue"))
+	if err != nil {
+		return err
+	}
+	waiting, err := s.o.Intake.Waiting(c.Request().Context(), queue.Name)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, QueueStatus{Queue: queue.Name, Waiting: waiting})
+}
+
+func (s *Server) state(c echo.Context) error {
+	id, err := job.ParseID(c.Param("id"))
+	if err != nil {
+		return err
+	}
+	state, err := s.o.Intake.State(c.Request().Context(), id)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, JobState{ID: id, State: state})
+}
+
+func (s *Server) cancel(c echo.Context) error {
+	id, err := job.ParseID(c.Param("id"))
+	if err != nil {
+		return err
+	}
+	if err := s.o.Intake.Cancel(c.Request().Context(), id); err != nil {
+		return err
+	}
+	s.log.WithField("job", id).Info(joblog.MessageCancelAsked)
+	return c.JSON(http.StatusOK, JobState{ID: id, State: job.Canceled})
+}
+
+func (s *Server) list(c echo.Context) error {
+	views, err := s.o.Inspector.List(c.Request().Context(), listLimit)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, views)
+}
+
+func (s *Server) tasks(c echo.Context) error {
+	id, err := job.ParseID(c.Param("id"))
+	if err != nil {
+		return err
+	}
+	view, err := s.o.Inspector.Inspect(c.Request().Context(), id)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, view)
+}
+
+func (s *Server) status(c echo.Context) error { return c.JSON(http.StatusOK, s.o.Status()) }
+
+func (s *Server) recent(c echo.Context) error {
+	return c.Blob(http.StatusOK, "application/x-ndjson", s.o.Recent())
+}
+
+// answerError answers a call that failed.
+func (s *Server) answerError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	status, kind := problemOf(err)
+	if status == http.StatusServiceUnavailable {
+		c.Response().Header().Set("Retry-After", retryAfterS)
+	}
+	if kind != ProblemNotLeading {
+		s.log.WithError(err).WithFields(logrus.Fields{
+			"status": status, "method": c.Request().Method, "job": c.Param("id"), "queue": c.Param("queue"),
+		}).Info(joblog.MessageRefused)
+	}
+	if sent := c.JSON(status, Problem{Kind: kind, Detail: err.Error()}); sent != nil {
+		s.log.WithError(sent).Debug("answer not sent; the caller has gone")
+	}
+}
--- a/cmd/guavarill-platform/main.go
+++ b/cmd/guavarill-platform/main.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -37,9 +38,14 @@
 // logCloseTimeout bounds the writing of the last lines.
 const logCloseTimeout = 300 * time.Millisecond
 
+// recentBytes bounds the log lines kept in memory: ten seconds of a busy leader
+// and hours of another daemon, at a thirtieth of the memory it may use.
+const recentBytes = 1 << 20
+
 // options are guavarill's own settings.
 type options struct {
 	MetricsPort int    `long:"metrics-port" env:"GUAVARILL_METRICS_PORT" default:"0" description:"port for metrics; 0 serves none"`
+	APIPort     int    `long:"api-port" env:"GUAVARILL_API_PORT" default:"0" description:"port for guavarill's own interface for jobs; 0 serves none"`
 	LogLevel    string `long:"log-level" env:"GUAVARILL_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warning" choice:"error" description:"least level of log lines"`
 }
 
@@ -52,13 +58,15 @@
 	}
 	sink := logsink.New(os.Stdout)
 	defer sink.Close(logCloseTimeout)
-	log := newLog(sink, o)
+	recent := logsink.NewRecent(recentBytes)
+	log := newLog(io.MultiWriter(sink, recent), o)
 	path := os.Getenv(platform.SettingsEnv)
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		log.WithError(err).Error("cannot start")
 		return exitSettings
 	}
+	log.AddHook(daemonField(settings.NodeName))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reloads := make(chan os.Signal, 1)
@@ -66,7 +74,12 @@
 	daemon := platform.New(settings, log)
 	go platform.FollowSettings(ctx, path, reloads, log, daemon.Reload)
 	if o.MetricsPort != 0 {
-		go serveMetrics(net.JoinHostPort(settings.IP, strconv.Itoa(o.MetricsPort)), daemon.MetricsHandler(), log)
+		mux := http.NewServeMux()
+		mux.Handle("/metrics", daemon.MetricsHandler())
+		go serve("metrics", settings.IP, o.MetricsPort, mux, log)
+	}
+	if o.APIPort != 0 {
+		go serve("job api", settings.IP, o.APIPort, daemon.JobAPI(recent.Lines), log)
 	}
 	if err := daemon.Run(ctx); err != nil {
 		log.WithError(err).Error("stopped")
@@ -86,9 +99,9 @@
 	return exitSettings
 }
 
-func newLog(sink *logsink.Sink, o options) *logrus.Logger {
+func newLog(out io.Writer, o options) *logrus.Logger {
 	log := logrus.New()
-	log.SetOutput(sink)
+	log.SetOutput(out)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	if level, err := logrus.ParseLevel(o.LogLevel); err == nil {
 		log.SetLevel(level)
@@ -96,12 +109,26 @@
 	return log
 }
 
-// serveMetrics serves the metrics. The daemon goes on without them.
-func serveMetrics(address string, handler http.Handler, log *logrus.Logger) {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", handler)
-	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: time.Second}
+// daemonField puts the daemon's name on every line, so that the lines of many
+// daemons can be told apart where they are gathered.
+type daemonField string
+
+// Levels implements logrus.Hook.
+func (daemonField) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (f daemonField) Fire(e *logrus.Entry) error {
+	if _, set := e.Data["daemon"]; !set {
+		e.Data["daemon"] = string(f)
+	}
+	return nil
+}
+
+// serve serves what operators ask for. The daemon goes on without it.
+func serve(what, ip string, port int, handler http.Handler, log *logrus.Logger) {
+	address := net.JoinHostPort(ip, strconv.Itoa(port))
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: time.Second}
 	if err := server.ListenAndServe(); err != nil {
-		log.WithError(err).WithField("address", address).Error("metrics are not served")
+		log.WithError(err).WithField("address", address).Error(what + " is not served")
 	}
 }
--- /dev/null
+++ b/core/joblog/explain.go
@@ -0,0 +1,325 @@
+package joblog
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+)
+
+// Explanation is what the lines tell of one job.
+type Explanation struct {
+	Job job.ID `json:"job"`
+	// Outcome says in a word or two what became of it.
+	Outcome string `json:"outcome"`
+	// Findings are what led to it, each with what it is concluded from.
+	Findings []string `json:"findings"`
+	// Gaps say what the lines cannot tell, because some of them are missing.
+	Gaps []string `json:"gaps,omitempty"`
+	// Lines are those about the job, in order.
+	Lines []Line `json:"lines"`
+}
+
+// The outcomes that are not a job's state.
+const (
+	outcomeNoTrace  = "no trace"
+	outcomeRefused  = "refused"
+	outcomeInvalid  = "invalid"
+	outcomeAccepted = "accepted"
+	outcomeUnknown  = "state not told"
+)
+
+const (
+	// outageWindow is how far from a failed request the outage that caused it
+	// is looked for: callers' requests wait some seconds for the store.
+	outageWindow = 5 * time.Second
+	// takeoverWindow is how far from a failed request a take-over is looked for:
+	// a lost leader is replaced within its lease and a few reads.
+	takeoverWindow = 5 * time.Second
+	// slowStart is how long a job may wait for its first task before that is
+	// told as a delay: more than a round of placement and a commit take.
+	slowStart = time.Second
+)
+
+// The statuses of answers to callers.
+const (
+	statusUnavailable  = 503
+	statusUnknown      = 504
+	lowestServerStatus = 500
+)
+
+// Explain says what became of a job and why, from the merged lines of all
+// daemons.
+func Explain(lines []Line, id job.ID) *Explanation {
+	e := &explainer{all: lines, about: Of(lines, id), Explanation: Explanation{Job: id}}
+	e.Lines = e.about
+	e.outcome()
+	e.explainAnswers()
+	e.explainStart()
+	e.explainWaits()
+	e.explainAttempts()
+	e.explainTakeovers()
+	e.explainEnd()
+	e.noteGaps()
+	return &e.Explanation
+}
+
+type explainer struct {
+	Explanation
+	all   []Line
+	about []Line
+}
+
+func (e *explainer) find(format string, args ...any) {
+	e.Findings = append(e.Findings, fmt.Sprintf(format, args...))
+}
+
+// first returns the first line about the job with one of the messages.
+func (e *explainer) first(messages ...string) *Line {
+	for i := range e.about {
+		if slices.Contains(messages, e.about[i].Message) {
+			return &e.about[i]
+		}
+	}
+	return nil
+}
+
+func (e *explainer) with(message string) []Line {
+	var found []Line
+	for _, l := range e.about {
+		if l.Message == message {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
+// final returns the line of the job's final state.
+func (e *explainer) final() *Line {
+	return e.first(MessageFinal(job.Completed), MessageFinal(job.Failed), MessageFinal(job.Canceled))
+}
+
+func (e *explainer) outcome() {
+	final := e.final()
+	switch {
+	case final != nil:
+		e.Outcome = strings.TrimPrefix(final.Message, "job ")
+	case e.first(MessageStarted, MessageAdopted) != nil:
+		e.Outcome = string(job.Running)
+	case e.first(MessageTakenIn) != nil:
+		e.Outcome = string(job.Queued)
+	case e.first(MessageAccepted) != nil:
+		e.Outcome = outcomeAccepted
+	case len(e.about) == 0:
+		e.Outcome = outcomeNoTrace
+		e.find("no line names the job: no daemon whose lines are here answered a request for it or decided about it")
+	default:
+		e.Outcome = e.answered()
+	}
+}
+
+// answered returns the outcome of a job of which only answers are known.
+func (e *explainer) answered() string {
+	worst := 0
+	for _, l := range e.with(MessageRefused) {
+		worst = max(worst, l.Status)
+	}
+	switch {
+	case worst == statusUnknown:
+		return outcomeUnknown
+	case worst >= lowestServerStatus:
+		return outcomeRefused
+	}
+	return outcomeInvalid
+}
+
+func (e *explainer) explainAnswers() {
+	for _, l := range e.with(MessageRefused) {
+		switch {
+		case l.Status == statusUnavailable:
+			e.find("%s refused a request at %s and nothing was stored for it: %s", l.Daemon, clock(l.Time), l.Error)
+			e.explainOutage(l.Time)
+		case l.Status == statusUnknown:
+			e.find("%s could not tell the outcome of a request at %s and said so: %s", l.Daemon, clock(l.Time), l.Error)
+			e.explainOutage(l.Time)
+			e.explainLead(l.Time)
+		default:
+			e.find("%s answered a request at %s with %d: %s", l.Daemon, clock(l.Time), l.Status, l.Error)
+		}
+	}
+	if l := e.first(MessageAccepted); l != nil {
+		e.find("%s accepted the job at %s for queue %s", l.Daemon, clock(l.Time), l.Queue)
+	}
+}
+
+// explainOutage says which daemons were without the store around a time.
+func (e *explainer) explainOutage(at time.Time) {
+	lost := make(map[string]time.Time)
+	back := make(map[string]time.Time)
+	for _, l := range e.all {
+		switch l.Message {
+		case MessageStoreLost:
+			if !l.Time.After(at.Add(outageWindow)) {
+				lost[l.Daemon] = l.Time
+				delete(back, l.Daemon)
+			}
+		case MessageStoreRegained:
+			if _, was := lost[l.Daemon]; was && back[l.Daemon].IsZero() {
+				back[l.Daemon] = l.Time
+			}
+		}
+	}
+	maps.DeleteFunc(lost, func(daemon string, _ time.Time) bool {
+		returned, ended := back[daemon]
+		return ended && returned.Before(at.Add(-outageWindow))
+	})
+	if len(lost) == 0 {
+		e.find("no daemon noted the loss of the store within %s of it: the call alone failed", outageWindow)
+		return
+	}
+	daemons := slices.Sorted(maps.Keys(lost))
+	begun := slices.MinFunc(slices.Collect(maps.Values(lost)), time.Time.Compare)
+	end := "and no line says that it returned"
+	if len(back) > 0 {
+		end = "and the last had it back at " + clock(slices.MaxFunc(slices.Collect(maps.Values(back)), time.Time.Compare))
+	}
+	e.find("%d of %d daemons were without the store from %s on (%s), %s",
+		len(daemons), len(e.daemons()), clock(begun), strings.Join(daemons, ", "), end)
+}
+
+// daemons returns the names of those that wrote lines.
+func (e *explainer) daemons() map[string]struct{} {
+	names := make(map[string]struct{})
+	for _, l := range e.all {
+		if l.Daemon != "" {
+			names[l.Daemon] = struct{}{}
+		}
+	}
+	return names
+}
+
+// explainLead tells what happened to the lead around a time.
+func (e *explainer) explainLead(at time.Time) {
+	for _, l := range e.all {
+		distance := l.Time.Sub(at).Abs()
+		if distance > takeoverWindow {
+			continue
+		}
+		switch l.Message {
+		case MessageLeadLostStore, MessageDeposed, MessageGaveUp, MessageLeads, MessageGoesOn:
+			e.find("%s: %s at %s", l.Daemon, l.Message, clock(l.Time))
+		}
+	}
+}
+
+func (e *explainer) explainStart() {
+	accepted, taken := e.first(MessageAccepted), e.first(MessageTakenIn)
+	started := e.first(MessageStarted)
+	switch {
+	case accepted != nil && taken == nil:
+		e.find("no leader has taken it in")
+		e.explainLead(accepted.Time)
+	case taken != nil && started == nil && e.final() == nil:
+		e.find("no attempt was started; %s took it in at %s (%s)", taken.Daemon, clock(taken.Time), taken.Reason)
+	case accepted != nil && started != nil && started.Time.Sub(accepted.Time) > slowStart:
+		e.find("the first attempt started %s after acceptance", span(started.Time.Sub(accepted.Time)))
+	}
+}
+
+// explainWaits tells the last wait of each step: it is the longest, and says
+// what ruled the workers out.
+func (e *explainer) explainWaits() {
+	last := make(map[string]Line)
+	for _, l := range e.with(MessageStepWaits) {
+		last[l.Task] = l
+	}
+	for _, step := range slices.Sorted(maps.Keys(last)) {
+		e.find("step %s waited at %s %s", step, clock(last[step].Time), last[step].Reason)
+	}
+}
+
+// explainAttempts counts what befell the attempts, by kind and reason.
+func (e *explainer) explainAttempts() {
+	kinds := []string{
+		MessageStarted, MessageAdopted, MessageStartRefused, MessageUnanswered, MessageStopped, MessageLost, MessageNotThere,
+	}
+	for _, kind := range kinds {
+		lines := e.with(kind)
+		switch {
+		case len(lines) == 0:
+		case kind == MessageStarted || kind == MessageAdopted:
+			e.find("%s: %d", kind, len(lines))
+		default:
+			e.find("%s: %s", kind, byReason(lines))
+		}
+	}
+	if ended := e.with(MessageEnded); len(ended) > 0 {
+		e.find("%s: %s", MessageEnded, byReason(ended))
+	}
+}
+
+func byReason(lines []Line) string {
+	counts := make(map[string]int)
+	for _, l := range lines {
+		counts[l.Reason]++
+	}
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d (%s)", counts[reason], reason))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// explainTakeovers tells which changes of the lead the job lived through.
+func (e *explainer) explainTakeovers() {
+	if len(e.about) == 0 {
+		return
+	}
+	from, to := e.about[0].Time, e.about[len(e.about)-1].Time
+	for _, l := range e.all {
+		if l.Message == MessageLeads && l.Time.After(from) && l.Time.Before(to) {
+			e.find("%s took the lead at %s (epoch %d), while the job was not over", l.Daemon, clock(l.Time), l.Epoch)
+		}
+	}
+}
+
+func (e *explainer) explainEnd() {
+	if l := e.first(MessageCancelAsked); l != nil {
+		e.find("its caller canceled it at %s", clock(l.Time))
+	}
+	if l := e.final(); l != nil {
+		e.find("%s at %s, decided by %s in epoch %d: %s", e.Outcome, clock(l.Time), l.Daemon, l.Epoch, l.Reason)
+	}
+}
+
+// noteGaps says how many lines are missing that may have been about the job.
+func (e *explainer) noteGaps() {
+	if len(e.about) == 0 {
+		return
+	}
+	from, to := e.about[0].Time, e.about[len(e.about)-1].Time
+	leftOut, dropped := 0, 0
+	for _, l := range e.all {
+		if l.Message == MessageDropped {
+			dropped += l.Dropped
+		}
+		if !l.Time.Before(from) && !l.Time.After(to) {
+			leftOut += l.LeftOut
+		}
+	}
+	if leftOut > 0 {
+		e.Gaps = append(e.Gaps, fmt.Sprintf("%d routine lines were left out meanwhile", leftOut))
+	}
+	if dropped > 0 {
+		e.Gaps = append(e.Gaps, fmt.Sprintf("%d lines were dropped because standard output stalled", dropped))
+	}
+}
+
+// clock writes a time of day to the millisecond, in UTC.
+func clock(t time.Time) string { return t.UTC().Format("15:04:05.000") }
+
+// span writes a duration to the millisecond.
+func span(d time.Duration) string { return d.Round(time.Millisecond).String() }
--- /dev/null
+++ b/core/joblog/message.go
@@ -0,0 +1,32 @@
+package joblog
+
+import "github.com/guavarill/guavarill/core/job"
+
+// The messages that are looked for. Tests of the daemons hold them to these.
+const (
+	MessageAccepted      = "job accepted"
+	MessageRefused       = "request refused"
+	MessageCancelAsked   = "job canceled by its caller"
+	MessageTakenIn       = "job taken in"
+	MessageStarted       = "attempt started"
+	MessageStartRefused  = "start refused"
+	MessageUnanswered    = "start unanswered"
+	MessageAdopted       = "attempt adopted"
+	MessageStopped       = "attempt stopped"
+	MessageEnded         = "attempt ended"
+	MessageLost          = "attempt lost"
+	MessageNotThere      = "attempt not there"
+	MessageStepWaits     = "step waits"
+	MessageLeads         = "leads"
+	MessageGoesOn        = "goes on with the state it had"
+	MessageStoreLost     = "lost the store; other daemons are asked"
+	MessageStoreRegained = "the store answers again"
+	MessageLeadLostStore = "lost the lead: the store did not renew the lease"
+	MessageDeposed       = "lost the lead to another daemon"
+	MessageGaveUp        = "gave the lead up"
+	MessageWorkerSilent  = "worker silent"
+	MessageDropped       = "log lines dropped"
+)
+
+// MessageFinal returns the message of a job that has come to a final state.
+func MessageFinal(s job.State) string { return "job " + string(s) }
--- /dev/null
+++ b/core/joblog/summary.go
@@ -0,0 +1,105 @@
+package joblog
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+)
+
+// JobSummary is what the lines tell of a job in short.
+type JobSummary struct {
+	Job     job.ID `json:"job"`
+	Queue   string `json:"queue,omitempty"`
+	Outcome string `json:"outcome"`
+	// AcceptedAt, StartedAt and EndedAt are zero where no line tells.
+	AcceptedAt time.Time `json:"acceptedAt,omitzero"`
+	StartedAt  time.Time `json:"startedAt,omitzero"`
+	EndedAt    time.Time `json:"endedAt,omitzero"`
+	// Attempts counts those that were started.
+	Attempts int `json:"attempts"`
+}
+
+// Jobs summarizes every job that the lines name, by id.
+func Jobs(lines []Line) []JobSummary {
+	byJob := make(map[job.ID][]Line)
+	for _, l := range lines {
+		if l.Job != "" {
+			byJob[l.Job] = append(byJob[l.Job], l)
+		}
+	}
+	jobs := []JobSummary{}
+	for _, id := range slices.Sorted(maps.Keys(byJob)) {
+		jobs = append(jobs, summarize(id, byJob[id]))
+	}
+	return jobs
+}
+
+func summarize(id job.ID, about []Line) JobSummary {
+	e := &explainer{about: about}
+	e.outcome()
+	s := JobSummary{Job: id, Outcome: e.Outcome, Attempts: len(e.with(MessageStarted))}
+	if l := e.first(MessageAccepted); l != nil {
+		s.Queue, s.AcceptedAt = l.Queue, l.Time
+	}
+	if l := e.first(MessageStarted); l != nil {
+		s.StartedAt = l.Time
+	}
+	if l := e.final(); l != nil {
+		s.EndedAt = l.Time
+	}
+	return s
+}
+
+// DaemonSummary is what the lines tell of a daemon.
+type DaemonSummary struct {
+	Daemon string `json:"daemon"`
+	// Leads is whether it led when its last line was written, Epoch its last
+	// epoch.
+	Leads bool  `json:"leads"`
+	Epoch int64 `json:"epoch,omitempty"`
+	// StoreLost is whether it was without the store then.
+	StoreLost bool      `json:"storeLost"`
+	LastLine  time.Time `json:"lastLine"`
+	Warnings  int       `json:"warnings"`
+}
+
+// Daemons summarizes the daemons by name.
+func Daemons(lines []Line) []DaemonSummary {
+	byName := make(map[string]*DaemonSummary)
+	for _, l := range lines {
+		if l.Daemon == "" {
+			continue
+		}
+		d := byName[l.Daemon]
+		if d == nil {
+			d = &DaemonSummary{Daemon: l.Daemon}
+			byName[l.Daemon] = d
+		}
+		d.add(l)
+	}
+	daemons := []DaemonSummary{}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		daemons = append(daemons, *byName[name])
+	}
+	return daemons
+}
+
+func (d *DaemonSummary) add(l Line) {
+	d.LastLine = l.Time
+	if strings.HasPrefix(l.Level, "warn") || l.Level == "error" {
+		d.Warnings++
+	}
+	switch l.Message {
+	case MessageLeads:
+		d.Leads, d.Epoch = true, l.Epoch
+	case MessageLeadLostStore, MessageDeposed, MessageGaveUp, "started":
+		d.Leads = false
+	case MessageStoreLost:
+		d.StoreLost = true
+	case MessageStoreRegained:
+		d.StoreLost = false
+	}
+}
--- /dev/null
+++ b/core/jobsched/inspect.go
@@ -0,0 +1,130 @@
+package jobsched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// JobView is what the leader believes of a job that is not over, for operators.
+type JobView struct {
+	ID       job.ID    `json:"id"`
+	Queue    string    `json:"queue"`
+	Priority int       `json:"priority"`
+	State    job.State `json:"state"`
+	// AcceptedMs is when the job was accepted, in milliseconds since 1970 on the
+	// accepting daemon's clock.
+	AcceptedMs int64 `json:"acceptedMs"`
+	// ConfigVersion is the configuration that the job was accepted under.
+	ConfigVersion uint64     `json:"configVersion"`
+	Attempts      int        `json:"attempts"`
+	Steps         []StepView `json:"steps,omitempty"`
+}
+
+// StepView is one step of an occurrence that has begun and is not done.
+type StepView struct {
+	// Name is job.occurrence.step.
+	Name string `json:"name"`
+	// Done, Running and Waiting count the step's tasks; Blocked is how many
+	// steps must be done before any of them may start.
+	Done    int `json:"done"`
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	Blocked int `json:"blocked,omitempty"`
+	// RuledOut counts the workers by what rules them out, for a step that waits.
+	RuledOut string `json:"ruledOut,omitempty"`
+	// HeldUntil is when the step may be tried again after a refusal, zero if it
+	// is not held back.
+	HeldUntil time.Time     `json:"heldUntil,omitzero"`
+	Attempts  []AttemptView `json:"attempts,omitempty"`
+}
+
+// AttemptView is one attempt that may run.
+type AttemptView struct {
+	Task    string         `json:"task"`
+	Attempt int            `json:"attempt"`
+	Worker  model.WorkerID `json:"worker"`
+	Phase   string         `json:"phase"`
+	// Percent is how much of its work is done, Throttle the share of its speed
+	// at which it works.
+	Percent  int `json:"percent"`
+	Throttle int `json:"throttle"`
+}
+
+var phaseNames = [...]string{"starting", "running", "doubtful", "stopping"}
+
+// Inspect returns what is believed of a job. The second result is false for one
+// that is over or not known.
+func (m *Machine) Inspect(id job.ID) (JobView, bool) {
+	j := m.jobs[id]
+	if j == nil {
+		return JobView{}, false
+	}
+	view := m.brief(j)
+	for number := range j.next {
+		o := j.occurrences[number]
+		if o == nil {
+			continue
+		}
+		for _, s := range o.steps {
+			if s.left > 0 {
+				view.Steps = append(view.Steps, m.stepView(s))
+			}
+		}
+	}
+	return view, true
+}
+
+// List returns the jobs that are not over, without their steps, the longest
+// accepted first and at most limit of them.
+func (m *Machine) List(limit int) []JobView {
+	views := make([]JobView, 0, len(m.jobs))
+	for _, j := range m.jobs {
+		views = append(views, m.brief(j))
+	}
+	slices.SortFunc(views, func(a, b JobView) int {
+		return cmp.Or(cmp.Compare(a.AcceptedMs, b.AcceptedMs), cmp.Compare(a.ID, b.ID))
+	})
+	return views[:min(len(views), limit)]
+}
+
+func (m *Machine) brief(j *jobState) JobView {
+	q := m.queue(j)
+	return JobView{
+		ID: j.id, Queue: q.Name, Priority: q.Priority, State: j.state, AcceptedMs: j.record.AtMs,
+		ConfigVersion: j.record.ConfigVersion, Attempts: j.attempts,
+	}
+}
+
+func (m *Machine) stepView(s *step) StepView {
+	view := StepView{Name: s.name(), Done: len(s.tasks) - s.left, Blocked: s.blocking}
+	for _, t := range s.tasks {
+		switch {
+		case t.done:
+		case t.idle():
+			view.Waiting++
+		default:
+			view.Running++
+		}
+		for _, a := range t.attempts {
+			view.Attempts = append(view.Attempts, a.view())
+		}
+	}
+	if view.Waiting > 0 && view.Blocked == 0 {
+		view.RuledOut = m.ruledOut(s)
+	}
+	if s.notBefore.After(m.now) {
+		view.HeldUntil = s.notBefore
+	}
+	return view
+}
+
+func (a *attempt) view() AttemptView {
+	return AttemptView{
+		Task: a.key.task.String(), Attempt: a.key.attempt, Worker: a.worker.id, Phase: phaseNames[a.phase],
+		Percent: a.percent, Throttle: a.throttle,
+	}
+}
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/joblog"
 )
 
 // attemptGap is what a leader that takes over adds to the attempt numbers of
@@ -20,9 +21,9 @@
 	j := m.jobs[ev.ID]
 	if j == nil {
 		j = m.addJob(ev.ID, ev.Record)
-		m.emit(Note{Decision: "job taken in", Job: ev.ID, Reason: fmt.Sprintf(
+		m.emit(Note{Decision: joblog.MessageTakenIn, Job: ev.ID, Reason: fmt.Sprintf(
 			"queue %s, accepted %s ago under configuration %d", ev.Record.Queue.Name,
-			m.wall.Sub(j.submitted()).Round(time.Millisecond), ev.Record.ConfigVersion)})
+			m.age(j), ev.Record.ConfigVersion)})
 	}
 	if ev.Record.Canceled && !j.state.Final() {
 		m.conclude(j, job.Canceled, "the caller canceled it")
@@ -157,8 +158,8 @@
 // conclude gives a job its final state and stops what is left of it.
 func (m *Machine) conclude(j *jobState, state job.State, reason string) {
 	j.state = state
-	m.emit(Note{Decision: "job " + string(state), Job: j.id, Reason: fmt.Sprintf("%s; accepted %s ago",
-		reason, m.wall.Sub(j.submitted()).Round(time.Millisecond))})
+	m.emit(Note{Decision: joblog.MessageFinal(state), Job: j.id, Reason: fmt.Sprintf("%s; accepted %s ago",
+		reason, m.age(j))})
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			delete(m.pending, s)
@@ -267,3 +268,9 @@
 
 // submitted returns when the job was accepted.
 func (j *jobState) submitted() time.Time { return time.UnixMilli(j.record.AtMs) }
+
+// age returns for how long a job has been accepted. The accepting daemon's
+// clock may be ahead of the leader's.
+func (m *Machine) age(j *jobState) time.Duration {
+	return max(m.wall.Sub(j.submitted()), 0).Round(time.Millisecond)
+}
--- a/core/jobsched/note.go
+++ b/core/jobsched/note.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/guavarill/guavarill/core/joblog"
 )
 
 // noteAttempt notes a decision on one attempt.
@@ -36,7 +38,7 @@
 	case m.now.Sub(s.waitsSince) >= waitNoted && !m.now.Before(s.noteAt):
 		s.noteAt = m.now.Add(waitNotedAgain)
 		m.emit(Note{
-			Decision: "step waits", Job: s.job().id, Task: s.name(), Routine: !s.spec.LongRunning,
+			Decision: joblog.MessageStepWaits, Job: s.job().id, Task: s.name(), Routine: !s.spec.LongRunning,
 			Reason: fmt.Sprintf("for %s; workers ruled out: %s", m.now.Sub(s.waitsSince).Round(time.Millisecond), m.ruledOut(s)),
 		})
 	}
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/joblog"
 )
 
 const (
@@ -62,7 +63,7 @@
 	reason := fmt.Sprintf("room %s, report %s old, configuration %d, score %.2f", w.room(),
 		m.now.Sub(w.clockAt).Round(time.Millisecond), m.configVersion(), m.score(t, w))
 	a := m.addAttempt(t, w, number, phaseStarting)
-	m.noteAttempt("attempt started", a, reason)
+	m.noteAttempt(joblog.MessageStarted, a, reason)
 	m.emit(Start{
 		Order: m.order(w), Key: a.key.task, Attempt: number, Payload: t.step.job().record.Spec.Payload,
 		UntilMs: w.until(m.now, m.options.Lease), Checkpoint: t.startCheckpoint(),
@@ -115,7 +116,7 @@
 	case VerdictNoTicket:
 		a.step().advice.reject(w.id)
 	}
-	m.noteAttempt("start refused", a, ev.Verdict.String())
+	m.noteAttempt(joblog.MessageStartRefused, a, ev.Verdict.String())
 	if w.renewAt.After(m.now) {
 		w.renewAt = m.now
 	}
@@ -156,7 +157,7 @@
 // the task waits until that is certain.
 func (m *Machine) doubt(a *attempt) {
 	a.phase = phaseDoubtful
-	m.noteAttempt("start unanswered", a, "it is barred before the task starts elsewhere")
+	m.noteAttempt(joblog.MessageUnanswered, a, "it is barred before the task starts elsewhere")
 	m.stops[a] = struct{}{}
 	a.worker.closedUntil = m.now.Add(unhealthyPause)
 }
@@ -168,7 +169,7 @@
 	}
 	a.phase = phaseStopping
 	m.stops[a] = struct{}{}
-	m.noteAttempt("attempt stopped", a, reason)
+	m.noteAttempt(joblog.MessageStopped, a, reason)
 }
 
 // sendStops sends the stops that are due, and again those without an answer.
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/guavarill/guavarill/core/joblog"
 )
 
 const (
@@ -130,7 +132,7 @@
 	if a == nil {
 		return
 	}
-	m.noteAttempt("attempt ended", a, string(e.Cause))
+	m.noteAttempt(joblog.MessageEnded, a, string(e.Cause))
 	m.endAttempt(a, e.Cause, e.Checkpoint)
 }
 
@@ -164,7 +166,7 @@
 	}
 	for _, a := range sortedAttempts(w) {
 		if _, ok := listed[a.key]; !ok && a.overBefore(sentAt) {
-			m.noteAttempt("attempt not there", a, "not in the worker's report")
+			m.noteAttempt(joblog.MessageNotThere, a, "not in the worker's report")
 			m.endAttempt(a, endLost, "")
 		}
 	}
@@ -200,7 +202,7 @@
 		return a
 	}
 	m.begun(t)
-	m.noteAttempt("attempt adopted", a, "an earlier leader started it")
+	m.noteAttempt(joblog.MessageAdopted, a, "an earlier leader started it")
 	return a
 }
 
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/guavarill/guavarill/core/joblog"
 	"github.com/guavarill/guavarill/core/model"
 )
 
@@ -81,7 +82,7 @@
 func (m *Machine) loseAttempts(w *worker, reason string) {
 	for _, a := range sortedAttempts(w) {
 		w.lost[a.key] = struct{}{}
-		m.noteAttempt("attempt lost", a, reason)
+		m.noteAttempt(joblog.MessageLost, a, reason)
 		m.endAttempt(a, endLost, "")
 	}
 }
@@ -108,7 +109,7 @@
 func (m *Machine) silent(w *worker, sentAt time.Time) {
 	if w.silentSince.IsZero() {
 		w.silentSince = sentAt
-		m.emit(Note{Decision: "worker silent", Worker: w.id, Reason: "no answer"})
+		m.emit(Note{Decision: joblog.MessageWorkerSilent, Worker: w.id, Reason: "no answer"})
 	}
 }
 
--- a/jobservice/campaign.go
+++ b/jobservice/campaign.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/guavarill/guavarill/core/joblog"
 	"github.com/guavarill/guavarill/core/jobsched"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/port"
@@ -36,7 +37,7 @@
 		return nil, err
 	}
 	l.extend(grantedAt)
-	l.log.WithFields(logrus.Fields{"epoch": won, "lease": lease}).Info("leads")
+	l.log.WithFields(logrus.Fields{"epoch": won, "lease": lease}).Info(joblog.MessageLeads)
 	return l.take(ctx, lease, won)
 }
 
@@ -160,7 +161,7 @@
 		l.kept = nil
 		t.lease, t.epoch, t.ledger = lease, model.Epoch(revision), revision
 		t.machine.Resume(l.o.Clock.Now(), t.epoch)
-		l.log.WithField("epoch", revision).Info("goes on with the state it had")
+		l.log.WithField("epoch", revision).Info(joblog.MessageGoesOn)
 		return t, nil
 	}
 	t := &term{
--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/jobsched"
 	"github.com/guavarill/guavarill/port"
@@ -67,6 +69,24 @@
 	summaryMaxAge = 2500 * time.Millisecond
 )
 
+// Submit checks a job and stores it for a queue, as it is in a version of the
+// configuration. The error is a *job.InvalidError, or one of Accept's.
+func (in *Intake) Submit(ctx context.Context, id job.ID, spec *job.Spec, q *job.Queue, configVersion uint64) error {
+	if err := spec.Check(); err != nil {
+		return err
+	}
+	return in.Accept(ctx, id, &job.Accepted{
+		Spec: *spec, Queue: *q, ConfigVersion: configVersion, AtMs: in.clock.Wall().UnixMilli(),
+	})
+}
+
+// AcceptedFields returns the fields of the log line of a job that was accepted.
+func AcceptedFields(id job.ID, spec *job.Spec, q *job.Queue, configVersion uint64) logrus.Fields {
+	return logrus.Fields{
+		"job": id, "queue": q.Name, "configuration": configVersion, "steps": len(spec.Steps), "chainMs": spec.ChainMs(),
+	}
+}
+
 // Accept stores a job unless it is there already, under its id. The error is an
 // *UnavailableError when the job is not stored and will not be, and an
 // *UncertainError when it may be.
--- a/jobservice/leader.go
+++ b/jobservice/leader.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/guavarill/guavarill/core/joblog"
 	"github.com/guavarill/guavarill/core/jobsched"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/port"
@@ -27,12 +28,15 @@
 	// were left out since the last line. Both belong to the control goroutine.
 	routine *rate.Limiter
 	leftOut int
+	// questions are put to the machine by its control goroutine.
+	questions chan func(*jobsched.Machine)
 }
 
 // NewLeader makes a Leader; Run starts it.
 func NewLeader(o Options) *Leader {
 	return &Leader{
 		o: o, log: o.Log.WithField("component", "leader"), routine: rate.NewLimiter(routineLines, routineBurst),
+		questions: make(chan func(*jobsched.Machine)),
 	}
 }
 
@@ -88,14 +92,14 @@
 		t.finish()
 		l.revoke(t.lease)
 		l.o.Metrics.terms.WithLabelValues("stopped").Inc()
-		l.log.Info("gave the lead up")
+		l.log.Info(joblog.MessageGaveUp)
 	case deposed:
 		l.o.Metrics.terms.WithLabelValues("deposed").Inc()
-		l.log.WithField("epoch", t.epoch).Warn("lost the lead to another daemon")
+		l.log.WithField("epoch", t.epoch).Warn(joblog.MessageDeposed)
 	default:
 		l.kept = t
 		l.o.Metrics.terms.WithLabelValues("lease lost").Inc()
-		l.log.WithField("epoch", t.epoch).Warn("lost the lead: the store did not renew the lease")
+		l.log.WithField("epoch", t.epoch).Warn(joblog.MessageLeadLostStore)
 	}
 }
 
--- a/jobservice/records.go
+++ b/jobservice/records.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/guavarill/guavarill/core/joblog"
 	"github.com/guavarill/guavarill/port"
 )
 
@@ -143,7 +144,7 @@
 	}
 	if !s.away.Swap(true) {
 		s.metrics.storeAway.Inc()
-		s.log.WithError(err).Warn("lost the store; other daemons are asked")
+		s.log.WithError(err).Warn(joblog.MessageStoreLost)
 	}
 }
 
@@ -169,7 +170,7 @@
 		return
 	}
 	s.away.Store(false)
-	s.log.Info("the store answers again")
+	s.log.Info(joblog.MessageStoreRegained)
 }
 
 func (s *SharedRecords) readMembers(ctx context.Context) {
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -90,6 +90,8 @@
 		case <-ctx.Done():
 			return false
 		case <-timer.C:
+		case ask := <-t.leader.questions:
+			ask(t.machine)
 		case ev := <-t.events:
 			if t.handle(ev) {
 				return true
--- /dev/null
+++ b/standin/platform/site.go
@@ -0,0 +1,134 @@
+package platform
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// Queue is a queue as the operator writes it.
+type Queue struct {
+	Name        string  `json:"name"`
+	Host        string  `json:"host"`
+	Prefix      string  `json:"prefix"`
+	Service     string  `json:"service"`
+	Priority    int     `json:"priority"`
+	MaxAttempts int     `json:"maxAttempts"`
+	Stretch     float64 `json:"stretch"`
+}
+
+// The one pool of workers of a Site, and their zone.
+const (
+	sitePool = "pool"
+	siteZone = "z"
+)
+
+// JobsQueue returns a queue for the pool of a Site.
+func JobsQueue() Queue {
+	return Queue{
+		Name: "jobs", Host: "jobs.example", Prefix: "/jobs/", Service: sitePool, MaxAttempts: 3, Stretch: 1.5,
+	}
+}
+
+// Site is a store and workers on loopback, without daemons.
+type Site struct {
+	Store *Store
+	// Audit sees every start and end at the workers.
+	Audit *Audit
+	// Workers are those that were added, by id.
+	Workers map[string]*SiteWorker
+
+	server  *httptest.Server
+	version int
+}
+
+// SiteWorker is a worker that serves at an address.
+type SiteWorker struct {
+	*Worker
+	server *httptest.Server
+	labels []string
+}
+
+// NewSite starts a site without workers and without configuration.
+func NewSite() *Site {
+	s := &Site{Store: NewStore(), Audit: NewAudit(), Workers: make(map[string]*SiteWorker)}
+	s.server = httptest.NewServer(s.Store)
+	return s
+}
+
+// Close ends the store and the workers.
+func (s *Site) Close() {
+	for _, w := range s.Workers {
+		w.server.CloseClientConnections()
+		w.server.Close()
+	}
+	s.server.CloseClientConnections()
+	s.server.Close()
+}
+
+// StoreAddress returns the store's host:port.
+func (s *Site) StoreAddress() string { return s.server.Listener.Addr().String() }
+
+// Configure writes the next version of the operator's configuration.
+func (s *Site) Configure(queues ...Queue) {
+	s.version++
+	s.Store.Put("op/config", map[string]any{
+		"version": s.version, "routes": queues,
+		"services": []map[string]any{{"name": sitePool, "admissionCheck": true}},
+		"limits":   map[string]any{"maxBodyBytes": 65536},
+	})
+}
+
+// AddWorker starts a worker with 16 cores whose tasks take taskTime, or run
+// until they are stopped when that is 0, and lists it.
+func (s *Site) AddWorker(id string, taskTime time.Duration, labels ...string) *SiteWorker {
+	w := &SiteWorker{Worker: NewWorker(id, taskTime, s.Audit), labels: append([]string{"a", "r1"}, labels...)}
+	w.server = httptest.NewServer(w.Worker)
+	s.Workers[id] = w
+	s.List(id, "ready")
+	return w
+}
+
+// List writes a worker's entry in the list of workers.
+func (s *Site) List(id, state string) {
+	w := s.Workers[id]
+	s.Store.Put("servers/"+id, Entry{
+		Service: sitePool, Address: w.server.Listener.Addr().String(), Zone: siteZone, State: state,
+		Capacity: map[string]int{"cpu": 16000, "memMb": 64000}, Labels: w.labels,
+	})
+}
+
+// LoseWorker ends a worker without a word.
+func (s *Site) LoseWorker(id string) {
+	s.Workers[id].Stop()
+	s.Store.Delete("servers/" + id)
+}
+
+// lastVM numbers the VMs of all sites of the process.
+var lastVM atomic.Int32
+
+// newVM returns a loopback address of its own, so that the ports of a VM are
+// free: nothing else listens there. A port found free at a shared address may
+// be taken by another process before the daemon listens.
+func newVM() string {
+	n := lastVM.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+n/250, 1+n%250)
+}
+
+// SettingsFile returns the settings that the platform gives to a daemon on a VM
+// of its own.
+func (s *Site) SettingsFile(daemon string) []byte {
+	ip := newVM()
+	return fmt.Appendf(nil, `nodeName: %s
+zone: %s
+ip: %s
+internalPorts: [7720]
+listen: {front: "%s:8161", readiness: "%s:8167"}
+limits: {memoryMb: 284}
+bounds: {maxHoldMs: 3000, stopMs: 400, graceS: 6, status_s: 120, paceMs: 100}
+platform: {address: "%s", minTtlMs: 1000}
+advice: "127.0.0.1:1"
+`, daemon, siteZone, ip, ip, ip, s.StoreAddress())
+}
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -276,11 +276,12 @@
 	}
 	reply := orderAnswer{ClockMs: w.clock()}
 	for task, r := range w.running {
+		// Tasks without an end are at work from the start.
 		percent := 100
 		if w.TaskTime > 0 {
-			percent = int(100 * time.Since(r.began) / w.TaskTime)
+			percent = min(int(100*time.Since(r.began)/w.TaskTime), 99)
 		}
-		reply.Running = append(reply.Running, []any{task, r.number, "", min(percent, 99), 0})
+		reply.Running = append(reply.Running, []any{task, r.number, "", percent, 0})
 	}
 	for _, e := range w.finished {
 		reply.Finished = append(reply.Finished, []any{e.number, e.task, e.run, e.how, ""})
