--- a/core/jobsched/advice.go
+++ b/core/jobsched/advice.go
@@ -68,7 +68,7 @@
 		return
 	}
 	var ask []*worker
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		_, denied := s.advice.denied[w.id]
 		if denied || s.advice.valid(w.id, m.now) || !m.allowedButTicket(s.tasks[0], w) {
 			continue
--- a/core/jobsched/commit.go
+++ b/core/jobsched/commit.go
@@ -45,7 +45,7 @@
 	if c.inFlight || m.now.Sub(c.sentAt) < commitInterval {
 		return
 	}
-	nothing := len(m.dirty) == 0 && len(m.removals) == 0 && !m.rosterChanged
+	nothing := m.dirty.Len() == 0 && len(m.removals) == 0 && !m.rosterChanged
 	if nothing {
 		m.acknowledgeEnds(m.takenEnds())
 		if m.now.Sub(c.sentAt) < summaryInterval {
@@ -63,7 +63,7 @@
 		c.learnedAt = m.now
 	}
 	c.ends = nil
-	if len(m.dirty) == 0 {
+	if m.dirty.Len() == 0 {
 		c.ends = m.takenEnds()
 	}
 	c.number++
@@ -76,8 +76,8 @@
 func (m *Machine) fillCommit(commit *Commit) []job.ID {
 	var ids []job.ID
 	entries := 0
-	for id := range m.dirty {
-		j := m.jobs[id]
+	for id := range m.dirty.All() {
+		j := m.jobs.Get(id)
 		final := j.state.Final()
 		if entries++; final {
 			entries++
@@ -90,7 +90,7 @@
 			commit.RemoveAccepted = append(commit.RemoveAccepted, id)
 		}
 		ids = append(ids, id)
-		delete(m.dirty, id)
+		m.dirty.Delete(id)
 	}
 	room := max(commitRecords-entries, 0)
 	n := min(room, len(m.removals))
@@ -101,7 +101,7 @@
 
 func (m *Machine) takenEnds() map[model.WorkerID]int64 {
 	ends := make(map[model.WorkerID]int64)
-	for id, w := range m.workers {
+	for id, w := range m.workers.All() {
 		if w.seenEnds > w.ackedEnds {
 			ends[id] = w.seenEnds
 		}
@@ -111,7 +111,7 @@
 
 func (m *Machine) acknowledgeEnds(ends map[model.WorkerID]int64) {
 	for id, number := range ends {
-		w := m.workers[id]
+		w := m.workers.Get(id)
 		if w == nil || number <= w.ackedEnds {
 			continue
 		}
@@ -128,7 +128,7 @@
 	c.inFlight = false
 	m.acknowledgeEnds(c.ends)
 	for _, id := range c.jobs {
-		if j := m.jobs[id]; j != nil {
+		if j := m.jobs.Get(id); j != nil {
 			m.dropIfOver(j)
 		}
 	}
@@ -141,9 +141,9 @@
 
 // roster returns the workers on which attempts may run, now or soon.
 func (m *Machine) roster() ([]WorkerEntry, []*worker) {
-	entries := make([]WorkerEntry, 0, len(m.workers))
-	workers := make([]*worker, 0, len(m.workers))
-	for _, w := range m.workers {
+	entries := make([]WorkerEntry, 0, m.workers.Len())
+	workers := make([]*worker, 0, m.workers.Len())
+	for _, w := range m.workers.All() {
 		entries = append(entries, w.entry)
 		workers = append(workers, w)
 	}
--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -58,7 +58,7 @@
 		return true
 	}
 	count := 0
-	for _, a := range w.attempts {
+	for _, a := range w.attempts.All() {
 		if a.step() == s || a.task == nil && a.key.task.StepName() == s.name() {
 			count++
 		}
@@ -71,7 +71,7 @@
 	if !w.health.probing(m.now) {
 		return true
 	}
-	for _, a := range w.attempts {
+	for _, a := range w.attempts.All() {
 		if a.phase == phaseStarting || a.startedAt.After(w.health.failedAt) {
 			return false
 		}
--- a/core/jobsched/inspect.go
+++ b/core/jobsched/inspect.go
@@ -59,7 +59,7 @@
 // Inspect returns what is believed of a job. The second result is false for one
 // that is over or not known.
 func (m *Machine) Inspect(id job.ID) (JobView, bool) {
-	j := m.jobs[id]
+	j := m.jobs.Get(id)
 	if j == nil {
 		return JobView{}, false
 	}
@@ -81,8 +81,8 @@
 // List returns the jobs that are not over, without their steps, the longest
 // accepted first and at most limit of them.
 func (m *Machine) List(limit int) []JobView {
-	views := make([]JobView, 0, len(m.jobs))
-	for _, j := range m.jobs {
+	views := make([]JobView, 0, m.jobs.Len())
+	for _, j := range m.jobs.All() {
 		views = append(views, m.brief(j))
 	}
 	slices.SortFunc(views, func(a, b JobView) int {
--- a/core/jobsched/interference.go
+++ b/core/jobsched/interference.go
@@ -78,7 +78,7 @@
 
 // learn takes in the readings of a worker's report.
 func (m *Machine) learn(w *worker) {
-	for _, a := range w.attempts {
+	for _, a := range w.attempts.All() {
 		if !a.serving() || a.learnKey.Generation == 0 {
 			continue
 		}
@@ -141,7 +141,7 @@
 	m.refreshEffects()
 	effects := m.effects.effects[victim.image]
 	sum := 0.0
-	for _, a := range victim.worker.attempts {
+	for _, a := range victim.worker.attempts.All() {
 		if a.bestEffortCPU > 0 && a.learnKey.Generation != 0 {
 			sum += effects[a.image] * float64(a.throttle) / fullSpeed
 		}
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -18,7 +18,7 @@
 	if _, over := m.final[ev.ID]; over {
 		return
 	}
-	j := m.jobs[ev.ID]
+	j := m.jobs.Get(ev.ID)
 	if j == nil {
 		j = m.addJob(ev.ID, ev.Record)
 		m.emit(Note{Decision: joblog.MessageTakenIn, Job: ev.ID, Reason: fmt.Sprintf(
@@ -33,7 +33,7 @@
 
 func (m *Machine) addJob(id job.ID, record *job.Accepted) *jobState {
 	j := &jobState{id: id, record: record, state: job.Queued, occurrences: make(map[int]*occurrence)}
-	m.jobs[id] = j
+	m.jobs.Set(id, j)
 	return j
 }
 
@@ -84,7 +84,7 @@
 		for _, t := range s.tasks {
 			t.last = gap
 		}
-		m.pending[s] = struct{}{}
+		m.pending.Set(s, struct{}{})
 	}
 	if m.unwanted > 0 {
 		m.claimUnwanted(o)
@@ -97,8 +97,8 @@
 // begun. They were started by an earlier leader which knew the job first, and
 // are being stopped; until they are over, their tasks must not start again.
 func (m *Machine) claimUnwanted(o *occurrence) {
-	for _, w := range m.workers {
-		for _, a := range w.attempts {
+	for _, w := range m.workers.All() {
+		for _, a := range w.attempts.All() {
 			key := a.key.task
 			if a.task != nil || key.Job != o.job.id || key.Occurrence != o.number {
 				continue
@@ -119,7 +119,7 @@
 
 // beginDue begins what has become due.
 func (m *Machine) beginDue() {
-	for _, j := range m.jobs {
+	for _, j := range m.jobs.All() {
 		for !j.state.Final() && j.next < j.total() && m.due(j) {
 			// A recovered job's next repetition may have begun unrecorded.
 			gap := 0
@@ -160,9 +160,13 @@
 	j.state = state
 	m.emit(Note{Decision: joblog.MessageFinal(state), Job: j.id, Reason: fmt.Sprintf("%s; accepted %s ago",
 		reason, m.age(j))})
-	for _, o := range j.occurrences {
+	for number := range j.next {
+		o := j.occurrences[number]
+		if o == nil {
+			continue
+		}
 		for _, s := range o.steps {
-			delete(m.pending, s)
+			m.pending.Delete(s)
 			for _, t := range s.tasks {
 				for _, a := range slices.Clone(t.attempts) {
 					m.requestStop(a, "job "+string(state))
@@ -183,18 +187,18 @@
 
 // dropIfOver forgets a job that is over and stored and has no attempts.
 func (m *Machine) dropIfOver(j *jobState) {
-	_, dirty := m.dirty[j.id]
+	dirty := m.dirty.Has(j.id)
 	if j.state.Final() && j.attempts == 0 && !dirty {
-		delete(m.jobs, j.id)
+		m.jobs.Delete(j.id)
 	}
 }
 
-func (m *Machine) markDirty(j *jobState) { m.dirty[j.id] = struct{}{} }
+func (m *Machine) markDirty(j *jobState) { m.dirty.Set(j.id, struct{}{}) }
 
 // task returns the task with the key, or nil when its job is over or unknown
 // or the task has not become due.
 func (m *Machine) task(key job.TaskKey) *task {
-	j := m.jobs[key.Job]
+	j := m.jobs.Get(key.Job)
 	if j == nil || j.state.Final() {
 		return nil
 	}
@@ -216,7 +220,7 @@
 		m.requestStop(a, "another attempt is done")
 	}
 	for _, s := range o.taskDone(t) {
-		m.pending[s] = struct{}{}
+		m.pending.Set(s, struct{}{})
 	}
 	m.markDirty(o.job)
 	m.changed = true
@@ -258,7 +262,7 @@
 // waiting counts, by queue, the jobs without a schedule that have not begun.
 func (m *Machine) waiting() map[string]int {
 	counts := make(map[string]int)
-	for _, j := range m.jobs {
+	for _, j := range m.jobs.All() {
 		if !j.begun && !j.state.Final() && j.record.Spec.Schedule == nil {
 			counts[j.record.Queue.Name]++
 		}
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -1,11 +1,14 @@
 package jobsched
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/guavarill/guavarill/core/interference"
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/ordered"
 )
 
 // Options are the figures that the platform's contract gives.
@@ -29,32 +32,32 @@
 	epoch   model.Epoch
 	config  *job.Config
 
-	jobs map[job.ID]*jobState
+	jobs ordered.Map[job.ID, *jobState]
 	// final holds the jobs whose state is final, with the time at which their
 	// records may go.
 	final map[job.ID]time.Time
 	// expiry lists the ids of final in the order of their times.
 	expiry []job.ID
 
-	workers map[model.WorkerID]*worker
+	workers ordered.Map[model.WorkerID, *worker]
 	// pending holds the steps that are ready and may have idle tasks.
-	pending map[*step]struct{}
+	pending ordered.Map[*step, struct{}]
 	// recoveredAt is when the machine took over.
 	recoveredAt time.Time
 	// unresolved holds the workers on which an earlier leader may have started
 	// what the machine does not know, until the time given.
-	unresolved    map[model.WorkerID]time.Time
+	unresolved    ordered.Map[model.WorkerID, time.Time]
 	listed        bool
 	rosterChanged bool
 	deposed       bool
 	// stops holds the attempts whose stop has not been acknowledged.
-	stops map[*attempt]struct{}
+	stops ordered.Map[*attempt, struct{}]
 	// sweptAt is when every attempt was looked at last.
 	sweptAt time.Time
 	// unwanted counts the attempts that no task wants.
 	unwanted int
 
-	dirty       map[job.ID]struct{}
+	dirty       ordered.Map[job.ID, struct{}]
 	removals    []job.ID
 	commit      commitState
 	scheduledAt time.Time
@@ -92,18 +95,17 @@
 func New(now time.Time, epoch model.Epoch, o Options, r Recovered) *Machine {
 	m := &Machine{
 		options: o, epoch: epoch, config: r.Config, now: now, recoveredAt: now,
-		jobs: make(map[job.ID]*jobState), final: make(map[job.ID]time.Time),
-		workers: make(map[model.WorkerID]*worker), pending: make(map[*step]struct{}),
-		unresolved: make(map[model.WorkerID]time.Time), dirty: make(map[job.ID]struct{}),
-		stops: make(map[*attempt]struct{}), learner: interference.New(learnerOptions()), unplaced: make(map[shape][]model.Resources),
+		final: make(map[job.ID]time.Time), learner: interference.New(learnerOptions()), unplaced: make(map[shape][]model.Resources),
 	}
 	m.learner.Import(now, r.Learned)
-	for id, progress := range r.Progress {
+	for _, id := range slices.Sorted(maps.Keys(r.Progress)) {
+		progress := r.Progress[id]
 		if progress.State.Final() {
 			m.remember(id)
 		}
 	}
-	for id, accepted := range r.Accepted {
+	for _, id := range slices.Sorted(maps.Keys(r.Accepted)) {
+		accepted := r.Accepted[id]
 		if _, over := m.final[id]; !over {
 			m.recoverJob(id, accepted, r.Progress[id])
 		}
@@ -111,7 +113,7 @@
 	for _, entry := range r.Roster {
 		w := newWorker(entry)
 		w.onRoster = true
-		m.workers[entry.ID] = w
+		m.workers.Set(entry.ID, w)
 		m.awaitWorker(w)
 	}
 	return m
@@ -122,7 +124,7 @@
 func (m *Machine) Resume(now time.Time, epoch model.Epoch) {
 	m.now = now
 	m.epoch = epoch
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		w.renewAt = now
 	}
 }
@@ -238,8 +240,8 @@
 
 // Jobs returns how many jobs are not over, and how many attempts may run.
 func (m *Machine) Jobs() (jobs, attempts int) {
-	for _, w := range m.workers {
-		attempts += len(w.attempts)
+	for _, w := range m.workers.All() {
+		attempts += w.attempts.Len()
 	}
-	return len(m.jobs), attempts
+	return m.jobs.Len(), attempts
 }
--- a/core/jobsched/note.go
+++ b/core/jobsched/note.go
@@ -57,7 +57,7 @@
 // ruledOut counts the workers by the first reason for which they do not do.
 func (m *Machine) ruledOut(s *step) string {
 	counts := make([]int, len(filterNames))
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		for i, f := range filterNames {
 			if !f.filter(m, s.tasks[0], w) {
 				counts[i]++
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -50,7 +50,7 @@
 		key: attemptKey{task: r.Key, attempt: r.Attempt}, worker: w, phase: phaseRunning,
 		size: w.entry.Capacity, advancedAt: m.now, throttle: fullSpeed,
 	}
-	if j := m.jobs[r.Key.Job]; j != nil && r.Key.Step < len(j.record.Spec.Steps) {
+	if j := m.jobs.Get(r.Key.Job); j != nil && r.Key.Step < len(j.record.Spec.Steps) {
 		a.size = j.record.Spec.Steps[r.Key.Step].Committed()
 	}
 	m.unwanted++
@@ -158,7 +158,7 @@
 func (m *Machine) doubt(a *attempt) {
 	a.phase = phaseDoubtful
 	m.noteAttempt(joblog.MessageUnanswered, a, "it is barred before the task starts elsewhere")
-	m.stops[a] = struct{}{}
+	m.stops.Set(a, struct{}{})
 	a.worker.closedUntil = m.now.Add(unhealthyPause)
 }
 
@@ -168,13 +168,13 @@
 		return
 	}
 	a.phase = phaseStopping
-	m.stops[a] = struct{}{}
+	m.stops.Set(a, struct{}{})
 	m.noteAttempt(joblog.MessageStopped, a, reason)
 }
 
 // sendStops sends the stops that are due, and again those without an answer.
 func (m *Machine) sendStops() {
-	for a := range m.stops {
+	for a := range m.stops.All() {
 		if m.now.Sub(a.stopSentAt) >= stopRetry {
 			a.stopSentAt = m.now
 			m.emit(Stop{Order: m.order(a.worker), Key: a.key.task, Attempt: a.key.attempt})
@@ -191,7 +191,7 @@
 	}
 	switch ev.Verdict {
 	case VerdictDone:
-		delete(m.stops, a)
+		m.stops.Delete(a)
 		a.barredAt = m.now
 		if !w.renewing {
 			w.renewAt = m.now
@@ -208,13 +208,13 @@
 	if w == nil {
 		return nil, nil
 	}
-	return w, w.attempts[attemptKey{task: name.Key, attempt: name.Attempt}]
+	return w, w.attempts.Get(attemptKey{task: name.Key, attempt: name.Attempt})
 }
 
 // endAttempt forgets an attempt and settles its task.
 func (m *Machine) endAttempt(a *attempt, cause EndCause, checkpoint string) {
 	a.worker.remove(a)
-	delete(m.stops, a)
+	m.stops.Delete(a)
 	m.countVictim(a, -1)
 	m.learnStop(a)
 	m.changed = true
@@ -238,7 +238,7 @@
 	}
 	m.settle(t, a, cause)
 	if !j.state.Final() && !t.done {
-		m.pending[t.step] = struct{}{}
+		m.pending.Set(t.step, struct{}{})
 	}
 }
 
@@ -291,7 +291,7 @@
 func (m *Machine) finishMember(t *task) {
 	o := t.step.occurrence
 	for _, s := range o.taskDone(t) {
-		m.pending[s] = struct{}{}
+		m.pending.Set(s, struct{}{})
 	}
 	m.markDirty(o.job)
 	m.changed = true
--- a/core/jobsched/preempt.go
+++ b/core/jobsched/preempt.go
@@ -58,7 +58,7 @@
 
 // isReserved reports whether room is being made for the task already.
 func (m *Machine) isReserved(t *task) bool {
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		if slices.ContainsFunc(w.reserved, func(r reservation) bool { return r.task == t }) {
 			return true
 		}
@@ -79,7 +79,7 @@
 	var best *worker
 	var victims []*attempt
 	lost := 0.0
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		if !m.passes(fitFilters, t, w) || !filterSpread(m, t, w) {
 			continue
 		}
@@ -107,7 +107,7 @@
 	room := w.roomFor(t)
 	var victims []*attempt
 	cost := 0.0
-	for _, a := range w.attempts {
+	for _, a := range w.attempts.All() {
 		if a.phase == phaseStopping {
 			room = room.Add(a.size)
 		}
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -28,7 +28,7 @@
 
 // sendRenewals looks at every worker whose turn has come.
 func (m *Machine) sendRenewals() {
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		if w.renewing || m.now.Before(w.renewAt) {
 			continue
 		}
@@ -36,7 +36,7 @@
 		r := Renew{Order: m.order(w), AckedEnds: w.ackedEnds}
 		// The lease of a worker that does not answer is not renewed: the call may
 		// reach it all the same, and its attempts could never be declared lost.
-		if len(w.attempts) > 0 && w.silentSince.IsZero() {
+		if w.attempts.Len() > 0 && w.silentSince.IsZero() {
 			r.UntilMs = w.until(m.now, m.options.Lease)
 			if w.answered && !unstored {
 				r.Wait = renewWait
@@ -84,7 +84,7 @@
 	switch {
 	case w.seenEnds > w.ackedEnds:
 		return m.now.Add(unstoredInterval)
-	case len(w.attempts) == 0:
+	case w.attempts.Len() == 0:
 		return m.now.Add(idleInterval)
 	}
 	return m.now
@@ -125,7 +125,7 @@
 		}
 		return
 	}
-	a := w.attempts[key]
+	a := w.attempts.Get(key)
 	if a == nil {
 		a = m.adoptEnded(w, e)
 	}
@@ -154,7 +154,7 @@
 		r := &report.Running[i]
 		key := attemptKey{task: r.Key, attempt: r.Attempt}
 		listed[key] = struct{}{}
-		a := w.attempts[key]
+		a := w.attempts.Get(key)
 		if a == nil {
 			a = m.adoptRunning(w, r)
 		}
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -11,7 +11,7 @@
 
 // schedule starts what is ready and fits, the most urgent first.
 func (m *Machine) schedule() {
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		w.release(m.now)
 		m.startReserved(w)
 	}
@@ -38,14 +38,14 @@
 
 // pendingSteps returns the steps that are ready, the most urgent first.
 func (m *Machine) pendingSteps() []pendingStep {
-	steps := make([]pendingStep, 0, len(m.pending))
-	for s := range m.pending {
+	steps := make([]pendingStep, 0, m.pending.Len())
+	for s := range m.pending.All() {
 		if s.ready() {
 			steps = append(steps, pendingStep{
 				step: s, priority: m.queue(s.job()).Priority, lateness: m.lateness(s), objectiveMs: m.objectiveMs(s),
 			})
 		} else if s.left == 0 {
-			delete(m.pending, s)
+			m.pending.Delete(s)
 		}
 	}
 	slices.SortFunc(steps, compareUrgency)
@@ -139,7 +139,7 @@
 		}
 	}
 	if !left {
-		delete(m.pending, s)
+		m.pending.Delete(s)
 		s.waitsSince = time.Time{}
 		return
 	}
@@ -187,7 +187,7 @@
 func (m *Machine) choose(t *task) *worker {
 	var best *worker
 	bestScore := 0.0
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		if !m.allowed(t, w) {
 			continue
 		}
@@ -220,7 +220,7 @@
 		t.last = number
 		m.startAttempt(t, placed[i], number+1)
 	}
-	delete(m.pending, s)
+	m.pending.Delete(s)
 }
 
 // placeGang finds a worker for each member, on one rack where that matters and
@@ -264,7 +264,7 @@
 		return m.choose(t)
 	}
 	var best *worker
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		if w.entry.Rack != rack || !m.allowed(t, w) {
 			continue
 		}
@@ -279,7 +279,7 @@
 // processors first.
 func (m *Machine) racks() []model.Rack {
 	free := make(map[model.Rack]int64)
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		free[w.entry.Rack] += w.room().MilliCPU
 	}
 	racks := make([]model.Rack, 0, len(free))
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -48,7 +48,7 @@
 // measurePressure takes in the readings of a new report.
 func (w *worker) measurePressure() {
 	worst := 0.0
-	for _, a := range w.attempts {
+	for _, a := range w.attempts.All() {
 		if a.serving() {
 			worst = max(worst, float64(a.reading)/float64(a.step().spec.LatencyTargetMs))
 		}
@@ -99,7 +99,7 @@
 
 // disturbed reports whether a best-effort attempt on w is known to disturb.
 func (m *Machine) disturbed(w *worker) bool {
-	for _, a := range w.attempts {
+	for _, a := range w.attempts.All() {
 		if m.disturbs(a) {
 			return true
 		}
@@ -127,11 +127,11 @@
 // sendThrottles tells the workers the shares that they do not have yet, and
 // moves work that has stood still for long because it disturbs.
 func (m *Machine) sendThrottles() {
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		if w.bestEffortCPU == 0 {
 			continue
 		}
-		for _, a := range w.attempts {
+		for _, a := range w.attempts.All() {
 			if a.bestEffortCPU == 0 || a.phase != phaseRunning || a.task == nil || a.throttlePending {
 				continue
 			}
@@ -151,7 +151,7 @@
 	if !a.step().spec.Checkpointing && a.percent >= mostLost {
 		return false
 	}
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		if w != a.worker && m.allowed(a.task, w) {
 			return true
 		}
--- a/core/jobsched/watch.go
+++ b/core/jobsched/watch.go
@@ -16,11 +16,11 @@
 
 // watchAttempts stops attempts that are better run elsewhere.
 func (m *Machine) watchAttempts() {
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		if w.entry.Draining {
 			m.evacuate(w)
 		}
-		for _, a := range w.attempts {
+		for _, a := range w.attempts.All() {
 			if a.phase == phaseRunning && w.silentSince.IsZero() {
 				w.health.survived(a.startedAt, m.now)
 			}
@@ -57,7 +57,7 @@
 // once; others go if they resume where they were stopped, and are not likely to
 // be done in time.
 func (m *Machine) evacuate(w *worker) {
-	for _, a := range w.attempts {
+	for _, a := range w.attempts.All() {
 		if a.phase != phaseRunning || a.task == nil || a.step().spec.Gang {
 			continue
 		}
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/ordered"
 )
 
 // worker is the session with one incarnation of a worker.
@@ -34,7 +35,7 @@
 	// consequence is stored.
 	seenEnds  int64
 	ackedEnds int64
-	attempts  map[attemptKey]*attempt
+	attempts  ordered.Map[attemptKey, *attempt]
 	committed model.Resources
 	// bestEffortCPU and longRunningCPU are sums over its attempts, in
 	// thousandths of a core; only the second is committed.
@@ -55,8 +56,7 @@
 
 func newWorker(e WorkerEntry) *worker {
 	return &worker{
-		id: e.ID, entry: e, attempts: make(map[attemptKey]*attempt),
-		lost: make(map[attemptKey]struct{}), throttle: throttleState{percent: fullSpeed, others: fullSpeed},
+		id: e.ID, entry: e, lost: make(map[attemptKey]struct{}), throttle: throttleState{percent: fullSpeed, others: fullSpeed},
 	}
 }
 
@@ -78,7 +78,7 @@
 
 // add takes an attempt in and commits its size.
 func (w *worker) add(a *attempt) {
-	w.attempts[a.key] = a
+	w.attempts.Set(a.key, a)
 	w.committed = w.committed.Add(a.size)
 	w.bestEffortCPU += a.bestEffortCPU
 	if a.longRunning {
@@ -88,7 +88,7 @@
 
 // remove forgets an attempt and frees its size.
 func (w *worker) remove(a *attempt) {
-	delete(w.attempts, a.key)
+	w.attempts.Delete(a.key)
 	w.committed = w.committed.Sub(a.size)
 	w.bestEffortCPU -= a.bestEffortCPU
 	if a.longRunning {
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -14,14 +14,14 @@
 // is over when it says so or when its lease has certainly run out.
 func (m *Machine) workersListed(entries []WorkerEntry) {
 	m.listed = true
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		w.listed = false
 	}
 	for _, e := range entries {
-		w := m.workers[e.ID]
+		w := m.workers.Get(e.ID)
 		if w == nil {
 			w = newWorker(e)
-			m.workers[e.ID] = w
+			m.workers.Set(e.ID, w)
 			m.rosterChanged = true
 			m.emit(Note{Decision: "worker found", Worker: e.ID, Reason: "address " + e.Address + ", rack " + string(e.Rack)})
 		}
@@ -44,7 +44,7 @@
 	bound := m.recoveredAt.Add(m.options.LeaderTTL + m.options.Lease)
 	bound = bound.Add(time.Duration(float64(m.options.Lease)*clockDrift) + leaseSlack)
 	w.leaseBound = bound
-	m.unresolved[w.id] = bound
+	m.unresolved.Set(w.id, bound)
 }
 
 // held reports whether a task must wait because an earlier leader may have
@@ -52,7 +52,7 @@
 // take-over can have been started elsewhere only while that leader may still
 // have been at work.
 func (m *Machine) held(j *jobState) bool {
-	if len(m.unresolved) == 0 {
+	if m.unresolved.Len() == 0 {
 		return !m.listed
 	}
 	return j.recovered || m.now.Before(m.recoveredAt.Add(m.options.LeaderTTL))
@@ -61,13 +61,13 @@
 // expireWorkers settles workers that have not answered for so long that
 // nothing can run there any more.
 func (m *Machine) expireWorkers() {
-	for id, bound := range m.unresolved {
+	for id, bound := range m.unresolved.All() {
 		if !m.now.Before(bound) {
-			delete(m.unresolved, id)
+			m.unresolved.Delete(id)
 			m.changed = true
 		}
 	}
-	for _, w := range m.workers {
+	for _, w := range m.workers.All() {
 		if w.silentSince.IsZero() && w.answered || m.now.Before(w.leaseBound) {
 			continue
 		}
@@ -88,8 +88,8 @@
 }
 
 func (m *Machine) forget(w *worker) {
-	delete(m.workers, w.id)
-	delete(m.unresolved, w.id)
+	m.workers.Delete(w.id)
+	m.unresolved.Delete(w.id)
 	m.rosterChanged = true
 	m.learner.DropWorker(w.id)
 	m.emit(Note{Decision: "worker gone", Worker: w.id, Reason: "not listed, and no answer"})
@@ -99,7 +99,7 @@
 func (m *Machine) workerOver(w *worker) {
 	m.loseAttempts(w, "another incarnation answers at its address")
 	w.closedUntil = m.now.Add(time.Second)
-	delete(m.unresolved, w.id)
+	m.unresolved.Delete(w.id)
 	if !w.listed {
 		m.forget(w)
 	}
@@ -124,20 +124,20 @@
 		w.answered = true
 		m.changed = true
 	}
-	if _, ok := m.unresolved[w.id]; ok {
-		delete(m.unresolved, w.id)
+	if ok := m.unresolved.Has(w.id); ok {
+		m.unresolved.Delete(w.id)
 		m.changed = true
 	}
 }
 
 // worker returns the session with the worker, or nil.
-func (m *Machine) worker(id model.WorkerID) *worker { return m.workers[id] }
+func (m *Machine) worker(id model.WorkerID) *worker { return m.workers.Get(id) }
 
 // sortedAttempts returns the attempts of w in the order of their keys, so that
 // sessions are the same each time.
 func sortedAttempts(w *worker) []*attempt {
-	list := make([]*attempt, 0, len(w.attempts))
-	for _, a := range w.attempts {
+	list := make([]*attempt, 0, w.attempts.Len())
+	for _, a := range w.attempts.All() {
 		list = append(list, a)
 	}
 	slices.SortFunc(list, func(a, b *attempt) int {
