Look for work to displace only where some could yield

Change: a worker knows how much of its commitments could yield and is passed over when that is too little; what fails for want of room, not for its own bounds, counts for all; no sorting by name, as iteration has an order now.

--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -63,6 +63,18 @@
 	throttlePending bool
 }
 
+// yields reports whether the attempt ends, or could be ended for more urgent
+// work.
+func (a *attempt) yields() bool { return !a.longRunning || a.phase == phaseStopping }
+
+// beginStop notes that the attempt is to stop.
+func (a *attempt) beginStop() {
+	if !a.yields() {
+		a.worker.yielding = a.worker.yielding.Add(a.size)
+	}
+	a.phase = phaseStopping
+}
+
 // step returns the step that the attempt works for, or nil.
 func (a *attempt) step() *step {
 	if a.task == nil {
--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -496,6 +496,9 @@
 // whatever it took for granted to save time.
 func (c *cluster) checkRound() {
 	m := c.machine
+	for _, w := range m.workers.All() {
+		c.checkSums(w)
+	}
 	for s := range m.pending.All() {
 		if !s.ready() || s.spec.Gang || m.heldBack(s, m.now) {
 			continue
@@ -511,3 +514,18 @@
 		}
 	}
 }
+
+// checkSums checks the sums that a worker keeps of its attempts.
+func (c *cluster) checkSums(w *worker) {
+	var committed, yielding model.Resources
+	for _, a := range w.attempts.All() {
+		committed = committed.Add(a.size)
+		if a.yields() {
+			yielding = yielding.Add(a.size)
+		}
+	}
+	if committed != w.committed || yielding != w.yielding {
+		c.t.Errorf("%s: %s commits %s of which %s may yield, its attempts %s and %s",
+			c.now.Sub(testEpoch), w.id, w.committed, w.yielding, committed, yielding)
+	}
+}
--- a/core/jobsched/misfit.go
+++ b/core/jobsched/misfit.go
@@ -70,13 +70,26 @@
 	return anyWithin(m.misfits.placed[m.demand(s)], s.spec.Size)
 }
 
-// noteMisfit remembers that no worker has room for a task of the step.
-func (m *Machine) noteMisfit(s *step) {
-	if m.plain(s) {
+// noteMisfit remembers that a task was not placed, unless only its own bounds
+// kept it from a worker that has room.
+func (m *Machine) noteMisfit(t *task) {
+	s := t.step
+	if m.plain(s) || !m.roomAnywhere(t) {
 		note(m.misfits.placed, m.demand(s), s.spec.Size)
 	}
 }
 
+// roomAnywhere reports whether any worker has room for a task, be it allowed
+// there or not.
+func (m *Machine) roomAnywhere(t *task) bool {
+	for _, w := range m.workers.All() {
+		if filterRoom(m, t, w) {
+			return true
+		}
+	}
+	return false
+}
+
 // displacesNothing reports whether it is known that no room can be made for a
 // task of the step.
 func (m *Machine) displacesNothing(s *step) bool {
@@ -84,9 +97,9 @@
 }
 
 // noteNothingDisplaced remembers that no room can be made for a task of the
-// step.
+// step, whatever its bounds.
 func (m *Machine) noteNothingDisplaced(s *step) {
-	if m.plain(s) {
+	if !m.queue(s.job()).Advised {
 		note(m.misfits.displaced, m.claim(s), s.spec.Committed())
 	}
 }
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -135,7 +135,7 @@
 	m.begun(a.task)
 	if doubtful {
 		// A stop is on its way already.
-		a.phase = phaseStopping
+		a.beginStop()
 	}
 }
 
@@ -167,7 +167,7 @@
 	if a.phase == phaseStopping {
 		return
 	}
-	a.phase = phaseStopping
+	a.beginStop()
 	m.stops.Set(a, struct{}{})
 	m.noteAttempt(joblog.MessageStopped, a, reason)
 }
--- a/core/jobsched/preempt.go
+++ b/core/jobsched/preempt.go
@@ -85,20 +85,8 @@
 	if m.displacesNothing(t.step) {
 		return false
 	}
-	var best *worker
-	var victims []*attempt
-	lost := 0.0
-	for _, w := range m.workers.All() {
-		if !m.passes(fitFilters, t, w) || !filterSpread(m, t, w) {
-			continue
-		}
-		list, cost, ok := m.displaced(t, w)
-		if ok && (best == nil || cost < lost) {
-			best, victims, lost = w, list, cost
-		}
-	}
+	best, victims := m.cheapestDisplacement(t)
 	if best == nil {
-		m.noteNothingDisplaced(t.step)
 		return false
 	}
 	t.reservedOn = best
@@ -111,6 +99,37 @@
 	return true
 }
 
+// cheapestDisplacement returns the worker on which room for a task loses least,
+// and what is to be stopped there; no worker when there is none.
+func (m *Machine) cheapestDisplacement(t *task) (*worker, []*attempt) {
+	var best *worker
+	var victims []*attempt
+	lost, anywhere := 0.0, false
+	for _, w := range m.workers.All() {
+		if !w.couldHold(t) || !m.passes(fitFilters, t, w) {
+			continue
+		}
+		list, cost, ok := m.displaced(t, w)
+		if !ok {
+			continue
+		}
+		anywhere = true
+		if filterSpread(m, t, w) && (best == nil || cost < lost) {
+			best, victims, lost = w, list, cost
+		}
+	}
+	if !anywhere {
+		m.noteNothingDisplaced(t.step)
+	}
+	return best, victims
+}
+
+// couldHold reports whether the task would fit if everything on the worker that
+// may yield did. It spares the search on workers that long-running tasks fill.
+func (w *worker) couldHold(t *task) bool {
+	return t.step.spec.Committed().Fits(w.roomFor(t).Add(w.yielding))
+}
+
 // displaced returns attempts on w that leave enough room for the task when they
 // are stopped, those first that lose least, and the work lost in seconds.
 func (m *Machine) displaced(t *task, w *worker) ([]*attempt, float64, bool) {
@@ -142,7 +161,7 @@
 func (m *Machine) lessUrgent(t *task, w *worker) []*attempt {
 	var list []*attempt
 	impatient := m.impatient(t.step)
-	for _, a := range sortedAttempts(w) {
+	for _, a := range w.attempts.All() {
 		if a.phase != phaseRunning || a.task == nil || a.longRunning || a.step().spec.Gang {
 			continue
 		}
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -147,7 +147,7 @@
 func (m *Machine) startSomewhere(t *task) bool {
 	w := m.choose(t)
 	if w == nil {
-		m.noteMisfit(t.step)
+		m.noteMisfit(t)
 		return false
 	}
 	m.startAttempt(t, w, t.last+1)
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -37,6 +37,9 @@
 	ackedEnds int64
 	attempts  ordered.Map[attemptKey, *attempt]
 	committed model.Resources
+	// yielding is the part of committed that ends, or could be ended for more
+	// urgent work: all but that of long-running tasks which are not being stopped.
+	yielding model.Resources
 	// bestEffortCPU and longRunningCPU are sums over its attempts, in
 	// thousandths of a core; only the second is committed.
 	bestEffortCPU, longRunningCPU int64
@@ -84,6 +87,9 @@
 	if a.longRunning {
 		w.longRunningCPU += a.size.MilliCPU
 	}
+	if a.yields() {
+		w.yielding = w.yielding.Add(a.size)
+	}
 }
 
 // remove forgets an attempt and frees its size.
@@ -94,6 +100,9 @@
 	if a.longRunning {
 		w.longRunningCPU -= a.size.MilliCPU
 	}
+	if a.yields() {
+		w.yielding = w.yielding.Sub(a.size)
+	}
 }
 
 // sampleClock notes a reading of the worker's clock.
