Show a submitted job in the demo

Cause: the demo showed declared workloads only; jobs could be tried nowhere without the users' platform.

--- a/cli/trial.go
+++ b/cli/trial.go
@@ -54,7 +54,24 @@
 	if report == nil {
 		return nil
 	}
-	return c.print(report)
+	if err := c.print(report); err != nil {
+		return err
+	}
+	return c.runJob()
+}
+
+// runJob shows a job that a caller submits.
+func (c *demoCommand) runJob() error {
+	fmt.Fprintln(c.app.out)
+	report, err := demo.RunJob(c.app.ctx, c.app.out)
+	if err != nil {
+		return &Error{Code: ExitFailed, Text: "demo", Cause: err}
+	}
+	report.Write(c.app.out)
+	if !report.OK() {
+		return &Error{Code: ExitFailed, Text: "the job did not run as it should"}
+	}
+	return nil
 }
 
 func (c *demoCommand) print(report *demo.Report) error {
--- a/cmd/guavarill-platform/main.go
+++ b/cmd/guavarill-platform/main.go
@@ -90,7 +90,7 @@
 		log.WithError(err).Error("cannot start")
 		return exitSettings
 	}
-	log.AddHook(daemonField(settings.NodeName))
+	log.AddHook(logsink.DaemonField(settings.NodeName))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reloads := make(chan os.Signal, 1)
@@ -133,21 +133,6 @@
 	return log
 }
 
-// daemonField puts the daemon's name on every line, so that the lines of many
-// daemons can be told apart where they are gathered.
-type daemonField string
-
-// Levels implements logrus.Hook.
-func (daemonField) Levels() []logrus.Level { return logrus.AllLevels }
-
-// Fire implements logrus.Hook.
-func (f daemonField) Fire(e *logrus.Entry) error {
-	if _, set := e.Data["daemon"]; !set {
-		e.Data["daemon"] = string(f)
-	}
-	return nil
-}
-
 // serve serves what operators ask for. The daemon goes on without it.
 func serve(what, ip string, port int, handler http.Handler, log *logrus.Logger) {
 	address := net.JoinHostPort(ip, strconv.Itoa(port))
