Add a soak of the real daemon under random faults

Change: soak/ runs guavarill-platform as processes against stand-ins, with proxies in every way to the store and to workers; kills, stops, suspends, reloads, outages, ended leases, lost, draining and unlisted workers and changes of the configuration overlap in three lines; callers keep their connections. It checks what callers are told and what workers saw, each job to its end.

--- a/demo/jobs.go
+++ b/demo/jobs.go
@@ -98,7 +98,7 @@
 
 // start starts a daemon with its interface for jobs.
 func (r *jobRun) start(name string) error {
-	settings, err := platform.ParseSettings(r.site.SettingsFile(name))
+	settings, err := platform.ParseSettings(r.site.SettingsFile(name, r.site.StoreAddress()))
 	if err != nil {
 		return &StepError{Step: "settings of " + name, Cause: err}
 	}
--- /dev/null
+++ b/soak/check.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	standin "github.com/guavarill/guavarill/standin/platform"
+)
+
+// report holds the promises that were broken.
+type report struct {
+	mu     sync.Mutex
+	broken []string
+}
+
+// mostReported bounds a report: the first findings tell the cause.
+const mostReported = 20
+
+func (r *report) add(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.broken) < mostReported {
+		r.broken = append(r.broken, fmt.Sprintf(format, args...))
+	}
+}
+
+func (r *report) list() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.broken)
+}
+
+// cancelGrace is how long a canceled job's tasks may run on: until the lease of
+// the worker that was told last, and the time that a take-over takes.
+const cancelGrace = 9 * time.Second
+
+// check checks the whole run by what the workers saw and the callers know.
+func check(r *report, events []standin.AuditEvent, twice []string, jobs []*submitted) {
+	for _, t := range twice {
+		r.add("ran twice at a time: %s", t)
+	}
+	byID := make(map[string]*submitted, len(jobs))
+	for _, j := range jobs {
+		byID[j.id] = j
+	}
+	h := history{report: r, jobs: byID, done: make(map[string]bool), settled: make(map[string]bool)}
+	for _, e := range events {
+		h.take(e)
+	}
+	for _, j := range jobs {
+		h.end(j)
+	}
+}
+
+// history goes through what happened at the workers.
+type history struct {
+	report  *report
+	jobs    map[string]*submitted
+	done    map[string]bool
+	settled map[string]bool
+}
+
+func (h *history) take(e standin.AuditEvent) {
+	switch e.Kind {
+	case standin.AuditDone:
+		h.done[e.Task] = true
+	case standin.AuditSettled:
+		h.settled[e.Task] = true
+	case standin.AuditStarted:
+		h.started(e)
+	}
+}
+
+// started checks a start: of a job that may have been accepted, of a task that
+// is not done, after the step before it, and not long after a cancel.
+func (h *history) started(e standin.AuditEvent) {
+	id, step, ok := parseTask(e.Task)
+	j := h.jobs[id]
+	switch {
+	case !ok || j == nil:
+		h.report.add("%s was started, and nobody submitted it", e.Task)
+		return
+	case j.fate == refused:
+		h.report.add("%s was started, and its caller was told that it was refused", e.Task)
+	case h.settled[e.Task]:
+		h.report.add("%s was started on %s after it was done", e.Task, e.Worker)
+	case !j.canceledAt.IsZero() && e.At.After(j.canceledAt.Add(cancelGrace)):
+		h.report.add("%s was started %s after its job was canceled", e.Task, e.At.Sub(j.canceledAt).Round(time.Millisecond))
+	}
+	if step == 0 {
+		return
+	}
+	for index := range j.steps[step-1] {
+		before := fmt.Sprintf("%s.0.%d.%d", id, step-1, index)
+		if !h.done[before] {
+			h.report.add("%s was started before %s was done", e.Task, before)
+		}
+	}
+}
+
+// end checks what has become of a job.
+func (h *history) end(j *submitted) {
+	switch {
+	case j.fate != accepted:
+	case j.final == "":
+		h.report.add("job %s was accepted and has no final state", j.id)
+	case j.final == "completed":
+		for step, count := range j.steps {
+			for index := range count {
+				if task := fmt.Sprintf("%s.0.%d.%d", j.id, step, index); !h.done[task] {
+					h.report.add("job %s is completed, and %s was never done", j.id, task)
+				}
+			}
+		}
+	case !j.canceledAt.IsZero() && j.final != "cancelled":
+		h.report.add("job %s was canceled and is told as %s", j.id, j.final)
+	}
+}
+
+// parseTask reads a task's name, job.occurrence.step.index.
+func parseTask(name string) (id string, step int, ok bool) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return "", 0, false
+	}
+	step, err := strconv.Atoi(parts[2])
+	return parts[0], step, err == nil
+}
+
+// stillRunning returns the tasks that run, in order.
+func stillRunning(audit *standin.Audit) []string {
+	return slices.Sorted(maps.Keys(audit.Running()))
+}
--- /dev/null
+++ b/soak/deployment.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/guavarill/guavarill/adapter/jobapi"
+	standin "github.com/guavarill/guavarill/standin/platform"
+)
+
+const (
+	// daemonCount and workerCount are the least with which every fault leaves
+	// some of each at work.
+	daemonCount = 4
+	workerCount = 6
+	// leaderKey is where the daemons write who leads.
+	leaderKey = "guavarill/leader"
+)
+
+// taskTimes are the run times of the workers' tasks.
+var taskTimes = []time.Duration{60 * time.Millisecond, 400 * time.Millisecond, 1200 * time.Millisecond}
+
+// deployment is the daemons' processes with stand-ins around them.
+type deployment struct {
+	site      *standin.Site
+	daemons   []*process
+	storeWays []*proxy
+	report    *report
+
+	mu         sync.Mutex
+	workerWays map[string]*proxy
+	// listed are the workers that are there to stay.
+	listed []string
+	added  int
+	queues []standin.Queue
+}
+
+// newDeployment starts everything, with files in dir.
+func newDeployment(dir, binary string, r *report) (*deployment, error) {
+	d := &deployment{
+		site: standin.NewSite(), report: r, workerWays: make(map[string]*proxy),
+		queues: []standin.Queue{standin.JobsQueue()},
+	}
+	d.site.Configure(d.queues...)
+	d.mu.Lock()
+	for range workerCount {
+		d.addWorker()
+	}
+	d.mu.Unlock()
+	for i := range daemonCount {
+		way, err := newProxy(d.site.StoreAddress())
+		if err != nil {
+			return d, err
+		}
+		d.storeWays = append(d.storeWays, way)
+		name := fmt.Sprintf("daemon-%d", i+1)
+		p, err := newProcess(dir, binary, name, d.site.SettingsFile(name, way.address()))
+		if err != nil {
+			return d, err
+		}
+		d.daemons = append(d.daemons, p)
+		if err := p.start(); err != nil {
+			return d, err
+		}
+	}
+	return d, nil
+}
+
+// addWorker adds a worker behind a proxy. d.mu is held.
+func (d *deployment) addWorker() {
+	d.added++
+	id := fmt.Sprintf("worker-%d", d.added)
+	w := d.site.AddWorker(id, taskTimes[d.added%len(taskTimes)])
+	way, err := newProxy(w.OwnAddress())
+	d.must(err)
+	w.Address = way.address()
+	d.site.List(id, "ready")
+	d.workerWays[id] = way
+	d.listed = append(d.listed, id)
+}
+
+// unlist notes that a worker is on its way out. d.mu is held.
+func (d *deployment) unlist(id string) {
+	d.listed = slices.DeleteFunc(d.listed, func(other string) bool { return other == id })
+}
+
+func (d *deployment) workerIDs() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.listed)
+}
+
+// must notes a failure of the soak itself.
+func (d *deployment) must(err error) {
+	if err != nil {
+		d.report.add("the soak failed: %v", err)
+	}
+}
+
+// front returns the address at which callers reach a daemon, and api that of
+// its interface for jobs.
+func (p *process) front() string { return p.settings.Listen.Front }
+
+func (p *process) api() *jobapi.Client {
+	return jobapi.NewClient(net.JoinHostPort(p.settings.IP, "9465"), http.DefaultTransport)
+}
+
+// leader returns the daemon that leads, nil if none says so.
+func (d *deployment) leader() *process {
+	for _, p := range d.daemons {
+		if p.running() && p.leads() {
+			return p
+		}
+	}
+	return nil
+}
+
+// statusTimeout bounds a look at a daemon, which may be suspended.
+const statusTimeout = 300 * time.Millisecond
+
+func (p *process) leads() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	status, err := p.api().Status(ctx)
+	return err == nil && status.Leads
+}
+
+// calm ends all faults and starts what is down.
+func (d *deployment) calm() {
+	d.site.Store.Refuse(0)
+	for _, way := range d.storeWays {
+		way.set(pass)
+	}
+	d.mu.Lock()
+	for _, way := range d.workerWays {
+		way.set(pass)
+	}
+	for _, id := range d.listed {
+		d.site.List(id, "ready")
+	}
+	d.mu.Unlock()
+	for _, p := range d.daemons {
+		p.signal(contSignal)
+		d.must(p.start())
+	}
+}
+
+func (d *deployment) close() {
+	for _, p := range d.daemons {
+		p.kill()
+		_ = p.log.Close()
+	}
+	for _, way := range d.storeWays {
+		way.close()
+	}
+	for _, way := range d.workerWays {
+		way.close()
+	}
+	d.site.Close()
+}
--- /dev/null
+++ b/soak/doc.go
@@ -0,0 +1,14 @@
+// Package soak runs the real daemon as separate processes against stand-ins,
+// injects faults from outside of them, drawn from a seed, and checks what is
+// promised from what callers and workers see.
+//
+//	go test ./soak                                   the seeds of CI
+//	go test ./soak -run Fresh -seeds 50 -first 1000  by hand
+//
+// Faults come in series and overlap: daemons are killed, stopped, suspended and
+// restarted by signals; proxies on loopback delay, reset, silence or cut one way
+// the connections to the store and to workers; the store is down for all or
+// ends the leader's lease; workers are lost, replaced and drained; the
+// configuration changes. Clocks are not disturbed: a process cannot be given
+// another without privileges.
+package soak
--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Options is what a run plays.
+type Options struct {
+	Seed uint64
+	// Binary is the daemon's program, Dir holds the files of the run.
+	Binary, Dir string
+	// Length is how long faults come, Settle how long everything has after the
+	// last one to be done.
+	Length, Settle time.Duration
+}
+
+const (
+	// callerCount is how many callers submit jobs: together about 15 a second.
+	callerCount = 4
+	// faultLines is how many series of faults go on beside each other.
+	faultLines = 3
+	// readyTimeout bounds the start of the deployment.
+	readyTimeout = 15 * time.Second
+)
+
+// Result is what a run came to.
+type Result struct {
+	// Broken lists the promises that were broken.
+	Broken []string
+	// Jobs counts the jobs submitted and Accepted those that were; Starts the
+	// attempts that workers began; Faults by name.
+	Jobs, Accepted, Completed, Starts int
+	Faults                            map[string]int
+}
+
+// Run plays a seed. An error is one of the soak itself.
+func Run(o Options) (*Result, error) {
+	r := new(report)
+	d, err := newDeployment(o.Dir, o.Binary, r)
+	defer d.close()
+	if err != nil {
+		return nil, err
+	}
+	d.awaitLeader()
+	result := &Result{Faults: make(map[string]int)}
+	ctx, stop := context.WithTimeout(context.Background(), o.Length)
+	defer stop()
+	// Callers follow their jobs until all are settled.
+	calling, hangUp := context.WithTimeout(context.Background(), o.Length+o.Settle)
+	defer hangUp()
+	jobs := d.play(ctx, calling, o, result)
+	d.finish(o, jobs, result)
+	result.Broken = r.list()
+	return result, nil
+}
+
+// awaitLeader waits until a daemon leads.
+func (d *deployment) awaitLeader() {
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(lookEvery) {
+		if d.leader() != nil {
+			return
+		}
+	}
+	d.report.add("no daemon led %s after the start", readyTimeout)
+}
+
+// play plays callers and faults, and returns the jobs.
+func (d *deployment) play(ctx, calling context.Context, o Options, result *Result) []*submitted {
+	var faulty, callers sync.WaitGroup
+	var mu sync.Mutex
+	for line := range faultLines {
+		rnd := rand.New(rand.NewPCG(o.Seed, uint64(line)))
+		faulty.Go(func() {
+			for ctx.Err() == nil {
+				f := drawFault(rnd)
+				mu.Lock()
+				result.Faults[f.name]++
+				mu.Unlock()
+				f.play(d, rnd)
+				time.Sleep(between(rnd, 0, 1500))
+			}
+		})
+	}
+	list := make([]*caller, callerCount)
+	for i := range list {
+		list[i] = newCaller(d, o.Seed, i)
+		callers.Go(func() { list[i].run(ctx, calling) })
+	}
+	faulty.Wait()
+	d.calm()
+	callers.Wait()
+	var jobs []*submitted
+	for _, c := range list {
+		jobs = append(jobs, c.jobs...)
+	}
+	return jobs
+}
+
+// finish checks what is left, and fills the result in.
+func (d *deployment) finish(o Options, jobs []*submitted, result *Result) {
+	d.checkEnd(jobs)
+	events := d.site.Audit.Events()
+	check(d.report, events, d.site.Audit.Twice(), jobs)
+	for _, p := range d.daemons {
+		if what := p.failed(); what != "" {
+			d.report.add("%s", what)
+		}
+	}
+	result.Jobs = len(jobs)
+	for _, j := range jobs {
+		if j.fate == accepted {
+			result.Accepted++
+		}
+		if j.final == "completed" {
+			result.Completed++
+		}
+	}
+	for _, w := range d.site.Workers {
+		result.Starts += w.Starts()
+	}
+}
+
+// checkEnd checks that the daemons are at peace in the end: one leads, and
+// nothing runs of a job that is over.
+func (d *deployment) checkEnd(jobs []*submitted) {
+	over := make(map[string]bool)
+	for _, j := range jobs {
+		over[j.id] = j.final != ""
+	}
+	deadline := time.Now().Add(cancelGrace)
+	for {
+		left := 0
+		for _, task := range stillRunning(d.site.Audit) {
+			if id, _, _ := parseTask(task); over[id] {
+				left++
+			}
+		}
+		leaders := 0
+		for _, p := range d.daemons {
+			if p.leads() {
+				leaders++
+			}
+		}
+		if left == 0 && leaders == 1 {
+			return
+		}
+		if time.Now().After(deadline) {
+			d.report.add("in the end %d daemons lead, and %d tasks run of jobs that are over", leaders, left)
+			return
+		}
+		time.Sleep(lookEvery)
+	}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,94 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+var (
+	freshSeeds = flag.Int("seeds", 0, "how many fresh seeds TestFresh plays")
+	firstSeed  = flag.Uint64("first", 1, "the first of them")
+	length     = flag.Duration("length", 20*time.Second, "how long faults come in each of them")
+	keep       = flag.String("keep", "", "folder that keeps the daemons' logs of seeds that failed")
+)
+
+const (
+	// ciLength keeps a seed of CI short.
+	ciLength = 8 * time.Second
+	// settle is beyond what all jobs of a run take after its last fault.
+	settle = 25 * time.Second
+)
+
+// program is the daemon's program, built once.
+var program string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(build(m))
+}
+
+func build(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	program = filepath.Join(dir, "guavarill-platform")
+	out, err := exec.Command("go", "build", "-o", program, "../cmd/guavarill-platform").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%v: %s\n", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// play plays a seed and reports what it broke.
+func play(t *testing.T, seed uint64, length time.Duration) {
+	dir := t.TempDir()
+	result, err := Run(Options{Seed: seed, Binary: program, Dir: dir, Length: length, Settle: settle})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d jobs, %d accepted, %d completed, %d starts, faults %v",
+		result.Jobs, result.Accepted, result.Completed, result.Starts, result.Faults)
+	for _, broken := range result.Broken {
+		t.Error(broken)
+	}
+	if result.Completed == 0 {
+		t.Error("no job was completed")
+	}
+	if t.Failed() && *keep != "" {
+		to := filepath.Join(*keep, fmt.Sprint("seed-", seed))
+		if err := os.CopyFS(to, os.DirFS(dir)); err != nil {
+			t.Log(err)
+		}
+	}
+}
+
+// TestSeeds plays the short seeds of CI, and every seed that has ever failed.
+func TestSeeds(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed, ciLength)
+		})
+	}
+}
+
+// TestFresh plays seeds by hand.
+func TestFresh(t *testing.T) {
+	for i := range *freshSeeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed, *length)
+		})
+	}
+}
--- /dev/null
+++ b/standin/platform/audit.go
@@ -0,0 +1,95 @@
+package platform
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// AuditKind is what happened to a task at a worker.
+type AuditKind int
+
+// The kinds of events.
+const (
+	AuditStarted AuditKind = iota
+	// AuditDone: a run has done the task. It counts once it is settled: until
+	// then its worker may be lost with it.
+	AuditDone
+	// AuditSettled: guavarill has acknowledged that it knows of a run that was
+	// done.
+	AuditSettled
+	// AuditStopped: a run ended undone.
+	AuditStopped
+	// AuditLost: a run ended with its worker.
+	AuditLost
+)
+
+var auditNames = [...]string{"started", "done", "settled", "stopped", "lost"}
+
+// String returns the kind's name.
+func (k AuditKind) String() string { return auditNames[k] }
+
+// AuditEvent is one thing that happened at a worker.
+type AuditEvent struct {
+	At     time.Time
+	Kind   AuditKind
+	Task   string
+	Worker string
+}
+
+// Audit sees what all workers run, in the order in which it happens. A nil
+// Audit sees nothing.
+type Audit struct {
+	mu      sync.Mutex
+	running map[string]string
+	twice   []string
+	events  []AuditEvent
+}
+
+// NewAudit makes an Audit.
+func NewAudit() *Audit { return &Audit{running: make(map[string]string)} }
+
+func (a *Audit) note(kind AuditKind, task, worker string) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.events = append(a.events, AuditEvent{At: time.Now(), Kind: kind, Task: task, Worker: worker})
+	switch kind {
+	case AuditStarted:
+		if other, ok := a.running[task]; ok {
+			a.twice = append(a.twice, fmt.Sprintf("%s on %s and %s", task, other, worker))
+		}
+		a.running[task] = worker
+	case AuditDone, AuditStopped, AuditLost:
+		if a.running[task] == worker {
+			delete(a.running, task)
+		}
+	}
+}
+
+// Twice returns the tasks that ran twice at a time.
+func (a *Audit) Twice() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.twice
+}
+
+// Running returns the tasks that run now, with their workers.
+func (a *Audit) Running() map[string]string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	running := make(map[string]string, len(a.running))
+	for task, worker := range a.running {
+		running[task] = worker
+	}
+	return running
+}
+
+// Events returns what has happened so far.
+func (a *Audit) Events() []AuditEvent {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.events[:len(a.events):len(a.events)]
+}
--- a/standin/platform/site.go
+++ b/standin/platform/site.go
@@ -47,10 +47,15 @@
 // SiteWorker is a worker that serves at an address.
 type SiteWorker struct {
 	*Worker
-	server *httptest.Server
-	labels []string
+	// Address is the one that it is listed with: its own, or a proxy's.
+	Address string
+	server  *httptest.Server
+	labels  []string
 }
 
+// OwnAddress returns the address at which it serves.
+func (w *SiteWorker) OwnAddress() string { return w.server.Listener.Addr().String() }
+
 // NewSite starts a site without workers and without configuration.
 func NewSite() *Site {
 	s := &Site{Store: NewStore(), Audit: NewAudit(), Workers: make(map[string]*SiteWorker)}
@@ -86,6 +91,7 @@
 func (s *Site) AddWorker(id string, taskTime time.Duration, labels ...string) *SiteWorker {
 	w := &SiteWorker{Worker: NewWorker(id, taskTime, s.Audit), labels: append([]string{"a", "r1"}, labels...)}
 	w.server = httptest.NewServer(w.Worker)
+	w.Address = w.OwnAddress()
 	s.Workers[id] = w
 	s.List(id, "ready")
 	return w
@@ -95,7 +101,7 @@
 func (s *Site) List(id, state string) {
 	w := s.Workers[id]
 	s.Store.Put("servers/"+id, Entry{
-		Service: sitePool, Address: w.server.Listener.Addr().String(), Zone: siteZone, State: state,
+		Service: sitePool, Address: w.Address, Zone: siteZone, State: state,
 		Capacity: map[string]int{"cpu": 16000, "memMb": 64000}, Labels: w.labels,
 	})
 }
@@ -118,8 +124,8 @@
 }
 
 // SettingsFile returns the settings that the platform gives to a daemon on a VM
-// of its own.
-func (s *Site) SettingsFile(daemon string) []byte {
+// of its own, which reaches the store at an address.
+func (s *Site) SettingsFile(daemon, store string) []byte {
 	ip := newVM()
 	return fmt.Appendf(nil, `nodeName: %s
 zone: %s
@@ -130,5 +136,5 @@
 bounds: {maxHoldMs: 3000, stopMs: 400, graceS: 6, status_s: 120, paceMs: 100}
 platform: {address: "%s", minTtlMs: 1000}
 advice: "127.0.0.1:1"
-`, daemon, siteZone, ip, ip, ip, s.StoreAddress())
+`, daemon, siteZone, ip, ip, ip, store)
 }
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"sort"
 	"sync"
@@ -70,7 +69,7 @@
 	w.gone = true
 	for task, r := range w.running {
 		r.timer.Stop()
-		w.Audit.ended(task, w.ID)
+		w.Audit.note(AuditLost, task, w.ID)
 	}
 	w.running = make(map[string]*run)
 }
@@ -211,7 +210,7 @@
 	r := &run{task: o.Task, number: o.Run, began: time.Now()}
 	w.starts++
 	w.running[o.Task] = r
-	w.Audit.started(o.Task, w.ID)
+	w.Audit.note(AuditStarted, o.Task, w.ID)
 	life := w.TaskTime
 	if life == 0 {
 		life = time.Hour
@@ -226,7 +225,11 @@
 		return
 	}
 	delete(w.running, r.task)
-	w.Audit.ended(r.task, w.ID)
+	if how == "done" {
+		w.Audit.note(AuditDone, r.task, w.ID)
+	} else {
+		w.Audit.note(AuditStopped, r.task, w.ID)
+	}
 	w.barred[r.task] = max(w.barred[r.task], r.number)
 	w.number++
 	w.finished = append(w.finished, end{number: w.number, task: r.task, run: r.number, how: how})
@@ -272,6 +275,9 @@
 	defer w.mu.Unlock()
 	w.extend(o.UntilMs)
 	for len(w.finished) > 0 && w.finished[0].number <= o.LastSeen {
+		if w.finished[0].how == "done" {
+			w.Audit.note(AuditSettled, w.finished[0].task, w.ID)
+		}
 		w.finished = w.finished[1:]
 	}
 	reply := orderAnswer{ClockMs: w.clock()}
@@ -288,43 +294,3 @@
 	}
 	return reply, w.ended
 }
-
-// Audit sees what all workers run, and remembers tasks that ran twice at a time.
-type Audit struct {
-	mu      sync.Mutex
-	running map[string]string
-	twice   []string
-}
-
-// NewAudit makes an Audit.
-func NewAudit() *Audit { return &Audit{running: make(map[string]string)} }
-
-func (a *Audit) started(task, worker string) {
-	if a == nil {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if other, ok := a.running[task]; ok {
-		a.twice = append(a.twice, fmt.Sprintf("%s on %s and %s", task, other, worker))
-	}
-	a.running[task] = worker
-}
-
-func (a *Audit) ended(task, worker string) {
-	if a == nil {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.running[task] == worker {
-		delete(a.running, task)
-	}
-}
-
-// Twice returns the tasks that ran twice at a time.
-func (a *Audit) Twice() []string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.twice
-}
