Free the lead at once when the leader's process has gone

Cause: after a kill the others waited for the end of the leader's lease, 2 s. Ruled out: a shorter lease, which every slow answer of the store would end. Change: a daemon whose stream from the leader ends tries the leader's address; when the connection is refused nobody serves there, and it ends the lease. The soak builds the daemon with the race detector when it runs with it. Found on the way: a killed process may lose its listener last; one try in nine came too early and waited 1.8 s.

--- a/adapter/grpcrelay/carrier.go
+++ b/adapter/grpcrelay/carrier.go
@@ -28,11 +28,12 @@
 type Carrier struct {
 	relayv1.UnimplementedRelayServer
 	workers port.TaskWorkers
+	lost    chan struct{}
 }
 
 // NewCarrier makes a Carrier and registers it with a server.
 func NewCarrier(s *grpc.Server, workers port.TaskWorkers) *Carrier {
-	c := &Carrier{workers: workers}
+	c := &Carrier{workers: workers, lost: make(chan struct{}, 1)}
 	relayv1.RegisterRelayServer(s, c)
 	return c
 }
@@ -49,6 +50,7 @@
 		batch, err := stream.Recv()
 		if err != nil {
 			// The leader has gone, or leads no longer.
+			c.noteLost()
 			return err
 		}
 		for _, o := range batch.Orders {
--- a/jobservice/campaign.go
+++ b/jobservice/campaign.go
@@ -18,6 +18,8 @@
 type leaderRecord struct {
 	Daemon      string `json:"daemon"`
 	Incarnation string `json:"incarnation"`
+	// Address is where the daemon serves its peers.
+	Address string `json:"address,omitempty"`
 }
 
 // campaign waits until nobody leads and tries to. It returns nil when another
@@ -60,7 +62,7 @@
 		if holder.Daemon == l.o.Daemon {
 			return kv.ModRevision, nil
 		}
-		l.awaitChange(ctx, kv.ModRevision)
+		l.awaitChange(ctx, kv, holder)
 		if ctx.Err() != nil {
 			return 0, ctx.Err()
 		}
@@ -75,21 +77,27 @@
 }
 
 // awaitChange returns when the leader's key has changed, or is to be read again.
-func (l *Leader) awaitChange(ctx context.Context, revision int64) {
+func (l *Leader) awaitChange(ctx context.Context, key port.KeyValue, holder leaderRecord) {
 	ctx, cancel := context.WithTimeout(ctx, leaderPoll)
 	defer cancel()
-	events, err := l.o.Store.Watch(ctx, leaderKey, revision)
+	events, err := l.o.Store.Watch(ctx, leaderKey, key.ModRevision)
 	if err != nil {
 		Pause(ctx, campaignPause)
 		return
 	}
-	for ev := range events {
-		if ev.Err != nil {
-			Pause(ctx, campaignPause)
-			return
-		}
-		if ev.Deleted {
-			return
+	for {
+		select {
+		case ev, open := <-events:
+			if ev.Err != nil {
+				Pause(ctx, campaignPause)
+			}
+			if !open || ev.Err != nil || ev.Deleted {
+				return
+			}
+		case <-l.o.Vigil.Lost():
+			if l.endLeaseIfGone(ctx, key, holder) {
+				return
+			}
 		}
 	}
 }
@@ -107,7 +115,7 @@
 // The ledger's key is written with it, so that no commit of an earlier leader
 // can be carried out any more.
 func (l *Leader) acquire(ctx context.Context, lease port.LeaseID, held int64) (int64, error) {
-	record := encodeRecord(leaderRecord{Daemon: l.o.Daemon, Incarnation: l.o.Incarnation})
+	record := encodeRecord(leaderRecord{Daemon: l.o.Daemon, Incarnation: l.o.Incarnation, Address: l.o.Address})
 	conditions := []port.Condition{{Key: leaderKey, Kind: port.CompareModRevision, Revision: held}}
 	ledger, err := l.get(ctx, ledgerKey)
 	if err != nil {
--- a/jobservice/leader.go
+++ b/jobservice/leader.go
@@ -34,6 +34,9 @@
 
 // NewLeader makes a Leader; Run starts it.
 func NewLeader(o Options) *Leader {
+	if o.Vigil == nil {
+		o.Vigil = deaf{}
+	}
 	return &Leader{
 		o: o, log: o.Log.WithField("component", "leader"), routine: rate.NewLimiter(routineLines, routineBurst),
 		questions: make(chan func(*jobsched.Machine)),
--- a/jobservice/options.go
+++ b/jobservice/options.go
@@ -14,6 +14,10 @@
 	// Daemon is the name of the VM, the same over restarts; Incarnation that of
 	// the process.
 	Daemon, Incarnation string
+	// Address is where the daemon serves its peers; empty if nowhere.
+	Address string
+	// Vigil may be nil: then a leader is gone when its lease has ended.
+	Vigil Vigil
 	// Processors is how many cores the daemon has. One with more of them is
 	// faster to take a lead that is free.
 	Processors float64
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -40,7 +40,8 @@
 	}
 	defer os.RemoveAll(dir)
 	program = filepath.Join(dir, "guavarill-platform")
-	out, err := exec.Command("go", "build", "-o", program, "../cmd/guavarill-platform").CombinedOutput()
+	args := append([]string{"build", "-o", program}, buildFlags...)
+	out, err := exec.Command("go", append(args, "../cmd/guavarill-platform")...).CombinedOutput()
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%v: %s\n", err, out)
 		return 1
