Let a carrier that leaves answer what it has

Ruled out: the workers (each answered within 0.6 s) and the daemon's stop. Change: a link whose carrier has left takes no more orders and is closed when what it has is answered, after 1.2 s at most. Measured: TestACarrierThatLeavesAnswersWhatItHas fails before ('unknown') and passes after, 3 times with the race detector.

--- a/adapter/grpcrelay/link.go
+++ b/adapter/grpcrelay/link.go
@@ -167,6 +167,13 @@
 	}
 }
 
+// busy reports whether an outcome is awaited.
+func (l *link) busy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.up && len(l.waiting) > 0
+}
+
 func (l *link) healthy() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/adapter/grpcrelay/relay_test.go
+++ b/adapter/grpcrelay/relay_test.go
@@ -155,3 +155,40 @@
 		t.Errorf("%d of 1000 workers, want about 800", heavy)
 	}
 }
+
+// TestACarrierThatLeavesAnswersWhatItHas
+//
+// Symptom: with each planned stop of a daemon, the workers that it carried for
+// were noted as silent, and tasks whose start was on its way were barred and
+// started elsewhere. Events: the daemon leaves the members and goes on serving;
+// the leader closes its stream. Cause: all orders that waited for an outcome
+// were given up with the stream.
+func TestACarrierThatLeavesAnswersWhatItHas(t *testing.T) {
+	workers := &fakeWorkers{held: make(chan struct{})}
+	address, _ := startCarrier(t, workers)
+	own := &fakeWorkers{}
+	r := NewRouter(own)
+	defer r.SetCarriers(nil)
+	r.SetCarriers([]jobservice.Carrier{{Address: address, Weight: 1}})
+	awaitHealthy(t, r, true)
+	verdict := make(chan jobsched.Verdict, 1)
+	key := job.TaskKey{Job: "00000000000000aa"}
+	go func() {
+		v, _ := r.Start(context.Background(), jobsched.Start{Order: jobsched.Order{Worker: "w"}, Key: key})
+		verdict <- v
+	}()
+	for workers.orders.Load() == 0 && len(verdict) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	r.SetCarriers(nil)
+	if v := r.Stop(context.Background(), jobsched.Stop{Order: jobsched.Order{Worker: "w"}}); v != jobsched.VerdictDone {
+		t.Errorf("an order after it left: %s", v)
+	}
+	if own.orders.Load() != 1 {
+		t.Error("an order was given to a carrier that had left")
+	}
+	close(workers.held)
+	if v := <-verdict; v != jobsched.VerdictNoRoom {
+		t.Errorf("an order that it had: %s, want its outcome", v)
+	}
+}
--- a/adapter/grpcrelay/router.go
+++ b/adapter/grpcrelay/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -36,7 +37,13 @@
 	return &Router{own: own, links: make(map[string]*openLink)}
 }
 
-// SetCarriers opens links to the carriers and closes others.
+// drainTimeout bounds how long a link is kept for the outcomes of what was sent
+// before its carrier left: the longest that an order or a held renewal takes. A
+// daemon that is stopped goes on carrying for longer than that.
+const drainTimeout = jobservice.OrderTimeout + 200*time.Millisecond
+
+// SetCarriers opens links to the carriers, gives nothing more to others and
+// closes their links when what they have is answered.
 func (r *Router) SetCarriers(carriers []jobservice.Carrier) {
 	wanted := make(map[string]bool, len(carriers))
 	for _, c := range carriers {
@@ -46,8 +53,8 @@
 	defer r.mu.Unlock()
 	for address, l := range r.links {
 		if !wanted[address] {
-			l.close()
 			delete(r.links, address)
+			go l.drain()
 		}
 	}
 	for _, c := range carriers {
@@ -60,6 +67,14 @@
 	}
 }
 
+// drain closes the link when nothing waits on it any more, or after a while.
+func (l *openLink) drain() {
+	defer l.close()
+	for end := time.Now().Add(drainTimeout); time.Now().Before(end) && l.busy(); {
+		time.Sleep(outcomeGather)
+	}
+}
+
 // carrier returns the link that carries for a worker: the same one as long as
 // it is healthy, so that connections to workers are kept, and another one when
 // it is not. It returns nil when none is healthy.
