--- a/core/jobsched/misfit.go
+++ b/core/jobsched/misfit.go
@@ -23,8 +23,8 @@
 	image string
 }
 
-// claim is what decides, besides its size, for whom room can be made.
-type claim struct {
+// urgency is what decides, besides its size, for whom room can be made.
+type urgency struct {
 	service, label         string
 	priority               int
 	longRunning, impatient bool
@@ -33,12 +33,12 @@
 // misfits remembers what found no place in the round, by what it asked for.
 type misfits struct {
 	placed    map[demand][]model.Resources
-	displaced map[claim][]model.Resources
+	displaced map[urgency][]model.Resources
 }
 
 func (f *misfits) reset() {
 	f.placed = make(map[demand][]model.Resources)
-	f.displaced = make(map[claim][]model.Resources)
+	f.displaced = make(map[urgency][]model.Resources)
 }
 
 // plain reports whether nothing but its demand and its size restricts where the
@@ -56,9 +56,9 @@
 	return d
 }
 
-func (m *Machine) claim(s *step) claim {
+func (m *Machine) urgency(s *step) urgency {
 	q := m.queue(s.job())
-	return claim{
+	return urgency{
 		service: q.Service, label: s.spec.Label, priority: q.Priority,
 		longRunning: s.spec.LongRunning, impatient: m.impatient(s),
 	}
@@ -93,14 +93,14 @@
 // displacesNothing reports whether it is known that no room can be made for a
 // task of the step.
 func (m *Machine) displacesNothing(s *step) bool {
-	return anyWithin(m.misfits.displaced[m.claim(s)], s.spec.Committed())
+	return anyWithin(m.misfits.displaced[m.urgency(s)], s.spec.Committed())
 }
 
 // noteNothingDisplaced remembers that no room can be made for a task of the
 // step, whatever its bounds.
 func (m *Machine) noteNothingDisplaced(s *step) {
 	if !m.queue(s.job()).Advised {
-		note(m.misfits.displaced, m.claim(s), s.spec.Committed())
+		note(m.misfits.displaced, m.urgency(s), s.spec.Committed())
 	}
 }
 
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -12,12 +12,9 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
-const contSignal = syscall.SIGCONT
-
 const (
 	// callTimeout bounds a call; callers tell it to the daemon too.
 	callTimeout = 2 * time.Second
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/guavarill/guavarill/adapter/jobapi"
@@ -77,7 +78,10 @@
 	id := fmt.Sprintf("worker-%d", d.added)
 	w := d.site.AddWorker(id, taskTimes[d.added%len(taskTimes)])
 	way, err := newProxy(w.OwnAddress())
-	d.must(err)
+	if err != nil {
+		d.must(err)
+		return
+	}
 	w.Address = way.address()
 	d.site.List(id, "ready")
 	d.workerWays[id] = way
@@ -102,10 +106,10 @@
 	}
 }
 
-// front returns the address at which callers reach a daemon, and api that of
-// its interface for jobs.
+// front returns the address at which callers reach the daemon.
 func (p *process) front() string { return p.settings.Listen.Front }
 
+// api returns a client of the daemon's interface for jobs.
 func (p *process) api() *jobapi.Client {
 	return jobapi.NewClient(net.JoinHostPort(p.settings.IP, "9465"), http.DefaultTransport)
 }
@@ -145,7 +149,7 @@
 	}
 	d.mu.Unlock()
 	for _, p := range d.daemons {
-		p.signal(contSignal)
+		p.signal(syscall.SIGCONT)
 		d.must(p.start())
 	}
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -24,8 +24,6 @@
 	modeCount
 )
 
-var modeNames = [...]string{"pass", "slow", "silent", "answers cut", "reset"}
-
 // slowDelay is how long a slow proxy holds a piece back: within all time-outs,
 // and long beside a call's usual milliseconds.
 const slowDelay = 120 * time.Millisecond
