--- /dev/null
+++ b/jobservice/note_test.go
@@ -0,0 +1,57 @@
+package jobservice
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavarill/guavarill/core/jobsched"
+)
+
+// TestABurstOfDecisionsIsBounded: a take-over of a large cluster makes ten
+// thousand routine decisions at once. Those beyond the burst are counted and not
+// written; a change of belief is written in any case, with the count.
+func TestABurstOfDecisionsIsBounded(t *testing.T) {
+	const decisions = 10000
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	l := NewLeader(Options{Log: log, Metrics: NewMetrics(prometheus.NewRegistry())})
+	started := &term{leader: l, epoch: 3}
+	for range decisions {
+		started.note(jobsched.Note{Decision: "attempt started", Job: "00000000000000aa", Routine: true})
+	}
+	started.note(jobsched.Note{Decision: "worker silent", Worker: "w"})
+
+	written, leftOut, beliefs := 0, 0, 0
+	for line := range bytes.Lines(out.Bytes()) {
+		var said struct {
+			Decision string `json:"decision"`
+			LeftOut  int    `json:"leftOut"`
+		}
+		if err := json.Unmarshal(line, &said); err != nil {
+			t.Fatal(err)
+		}
+		leftOut += said.LeftOut
+		if said.Decision == "worker silent" {
+			beliefs++
+		} else {
+			written++
+		}
+	}
+	// While the test runs, which takes far less than a second, some more are
+	// allowed than the burst.
+	if written < routineBurst || written > routineBurst+routineLines {
+		t.Errorf("%d routine lines, want about %d", written, routineBurst)
+	}
+	if written+leftOut != decisions {
+		t.Errorf("%d lines written and %d told as left out of %d", written, leftOut, decisions)
+	}
+	if beliefs != 1 {
+		t.Errorf("the change of belief was written %d times", beliefs)
+	}
+}
