--- a/adapter/adminapi/client.go
+++ b/adapter/adminapi/client.go
@@ -11,9 +11,9 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync/atomic"
 
+	"github.com/guavarill/guavarill/adapter/endpoint"
 	"github.com/guavarill/guavarill/core/manifest"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/timeline"
@@ -29,11 +29,8 @@
 
 // NewClient returns a client of the daemon at address, host:port or a URL.
 func NewClient(address string, transport http.RoundTripper) *Client {
-	if !strings.Contains(address, "://") {
-		address = "http://" + address
-	}
 	return &Client{
-		base: strings.TrimRight(address, "/"),
+		base: endpoint.URL(address),
 		http: &http.Client{
 			Transport: transport,
 			// A daemon redirects nobody, and a change must go where it was sent.
--- a/adapter/jobapi/client.go
+++ b/adapter/jobapi/client.go
@@ -10,8 +10,8 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strings"
 
+	"github.com/guavarill/guavarill/adapter/endpoint"
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/jobsched"
 )
@@ -27,10 +27,7 @@
 
 // NewClient returns a client of the daemon at address, host:port or a URL.
 func NewClient(address string, transport http.RoundTripper) *Client {
-	if !strings.Contains(address, "://") {
-		address = "http://" + address
-	}
-	return &Client{base: strings.TrimRight(address, "/"), http: &http.Client{Transport: transport}}
+	return &Client{base: endpoint.URL(address), http: &http.Client{Transport: transport}}
 }
 
 // Address returns the daemon's URL.
@@ -69,8 +66,13 @@
 	if e.Problem.Kind != "" {
 		return e.Problem.Kind == ProblemUncertain
 	}
-	var refused *net.OpError
-	return !errors.As(e.Cause, &refused) || refused.Op != "dial"
+	return !NotSent(e.Cause)
+}
+
+// NotSent reports whether a call certainly did not reach a daemon.
+func NotSent(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial"
 }
 
 // Submit submits a job. An error is a *CallError; the call may be repeated at
--- a/adapter/jobapi/messages.go
+++ b/adapter/jobapi/messages.go
@@ -66,23 +66,27 @@
 	Peers int `json:"peers"`
 }
 
-// unknownQueueError is a queue that the configuration in force does not have.
-type unknownQueueError struct{ name string }
+// UnknownQueueError is a queue that the configuration in force does not have.
+type UnknownQueueError struct{ Name string }
 
 // Error implements error.
-func (e *unknownQueueError) Error() string { return "queue " + e.name + " does not exist" }
+func (e *UnknownQueueError) Error() string { return "queue " + e.Name + " does not exist" }
 
-// tooLargeError is a body over the limit.
-type tooLargeError struct{}
+// TooLargeError is a body over the limit.
+type TooLargeError struct{}
 
 // Error implements error.
-func (*tooLargeError) Error() string { return "the body is too large" }
+func (*TooLargeError) Error() string { return "the body is too large" }
 
-// problemOf returns the status and the kind for an error.
-func problemOf(err error) (int, ProblemKind) {
+// RetryAfterS is when to come back after a refusal, in seconds: outages of the
+// store last seconds, and other daemons may serve at once.
+const RetryAfterS = "1"
+
+// ProblemOf returns the status and the kind for an error of a caller's request.
+func ProblemOf(err error) (int, ProblemKind) {
 	var invalid *job.InvalidError
-	var large *tooLargeError
-	var queue *unknownQueueError
+	var large *TooLargeError
+	var queue *UnknownQueueError
 	var unknown *jobservice.UnknownJobError
 	var unavailable *jobservice.UnavailableError
 	var stale *jobservice.StaleError
--- a/adapter/jobapi/server.go
+++ b/adapter/jobapi/server.go
@@ -24,9 +24,6 @@
 	requestTimeout = 3 * time.Second
 	// defaultBodyBytes bounds a submission while the configuration sets no limit.
 	defaultBodyBytes = 256 << 10
-	// retryAfterS is when to come back after a refusal: outages of the store
-	// last seconds, and other daemons may serve at once.
-	retryAfterS = "1"
 	// listLimit bounds a list of jobs: more than a table is read for.
 	listLimit = 5000
 )
@@ -91,8 +88,8 @@
 	if err != nil {
 		return err
 	}
-	spec, err := readSpec(c.Request().Body, config.Limits.BodyBytes)
-	if err != nil {
+	spec := new(job.Spec)
+	if err := ReadBody(c.Request().Body, config.Limits.BodyBytes, spec); err != nil {
 		return err
 	}
 	if err := s.o.Intake.Submit(c.Request().Context(), id, spec, queue, config.Version); err != nil {
@@ -110,31 +107,30 @@
 	}
 	queue := config.Queues[name]
 	if queue == nil {
-		return nil, nil, &unknownQueueError{name: name}
+		return nil, nil, &UnknownQueueError{Name: name}
 	}
 	return config, queue, nil
 }
 
 var errNoConfiguration = errors.New("no configuration has been read yet")
 
-// readSpec reads a submission. An error is a *job.InvalidError or a
-// *tooLargeError.
-func readSpec(body io.Reader, limit int64) (*job.Spec, error) {
+// ReadBody reads a submission's JSON, of at most limit bytes, into v; a limit of
+// 0 is the usual one. An error is a *job.InvalidError or a *TooLargeError.
+func ReadBody(body io.Reader, limit int64, v any) error {
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
 	data, err := io.ReadAll(io.LimitReader(body, limit+1))
 	if err != nil {
-		return nil, &job.InvalidError{Field: "body", Reason: "ended early: " + err.Error()}
+		return &job.InvalidError{Field: "the body", Reason: "ended early: " + err.Error()}
 	}
 	if int64(len(data)) > limit {
-		return nil, &tooLargeError{}
+		return &TooLargeError{}
 	}
-	spec := new(job.Spec)
-	if err := json.Unmarshal(data, spec); err != nil {
-		return nil, &job.InvalidError{Field: "body", Reason: "is no job: " + err.Error()}
+	if err := json.Unmarshal(data, v); err != nil {
+		return &job.InvalidError{Field: "the body", Reason: "is no job: " + err.Error()}
 	}
-	return spec, nil
+	return nil
 }
 
 func (s *Server) queue(c echo.Context) error {
@@ -204,9 +200,9 @@
 	if c.Response().Committed {
 		return
 	}
-	status, kind := problemOf(err)
+	status, kind := ProblemOf(err)
 	if status == http.StatusServiceUnavailable {
-		c.Response().Header().Set("Retry-After", retryAfterS)
+		c.Response().Header().Set("Retry-After", RetryAfterS)
 	}
 	if kind != ProblemNotLeading {
 		s.log.WithError(err).WithFields(logrus.Fields{
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -6,11 +6,12 @@
 	"net/url"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 	"time"
 
 	flags "github.com/jessevdk/go-flags"
+
+	"github.com/guavarill/guavarill/adapter/endpoint"
 )
 
 // globals are the options of all commands.
@@ -25,10 +26,7 @@
 		return usage("--timeout %s must be above 0", g.Timeout)
 	}
 	for _, address := range g.Daemons {
-		if !strings.Contains(address, "://") {
-			address = "http://" + address
-		}
-		if u, err := url.Parse(address); err != nil || u.Host == "" {
+		if u, err := url.Parse(endpoint.URL(address)); err != nil || u.Host == "" {
 			return usage("--daemon %q is not host:port", address)
 		}
 	}
--- a/cli/jobcommands.go
+++ b/cli/jobcommands.go
@@ -107,24 +107,29 @@
 	})
 }
 
-type jobStateCommand struct {
-	app *app
-	jobArgument
-}
-
-// Execute implements flags.Commander.
-func (c *jobStateCommand) Execute([]string) error {
-	id, err := c.id()
+// show prints what a job has come to by a call about it.
+func (j jobArgument) show(a *app, call func(*jobapi.Client, context.Context, job.ID) (jobapi.JobState, error)) error {
+	id, err := j.id()
 	if err != nil {
 		return err
 	}
-	state, err := askAnyJob(c.app, func(ctx context.Context, client *jobapi.Client) (jobapi.JobState, error) {
-		return client.State(ctx, id)
+	state, err := askAnyJob(a, func(ctx context.Context, client *jobapi.Client) (jobapi.JobState, error) {
+		return call(client, ctx, id)
 	})
 	if err != nil {
 		return jobError("job "+string(id), err)
 	}
-	return c.app.printState(state)
+	return a.printState(state)
+}
+
+type jobStateCommand struct {
+	app *app
+	jobArgument
+}
+
+// Execute implements flags.Commander.
+func (c *jobStateCommand) Execute([]string) error {
+	return c.show(c.app, (*jobapi.Client).State)
 }
 
 type jobCancelCommand struct {
@@ -134,17 +139,7 @@
 
 // Execute implements flags.Commander.
 func (c *jobCancelCommand) Execute([]string) error {
-	id, err := c.id()
-	if err != nil {
-		return err
-	}
-	state, err := askAnyJob(c.app, func(ctx context.Context, client *jobapi.Client) (jobapi.JobState, error) {
-		return client.Cancel(ctx, id)
-	})
-	if err != nil {
-		return jobError("job "+string(id), err)
-	}
-	return c.app.printState(state)
+	return c.show(c.app, (*jobapi.Client).Cancel)
 }
 
 type jobQueueCommand struct {
@@ -211,7 +206,7 @@
 	if t.IsZero() {
 		return ""
 	}
-	return t.UTC().Format("15:04:05.000")
+	return joblog.Clock(t)
 }
 
 // askAnyJob asks one daemon after the other until one carries the call out, or
--- a/cli/jobexplain.go
+++ b/cli/jobexplain.go
@@ -103,7 +103,7 @@
 func lineRows(w *tabwriter.Writer, lines []joblog.Line) {
 	row(w, "TIME", "DAEMON", "WHAT", "ABOUT", "WORKER", "EPOCH", "WHY")
 	for _, l := range lines {
-		row(w, l.Time.UTC().Format("15:04:05.000"), l.Daemon, l.Message, about(l), l.Worker, number(l.Epoch), why(l))
+		row(w, joblog.Clock(l.Time), l.Daemon, l.Message, about(l), l.Worker, number(l.Epoch), why(l))
 	}
 }
 
--- a/cmd/guavarill-platform/main.go
+++ b/cmd/guavarill-platform/main.go
@@ -124,9 +124,7 @@
 }
 
 func newLog(out io.Writer, o options) *logrus.Logger {
-	log := logrus.New()
-	log.SetOutput(out)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	log := logsink.NewLogger(out)
 	if level, err := logrus.ParseLevel(o.LogLevel); err == nil {
 		log.SetLevel(level)
 	}
--- a/core/joblog/explain.go
+++ b/core/joblog/explain.go
@@ -149,7 +149,7 @@
 		e.explainLead(at[0], at[1])
 	}
 	if l := e.first(MessageAccepted); l != nil {
-		e.find("%s accepted the job at %s for queue %s", l.Daemon, clock(l.Time), l.Queue)
+		e.find("%s accepted the job at %s for queue %s", l.Daemon, Clock(l.Time), l.Queue)
 	}
 }
 
@@ -189,9 +189,9 @@
 	for _, l := range group {
 		daemons[l.Daemon] = struct{}{}
 	}
-	when := "at " + clock(group[0].Time)
+	when := "at " + Clock(group[0].Time)
 	if len(group) > 1 {
-		when = fmt.Sprintf("%d times from %s to %s", len(group), clock(group[0].Time), clock(group[len(group)-1].Time))
+		when = fmt.Sprintf("%d times from %s to %s", len(group), Clock(group[0].Time), Clock(group[len(group)-1].Time))
 	}
 	return fmt.Sprintf("%s %s by %s", meaning, when, strings.Join(slices.Sorted(maps.Keys(daemons)), ", "))
 }
@@ -233,10 +233,10 @@
 	}
 	end := "and no line says that it returned"
 	if !ended.IsZero() {
-		end = "and the last had it back, or was restarted, at " + clock(ended)
+		end = "and the last had it back, or was restarted, at " + Clock(ended)
 	}
 	e.find("%d of %d daemons were without the store from %s on, %s: %s",
-		len(lost), len(e.daemons()), clock(begun), end, strings.Join(slices.Sorted(maps.Keys(lost)), ", "))
+		len(lost), len(e.daemons()), Clock(begun), end, strings.Join(slices.Sorted(maps.Keys(lost)), ", "))
 }
 
 // outage is a time in which a daemon was without the store; until is zero when
@@ -281,7 +281,7 @@
 		}
 		switch l.Message {
 		case MessageLeadLostStore, MessageDeposed, MessageGaveUp, MessageLeads, MessageGoesOn:
-			e.find("%s: %s at %s", l.Daemon, l.Message, clock(l.Time))
+			e.find("%s: %s at %s", l.Daemon, l.Message, Clock(l.Time))
 		}
 	}
 }
@@ -294,7 +294,7 @@
 		e.find("no leader has taken it in")
 		e.explainLead(accepted.Time, accepted.Time)
 	case taken != nil && started == nil && e.final() == nil:
-		e.find("no attempt was started; %s took it in at %s (%s)", taken.Daemon, clock(taken.Time), taken.Reason)
+		e.find("no attempt was started; %s took it in at %s (%s)", taken.Daemon, Clock(taken.Time), taken.Reason)
 	case accepted != nil && started != nil && started.Time.Sub(accepted.Time) > slowStart:
 		e.find("the first attempt started %s after acceptance", span(started.Time.Sub(accepted.Time)))
 	}
@@ -308,7 +308,7 @@
 		last[l.Task] = l
 	}
 	for _, step := range slices.Sorted(maps.Keys(last)) {
-		e.find("step %s waited at %s %s", step, clock(last[step].Time), last[step].Reason)
+		e.find("step %s waited at %s %s", step, Clock(last[step].Time), last[step].Reason)
 	}
 }
 
@@ -316,6 +316,7 @@
 func (e *explainer) explainAttempts() {
 	kinds := []string{
 		MessageStarted, MessageAdopted, MessageStartRefused, MessageUnanswered, MessageStopped, MessageLost, MessageNotThere,
+		MessageEnded,
 	}
 	for _, kind := range kinds {
 		lines := e.with(kind)
@@ -327,10 +328,7 @@
 			e.find("%s: %s", kind, byReason(lines))
 		}
 	}
-	if ended := e.with(MessageEnded); len(ended) > 0 {
-		e.find("%s: %s", MessageEnded, byReason(ended))
-		e.explainFailures(ended)
-	}
+	e.explainFailures(e.with(MessageEnded))
 }
 
 // reasonFailed is the reason of an attempt that ended by failing.
@@ -376,17 +374,17 @@
 	from, to := e.about[0].Time, e.about[len(e.about)-1].Time
 	for _, l := range e.all {
 		if l.Message == MessageLeads && l.Time.After(from) && l.Time.Before(to) {
-			e.find("%s took the lead at %s (epoch %d), while the job was not over", l.Daemon, clock(l.Time), l.Epoch)
+			e.find("%s took the lead at %s (epoch %d), while the job was not over", l.Daemon, Clock(l.Time), l.Epoch)
 		}
 	}
 }
 
 func (e *explainer) explainEnd() {
 	if l := e.first(MessageCancelAsked); l != nil {
-		e.find("its caller canceled it at %s", clock(l.Time))
+		e.find("its caller canceled it at %s", Clock(l.Time))
 	}
 	if l := e.final(); l != nil {
-		e.find("%s at %s, decided by %s in epoch %d: %s", e.Outcome, clock(l.Time), l.Daemon, l.Epoch, l.Reason)
+		e.find("%s at %s, decided by %s in epoch %d: %s", e.Outcome, Clock(l.Time), l.Daemon, l.Epoch, l.Reason)
 	}
 }
 
@@ -413,8 +411,8 @@
 	}
 }
 
-// clock writes a time of day to the millisecond, in UTC.
-func clock(t time.Time) string { return t.UTC().Format("15:04:05.000") }
+// Clock writes a time of day to the millisecond, in UTC.
+func Clock(t time.Time) string { return t.UTC().Format("15:04:05.000") }
 
 // span writes a duration to the millisecond.
 func span(d time.Duration) string { return d.Round(time.Millisecond).String() }
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -215,10 +215,15 @@
 
 // finishTask takes in that a task is done.
 func (m *Machine) finishTask(t *task) {
-	o := t.step.occurrence
 	for _, a := range slices.Clone(t.attempts) {
 		m.requestStop(a, "another attempt is done")
 	}
+	m.markDone(t)
+}
+
+// markDone marks a task as done, and takes in what follows from it.
+func (m *Machine) markDone(t *task) {
+	o := t.step.occurrence
 	for _, s := range o.taskDone(t) {
 		m.pending.Set(s, struct{}{})
 	}
--- a/core/jobsched/misfit.go
+++ b/core/jobsched/misfit.go
@@ -75,7 +75,7 @@
 func (m *Machine) noteMisfit(t *task) {
 	s := t.step
 	if m.plain(s) || !m.roomAnywhere(t) {
-		note(m.misfits.placed, m.demand(s), s.spec.Size)
+		addSize(m.misfits.placed, m.demand(s), s.spec.Size)
 	}
 }
 
@@ -100,7 +100,7 @@
 // step, whatever its bounds.
 func (m *Machine) noteNothingDisplaced(s *step) {
 	if !m.queue(s.job()).Advised {
-		note(m.misfits.displaced, m.urgency(s), s.spec.Committed())
+		addSize(m.misfits.displaced, m.urgency(s), s.spec.Committed())
 	}
 }
 
@@ -109,8 +109,8 @@
 	return slices.ContainsFunc(sizes, func(known model.Resources) bool { return known.Fits(size) })
 }
 
-// note adds a size, and drops those that it makes needless.
-func note[K comparable](sizes map[K][]model.Resources, key K, size model.Resources) {
+// addSize adds a size, and drops those that it makes needless.
+func addSize[K comparable](sizes map[K][]model.Resources, key K, size model.Resources) {
 	kept := slices.DeleteFunc(sizes[key], func(known model.Resources) bool { return size.Fits(known) })
 	sizes[key] = append(kept, size)
 }
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -282,37 +282,8 @@
 	}
 	for _, member := range t.step.tasks {
 		if !member.done {
-			m.finishMember(member)
+			// Its attempt ends by itself.
+			m.markDone(member)
 		}
 	}
 }
-
-// finishMember marks a member of a gang as done; its attempt ends by itself.
-func (m *Machine) finishMember(t *task) {
-	o := t.step.occurrence
-	for _, s := range o.taskDone(t) {
-		m.pending.Set(s, struct{}{})
-	}
-	m.markDirty(o.job)
-	m.changed = true
-	m.occurrenceDone(o)
-	m.concludeIfDone(o.job)
-}
-
-// compareTasks orders task keys, then by rest.
-func compareTasks(a, b job.TaskKey, rest int) int {
-	switch {
-	case a.Job != b.Job:
-		if a.Job < b.Job {
-			return -1
-		}
-		return 1
-	case a.Occurrence != b.Occurrence:
-		return a.Occurrence - b.Occurrence
-	case a.Step != b.Step:
-		return a.Step - b.Step
-	case a.Index != b.Index:
-		return a.Index - b.Index
-	}
-	return rest
-}
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -164,7 +164,7 @@
 		// The end of an attempt that is not listed may be among the others.
 		return
 	}
-	for _, a := range sortedAttempts(w) {
+	for _, a := range w.attempts.All() {
 		if _, ok := listed[a.key]; !ok && a.overBefore(sentAt) {
 			m.noteAttempt(joblog.MessageNotThere, a, "not in the worker's report")
 			m.endAttempt(a, endLost, "")
--- a/core/jobsched/takeover_test.go
+++ b/core/jobsched/takeover_test.go
@@ -394,7 +394,7 @@
 	if w.servingTasks != 1 {
 		t.Errorf("%d serving tasks are counted, want the one that is being stopped", w.servingTasks)
 	}
-	for _, a := range sortedAttempts(w) {
+	for _, a := range w.attempts.All() {
 		c.machine.endAttempt(a, EndStopped, "")
 	}
 	if w.servingTasks != 0 {
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -1,7 +1,6 @@
 package jobsched
 
 import (
-	"slices"
 	"time"
 
 	"github.com/guavarill/guavarill/core/joblog"
@@ -80,7 +79,7 @@
 
 // loseAttempts declares all attempts on w as lost.
 func (m *Machine) loseAttempts(w *worker, reason string) {
-	for _, a := range sortedAttempts(w) {
+	for _, a := range w.attempts.All() {
 		w.lost[a.key] = struct{}{}
 		m.noteAttempt(joblog.MessageLost, a, reason)
 		m.endAttempt(a, endLost, "")
@@ -132,16 +131,3 @@
 
 // worker returns the session with the worker, or nil.
 func (m *Machine) worker(id model.WorkerID) *worker { return m.workers.Get(id) }
-
-// sortedAttempts returns the attempts of w in the order of their keys, so that
-// sessions are the same each time.
-func sortedAttempts(w *worker) []*attempt {
-	list := make([]*attempt, 0, w.attempts.Len())
-	for _, a := range w.attempts.All() {
-		list = append(list, a)
-	}
-	slices.SortFunc(list, func(a, b *attempt) int {
-		return compareTasks(a.key.task, b.key.task, a.key.attempt-b.key.attempt)
-	})
-	return list
-}
--- a/demo/jobs.go
+++ b/demo/jobs.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/guavarill/guavarill/adapter/jobapi"
 	"github.com/guavarill/guavarill/adapter/logsink"
 	"github.com/guavarill/guavarill/core/job"
@@ -102,9 +100,7 @@
 	if err != nil {
 		return &StepError{Step: "settings of " + name, Cause: err}
 	}
-	log := logrus.New()
-	log.SetOutput(r.recent)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	log := logsink.NewLogger(r.recent)
 	log.AddHook(logsink.DaemonField(name))
 	d := platform.New(settings, log)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -1,18 +1,17 @@
 package soak
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
+
+	"github.com/guavarill/guavarill/adapter/jobapi"
+	"github.com/guavarill/guavarill/core/job"
+	standin "github.com/guavarill/guavarill/standin/platform"
 )
 
 const (
@@ -47,14 +46,14 @@
 	canceledAt time.Time
 	// canceling is set when a cancel was sent, whatever came of it.
 	canceling bool
-	final     string
+	final     job.State
 }
 
 // caller submits jobs and follows them over connections that it keeps.
 type caller struct {
 	d      *deployment
 	rnd    *rand.Rand
-	client *http.Client
+	client *standin.Caller
 	prefix int
 	jobs   []*submitted
 }
@@ -62,7 +61,10 @@
 func newCaller(d *deployment, seed uint64, number int) *caller {
 	return &caller{
 		d: d, rnd: rand.New(rand.NewPCG(seed, uint64(100+number))), prefix: number,
-		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		client: &standin.Caller{
+			Client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+			Queue:  standin.JobsQueue(), Timeout: callTimeout,
+		},
 	}
 }
 
@@ -88,34 +90,10 @@
 	return j
 }
 
-// body returns the submission: each step follows the one before.
-func (j *submitted) body() []byte {
-	type step struct {
-		Count       int   `json:"count"`
-		CPU         int   `json:"cpu"`
-		MemMb       int   `json:"memMb"`
-		EstimatedMs int   `json:"estimatedMs"`
-		After       []int `json:"after,omitempty"`
-	}
-	var steps []step
-	for i, count := range j.steps {
-		s := step{Count: count, CPU: 1000, MemMb: 500, EstimatedMs: 500}
-		if i > 0 {
-			s.After = []int{i - 1}
-		}
-		steps = append(steps, s)
-	}
-	data, err := json.Marshal(map[string]any{"specification": "soak", "steps": steps})
-	if err != nil {
-		panic(err)
-	}
-	return data
-}
-
 // follow submits a job, looks at it now and then, and cancels some.
 func (c *caller) follow(ctx context.Context, j *submitted, rnd *rand.Rand) {
 	for range submitTries {
-		status, _, err := c.call(rnd, http.MethodPost, j.id, j.body())
+		status, err := c.client.Submit(c.anyone(rnd), j.id, j.steps)
 		j.settle(status, err)
 		if j.fate == accepted || ctx.Err() != nil {
 			break
@@ -145,23 +123,17 @@
 	case err == nil && status == http.StatusOK:
 		j.fate, j.acceptedAt = accepted, time.Now()
 	case err == nil && status == http.StatusServiceUnavailable:
-	case err != nil && notSent(err):
+	case err != nil && jobapi.NotSent(err):
 	default:
 		j.fate = unknown
 	}
 }
 
-// notSent reports whether a call certainly did not reach a daemon.
-func notSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 func (c *caller) cancel(rnd *rand.Rand, j *submitted) {
 	j.mu.Lock()
 	j.canceling = true
 	j.mu.Unlock()
-	status, _, err := c.call(rnd, http.MethodDelete, j.id, nil)
+	status, err := c.client.Cancel(c.anyone(rnd), j.id)
 	if err == nil && status == http.StatusOK {
 		j.mu.Lock()
 		j.canceledAt = time.Now()
@@ -171,8 +143,13 @@
 
 // look asks for a job's state and checks the answer against earlier ones.
 func (c *caller) look(rnd *rand.Rand, j *submitted) {
-	status, text, err := c.call(rnd, http.MethodGet, j.id, nil)
-	if err != nil {
+	status, state, err := c.client.State(c.anyone(rnd), j.id)
+	var garbled *standin.StateError
+	switch {
+	case errors.As(err, &garbled):
+		c.d.report.add("job %s: %v", j.id, garbled)
+		return
+	case err != nil:
 		return
 	}
 	j.mu.Lock()
@@ -181,52 +158,26 @@
 	case http.StatusGone:
 		c.d.report.add("job %s is not known %s after it was accepted", j.id, time.Since(j.acceptedAt).Round(time.Millisecond))
 	case http.StatusOK:
-		j.sees(c.d.report, text)
+		j.sees(c.d.report, state)
 	}
 }
 
 // sees takes in a state that was told.
-func (j *submitted) sees(r *report, text string) {
-	var told struct {
-		State string `json:"state"`
+func (j *submitted) sees(r *report, state job.State) {
+	if j.final != "" && state != j.final {
+		r.add("job %s was told as %s and then as %s", j.id, j.final, state)
 	}
-	if err := json.Unmarshal([]byte(text), &told); err != nil {
-		r.add("job %s: state %q", j.id, text)
+	if !state.Final() {
 		return
 	}
-	if j.final != "" && told.State != j.final {
-		r.add("job %s was told as %s and then as %s", j.id, j.final, told.State)
-	}
-	switch told.State {
-	case "completed":
-		j.final = told.State
-	case "cancelled":
-		j.final = told.State
-		if !j.canceling {
-			r.add("job %s is canceled, and nobody asked for it", j.id)
-		}
-	case "failed":
+	j.final = state
+	switch {
+	case state == job.Canceled && !j.canceling:
+		r.add("job %s is canceled, and nobody asked for it", j.id)
+	case state == job.Failed:
 		r.add("job %s is told as failed, and none of its tasks can fail", j.id)
-		j.final = told.State
 	}
 }
 
-// call makes a call at some daemon.
-func (c *caller) call(rnd *rand.Rand, method, id string, body []byte) (int, string, error) {
-	p := pick(rnd, c.d.daemons)
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+p.front()+"/jobs/"+id, bytes.NewReader(body))
-	if err != nil {
-		return 0, "", err
-	}
-	request.Host = "jobs.example"
-	request.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
-	response, err := c.client.Do(request)
-	if err != nil {
-		return 0, "", err
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	return response.StatusCode, strings.TrimSpace(string(text)), err
-}
+// anyone returns the address of some daemon.
+func (c *caller) anyone(rnd *rand.Rand) string { return pick(rnd, c.d.daemons).front() }
--- a/soak/check.go
+++ b/soak/check.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/guavarill/guavarill/core/job"
 	standin "github.com/guavarill/guavarill/standin/platform"
 )
 
@@ -109,7 +110,7 @@
 	case j.fate != accepted:
 	case j.final == "":
 		h.report.add("job %s was accepted and has no final state", j.id)
-	case j.final == "completed":
+	case j.final == job.Completed:
 		for step, count := range j.steps {
 			for index := range count {
 				if task := fmt.Sprintf("%s.0.%d.%d", j.id, step, index); !h.done[task] {
@@ -117,7 +118,7 @@
 				}
 			}
 		}
-	case !j.canceledAt.IsZero() && j.final != "cancelled":
+	case !j.canceledAt.IsZero() && j.final != job.Canceled:
 		h.report.add("job %s was canceled and is told as %s", j.id, j.final)
 	}
 }
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -83,7 +83,7 @@
 		return
 	}
 	w.Address = way.address()
-	d.site.List(id, "ready")
+	d.site.List(id)
 	d.workerWays[id] = way
 	d.listed = append(d.listed, id)
 }
@@ -145,7 +145,7 @@
 		way.set(pass)
 	}
 	for _, id := range d.listed {
-		d.site.List(id, "ready")
+		d.site.List(id)
 	}
 	d.mu.Unlock()
 	for _, p := range d.daemons {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -155,7 +155,7 @@
 	d.mu.Lock()
 	id := pick(rnd, d.listed)
 	d.unlist(id)
-	d.site.List(id, "leaving")
+	d.site.Drain(id)
 	d.addWorker()
 	d.mu.Unlock()
 	time.Sleep(between(rnd, 2000, 5000))
@@ -169,14 +169,14 @@
 func unlistWorker(d *deployment, rnd *rand.Rand) {
 	d.mu.Lock()
 	id := pick(rnd, d.listed)
-	d.site.Store.Delete("servers/" + id)
+	d.site.Unlist(id)
 	d.mu.Unlock()
 	time.Sleep(between(rnd, 200, 4000))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, listed := range d.listed {
 		if listed == id {
-			d.site.List(id, "ready")
+			d.site.List(id)
 		}
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/guavarill/guavarill/core/job"
 )
 
 // Options is what a run plays.
@@ -114,7 +116,7 @@
 		if j.fate == accepted {
 			result.Accepted++
 		}
-		if j.final == "completed" {
+		if j.final == job.Completed {
 			result.Completed++
 		}
 	}
--- a/soak/takeover_test.go
+++ b/soak/takeover_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -113,12 +112,6 @@
 // when it was accepted and when its first task started.
 func (d *deployment) oneJob(t *testing.T, c *caller, lost *process, id string) (accepted, started time.Time) {
 	t.Helper()
-	body, err := json.Marshal(map[string]any{
-		"specification": "x", "steps": []map[string]int{{"count": 1, "cpu": 1000, "memMb": 100, "estimatedMs": 500}},
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
 	rnd := rand.New(rand.NewPCG(1, 1))
 	others := &caller{d: &deployment{report: d.report}, client: c.client}
 	for _, p := range d.daemons {
@@ -128,7 +121,7 @@
 	}
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 		if accepted.IsZero() {
-			if status, _, err := others.call(rnd, http.MethodPost, id, body); err == nil && status == http.StatusOK {
+			if status, err := c.client.Submit(others.anyone(rnd), id, []int{1}); err == nil && status == http.StatusOK {
 				accepted = time.Now()
 			}
 			continue
--- /dev/null
+++ b/standin/platform/caller.go
@@ -0,0 +1,109 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+)
+
+// StateError is an answer that tells no state.
+type StateError struct {
+	Text  string
+	Cause error
+}
+
+// Error implements error.
+func (e *StateError) Error() string { return fmt.Sprintf("state %q: %v", e.Text, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *StateError) Unwrap() error { return e.Cause }
+
+// Caller calls daemons as the users' callers do.
+type Caller struct {
+	Client *http.Client
+	// Queue is the one that its jobs are for.
+	Queue Queue
+	// Timeout bounds a call; daemons are told.
+	Timeout time.Duration
+}
+
+// Submit submits a job with so many tasks in each step, each of which follows
+// the one before, and returns the status of the answer.
+func (c *Caller) Submit(address, id string, steps []int) (int, error) {
+	type step struct {
+		Count       int   `json:"count"`
+		CPU         int   `json:"cpu"`
+		MemMb       int   `json:"memMb"`
+		EstimatedMs int   `json:"estimatedMs"`
+		After       []int `json:"after,omitempty"`
+	}
+	var list []step
+	for i, count := range steps {
+		s := step{Count: count, CPU: 1000, MemMb: 500, EstimatedMs: 500}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		list = append(list, s)
+	}
+	body, err := json.Marshal(map[string]any{"specification": "text", "steps": list})
+	if err != nil {
+		return 0, err
+	}
+	status, _, err := c.call(http.MethodPost, address, id, body)
+	return status, err
+}
+
+// Cancel cancels a job and returns the status of the answer.
+func (c *Caller) Cancel(address, id string) (int, error) {
+	status, _, err := c.call(http.MethodDelete, address, id, nil)
+	return status, err
+}
+
+// callersStates are the states as callers are told them, where they differ from
+// the product's.
+var callersStates = map[job.State]job.State{"cancelled": job.Canceled}
+
+// State asks for a job's state and returns the status of the answer with it. The
+// state is empty unless the status is 200; an answer with that status and no state
+// is a *StateError.
+func (c *Caller) State(address, id string) (int, job.State, error) {
+	status, text, err := c.call(http.MethodGet, address, id, nil)
+	if err != nil || status != http.StatusOK {
+		return status, "", err
+	}
+	var told struct {
+		State job.State `json:"state"`
+	}
+	if err := json.Unmarshal([]byte(text), &told); err != nil {
+		return status, "", &StateError{Text: text, Cause: err}
+	}
+	if state, differs := callersStates[told.State]; differs {
+		return status, state, nil
+	}
+	return status, told.State, nil
+}
+
+func (c *Caller) call(method, address, id string, body []byte) (int, string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+c.Queue.Prefix+id, bytes.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	request.Host = c.Queue.Host
+	request.Header.Set("X-Deadline-Ms", fmt.Sprint(c.Timeout.Milliseconds()))
+	response, err := c.Client.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, strings.TrimSpace(string(text)), err
+}
--- a/standin/platform/site.go
+++ b/standin/platform/site.go
@@ -19,6 +19,15 @@
 	Stretch     float64 `json:"stretch"`
 }
 
+// entriesPrefix precedes the id of each listed worker.
+const entriesPrefix = "servers/"
+
+// The states that an entry tells.
+const (
+	entryReady   = "ready"
+	entryLeaving = "leaving"
+)
+
 // The one pool of workers of a Site, and their zone.
 const (
 	sitePool = "pool"
@@ -93,23 +102,32 @@
 	w.server = httptest.NewServer(w.Worker)
 	w.Address = w.OwnAddress()
 	s.Workers[id] = w
-	s.List(id, "ready")
+	s.List(id)
 	return w
 }
 
-// List writes a worker's entry in the list of workers.
-func (s *Site) List(id, state string) {
+// List lists a worker as ready.
+func (s *Site) List(id string) { s.enter(id, entryReady) }
+
+// Drain lists a worker as one that leaves.
+func (s *Site) Drain(id string) { s.enter(id, entryLeaving) }
+
+// enter writes a worker's entry in the list of workers.
+func (s *Site) enter(id, state string) {
 	w := s.Workers[id]
-	s.Store.Put("servers/"+id, Entry{
+	s.Store.Put(entriesPrefix+id, Entry{
 		Service: sitePool, Address: w.Address, Zone: siteZone, State: state,
 		Capacity: map[string]int{"cpu": 16000, "memMb": 64000}, Labels: w.labels,
 	})
 }
 
+// Unlist takes a worker's entry away, and leaves the worker as it is.
+func (s *Site) Unlist(id string) { s.Store.Delete(entriesPrefix + id) }
+
 // LoseWorker ends a worker without a word.
 func (s *Site) LoseWorker(id string) {
 	s.Workers[id].Stop()
-	s.Store.Delete("servers/" + id)
+	s.Unlist(id)
 }
 
 // lastVM numbers the VMs of all sites of the process.
