Tell how far the leader is behind, and how late it takes in what callers stored

Cause: neither a log line nor a metric tells a leader that is behind from a silent watch or from stops that do not arrive; and a collector that keeps 4 kB of a page has the buckets of callers' requests and not which daemon leads. Change: time of a step of the control goroutine and events that wait, as metrics and as a line at the beginning and at the end of a stretch of long steps; the time from a job's or a cancel's being stored to its being taken in; /metrics/brief, without buckets, families with few series first. No decision is changed.

--- a/cmd/guavarill-platform/main.go
+++ b/cmd/guavarill-platform/main.go
@@ -100,6 +100,7 @@
 	if o.MetricsPort != 0 {
 		mux := http.NewServeMux()
 		mux.Handle("/metrics", daemon.MetricsHandler())
+		mux.Handle("/metrics/brief", daemon.BriefMetricsHandler())
 		go serve("metrics", settings.IP, o.MetricsPort, mux, log)
 	}
 	if o.APIPort != 0 {
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -44,6 +44,9 @@
 	// accepting daemon's clock.
 	AtMs     int64 `json:"atMs"`
 	Canceled bool  `json:"canceled,omitempty"`
+	// CanceledAtMs is when it was canceled, on the clock of the daemon that was
+	// asked, in milliseconds since 1970; 0 if it was not, or that is not known.
+	CanceledAtMs int64 `json:"canceledAtMs,omitempty"`
 }
 
 // Progress is the record of what a job's tasks have reached. It is written by
--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -27,6 +27,8 @@
 	MessageGaveUp         = "gave the lead up"
 	MessageWorkerSilent   = "worker silent"
 	MessageDropped        = "log lines dropped"
+	MessageBehind         = "the leader is behind"
+	MessageCaughtUp       = "the leader has caught up"
 )
 
 // MessageFinal returns the message of a job that has come to a final state.
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -21,12 +21,12 @@
 	j := m.jobs.Get(ev.ID)
 	if j == nil {
 		j = m.addJob(ev.ID, ev.Record)
-		m.emit(Note{Decision: joblog.MessageTakenIn, Job: ev.ID, Reason: fmt.Sprintf(
+		m.emit(Note{Decision: joblog.MessageTakenIn, Job: ev.ID, Lag: m.since(ev.Record.AtMs), Reason: fmt.Sprintf(
 			"queue %s, accepted %s ago under configuration %d", ev.Record.Queue.Name,
 			m.age(j), ev.Record.ConfigVersion)})
 	}
 	if ev.Record.Canceled && !j.state.Final() {
-		m.conclude(j, job.Canceled, "the caller canceled it")
+		m.cancel(j, ev.Record)
 	}
 	m.changed = true
 }
@@ -48,7 +48,7 @@
 		m.recoverOccurrences(j, progress)
 	}
 	if record.Canceled {
-		m.conclude(j, job.Canceled, "the caller canceled it")
+		m.cancel(j, record)
 		return
 	}
 	if record.Spec.Schedule == nil && j.next == 0 {
@@ -151,14 +151,25 @@
 
 func (m *Machine) concludeIfDone(j *jobState) {
 	if !j.state.Final() && j.done == j.total() {
-		m.conclude(j, job.Completed, "all tasks are done")
+		m.conclude(j, job.Completed, "all tasks are done", 0)
 	}
 }
 
-// conclude gives a job its final state and stops what is left of it.
-func (m *Machine) conclude(j *jobState, state job.State, reason string) {
+// cancel concludes a job as its caller asked in the record.
+func (m *Machine) cancel(j *jobState, record *job.Accepted) {
+	if record.CanceledAtMs == 0 {
+		m.conclude(j, job.Canceled, "the caller canceled it", 0)
+		return
+	}
+	lag := m.since(record.CanceledAtMs)
+	m.conclude(j, job.Canceled, fmt.Sprintf("the caller canceled it %s ago", lag), lag)
+}
+
+// conclude gives a job its final state and stops what is left of it. lag is that
+// of the note.
+func (m *Machine) conclude(j *jobState, state job.State, reason string, lag time.Duration) {
 	j.state = state
-	m.emit(Note{Decision: joblog.MessageFinal(state), Job: j.id, Reason: fmt.Sprintf("%s; accepted %s ago",
+	m.emit(Note{Decision: joblog.MessageFinal(state), Job: j.id, Lag: lag, Reason: fmt.Sprintf("%s; accepted %s ago",
 		reason, m.age(j))})
 	for number := range j.next {
 		o := j.occurrences[number]
@@ -250,7 +261,7 @@
 	m.markDirty(s.job())
 	if limit := m.queue(s.job()).MaxAttempts; len(t.failed) >= limit {
 		reason := fmt.Sprintf("task %s failed %d times of %d", t.key(), len(t.failed), limit)
-		m.conclude(s.job(), job.Failed, reason)
+		m.conclude(s.job(), job.Failed, reason, 0)
 	}
 }
 
@@ -275,11 +286,11 @@
 	return counts
 }
 
-// submitted returns when the job was accepted.
-func (j *jobState) submitted() time.Time { return time.UnixMilli(j.record.AtMs) }
+// age returns for how long a job has been accepted.
+func (m *Machine) age(j *jobState) time.Duration { return m.since(j.record.AtMs) }
 
-// age returns for how long a job has been accepted. The accepting daemon's
-// clock may be ahead of the leader's.
-func (m *Machine) age(j *jobState) time.Duration {
-	return max(m.wall.Sub(j.submitted()), 0).Round(time.Millisecond)
+// since returns the time since a moment that another daemon has stored, in
+// milliseconds since 1970. That daemon's clock may be ahead of the leader's.
+func (m *Machine) since(ms int64) time.Duration {
+	return max(m.wall.Sub(time.UnixMilli(ms)), 0).Round(time.Millisecond)
 }
--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -156,7 +156,7 @@
 		case accepted.Canceled:
 			return nil
 		}
-		accepted.Canceled = true
+		accepted.Canceled, accepted.CanceledAtMs = true, in.clock.Wall().UnixMilli()
 		condition := []port.Condition{{Key: acceptedKey(id), Kind: port.CompareModRevision, Revision: revision}}
 		result, err := in.store.Txn(ctx, condition, []port.Op{{Key: acceptedKey(id), Value: accepted.Encode()}})
 		switch {
--- a/jobservice/metrics.go
+++ b/jobservice/metrics.go
@@ -19,6 +19,11 @@
 	jobs        prometheus.Gauge
 	attempts    prometheus.Gauge
 	storeAway   prometheus.Counter
+	// stepTime and eventsWaiting are those of the control goroutine, lag is the
+	// time from what callers have stored to the decision that follows from it.
+	stepTime      prometheus.Histogram
+	eventsWaiting prometheus.Gauge
+	lag           *prometheus.HistogramVec
 }
 
 const namespace = "guavarill"
@@ -53,12 +58,18 @@
 		leading:  gauge("leading", "1 while the daemon leads."),
 		jobs:     gauge("jobs", "Jobs that are not over, at the leader."),
 		attempts: gauge("attempts", "Attempts that may run, at the leader."),
+		stepTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "leader_step_seconds", Help: "Time of a step of the leader's control goroutine.",
+			Buckets: latencyBuckets,
+		}),
+		eventsWaiting: gauge("leader_events_waiting", "Events that waited when the leader's last step began."),
+		lag:           histogram("decision_lag_seconds", "Time from a job's, or its cancel's, being stored to the leader's taking it in.", "decision"),
 		storeAway: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "store_lost_total", Help: "Times that callers' requests lost the store.",
 		}),
 	}
 	r.MustRegister(m.requests, m.requestTime, m.orders, m.orderTime, m.decisions, m.commitTime, m.terms,
-		m.leading, m.jobs, m.attempts, m.storeAway)
+		m.leading, m.jobs, m.attempts, m.storeAway, m.stepTime, m.eventsWaiting, m.lag)
 	return m
 }
 
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -85,6 +85,7 @@
 		t.sendCommit(ctx, *t.pending)
 	}
 	clock := t.leader.o.Clock
+	pace := pace{log: t.leader.log.WithField("epoch", t.epoch), metrics: t.leader.o.Metrics}
 	for {
 		select {
 		case <-ctx.Done():
@@ -100,22 +101,35 @@
 			// more than to take an event in.
 			time.Sleep(gatherTime)
 		}
-		if t.drain() {
-			return true
+		began, waiting := clock.Now(), len(t.events)
+		over, deposed := t.step(ctx)
+		pace.step(began, clock.Now(), waiting)
+		if over {
+			return deposed
 		}
-		if !t.leader.mayAct() {
-			return false
-		}
-		if t.carryOut(ctx, t.machine.Advance(clock.Now(), clock.Wall())) {
-			return true
-		}
-		jobs, attempts := t.machine.Jobs()
-		t.leader.o.Metrics.jobs.Set(float64(jobs))
-		t.leader.o.Metrics.attempts.Set(float64(attempts))
 		timer.Reset(jobsched.TickInterval)
 	}
 }
 
+// step takes in the events that wait and acts on them. It returns whether the
+// term is over, and whether because a later leader has been seen.
+func (t *term) step(ctx context.Context) (over, deposed bool) {
+	if t.drain() {
+		return true, true
+	}
+	l := t.leader
+	if !l.mayAct() {
+		return true, false
+	}
+	if t.carryOut(ctx, t.machine.Advance(l.o.Clock.Now(), l.o.Clock.Wall())) {
+		return true, true
+	}
+	jobs, attempts := t.machine.Jobs()
+	l.o.Metrics.jobs.Set(float64(jobs))
+	l.o.Metrics.attempts.Set(float64(attempts))
+	return false, false
+}
+
 // drain handles the events that wait, and returns whether the term is over.
 func (t *term) drain() bool {
 	for range eventBatch {
@@ -171,6 +185,9 @@
 func (t *term) note(n jobsched.Note) {
 	l := t.leader
 	l.o.Metrics.decisions.WithLabelValues(n.Decision).Inc()
+	if n.Lag > 0 {
+		l.o.Metrics.lag.WithLabelValues(n.Decision).Observe(n.Lag.Seconds())
+	}
 	if n.Routine && !l.routine.Allow() {
 		l.leftOut++
 		return
