Let whoever calls the worker take the time of an order

Cause: the leader gave an order a second, and closed streams to carriers of which it had read nothing for 600 ms, by its own clock. That goes on while it has no processor and outcomes lie unread; then workers that are well count as silent, their leases end, and what they have done and reported is started again. A stream is silent after four looks in a row that found nothing, whatever the clock says.

--- a/adapter/grpcrelay/carrier.go
+++ b/adapter/grpcrelay/carrier.go
@@ -9,7 +9,6 @@
 
 	relayv1 "github.com/guavarill/guavarill/api/relay/v1"
 	"github.com/guavarill/guavarill/core/jobsched"
-	"github.com/guavarill/guavarill/jobservice"
 	"github.com/guavarill/guavarill/port"
 )
 
@@ -24,7 +23,8 @@
 	beatInterval = 150 * time.Millisecond
 )
 
-// Carrier carries the orders of a leader.
+// Carrier carries the orders of a leader. Its workers bound the time of an order,
+// so that the leader hears of each in any case.
 type Carrier struct {
 	relayv1.UnimplementedRelayServer
 	workers port.TaskWorkers
@@ -66,27 +66,19 @@
 	switch kind := o.Kind.(type) {
 	case *relayv1.Order_Renew:
 		renew := decodeRenew(o, kind.Renew)
-		ctx, cancel := context.WithTimeout(ctx, renew.Wait+jobservice.RenewSlack)
-		defer cancel()
 		var report jobsched.Report
 		verdict, report = c.workers.Renew(ctx, renew)
 		encodeReport(outcome, report)
 	case *relayv1.Order_Start:
 		if start, ok := decodeStart(o, kind.Start); ok {
-			ctx, cancel := context.WithTimeout(ctx, jobservice.OrderTimeout)
-			defer cancel()
 			verdict, outcome.ClockMs = c.workers.Start(ctx, start)
 		}
 	case *relayv1.Order_Stop:
 		if stop, ok := decodeStop(o, kind.Stop); ok {
-			ctx, cancel := context.WithTimeout(ctx, jobservice.OrderTimeout)
-			defer cancel()
 			verdict = c.workers.Stop(ctx, stop)
 		}
 	case *relayv1.Order_Throttle:
 		if throttle, ok := decodeThrottle(o, kind.Throttle); ok {
-			ctx, cancel := context.WithTimeout(ctx, jobservice.OrderTimeout)
-			defer cancel()
 			verdict = c.workers.Throttle(ctx, throttle)
 		}
 	}
--- a/adapter/grpcrelay/link.go
+++ b/adapter/grpcrelay/link.go
@@ -13,10 +13,17 @@
 )
 
 const (
-	// linkSilence is how long a carrier may send nothing before its orders are
-	// given to others: three beats and some delay. A carrier that is suspended
-	// or cut off would hold up the leases of all workers that it carries for.
-	linkSilence = 600 * time.Millisecond
+	// silenceLooks is how many looks in a row, lookInterval apart, find nothing
+	// new from a carrier before its orders are given to others: after three beats
+	// and some delay. A carrier that is suspended or cut off would hold up the
+	// leases of all workers that it carries for.
+	silenceLooks = 4
+	lookInterval = 150 * time.Millisecond
+	// outcomeTimeout ends the wait for an outcome that a carrier which is there
+	// owes: several times what an order takes there and a busy leader needs to
+	// take its outcome in. Without it an error of a carrier would keep the leader
+	// from ever asking a worker again.
+	outcomeTimeout = 8 * time.Second
 	// linkRetry is the time before a link that failed is opened again.
 	linkRetry = 500 * time.Millisecond
 	// dialTimeout bounds the making of a connection.
@@ -33,9 +40,10 @@
 type link struct {
 	address string
 
-	mu      sync.Mutex
-	up      bool
-	heard   time.Time
+	mu sync.Mutex
+	up bool
+	// heard counts the batches of outcomes that have come.
+	heard   uint64
 	nextID  uint64
 	waiting map[uint64]*waiting
 	batch   []*relayv1.Order
@@ -90,25 +98,49 @@
 
 // watch ends the stream when the carrier is silent.
 func (l *link) watch(ctx context.Context, cancel context.CancelFunc) {
-	opened := time.Now()
-	ticker := time.NewTicker(linkSilence / 4)
+	ticker := time.NewTicker(lookInterval)
 	defer ticker.Stop()
+	var s silence
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		l.mu.Lock()
-		since := time.Since(l.heard)
-		l.mu.Unlock()
-		if min(since, time.Since(opened)) > linkSilence {
+		if s.look(l.batches()) {
 			cancel()
 			return
 		}
 	}
 }
 
+// silence tells a carrier that is silent from a leader that had no processor to
+// read what it sent. Looks are counted for that, and not the time: a process
+// that gets no processor looks no more often than it reads, whereas by its clock
+// every carrier has been silent for long when it goes on.
+type silence struct {
+	heard uint64
+	looks int
+}
+
+// look takes in how many batches have come in all, and reports whether the
+// carrier is silent.
+func (s *silence) look(batches uint64) bool {
+	if batches != s.heard {
+		s.heard, s.looks = batches, 0
+		return false
+	}
+	s.looks++
+	return s.looks >= silenceLooks
+}
+
+// batches returns how many batches of outcomes have come.
+func (l *link) batches() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heard
+}
+
 // send sends orders in batches.
 func (l *link) send(ctx context.Context, stream relayv1.Relay_CarryClient) {
 	for {
@@ -146,7 +178,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.up = true
-	l.heard = time.Now()
+	l.heard++
 	for _, outcome := range batch.Outcomes {
 		if w := l.waiting[outcome.Id]; w != nil {
 			delete(l.waiting, outcome.Id)
@@ -177,7 +209,7 @@
 func (l *link) healthy() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.up && time.Since(l.heard) < linkSilence
+	return l.up
 }
 
 // do has an order carried. sent is whether it may have reached the worker; the
@@ -187,6 +219,8 @@
 	if w == nil {
 		return nil, false
 	}
+	ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
+	defer cancel()
 	select {
 	case outcome := <-w.outcome:
 		return outcome, w.sent
--- a/jobservice/orders.go
+++ b/jobservice/orders.go
@@ -12,8 +12,8 @@
 	// OrderTimeout bounds an order to a worker. Workers answer in milliseconds;
 	// an order that hangs is barred and the task goes elsewhere.
 	OrderTimeout = time.Second
-	// RenewSlack is what a renewal may take beyond the wait that it allows.
-	RenewSlack = 700 * time.Millisecond
+	// renewSlack is what a renewal may take beyond the wait that it allows.
+	renewSlack = 700 * time.Millisecond
 	// adviceTimeout bounds a call for advice, which takes some hundred
 	// milliseconds and waits in turn behind others.
 	adviceTimeout = 4 * time.Second
@@ -29,10 +29,8 @@
 }
 
 // send sends an order if the daemon still leads, and returns the event that
-// tells of it.
+// tells of it. Whoever calls the worker bounds the time, see Bounded.
 func (t *term) send(ctx context.Context, e jobsched.Effect) jobsched.Event {
-	ctx, cancel := context.WithTimeout(ctx, t.timeout(e))
-	defer cancel()
 	leads := t.leader.mayAct()
 	switch e := e.(type) {
 	case jobsched.Renew:
@@ -61,6 +59,8 @@
 		}
 		return ev
 	case jobsched.Advise:
+		ctx, cancel := context.WithTimeout(ctx, adviceTimeout)
+		defer cancel()
 		return t.leader.o.Advisor.Advise(ctx, e)
 	}
 	return nil
@@ -82,16 +82,6 @@
 	return ev
 }
 
-func (t *term) timeout(e jobsched.Effect) time.Duration {
-	switch e := e.(type) {
-	case jobsched.Renew:
-		return e.Wait + RenewSlack
-	case jobsched.Advise:
-		return adviceTimeout
-	}
-	return OrderTimeout
-}
-
 func name(o jobsched.Order, key job.TaskKey, attempt int) jobsched.AttemptName {
 	return jobsched.AttemptName{Worker: o.Worker, Key: key, Attempt: attempt}
 }
