Take in what callers stored first; let a take-over read many pages

Cause: cancels shared one queue with the answers of all workers, 1,024 of them a step; and a take-over had two seconds for all records, so that from some 24 slow pages on nobody could lead. Change: what was read from the store has a queue of its own, drained first. A round of a leader with a part of a core has as many looks less, so that it takes as long; the leader counts as behind from steps of 100 ms, or when as many events wait as can. TestTakeOverReadsManyPagesFromASlowStore failed with the two seconds.

--- a/jobservice/campaign.go
+++ b/jobservice/campaign.go
@@ -174,7 +174,7 @@
 	}
 	t := &term{
 		leader: l, lease: lease, epoch: model.Epoch(revision), ledger: revision,
-		events: make(chan jobsched.Event, eventBuffer),
+		events: make(chan jobsched.Event, eventBuffer), stored: make(chan jobsched.Event, eventBuffer),
 	}
 	renewing, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/jobservice/follow.go
+++ b/jobservice/follow.go
@@ -26,7 +26,7 @@
 		}
 		from = revision
 		for id, record := range accepted {
-			t.post(ctx, jobsched.JobAccepted{ID: id, Record: record})
+			t.postStored(ctx, jobsched.JobAccepted{ID: id, Record: record})
 		}
 	}
 }
@@ -62,7 +62,7 @@
 		t.leader.log.WithError(err).WithField("job", id).Error("job cannot be read; passed over")
 		return
 	}
-	t.post(ctx, jobsched.JobAccepted{ID: id, Record: record})
+	t.postStored(ctx, jobsched.JobAccepted{ID: id, Record: record})
 }
 
 // followWorkers reads the platform's list of workers again and again.
@@ -73,7 +73,7 @@
 		workers, err := t.leader.o.List.List(call)
 		cancel()
 		if err == nil {
-			t.post(ctx, jobsched.WorkersListed{Workers: workers})
+			t.postStored(ctx, jobsched.WorkersListed{Workers: workers})
 		} else {
 			t.leader.log.WithError(err).Debug("workers not read; tried again")
 		}
@@ -87,7 +87,7 @@
 	for {
 		changed := feed.Changed()
 		if c := feed.Current(); c != nil {
-			t.post(ctx, jobsched.ConfigChanged{Config: c})
+			t.postStored(ctx, jobsched.ConfigChanged{Config: c})
 		}
 		select {
 		case <-ctx.Done():
--- a/jobservice/leader.go
+++ b/jobservice/leader.go
@@ -37,6 +37,10 @@
 	if o.Vigil == nil {
 		o.Vigil = deaf{}
 	}
+	if o.Machine.RoundLooks == 0 && o.Processors > 0 {
+		// A round takes as long on a part of a core as on a whole one.
+		o.Machine.RoundLooks = max(int(jobsched.DefaultRoundLooks*min(o.Processors, 1)), leastRoundLooks)
+	}
 	return &Leader{
 		o: o, log: o.Log.WithField("component", "leader"), routine: rate.NewLimiter(routineLines, routineBurst),
 		questions: make(chan func(*jobsched.Machine)),
@@ -68,7 +72,9 @@
 	// epoch is the revision at which the daemon took the lead.
 	epoch   model.Epoch
 	machine *jobsched.Machine
-	events  chan jobsched.Event
+	// events are answers to the leader's orders and commits, stored is what was
+	// read from the store.
+	events, stored chan jobsched.Event
 	// ledger is the revision of ledgerKey after the last commit of the term.
 	ledger  int64
 	pending *jobsched.Commit
--- a/jobservice/options.go
+++ b/jobservice/options.go
@@ -67,6 +67,9 @@
 	commitPause = 30 * time.Millisecond
 	// gatherTime is how long the control goroutine lets events gather.
 	gatherTime = 8 * time.Millisecond
+	// leastRoundLooks keeps a round of placement worth its while: 14 tasks, with
+	// 350 workers.
+	leastRoundLooks = 5000
 	// eventBuffer is how many events may wait for the control goroutine, and
 	// eventBatch how many it takes in before it acts.
 	eventBuffer = 1024
@@ -76,6 +79,11 @@
 	// 500 such decisions a second at its peak.
 	routineLines = 600
 	routineBurst = 1200
-	// listTimeout bounds a read of lists, which may be large.
+	// listTimeout bounds a read of the workers or the members.
 	listTimeout = 2 * time.Second
+	// recordsTimeout bounds a read of all jobs, page by page: with some ten
+	// thousand records and a slow store it takes several seconds. The leader's
+	// lease is renewed meanwhile. With 2 s no daemon could take over that has more
+	// to read than that, and all would try in turn and begin anew.
+	recordsTimeout = 20 * time.Second
 )
--- a/jobservice/pace.go
+++ b/jobservice/pace.go
@@ -10,10 +10,9 @@
 
 const (
 	// behindStep is a step of the control goroutine from which the leader counts
-	// as behind. Leases on workers are renewed every half second and last 4.5 s,
-	// and a step of a leader of 350 workers takes 5 ms, so that this is far off
-	// either.
-	behindStep = 250 * time.Millisecond
+	// as behind: a round of placement may take 16 ms, and cancels waited for
+	// seconds when steps took 200.
+	behindStep = 100 * time.Millisecond
 	// caughtUpTime is how long all steps must have been shorter before the
 	// leader counts as having caught up.
 	caughtUpTime = time.Second
@@ -36,13 +35,13 @@
 }
 
 // step takes in a step from began to ended, at whose beginning so many events
-// waited.
+// waited. It is a long one also when as many waited as can.
 func (p *pace) step(began, ended time.Time, waiting int) {
 	took := ended.Sub(began)
 	p.metrics.stepTime.Observe(took.Seconds())
 	p.metrics.eventsWaiting.Set(float64(waiting))
 	switch {
-	case took >= behindStep:
+	case took >= behindStep || waiting >= eventBuffer:
 		p.slow(began, ended, took, waiting)
 	case !p.behindSince.IsZero() && ended.Sub(p.slowAt) >= caughtUpTime:
 		p.log.WithFields(logrus.Fields{
--- /dev/null
+++ b/jobservice/recover_test.go
@@ -0,0 +1,36 @@
+package jobservice
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/port"
+)
+
+// pagedStore lists in pages that take a time each, by the context's clock alone.
+type pagedStore struct {
+	port.Store
+	pages    int
+	pageTime time.Duration
+}
+
+func (s *pagedStore) List(ctx context.Context, _ string) ([]port.KeyValue, int64, error) {
+	end, bounded := ctx.Deadline()
+	if need := time.Duration(s.pages) * s.pageTime; bounded && time.Until(end) < need {
+		return nil, 0, &port.StoreError{Call: "List", Kind: port.StoreTimeout, Cause: context.DeadlineExceeded}
+	}
+	return nil, 1, nil
+}
+
+// States of jobs are kept for two minutes after their end; at a hundred jobs a
+// second that is some 12,000 records in 24 pages. A store that takes 100 ms a page
+// needs 2.4 s, and a take-over had 2 s for all of them: it began anew, at this
+// daemon and at every other, and nobody led.
+func TestTakeOverReadsManyPagesFromASlowStore(t *testing.T) {
+	store := &pagedStore{pages: 24, pageTime: 100 * time.Millisecond}
+	if _, _, err := readAll(t.Context(), store, progressPrefix, job.DecodeProgress); err != nil {
+		t.Errorf("the records were not read: %v", err)
+	}
+}
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -55,7 +55,7 @@
 
 // readAll reads the records below a prefix, by job.
 func readAll[T any](ctx context.Context, store port.Store, prefix string, decode func([]byte) (*T, error)) (map[job.ID]*T, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, recordsTimeout)
 	defer cancel()
 	items, revision, err := store.List(ctx, prefix)
 	if err != nil {
@@ -87,13 +87,17 @@
 	clock := t.leader.o.Clock
 	pace := pace{log: t.leader.log.WithField("epoch", t.epoch), metrics: t.leader.o.Metrics}
 	for {
+		var ev jobsched.Event
 		select {
 		case <-ctx.Done():
 			return false
 		case <-timer.C:
 		case ask := <-t.leader.questions:
 			ask(t.machine)
-		case ev := <-t.events:
+		case ev = <-t.stored:
+		case ev = <-t.events:
+		}
+		if ev != nil {
 			if t.handle(ev) {
 				return true
 			}
@@ -101,7 +105,7 @@
 			// more than to take an event in.
 			time.Sleep(gatherTime)
 		}
-		began, waiting := clock.Now(), len(t.events)
+		began, waiting := clock.Now(), len(t.events)+len(t.stored)
 		over, deposed := t.step(ctx)
 		pace.step(began, clock.Now(), waiting)
 		if over {
@@ -130,11 +134,17 @@
 	return false, false
 }
 
-// drain handles the events that wait, and returns whether the term is over.
+// drain handles the events that wait, first what was read from the store, and
+// returns whether the term is over. Cancels must not wait among the answers of
+// hundreds of workers.
 func (t *term) drain() bool {
+	return t.drainFrom(t.stored) || t.drainFrom(t.events)
+}
+
+func (t *term) drainFrom(events <-chan jobsched.Event) bool {
 	for range eventBatch {
 		select {
-		case ev := <-t.events:
+		case ev := <-events:
 			if t.handle(ev) {
 				return true
 			}
@@ -301,10 +311,15 @@
 	t.commit(ctx, *t.pending, t.ledger)
 }
 
-// post hands an event to the control goroutine.
-func (t *term) post(ctx context.Context, ev jobsched.Event) {
+// post hands the outcome of a commit to the control goroutine.
+func (t *term) post(ctx context.Context, ev jobsched.Event) { hand(ctx, t.events, ev) }
+
+// postStored hands it what was read from the store.
+func (t *term) postStored(ctx context.Context, ev jobsched.Event) { hand(ctx, t.stored, ev) }
+
+func hand(ctx context.Context, events chan<- jobsched.Event, ev jobsched.Event) {
 	select {
-	case t.events <- ev:
+	case events <- ev:
 	case <-ctx.Done():
 	}
 }
