Tests for damaged records in the store; red

Another writer may damage what is stored.

The events and fields that the machine's tests need are declared and do nothing yet.

--- /dev/null
+++ b/core/jobsched/aside_test.go
@@ -0,0 +1,215 @@
+package jobsched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+)
+
+// repair makes the records of a damaged job readable and hands them to the leader.
+func (c *cluster) repair(id job.ID) {
+	delete(c.damaged, id)
+	c.machine.Handle(c.now, JobReread{ID: id, Record: c.accepted[id], Progress: c.progress[id]})
+}
+
+// TestDamagedRecordsAtATakeOver
+//
+// Symptom: no daemon leads, or the tasks of a job are stopped or run twice after
+// a take-over. Events: another writer damages the records of a job, or the
+// roster; the leader is lost and another takes over. Cause: it took what it could
+// not read for what is not there.
+func TestDamagedRecordsAtATakeOver(t *testing.T) {
+	t.Run("what runs of a job goes on, and nothing of it is started", asideRunsOn)
+	t.Run("a job whose records are repaired goes on", asideIsRepaired)
+	t.Run("ends wait for the job's records", asideEndsWait)
+	t.Run("ends wait over another take-over", asideEndsOutliveALeader)
+	t.Run("other jobs' ends are acknowledged", asideEndsAreBounded)
+	t.Run("a repaired job that was canceled stops", asideIsCanceled)
+	t.Run("a job that cannot be read when it comes", asideFromTheStart)
+	t.Run("a job whose records are removed stops", asideIsGone)
+	t.Run("a lost roster holds recovered jobs back", lostRoster)
+	t.Run("a lost roster stays lost for the next leader", lostRosterTwice)
+}
+
+// newAsideCluster has a job with four running tasks and four that wait, whose
+// records a new leader cannot read.
+func newAsideCluster(t *testing.T, took time.Duration) (*cluster, job.ID) {
+	c := newCluster(t, 1, 2)
+	c.run(200 * time.Millisecond)
+	id := c.submit(1, "batch", makeStep(4, 6000, took), makeStep(4, 6000, took, 0))
+	c.run(time.Second)
+	if n := c.runningOf(id); n != 4 {
+		t.Fatalf("%d tasks run, want 4", n)
+	}
+	c.damaged[id] = true
+	c.lead()
+	return c, id
+}
+
+// completes checks that a job completes with as many starts as it has tasks.
+func (c *cluster) completes(id job.ID, starts int) {
+	c.t.Helper()
+	c.run(10 * time.Second)
+	if state := c.state(id); state != job.Completed || c.starts != starts {
+		c.t.Errorf("job %s is %s after %d starts, want completed after %d", id, state, c.starts, starts)
+	}
+}
+
+func asideRunsOn(t *testing.T) {
+	c, id := newAsideCluster(t, 30*time.Second)
+	c.run(10 * time.Second)
+	if n := c.runningOf(id); n != 4 || c.starts != 4 {
+		t.Errorf("%d tasks run after %d starts, want 4 after 4", n, c.starts)
+	}
+	// Nothing is put beside tasks of unknown size: the other job has a worker of
+	// its own.
+	c.addWorker(9)
+	other := c.submit(2, "urgent", makeStep(1, 1000, 200*time.Millisecond))
+	c.completes(other, 5)
+}
+
+func asideIsRepaired(t *testing.T) {
+	c, id := newAsideCluster(t, 3*time.Second)
+	c.run(time.Second)
+	c.repair(id)
+	c.completes(id, 8)
+}
+
+func asideEndsWait(t *testing.T) {
+	c, id := newAsideCluster(t, 2*time.Second)
+	c.run(5 * time.Second)
+	if n := c.runningOf(id); n != 0 || c.starts != 4 {
+		t.Errorf("%d tasks run after %d starts, want none after 4", n, c.starts)
+	}
+	c.repair(id)
+	c.completes(id, 8)
+}
+
+// The ends of a job that is set aside are known to its workers alone. Were they
+// acknowledged, the next leader would start again what is done.
+func asideEndsOutliveALeader(t *testing.T) {
+	c, id := newAsideCluster(t, 2*time.Second)
+	c.run(5 * time.Second)
+	c.lead()
+	c.run(time.Second)
+	c.repair(id)
+	c.completes(id, 8)
+}
+
+// A worker tells 500 ends at a time, in their order: were all held back behind
+// one of a job that is set aside, those of other jobs would not be heard of.
+func asideEndsAreBounded(t *testing.T) {
+	c, _ := newAsideCluster(t, 2*time.Second)
+	c.run(5 * time.Second)
+	const jobs = 600
+	last := c.submit(100, "urgent", makeStep(jobs, 100, 20*time.Millisecond))
+	c.run(20 * time.Second)
+	if state := c.state(last); state != job.Completed {
+		t.Errorf("the other job is %s", state)
+	}
+	for id, w := range c.workers {
+		if len(w.ended) > asideEndsMost {
+			t.Errorf("%s keeps %d ends", id, len(w.ended))
+		}
+	}
+}
+
+func asideIsCanceled(t *testing.T) {
+	c, id := newAsideCluster(t, 30*time.Second)
+	c.run(time.Second)
+	canceled := *c.accepted[id]
+	canceled.Canceled = true
+	c.accepted[id] = &canceled
+	c.repair(id)
+	c.run(2 * time.Second)
+	if n := c.runningOf(id); n != 0 || c.state(id) != job.Canceled {
+		t.Errorf("%d tasks run, and the job is %s", n, c.state(id))
+	}
+}
+
+func asideFromTheStart(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.run(200 * time.Millisecond)
+	const id = job.ID("00000000000000aa")
+	c.machine.Handle(c.now, JobUnreadable{ID: id})
+	c.run(time.Second)
+	c.accepted[id] = &job.Accepted{
+		Spec:  job.Spec{Payload: "p", Steps: []job.Step{makeStep(2, 1000, 100*time.Millisecond)}},
+		Queue: *c.config.Queues["urgent"], ConfigVersion: 1, AtMs: c.wall.UnixMilli(),
+	}
+	c.repair(id)
+	c.completes(id, 2)
+}
+
+func asideIsGone(t *testing.T) {
+	c, id := newAsideCluster(t, 30*time.Second)
+	c.run(time.Second)
+	delete(c.accepted, id)
+	delete(c.progress, id)
+	c.repair(id)
+	c.run(2 * time.Second)
+	if n := c.runningOf(id); n != 0 {
+		t.Errorf("%d tasks run of a job that is gone", n)
+	}
+}
+
+// The platform's list lacks all workers but one when the leader takes over, as
+// after an outage of the platform's store, and the roster is lost with them.
+func lostRoster(t *testing.T) {
+	c, id := newLostRoster(t)
+	c.run(2 * time.Second)
+	early := c.submit(2, "urgent", makeStep(1, 1000, 100*time.Millisecond))
+	c.run(time.Second)
+	if c.starts != 8 || len(c.roster) != 4 {
+		t.Errorf("%d starts, want 8; the roster has %d", c.starts, len(c.roster))
+	}
+	c.relist()
+	c.run(12 * time.Second)
+	if n := c.runningOf(id); n != 8 {
+		t.Errorf("%d tasks run, want 8", n)
+	}
+	if state := c.state(early); state != job.Completed {
+		t.Errorf("the later job is %s", state)
+	}
+	if c.rosterDamaged || len(c.roster) != 4 {
+		t.Errorf("the stored roster has %d workers, damaged: %v", len(c.roster), c.rosterDamaged)
+	}
+}
+
+// A roster that was written anew before all leases had ended would lack workers
+// on which attempts run, and the next leader would take it for whole.
+func lostRosterTwice(t *testing.T) {
+	c, id := newLostRoster(t)
+	c.run(2 * time.Second)
+	if !c.rosterDamaged {
+		t.Error("a roster was stored before all leases had ended")
+	}
+	c.lead()
+	c.run(500 * time.Millisecond)
+	c.relist()
+	c.run(14 * time.Second)
+	if n := c.runningOf(id); n != 8 {
+		t.Errorf("%d tasks run, want 8", n)
+	}
+}
+
+func newLostRoster(t *testing.T) (*cluster, job.ID) {
+	c := newCluster(t, 1, 4)
+	c.run(200 * time.Millisecond)
+	id := c.submit(1, "urgent", longRunning(8, 2000))
+	c.run(time.Second)
+	for _, w := range c.workers {
+		w.listed = false
+	}
+	c.workers["w003"].listed = true
+	c.rosterDamaged = true
+	c.lead()
+	return c, id
+}
+
+func (c *cluster) relist() {
+	for _, w := range c.workers {
+		w.listed = true
+	}
+}
--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -33,6 +33,10 @@
 	summary  Summary
 	roster   []WorkerEntry
 	learned  []interference.Effect
+	// damaged holds the jobs whose records a new leader cannot read, and
+	// rosterDamaged is set when it cannot read the roster.
+	damaged       map[job.ID]bool
+	rosterDamaged bool
 	// storeDown holds commits back, storeDelay is what the store takes for one.
 	storeDown  bool
 	storeDelay time.Duration
@@ -123,7 +127,7 @@
 	c := &cluster{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: testEpoch, wall: testEpoch, options: testOptions(), epoch: 1,
 		workers: make(map[model.WorkerID]*fakeWorker), accepted: make(map[job.ID]*job.Accepted),
-		progress: make(map[job.ID]*job.Progress), truth: make(map[job.TaskKey]*taskTruth),
+		progress: make(map[job.ID]*job.Progress), damaged: make(map[job.ID]bool), truth: make(map[job.TaskKey]*taskTruth),
 		config: &job.Config{
 			Version: 1,
 			Queues: map[string]*job.Queue{
@@ -163,13 +167,23 @@
 	c.held = nil
 	r := Recovered{
 		Config: c.config, Accepted: make(map[job.ID]*job.Accepted), Progress: make(map[job.ID]*job.Progress),
-		Roster: c.roster, Learned: c.learned,
+		SetAside: make(map[job.ID]*job.Accepted), Learned: c.learned, RosterLost: c.rosterDamaged,
+	}
+	if !c.rosterDamaged {
+		r.Roster = c.roster
 	}
 	for id, a := range c.accepted {
-		r.Accepted[id] = a
+		if !c.damaged[id] {
+			r.Accepted[id] = a
+		}
 	}
 	for id, p := range c.progress {
-		r.Progress[id] = p
+		if !c.damaged[id] {
+			r.Progress[id] = p
+		}
+	}
+	for id := range c.damaged {
+		r.SetAside[id] = nil
 	}
 	c.machine = New(c.now, c.epoch, c.options, r)
 	c.list()
@@ -402,6 +416,7 @@
 	c.summary = e.Summary
 	if e.Roster != nil {
 		c.roster = e.Roster
+		c.rosterDamaged = false
 	}
 	if e.Learned != nil {
 		c.learned = e.Learned
--- a/core/jobsched/event.go
+++ b/core/jobsched/event.go
@@ -38,6 +38,17 @@
 	Record *job.Accepted
 }
 
+// JobUnreadable says that a job has been stored whose record cannot be read.
+type JobUnreadable struct{ ID job.ID }
+
+// JobReread brings the records of a job that was set aside, as they can be read
+// now. Both are nil when they are gone.
+type JobReread struct {
+	ID       job.ID
+	Record   *job.Accepted
+	Progress *job.Progress
+}
+
 // Verdict is the outcome of an order to a worker.
 type Verdict int
 
@@ -176,6 +187,8 @@
 func (ConfigChanged) event() {}
 func (WorkersListed) event() {}
 func (JobAccepted) event()   {}
+func (JobUnreadable) event() {}
+func (JobReread) event()     {}
 func (Renewed) event()       {}
 func (Started) event()       {}
 func (Stopped) event()       {}
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -91,8 +91,14 @@
 	Config   *job.Config
 	Accepted map[job.ID]*job.Accepted
 	Progress map[job.ID]*job.Progress
+	// SetAside holds the jobs whose records cannot be read, with their accepted
+	// records where these can, else nil.
+	SetAside map[job.ID]*job.Accepted
 	// Roster is the one that was stored last.
 	Roster []WorkerEntry
+	// RosterLost is set when the stored roster cannot be read: it is not known
+	// where attempts may run.
+	RosterLost bool
 	// Learned is what was stored of interference.
 	Learned []interference.Effect
 }
--- /dev/null
+++ b/jobservice/memstore_test.go
@@ -0,0 +1,144 @@
+package jobservice
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/guavarill/guavarill/port"
+)
+
+// memStore is a port.Store in memory. Its leases end only when they are revoked.
+type memStore struct {
+	mu       sync.Mutex
+	revision int64
+	items    map[string]port.KeyValue
+	history  []port.WatchEvent
+	leases   map[port.LeaseID]bool
+	changed  chan struct{}
+}
+
+func newMemStore() *memStore {
+	return &memStore{
+		revision: 1, items: make(map[string]port.KeyValue), leases: make(map[port.LeaseID]bool),
+		changed: make(chan struct{}),
+	}
+}
+
+// write changes a key as any writer may.
+func (s *memStore) write(op port.Op) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply([]port.Op{op})
+}
+
+func (s *memStore) apply(changes []port.Op) {
+	s.revision++
+	for _, c := range changes {
+		kv := port.KeyValue{Key: c.Key, Value: c.Value, CreateRevision: s.revision, ModRevision: s.revision, Lease: c.Lease}
+		if c.Delete {
+			delete(s.items, c.Key)
+		} else {
+			s.items[c.Key] = kv
+		}
+		s.history = append(s.history, port.WatchEvent{KeyValue: kv, Deleted: c.Delete, Revision: s.revision})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memStore) Get(_ context.Context, key string) (port.KeyValue, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if kv, ok := s.items[key]; ok {
+		return kv, nil
+	}
+	return port.KeyValue{Key: key}, nil
+}
+
+func (s *memStore) List(_ context.Context, prefix string) ([]port.KeyValue, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []port.KeyValue
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, s.items[key])
+		}
+	}
+	return found, s.revision, nil
+}
+
+func (s *memStore) Txn(_ context.Context, conditions []port.Condition, changes []port.Op) (port.TxnResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range conditions {
+		if s.items[c.Key].ModRevision != c.Revision {
+			return port.TxnResult{Revision: s.revision}, nil
+		}
+	}
+	s.apply(changes)
+	return port.TxnResult{Succeeded: true, Revision: s.revision}, nil
+}
+
+func (s *memStore) GrantLease(context.Context, time.Duration) (port.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := port.LeaseID(len(s.leases) + 1)
+	s.leases[id] = true
+	return id, nil
+}
+
+func (s *memStore) KeepAlive(_ context.Context, id port.LeaseID) (time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leases[id] {
+		return 0, &port.StoreError{Call: "KeepAlive", Kind: port.StoreLeaseGone, Outcome: port.OutcomeNotDone}
+	}
+	return time.Second, nil
+}
+
+func (s *memStore) RevokeLease(_ context.Context, id port.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases[id] = false
+	for key, kv := range s.items {
+		if kv.Lease == id {
+			s.apply([]port.Op{{Key: key, Delete: true}})
+		}
+	}
+	return nil
+}
+
+func (s *memStore) Watch(ctx context.Context, prefix string, after int64) (<-chan port.WatchEvent, error) {
+	events := make(chan port.WatchEvent)
+	go func() {
+		defer close(events)
+		for {
+			s.mu.Lock()
+			news, changed := s.history, s.changed
+			s.mu.Unlock()
+			for _, ev := range news {
+				if ev.Revision <= after || !strings.HasPrefix(ev.KeyValue.Key, prefix) {
+					continue
+				}
+				select {
+				case events <- ev:
+				case <-ctx.Done():
+					return
+				}
+			}
+			if len(news) > 0 {
+				after = max(after, news[len(news)-1].Revision)
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return events, nil
+}
--- a/jobservice/options.go
+++ b/jobservice/options.go
@@ -87,3 +87,7 @@
 	// to read than that, and all would try in turn and begin anew.
 	recordsTimeout = 20 * time.Second
 )
+
+// asideInterval is the time between two looks at the records of jobs that are set
+// aside.
+const asideInterval = 500 * time.Millisecond
