Set jobs aside whose records cannot be read, and wait out a lost roster

Cause: the machine knew a job or did not; what ran of a job whose records were lost was stopped as unwanted, and a roster that could not be read was an empty one.

With a lost roster nothing starts, and none is stored, before all earlier leases have ended.

Ruled out: to acknowledge those ends at once, since another take-over would then do the tasks again; to hold them back without a bound, since ends are acknowledged in order and told 500 at a time; to store a new roster at once, since the next leader would take it for whole.

--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -9,6 +9,8 @@
 	MessageRefused        = "request refused"
 	MessageCancelAsked    = "job canceled by its caller"
 	MessageTakenIn        = "job taken in"
+	MessageSetAside       = "job set aside"
+	MessageRosterLost     = "roster lost"
 	MessageStarted        = "attempt started"
 	MessageStartRefused   = "start refused"
 	MessageUnanswered     = "start unanswered"
--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -34,7 +34,8 @@
 	key    attemptKey
 	worker *worker
 	// task is nil for an attempt that nobody wants: of a job that is over, or
-	// that the machine does not know.
+	// that the machine does not know; and for one of a job that is set aside,
+	// which is left alone.
 	task  *task
 	phase phase
 	size  model.Resources
--- a/core/jobsched/commit.go
+++ b/core/jobsched/commit.go
@@ -55,7 +55,7 @@
 	if c.inFlight || m.now.Sub(c.sentAt) < commitInterval {
 		return
 	}
-	nothing := m.dirty.Len() == 0 && len(m.removals) == 0 && !m.rosterChanged
+	nothing := m.dirty.Len() == 0 && len(m.removals) == 0 && !m.rosterDue()
 	if nothing {
 		m.acknowledgeEnds(m.storedEnds())
 		if m.now.Sub(c.sentAt) < summaryInterval {
@@ -64,7 +64,7 @@
 	}
 	commit := Commit{Number: c.number + 1, Summary: m.summary()}
 	c.jobs = m.fillCommit(&commit)
-	if m.rosterChanged {
+	if m.rosterDue() {
 		commit.Roster, c.roster = m.roster()
 		m.rosterChanged = false
 	}
@@ -124,7 +124,7 @@
 	ends := make(map[model.WorkerID]int64)
 	for id, w := range m.workers.All() {
 		for _, e := range w.taken {
-			if m.dirty.Has(e.job) {
+			if m.dirty.Has(e.job) || m.awaitsRecord(w, e) {
 				break
 			}
 			ends[id] = e.number
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -15,7 +15,8 @@
 const attemptGap = 16
 
 func (m *Machine) jobAccepted(ev JobAccepted) {
-	if _, over := m.final[ev.ID]; over {
+	if _, over := m.final[ev.ID]; over || m.aside[ev.ID] != nil {
+		// The record of a job that is set aside comes with a JobReread.
 		return
 	}
 	j := m.jobs.Get(ev.ID)
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -38,6 +38,8 @@
 	config  *job.Config
 
 	jobs ordered.Map[job.ID, *jobState]
+	// aside holds the jobs whose records cannot be read.
+	aside map[job.ID]*asideJob
 	// final holds the jobs whose state is final, with the time at which their
 	// records may go.
 	final map[job.ID]time.Time
@@ -51,7 +53,11 @@
 	recoveredAt time.Time
 	// unresolved holds the workers on which an earlier leader may have started
 	// what the machine does not know, until the time given.
-	unresolved    ordered.Map[model.WorkerID, time.Time]
+	unresolved ordered.Map[model.WorkerID, time.Time]
+	// rosterLostUntil is until when attempts may run on workers that the machine
+	// does not know of, because the stored roster could not be read; else zero.
+	rosterLostUntil time.Time
+
 	listed        bool
 	rosterChanged bool
 	deposed       bool
@@ -107,7 +113,7 @@
 func New(now time.Time, epoch model.Epoch, o Options, r Recovered) *Machine {
 	m := &Machine{
 		options: o, epoch: epoch, config: r.Config, now: now, recoveredAt: now,
-		final: make(map[job.ID]time.Time), learner: interference.New(learnerOptions()),
+		final: make(map[job.ID]time.Time), aside: make(map[job.ID]*asideJob), learner: interference.New(learnerOptions()),
 	}
 	m.options.RoundLooks = cmp.Or(o.RoundLooks, DefaultRoundLooks)
 	m.learner.Import(now, r.Learned)
@@ -123,6 +129,10 @@
 			m.recoverJob(id, accepted, r.Progress[id])
 		}
 	}
+	m.setAsideAll(r.SetAside)
+	if r.RosterLost {
+		m.loseRoster()
+	}
 	for _, entry := range r.Roster {
 		w := newWorker(entry)
 		w.onRoster = true
@@ -152,6 +162,10 @@
 		m.workersListed(ev.Workers)
 	case JobAccepted:
 		m.jobAccepted(ev)
+	case JobUnreadable:
+		m.setAside(ev.ID, nil)
+	case JobReread:
+		m.jobReread(ev)
 	case Renewed:
 		m.renewed(ev)
 	case Started:
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -43,21 +43,33 @@
 	return a
 }
 
-// addUnwanted makes an attempt that no task wants. The size of a task that is
+// addUnwanted makes an attempt that no task wants, or of which that is not known
+// because its job is set aside. The size of a task that is
 // not known is taken as the whole worker, so that nothing is started beside it.
 func (m *Machine) addUnwanted(w *worker, r *RunningAttempt) *attempt {
 	a := &attempt{
 		key: attemptKey{task: r.Key, attempt: r.Attempt}, worker: w, phase: phaseRunning,
 		size: w.entry.Capacity, advancedAt: m.now, throttle: fullSpeed,
 	}
-	if j := m.jobs.Get(r.Key.Job); j != nil && r.Key.Step < len(j.record.Spec.Steps) {
-		a.size = j.record.Spec.Steps[r.Key.Step].Committed()
+	if record := m.recordOf(r.Key.Job); record != nil && r.Key.Step < len(record.Spec.Steps) {
+		a.size = record.Spec.Steps[r.Key.Step].Committed()
 	}
 	m.unwanted++
 	w.add(a)
 	return a
 }
 
+// recordOf returns the accepted record of a job, or nil when it is not known.
+func (m *Machine) recordOf(id job.ID) *job.Accepted {
+	if j := m.jobs.Get(id); j != nil {
+		return j.record
+	}
+	if aside := m.aside[id]; aside != nil {
+		return aside.record
+	}
+	return nil
+}
+
 // startAttempt starts a task on a worker.
 func (m *Machine) startAttempt(t *task, w *worker, number int) {
 	reason := fmt.Sprintf("room %s, report %s old, configuration %d, score %.2f", w.room(),
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -116,6 +116,10 @@
 }
 
 func (m *Machine) takeEnd(w *worker, e *EndedAttempt) {
+	if aside := m.aside[e.Key.Job]; aside != nil {
+		m.keepEnd(aside, w, e)
+		return
+	}
 	key := attemptKey{task: e.Key, attempt: e.Attempt}
 	if _, declared := w.lost[key]; declared {
 		// What it did is of no use any more, but a failure counts: it will be
@@ -189,6 +193,9 @@
 // lost. It is kept if its task has no other, and stopped otherwise.
 func (m *Machine) adoptRunning(w *worker, r *RunningAttempt) *attempt {
 	delete(w.lost, attemptKey{task: r.Key, attempt: r.Attempt})
+	if m.aside[r.Key.Job] != nil {
+		return m.addUnwanted(w, r)
+	}
 	t := m.task(r.Key)
 	if t == nil || t.done {
 		a := m.addUnwanted(w, r)
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -40,10 +40,33 @@
 // awaitWorker notes that an earlier leader may have started tasks on w that the
 // machine does not know of yet.
 func (m *Machine) awaitWorker(w *worker) {
+	w.leaseBound = m.earlierLeasesEnd()
+	m.unresolved.Set(w.id, w.leaseBound)
+}
+
+// earlierLeasesEnd returns when nothing runs any more under a lease that an
+// earlier leader gave.
+func (m *Machine) earlierLeasesEnd() time.Time {
 	bound := m.recoveredAt.Add(m.options.LeaderTTL + m.options.Lease)
-	bound = bound.Add(time.Duration(float64(m.options.Lease)*clockDrift) + leaseSlack)
-	w.leaseBound = bound
-	m.unresolved.Set(w.id, bound)
+	return bound.Add(time.Duration(float64(m.options.Lease)*clockDrift) + leaseSlack)
+}
+
+// loseRoster notes that the stored roster could not be read. Attempts may run on
+// any worker, also on one that the platform's list lacks, so nothing is started
+// until their leases have ended, and no roster is stored before: it would lack
+// such workers, and another leader would take it for whole. Until then no worker
+// is on the stored roster, so what came after the take-over waits too. Attempts
+// on listed workers are adopted as always.
+func (m *Machine) loseRoster() {
+	m.rosterLostUntil = m.earlierLeasesEnd()
+	m.rosterChanged = true
+	m.emit(Note{Decision: joblog.MessageRosterLost, Reason: "it cannot be read; nothing is started until " +
+		m.rosterLostUntil.Sub(m.now).String() + " from now, when all earlier leases have ended"})
+}
+
+// rosterDue reports whether the roster is to be stored.
+func (m *Machine) rosterDue() bool {
+	return m.rosterChanged && !m.now.Before(m.rosterLostUntil)
 }
 
 // held reports whether a task must wait because an earlier leader may have
@@ -51,6 +74,9 @@
 // take-over can have been started elsewhere only while that leader may still
 // have been at work.
 func (m *Machine) held(j *jobState) bool {
+	if m.now.Before(m.rosterLostUntil) {
+		return true
+	}
 	if m.unresolved.Len() == 0 {
 		return !m.listed
 	}
