Read no damaged job record as one of zeros; types for two errors

Cause: a record that is null, or lacks its queue or state, was decoded without an error, and one whose steps are not those of the job was taken for progress.

Change: DecodeAccepted and DecodeProgress check what they read, and Progress.Fits compares progress with a declaration. The two bare errors of the interface for jobs get types.

--- a/adapter/jobapi/server.go
+++ b/adapter/jobapi/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -103,7 +102,7 @@
 func (s *Server) findQueue(name string) (*job.Config, *job.Queue, error) {
 	config := s.o.Config.Current()
 	if config == nil {
-		return nil, nil, &jobservice.UnavailableError{Cause: errNoConfiguration}
+		return nil, nil, &jobservice.UnavailableError{Cause: &NoConfigurationError{}}
 	}
 	queue := config.Queues[name]
 	if queue == nil {
@@ -112,7 +111,12 @@
 	return config, queue, nil
 }
 
-var errNoConfiguration = errors.New("no configuration has been read yet")
+// NoConfigurationError says that the daemon has not read a configuration yet, so
+// that it knows no queues.
+type NoConfigurationError struct{}
+
+// Error implements error.
+func (*NoConfigurationError) Error() string { return "no configuration has been read yet" }
 
 // ReadBody reads a submission's JSON, of at most limit bytes, into v; a limit of
 // 0 is the usual one. An error is a *job.InvalidError or a *TooLargeError.
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -1,8 +1,10 @@
 package job
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"strings"
 )
 
 // State is what callers are told of a job.
@@ -99,20 +101,124 @@
 	return data
 }
 
-// DecodeAccepted reads a record. An error is a *RecordError.
+// DecodeRecord reads the stored form of a record into v. An error is a
+// *RecordError with the kind. What is there without content is no record: it
+// would be read as one whose fields are all zero.
+func DecodeRecord(kind string, data []byte, v any) error {
+	if bytes.Equal(bytes.TrimSpace(data), []byte("null")) {
+		return &RecordError{Kind: kind, Cause: &InvalidError{Field: "the record", Reason: "must not be null"}}
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return &RecordError{Kind: kind, Cause: err}
+	}
+	return nil
+}
+
+// DecodeAccepted reads a record. An error is a *RecordError: also for a job that
+// cannot have been accepted, as when another writer has replaced parts of it.
 func DecodeAccepted(data []byte) (*Accepted, error) {
 	a := new(Accepted)
-	if err := json.Unmarshal(data, a); err != nil {
-		return nil, &RecordError{Kind: "accepted job", Cause: err}
+	if err := DecodeRecord(kindAccepted, data, a); err != nil {
+		return nil, err
+	}
+	if err := a.check(); err != nil {
+		return nil, &RecordError{Kind: kindAccepted, Cause: err}
 	}
 	return a, nil
 }
 
-// DecodeProgress reads a record. An error is a *RecordError.
+// DecodeProgress reads a record. An error is a *RecordError: also for what no
+// leader writes.
 func DecodeProgress(data []byte) (*Progress, error) {
 	p := new(Progress)
-	if err := json.Unmarshal(data, p); err != nil {
-		return nil, &RecordError{Kind: "progress", Cause: err}
+	if err := DecodeRecord(kindProgress, data, p); err != nil {
+		return nil, err
+	}
+	if err := p.check(); err != nil {
+		return nil, &RecordError{Kind: kindProgress, Cause: err}
 	}
 	return p, nil
 }
+
+// The kinds of records in errors.
+const (
+	kindAccepted = "accepted job"
+	kindProgress = "progress"
+)
+
+func (a *Accepted) check() error {
+	if a.Queue.Name == "" {
+		return &InvalidError{Field: "queue.name", Reason: "must not be empty"}
+	}
+	return a.Spec.Check()
+}
+
+func (p *Progress) check() error {
+	switch p.State {
+	case Queued, Running, Completed, Failed, Canceled:
+	default:
+		return &InvalidError{Field: "state", Reason: fmt.Sprintf("must not be %q", p.State)}
+	}
+	for number, o := range p.Occurrences {
+		if number < 0 {
+			return &InvalidError{Field: "occurrences", Reason: "must be numbered from 0"}
+		}
+		for i := range o.Steps {
+			if err := o.Steps[i].check(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *StepProgress) check() error {
+	if strings.Trim(s.Done, "01") != "" {
+		return &InvalidError{Field: "done", Reason: "must be of 0 and 1"}
+	}
+	for index, t := range s.Tasks {
+		if index < 0 || t.Attempts < 0 {
+			return &InvalidError{Field: "tasks", Reason: "must have no negative numbers"}
+		}
+	}
+	return nil
+}
+
+// Fits returns a *RecordError unless the progress can be that of a job with the
+// declaration: otherwise tasks that are done would be taken for tasks that are
+// not, or the other way.
+func (p *Progress) Fits(spec *Spec) error {
+	if p.State.Final() {
+		return nil
+	}
+	repetitions := 1
+	if spec.Schedule != nil {
+		repetitions = spec.Schedule.Repetitions
+	}
+	for number, o := range p.Occurrences {
+		if number >= repetitions || !o.Done && !o.fits(spec) {
+			return &RecordError{Kind: kindProgress, Cause: &InvalidError{
+				Field: fmt.Sprintf("occurrence %d", number), Reason: "must have the job's steps and tasks",
+			}}
+		}
+	}
+	return nil
+}
+
+func (o *OccurrenceProgress) fits(spec *Spec) bool {
+	if len(o.Steps) != len(spec.Steps) {
+		return false
+	}
+	for i := range o.Steps {
+		s, count := &o.Steps[i], spec.Steps[i].Count
+		if s.Done != "" && len(s.Done) != count {
+			return false
+		}
+		for index := range s.Tasks {
+			if index >= count {
+				return false
+			}
+		}
+	}
+	return true
+}
