--- a/core/joblog/explain.go
+++ b/core/joblog/explain.go
@@ -60,6 +60,7 @@
 	e.outcome()
 	e.explainAnswers()
 	e.explainStart()
+	e.explainAside()
 	e.explainWaits()
 	e.explainAttempts()
 	e.explainTakeovers()
@@ -300,6 +301,13 @@
 	}
 }
 
+// explainAside tells when the job was set aside, at each leader that did so.
+func (e *explainer) explainAside() {
+	for _, l := range e.with(MessageSetAside) {
+		e.find("%s set it aside at %s: %s", l.Daemon, Clock(l.Time), l.Reason)
+	}
+}
+
 // explainWaits tells the last wait of each step: it is the longest, and says
 // what ruled the workers out.
 func (e *explainer) explainWaits() {
--- a/core/joblog/joblog_test.go
+++ b/core/joblog/joblog_test.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// TestExplainTellsOfAJobSetAside: a job that waits because its records cannot be
+// read waits for no worker, and the operator must be told so.
+func TestExplainTellsOfAJobSetAside(t *testing.T) {
+	at := time.Unix(0, 0)
+	found := strings.Join(Explain([]Line{
+		{Time: at, Message: MessageAccepted, Job: failedJob, Daemon: "a"},
+		{Time: at.Add(time.Second), Message: MessageSetAside, Job: failedJob, Daemon: "b", Reason: "its records cannot be read"},
+	}, failedJob).Findings, "; ")
+	if !strings.Contains(found, "b set it aside at") || !strings.Contains(found, "its records cannot be read") {
+		t.Errorf("findings: %s", found)
+	}
+}
+
 // TestExplainTellsOfGaps: lines that were left out or dropped may have held the
 // cause, so that an explanation without them must say so.
 func TestExplainTellsOfGaps(t *testing.T) {
