--- a/core/jobsched/pass_test.go
+++ b/core/jobsched/pass_test.go
@@ -82,3 +82,42 @@
 		t.Errorf("no pass began within %s of one in which something changed", crowdedInterval)
 	}
 }
+
+// A long-running task failed and was started again 8 s later, on a leader that
+// was slow and a pass that took as long: its step had had its turn, hundreds that
+// fitted nowhere had not, and each round went on where the last one had stopped.
+// The most urgent steps have a turn in every round.
+//
+// What settled it: "attempt ended" of the task at 53.194 and no other line of it
+// for 15 s, while 270 attempts of others were started each second.
+func TestTheMostUrgentStepsHaveATurnInEveryRound(t *testing.T) {
+	c := newCluster(t, 1, 8)
+	c.options.RoundLooks = 32
+	c.lead()
+	c.run(200 * time.Millisecond)
+	// One of its tasks waits for a ninth worker, so that its step has its turn in
+	// each pass.
+	s := longRunning(9, 1000)
+	s.MaxPerWorker = 1
+	lasting := c.submit(1, "urgent", s)
+	c.run(200 * time.Millisecond)
+	for i := range 400 {
+		s := makeStep(9, 10, time.Minute)
+		s.MaxPerWorker = 1
+		c.submit(10+i, "batch", s)
+	}
+	c.run(time.Second)
+	if !c.machine.pass.open {
+		t.Fatal("no pass is open")
+	}
+	w := c.workers[c.runsOn(lasting)]
+	for _, a := range w.sorted() {
+		if a.key.task.Job == lasting {
+			w.end(a, EndFailed)
+		}
+	}
+	c.run(300 * time.Millisecond)
+	if c.runningOf(lasting) != 8 {
+		t.Error("a long-running task that failed waits for the end of a long pass")
+	}
+}
