Give the most urgent steps a turn in every round

Change: half of a round's looks go to the most urgent steps from the top, the other half goes on with the pass. What found no place is remembered for one round, since room comes between two.

--- a/core/jobsched/misfit.go
+++ b/core/jobsched/misfit.go
@@ -7,10 +7,9 @@
 )
 
 // A full cluster leaves hundreds of steps waiting. Most of them ask for the same
-// as one that has found no place in the same pass, or for more, and need not
+// as one that has found no place in the same round, or for more, and need not
 // look at every worker again. Within a round room only shrinks, so that what
-// fits nowhere once fits nowhere until its end; in a pass of several rounds,
-// what has become free between them is used in the next pass.
+// fits nowhere once fits nowhere until its end.
 //
 // Without this a round with 350 workers and 600 waiting steps took 200 ms of
 // the leader's processor; orders, ends and cancellations waited up to 8 s.
@@ -31,7 +30,7 @@
 	longRunning, impatient bool
 }
 
-// misfits remembers what found no place in the pass, by what it asked for.
+// misfits remembers what found no place in the round, by what it asked for.
 type misfits struct {
 	placed    map[demand][]model.Resources
 	gangs     map[demand][]gangSize
--- a/core/jobsched/pass.go
+++ b/core/jobsched/pass.go
@@ -7,6 +7,9 @@
 
 // pass is one look at all steps that are ready, the most urgent first. It takes
 // as many rounds as its looks need, and events are taken in between two of them.
+// Half of each round is for the most urgent steps, whether they had their turn or
+// not: otherwise a task that fails while its step has had its turn would wait for
+// the end of the pass, 8 s with a slow leader.
 //
 // Without the bound a round takes the longer the more steps wait, while cancels,
 // ends and the renewal of leases wait for it; the jobs pile up the more, and one
@@ -17,8 +20,8 @@
 	// number is that of the pass; a step that had its turn carries it.
 	number uint64
 	open   bool
-	// looks and notes are left in the round.
-	looks, notes int
+	// looks and notes are left in the half of the round, half is its looks.
+	looks, notes, half int
 }
 
 // roundNotes is how many notes on steps that wait a round may make: each looks at
@@ -32,9 +35,11 @@
 	return p.notes >= 0
 }
 
-// begin begins a round of so many looks, and a new pass unless one is open.
+// begin begins the first half of a round of so many looks, and a new pass unless
+// one is open.
 func (p *pass) begin(looks int) (anew bool) {
-	p.looks, p.notes = looks, roundNotes
+	p.half = max(looks/2, 1)
+	p.looks, p.notes = p.half, roundNotes
 	if p.open {
 		return false
 	}
@@ -43,8 +48,11 @@
 	return true
 }
 
-// spent reports whether the round has no looks left.
+// spent reports whether the half of the round has no looks left.
 func (p *pass) spent() bool { return p.looks <= 0 }
 
+// beginSecondHalf adds the looks of the round's second half to what is left.
+func (p *pass) beginSecondHalf() { p.looks = max(p.looks, 0) + p.half }
+
 // look counts a look at so many workers.
 func (p *pass) look(workers int) { p.looks -= workers }
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -19,33 +19,48 @@
 	}
 	if m.pass.begin(m.options.RoundLooks) {
 		m.crowded = false
-		m.misfits.reset()
 	}
-	for _, p := range m.pendingSteps() {
+	m.misfits.reset()
+	steps := m.pendingSteps()
+	front := m.startFront(steps)
+	m.pass.beginSecondHalf()
+	for _, p := range steps[front:] {
 		if p.turn == m.pass.number {
 			continue
 		}
 		if !m.takeTurn(p.step) {
 			return
 		}
-		p.turn = m.pass.number
 	}
 	m.pass.open = false
 }
 
+// startFront gives the most urgent steps their turn, whether or not they had one
+// in the pass, as far as the looks go. It returns how many.
+func (m *Machine) startFront(steps []pendingStep) int {
+	for i, p := range steps {
+		if !m.takeTurn(p.step) {
+			return i
+		}
+	}
+	return len(steps)
+}
+
 // takeTurn starts what fits of a step. It returns false when the round has no
 // looks left for it.
 func (m *Machine) takeTurn(s *step) bool {
-	switch {
-	case m.pass.spent():
+	if m.pass.spent() {
 		return false
+	}
+	switch {
 	case m.heldBack(s, m.now):
-		return true
 	case s.spec.Gang:
 		m.startGang(s)
-		return true
+	case !m.startStep(s):
+		return false
 	}
-	return m.startStep(s)
+	s.turn = m.pass.number
+	return true
 }
 
 // pendingStep is a step that is ready, with what it is ordered by.
