Let the stand-in's workers drain as the platform's do; write any bytes as an entry

Cause: a Site wrote a state for a worker that leaves which the product does not know, so that it went on counting as one in use: the soak's drains were losses. Change: the state is the platform's; Damage and PutBytes write what another writer may leave in the place of an entry.

--- a/standin/platform/site.go
+++ b/standin/platform/site.go
@@ -24,8 +24,8 @@
 
 // The states that an entry tells.
 const (
-	entryReady   = "ready"
-	entryLeaving = "leaving"
+	entryReady    = "ready"
+	entryDraining = "draining"
 )
 
 // The one pool of workers of a Site, and their zone.
@@ -110,7 +110,7 @@
 func (s *Site) List(id string) { s.enter(id, entryReady) }
 
 // Drain lists a worker as one that leaves.
-func (s *Site) Drain(id string) { s.enter(id, entryLeaving) }
+func (s *Site) Drain(id string) { s.enter(id, entryDraining) }
 
 // enter writes a worker's entry in the list of workers.
 func (s *Site) enter(id, state string) {
@@ -121,6 +121,12 @@
 	})
 }
 
+// Damage writes bytes in the place of an entry, which need not be a worker's.
+func (s *Site) Damage(id string, value []byte) { s.Store.PutBytes(entriesPrefix+id, value) }
+
+// Entry returns what is written in the place of an entry, nil if nothing is.
+func (s *Site) Entry(id string) []byte { return s.Store.Value(entriesPrefix + id) }
+
 // Unlist takes a worker's entry away, and leaves the worker as it is.
 func (s *Site) Unlist(id string) { s.Store.Delete(entriesPrefix + id) }
 
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -72,10 +72,15 @@
 	if err != nil {
 		panic(err)
 	}
+	s.PutBytes(key, data)
+}
+
+// PutBytes writes a key with any bytes, as whoever may write there can.
+func (s *Store) PutBytes(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.put(key, data, 0)
+	s.put(key, value, 0)
 	s.notify()
 }
 
