--- /dev/null
+++ b/core/jobsched/entry.go
@@ -0,0 +1,61 @@
+package jobsched
+
+import "github.com/guavarill/guavarill/core/model"
+
+// EntryFault is why an entry of the platform's list names no worker to use.
+type EntryFault int
+
+// The faults. Entries are written by workers and by whoever else may write
+// there, so that each field is held to what a worker says of itself.
+const (
+	// EntrySound is no fault.
+	EntrySound EntryFault = iota
+	// EntryUnreadable: the value is no JSON object.
+	EntryUnreadable
+	// EntryWrongType: a field that may be absent is there with another type.
+	EntryWrongType
+	// EntryBadID: the id is empty, or cannot be sent in a header.
+	EntryBadID
+	EntryNoService
+	// EntryBadAddress: the address is not host:port.
+	EntryBadAddress
+	// EntryUnknownState: the state is neither that of a worker in use nor that
+	// of one that leaves.
+	EntryUnknownState
+	// EntryNoCapacity: processor or memory is not positive, or the number of
+	// accelerators is negative.
+	EntryNoCapacity
+	// EntryNoLabels: there is no label, or one of them is empty.
+	EntryNoLabels
+	// EntryUnnamedService: the configuration does not name the service.
+	EntryUnnamedService
+)
+
+// entryFaultNames are the reasons in log lines and metrics.
+var entryFaultNames = [...]string{
+	"sound", "unreadable", "wrong type", "bad id", "no service", "bad address", "unknown state", "no capacity",
+	"no labels", "unnamed service",
+}
+
+// String returns the fault's name.
+func (f EntryFault) String() string {
+	if f < 0 || int(f) >= len(entryFaultNames) {
+		return "invalid fault"
+	}
+	return entryFaultNames[f]
+}
+
+// EntryFaults returns all faults.
+func EntryFaults() []EntryFault {
+	faults := make([]EntryFault, 0, len(entryFaultNames)-1)
+	for f := EntryUnreadable; int(f) < len(entryFaultNames); f++ {
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+// UnusableEntry is an entry of the platform's list that names no worker to use.
+type UnusableEntry struct {
+	ID    model.WorkerID
+	Fault EntryFault
+}
--- a/core/jobsched/event.go
+++ b/core/jobsched/event.go
@@ -14,7 +14,11 @@
 type ConfigChanged struct{ Config *job.Config }
 
 // WorkersListed brings the platform's whole list of workers.
-type WorkersListed struct{ Workers []WorkerEntry }
+type WorkersListed struct {
+	Workers []WorkerEntry
+	// Unusable holds the entries that name no worker to use.
+	Unusable []UnusableEntry
+}
 
 // WorkerEntry is what a worker says of itself in the platform's list.
 type WorkerEntry struct {
--- a/jobservice/follow.go
+++ b/jobservice/follow.go
@@ -70,10 +70,10 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		call, cancel := context.WithTimeout(ctx, listTimeout)
-		workers, err := t.leader.o.List.List(call)
+		listed, err := t.leader.o.List.List(call)
 		cancel()
 		if err == nil {
-			t.postStored(ctx, jobsched.WorkersListed{Workers: workers})
+			t.postStored(ctx, listed)
 		} else {
 			t.leader.log.WithError(err).Debug("workers not read; tried again")
 		}
--- a/port/jobs.go
+++ b/port/jobs.go
@@ -21,7 +21,7 @@
 // WorkerList reads the platform's list of workers. An error is a
 // *WorkerListError.
 type WorkerList interface {
-	List(ctx context.Context) ([]jobsched.WorkerEntry, error)
+	List(ctx context.Context) (jobsched.WorkersListed, error)
 }
 
 // Advisor asks the advice service which workers may run a step.
