Test that damaged entries decide nothing; red for services nobody configured

Not red, for the decoder gives no entry with another fault any more, and placement compares services: a known worker's tasks go on and nothing new comes, a draining worker stays unused, and the jobs of a queue that has gone are finished on its service.

--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -52,6 +52,9 @@
 	allSpecs    map[job.ID]*job.Spec
 	// slow makes the leader's steps take time; nil for a leader that takes none.
 	slow *slowLeader
+	// damages, if not nil, has a damaged entry for each worker without one, and
+	// for strangers.
+	damages *damages
 }
 
 // taskTruth is what the workers did for one task.
@@ -90,6 +93,8 @@
 	number   int64
 	// failAll makes every attempt fail; freeze keeps them from advancing.
 	failAll, freeze bool
+	// fault is what is wrong with its entry.
+	fault EntryFault
 }
 
 // fakeEnd is an end that the worker keeps.
@@ -176,13 +181,20 @@
 }
 
 func (c *cluster) list() {
-	var entries []WorkerEntry
+	var list WorkersListed
 	for _, id := range c.workerIDs() {
-		if w := c.workers[id]; w.listed {
-			entries = append(entries, w.entry)
+		w := c.workers[id]
+		switch {
+		case w.listed:
+			list.add(w.entry, w.fault)
+		case c.damages != nil:
+			list.add(w.entry, c.damages.any())
 		}
 	}
-	c.machine.Handle(c.now, WorkersListed{Workers: entries})
+	if c.damages != nil {
+		c.damages.addStrangers(&list)
+	}
+	c.machine.Handle(c.now, list)
 }
 
 func (c *cluster) workerIDs() []model.WorkerID {
@@ -327,6 +339,9 @@
 func (c *cluster) deliver(o Order, act func(*fakeWorker) Verdict, event func(Verdict) Event) {
 	m := c.machine
 	w := c.workers[o.Worker]
+	if w == nil {
+		w = &fakeWorker{dead: true}
+	}
 	if c.rnd.Float64() < c.delayOrders {
 		late := 2*time.Second + time.Duration(c.rnd.Int64N(int64(6*time.Second)))
 		c.after(late, func() {
