Take an entry of a service that no configuration names for none

Cause: the leader listed workers of any service. What only such an entry names came on the roster, and every take-over waited for it; a lost worker with one was never given up. Ruled out: the services of the configuration alone, as jobs of a queue that has gone with its service would find no worker any more (TestServiceOfAGoneQueue). Change: the machine judges the list by the services of the configuration in force, of its queues, and of the queues of jobs that are not over. Unusable entries are as good as none: what runs goes on and is renewed, nothing new comes.

--- a/core/jobsched/entry.go
+++ b/core/jobsched/entry.go
@@ -1,6 +1,10 @@
 package jobsched
 
-import "github.com/guavarill/guavarill/core/model"
+import (
+	"slices"
+
+	"github.com/guavarill/guavarill/core/model"
+)
 
 // EntryFault is why an entry of the platform's list names no worker to use.
 type EntryFault int
@@ -59,3 +63,37 @@
 	ID    model.WorkerID
 	Fault EntryFault
 }
+
+// judge parts the entries of workers that may be used from those that are
+// unusable, be it by the configuration.
+func (m *Machine) judge(list WorkersListed) ([]WorkerEntry, []UnusableEntry) {
+	if m.config == nil || len(m.config.Services) == 0 {
+		return list.Workers, list.Unusable
+	}
+	named := m.namedServices()
+	usable, unusable := make([]WorkerEntry, 0, len(list.Workers)), slices.Clip(list.Unusable)
+	for _, e := range list.Workers {
+		if _, ok := named[e.Service]; ok {
+			usable = append(usable, e)
+		} else {
+			unusable = append(unusable, UnusableEntry{ID: e.ID, Fault: EntryUnnamedService})
+		}
+	}
+	return usable, unusable
+}
+
+// namedServices returns the services of the configuration in force, and those
+// on which jobs run that it has no queue for any more.
+func (m *Machine) namedServices() map[string]struct{} {
+	named := make(map[string]struct{}, len(m.config.Services))
+	for name := range m.config.Services {
+		named[name] = struct{}{}
+	}
+	for _, q := range m.config.Queues {
+		named[q.Service] = struct{}{}
+	}
+	for _, j := range m.jobs.All() {
+		named[m.queue(j).Service] = struct{}{}
+	}
+	return named
+}
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -143,7 +143,7 @@
 	case ConfigChanged:
 		m.configChanged(ev.Config)
 	case WorkersListed:
-		m.workersListed(ev.Workers)
+		m.workersListed(ev)
 	case JobAccepted:
 		m.jobAccepted(ev)
 	case Renewed:
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -10,13 +10,15 @@
 // workersListed takes the platform's list in. A worker that is missing from it
 // may have left, may have lost its entry in an outage of the platform's store,
 // or may be cut off and run on: nothing is started on it, and what runs there
-// is over when it says so or when its lease has certainly run out.
-func (m *Machine) workersListed(entries []WorkerEntry) {
+// is over when it says so or when its lease has certainly run out. An unusable
+// entry is as good as none.
+func (m *Machine) workersListed(list WorkersListed) {
 	m.listed = true
 	for _, w := range m.workers.All() {
 		w.listed = false
 	}
-	for _, e := range entries {
+	usable, _ := m.judge(list)
+	for _, e := range usable {
 		w := m.workers.Get(e.ID)
 		if w == nil {
 			w = newWorker(e)
