Test that damaged entries are told, within bounds; red

A worker that is well and gets no tasks for its entry shows nowhere. The watch of entries, its counts and metrics are there, and the machine does not use it yet.

--- a/core/jobsched/entry_test.go
+++ b/core/jobsched/entry_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,6 +63,18 @@
 	}, n.Decision)
 }
 
+// entryNotes returns what was noted of entries since the last call.
+func (c *cluster) entryNotes() []string {
+	var lines []string
+	for _, n := range c.notes {
+		if tellsOfAnEntry(n) {
+			lines = append(lines, sessionLine(n))
+		}
+	}
+	c.notes = nil
+	return lines
+}
+
 // eachDamage runs a test with a fault that the decoder finds, and with one that
 // the configuration brings about.
 func eachDamage(t *testing.T, test func(t *testing.T, fault EntryFault)) {
@@ -195,6 +208,78 @@
 	}
 }
 
+// TestSightOfDamagedEntries: an entry that turns unusable is told once, and once
+// when it is good again or gone.
+func TestSightOfDamagedEntries(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.keepNotes = true
+	c.run(time.Second)
+	c.addWorker(9).fault = EntryNoLabels
+	c.workers["w001"].fault = EntryUnnamedService
+	c.run(3 * time.Second)
+	want := "worker entry unusable worker=w009: no labels\nworker entry unusable worker=w001: unnamed service"
+	if got := strings.Join(c.entryNotes(), "\n"); got != want {
+		t.Errorf("noted:\n%s\nwant:\n%s", got, want)
+	}
+	c.workers["w001"].fault = EntrySound
+	c.workers["w009"].listed = false
+	c.run(3 * time.Second)
+	want = "worker entry gone worker=w009: was no labels\nworker entry good again worker=w001: was unnamed service"
+	if got := strings.Join(c.entryNotes(), "\n"); got != want {
+		t.Errorf("noted:\n%s\nwant:\n%s", got, want)
+	}
+}
+
+// TestFloodOfDamagedEntries
+//
+// Symptom it guards against: the leader's log and memory fill up. Events: a
+// writer leaves ten thousand damaged entries, other ones in each list, and
+// damages that of a worker among them. Cause: each entry is followed and told.
+func TestFloodOfDamagedEntries(t *testing.T) {
+	const flood, lists = 10000, 20
+	c := newCluster(t, 1, 2)
+	c.run(time.Second)
+	list := func(number int) WorkersListed {
+		var l WorkersListed
+		for i := range flood {
+			l.add(WorkerEntry{ID: model.WorkerID(fmt.Sprintf("x%d-%d", number, i))}, EntryUnreadable)
+		}
+		l.add(c.workers["w000"].entry, EntrySound)
+		l.add(c.workers["w001"].entry, EntryNoLabels)
+		return l
+	}
+	c.machine.Advance(c.now, c.wall)
+	c.machine.TakeEntryCounts()
+	strangers, told := 0, 0
+	for number := range lists {
+		c.now = c.now.Add(100 * time.Millisecond)
+		c.machine.Handle(c.now, list(number))
+		for _, e := range c.machine.Advance(c.now, c.wall) {
+			n, ok := e.(Note)
+			switch {
+			case !ok || !tellsOfAnEntry(n):
+			case n.Worker == "w001":
+				told++
+			default:
+				strangers++
+			}
+		}
+		if n := c.machine.entries.tracked.Len(); n != trackedStrangers+1 {
+			t.Errorf("%d entries are followed, want %d", n, trackedStrangers+1)
+		}
+	}
+	if strangers != strangerTurnNotes || told != 1 {
+		t.Errorf("%d notes on strangers and %d on a worker, want %d and 1", strangers, told, strangerTurnNotes)
+	}
+	counts := c.machine.TakeEntryCounts()
+	if counts.Unusable[EntryUnreadable] != flood || counts.Unusable[EntryNoLabels] != 1 {
+		t.Errorf("counted: %v", counts.Unusable)
+	}
+	if turned, gone := counts.Turns[EntryTurnedUnusable], counts.Turns[EntryGone]; turned != lists*trackedStrangers+1 || gone != (lists-1)*trackedStrangers {
+		t.Errorf("%d turned unusable and %d are gone", turned, gone)
+	}
+}
+
 // TestDecidesAsWithoutDamagedEntries plays random days under faults, once with
 // entries that are missing now and then, and once with damaged ones in their
 // place and more of them that name nobody. All decisions must be the same, in
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -54,7 +54,9 @@
 	unresolved    ordered.Map[model.WorkerID, time.Time]
 	listed        bool
 	rosterChanged bool
-	deposed       bool
+	// entries follows the unusable entries of the platform's list.
+	entries entryWatch
+	deposed bool
 	// stops holds the attempts whose stop has not been acknowledged.
 	stops ordered.Map[*attempt, struct{}]
 	// sweptAt is when every attempt was looked at last.
--- a/jobservice/follow.go
+++ b/jobservice/follow.go
@@ -67,6 +67,7 @@
 
 // followWorkers reads the platform's list of workers again and again.
 func (t *term) followWorkers(ctx context.Context) {
+	defer t.leader.o.Metrics.setEntries(jobsched.EntryCounts{})
 	for ctx.Err() == nil {
 		began := time.Now()
 		call, cancel := context.WithTimeout(ctx, listTimeout)
@@ -74,6 +75,7 @@
 		cancel()
 		if err == nil {
 			t.postStored(ctx, listed)
+			t.countEntries(ctx)
 		} else {
 			t.leader.log.WithError(err).Debug("workers not read; tried again")
 		}
--- a/jobservice/metrics.go
+++ b/jobservice/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/guavarill/guavarill/core/jobsched"
 )
 
 // Metrics are the counters of one daemon.
@@ -24,6 +26,9 @@
 	stepTime      prometheus.Histogram
 	eventsWaiting prometheus.Gauge
 	lag           *prometheus.HistogramVec
+	// entriesUnusable and entryTurns tell of the platform's list of workers.
+	entriesUnusable *prometheus.GaugeVec
+	entryTurns      *prometheus.CounterVec
 }
 
 const namespace = "guavarill"
@@ -64,12 +69,17 @@
 		}),
 		eventsWaiting: gauge("leader_events_waiting", "Events that waited when the leader's last step began."),
 		lag:           histogram("decision_lag_seconds", "Time from a job's, or its cancel's, being stored to the leader's taking it in.", "decision"),
+		entriesUnusable: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "worker_entries_unusable", Help: "Entries that name no worker to use, at the leader, by reason.",
+		}, []string{"reason"}),
+		entryTurns: counter("worker_entry_turns_total", "Workers' entries that turned unusable, and that are good again or gone.", "turn"),
 		storeAway: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "store_lost_total", Help: "Times that callers' requests lost the store.",
 		}),
 	}
 	r.MustRegister(m.requests, m.requestTime, m.orders, m.orderTime, m.decisions, m.commitTime, m.terms,
-		m.leading, m.jobs, m.attempts, m.storeAway, m.stepTime, m.eventsWaiting, m.lag)
+		m.leading, m.jobs, m.attempts, m.storeAway, m.stepTime, m.eventsWaiting, m.lag, m.entriesUnusable, m.entryTurns)
+	m.setEntries(jobsched.EntryCounts{})
 	return m
 }
 
