--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -17,7 +17,7 @@
 	for _, w := range m.workers.All() {
 		w.listed = false
 	}
-	usable, _ := m.judge(list)
+	usable, unusable := m.judge(list)
 	for _, e := range usable {
 		w := m.workers.Get(e.ID)
 		if w == nil {
@@ -28,6 +28,7 @@
 		}
 		m.updateEntry(w, e)
 	}
+	m.watchEntries(unusable)
 	m.changed = true
 }
 
