Hold workers' entries to all fields that every worker writes

Cause: an entry without a zone, a version, slots or a sequence, or with another type of them, counted as a worker's, as nothing here uses them; but it is another writer's all the same. Change: such entries are incomplete, or of a wrong type.

--- a/core/jobsched/entry.go
+++ b/core/jobsched/entry.go
@@ -16,8 +16,11 @@
 	EntrySound EntryFault = iota
 	// EntryUnreadable: the value is no JSON object.
 	EntryUnreadable
-	// EntryWrongType: a field that may be absent is there with another type.
+	// EntryWrongType: a field without a fault of its own has another type.
 	EntryWrongType
+	// EntryIncomplete: a field without a fault of its own, which every worker
+	// writes, is not there.
+	EntryIncomplete
 	// EntryBadID: the id is empty, or cannot be sent in a header.
 	EntryBadID
 	EntryNoService
@@ -37,7 +40,7 @@
 
 // entryFaultNames are the reasons in log lines and metrics.
 var entryFaultNames = [...]string{
-	"sound", "unreadable", "wrong type", "bad id", "no service", "bad address", "unknown state", "no capacity",
+	"sound", "unreadable", "wrong type", "incomplete", "bad id", "no service", "bad address", "unknown state", "no capacity",
 	"no labels", "unnamed service",
 }
 
--- a/standin/platform/site.go
+++ b/standin/platform/site.go
@@ -116,7 +116,7 @@
 func (s *Site) enter(id, state string) {
 	w := s.Workers[id]
 	s.Store.Put(entriesPrefix+id, Entry{
-		Service: sitePool, Address: w.Address, Zone: siteZone, State: state,
+		Service: sitePool, Address: w.Address, Zone: siteZone, Version: "1", Slots: 8, Sequence: 1, State: state,
 		Capacity: map[string]int{"cpu": 16000, "memMb": 64000}, Labels: w.labels,
 	})
 }
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -60,6 +60,9 @@
 	Service  string         `json:"service"`
 	Address  string         `json:"address"`
 	Zone     string         `json:"zone"`
+	Version  string         `json:"version"`
+	Slots    int            `json:"slots"`
+	Sequence int            `json:"sequence"`
 	State    string         `json:"state"`
 	Capacity map[string]int `json:"capacity"`
 	Labels   []string       `json:"labels"`
