Split the largest files of the server, the owner and the platform stand-in by job

server/server.go (332 lines) built, served and stopped the process: server/build.go and server/stop.go take the first and the last, and build is three smaller functions. core/ownership/shard.go (380 lines) keeps what is known of a shard and the reads; acquire.go and giveup.go hold the two ways ownership changes. standin/platform/store.go (384) and worker.go (302) keep the state; storecalls.go and orders.go answer the calls, and a transaction and a hold are carried out in named steps.

Code is moved, not changed. go vet and the tests of server, standin, core/ownership, platform and soak passed.

--- /dev/null
+++ b/core/ownership/acquire.go
@@ -0,0 +1,119 @@
+package ownership
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	ledgerv1 "github.com/guavarill/guavarill/api/ledger/v1"
+	"github.com/guavarill/guavarill/core/ledger"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/port"
+)
+
+// mayAcquire reports whether this daemon may acquire the shard if it has no
+// owner.
+func (m *Machine) mayAcquire(now time.Time, s *shard) bool {
+	if s.rightOwner == m.self {
+		return true
+	}
+	waited := !s.absentSince.IsZero() && !now.Before(s.absentSince.Add(m.options.FallbackAfter))
+	return s.second && waited
+}
+
+func (m *Machine) ownerAbsent(now time.Time, s *shard) []Command {
+	if s.absentSince.IsZero() {
+		s.absentSince = now
+	}
+	if m.draining || !m.mayAcquire(now, s) {
+		s.nextCall = m.nextLook(now, s)
+		return nil
+	}
+	if !m.lease.sure(now, m.options.Margin) {
+		s.nextCall = s.retry.next(now)
+		return nil
+	}
+	return m.acquire(now, s)
+}
+
+// acquire puts the owner key if there is none; a shard is never taken from an
+// owner.
+func (m *Machine) acquire(now time.Time, s *shard) []Command {
+	clean := s.released != 0
+	if s.inDoubt(now) {
+		clean = clean && s.clean
+	}
+	s.clean = clean
+	s.call = acquireCall
+	s.acquireLease = m.lease.id
+	owner := ledger.OwnerKey(m.options.KeyPrefix, s.id)
+	released := ledger.ReleasedKey(m.options.KeyPrefix, s.id)
+	ops := []port.Op{{Key: owner, Value: m.ownerValue(), Lease: m.lease.id}}
+	if s.released != 0 {
+		ops = append(ops, port.Op{Key: released, Delete: true})
+	}
+	return []Command{Acquire{
+		Shard: s.id,
+		Conditions: []port.Condition{
+			{Key: owner, Kind: port.CompareCreateRevision, Revision: 0},
+			{Key: released, Kind: port.CompareModRevision, Revision: s.released},
+		},
+		Ops: ops,
+	}}
+}
+
+func (m *Machine) ownerValue() []byte {
+	value, err := proto.Marshal(&ledgerv1.Owner{Daemon: string(m.self), Address: m.address})
+	if err != nil {
+		// Only a name that is not UTF-8 fails; without a value the key is no
+		// less an owner key.
+		return nil
+	}
+	return value
+}
+
+func (m *Machine) acquireAnswered(now time.Time, ev AcquireAnswered) []Command {
+	s := m.find(ev.Shard)
+	if s == nil || s.call != acquireCall {
+		return nil
+	}
+	s.call = noCall
+	if s.acquireLease == 0 || s.acquireLease != m.lease.id {
+		return nil
+	}
+	switch {
+	case ev.Err != nil && kindOf(ev.Err) == port.StoreLeaseGone:
+		return m.leaseGone(now)
+	case ev.Err != nil:
+		if !notMade(ev.Err) {
+			s.doubtUntil = now.Add(doubtLeases * m.options.LeaseTTL)
+		}
+		s.nextCall = s.retry.next(now)
+		return nil
+	case !ev.Result.Succeeded:
+		s.absentSince = time.Time{}
+		s.nextCall = s.retry.next(now)
+		return nil
+	}
+	return m.acquired(now, s, model.Epoch(ev.Result.Revision))
+}
+
+// acquired takes the shard over, or releases it when it is not wanted any
+// more.
+func (m *Machine) acquired(now time.Time, s *shard, epoch model.Epoch) []Command {
+	s.epoch = epoch
+	s.doubtUntil = time.Time{}
+	s.absentSince = time.Time{}
+	s.retry.reset()
+	if m.draining || s.rightOwner != m.self && !s.second {
+		s.releasing = true
+		return m.release(s)
+	}
+	s.owned = true
+	s.acquiredAt = now
+	if s.rightOwner != m.self {
+		s.hold = min(max(2*s.hold, 2*m.options.FallbackAfter), maxHold)
+		s.holdUntil = now.Add(s.hold)
+	}
+	return []Command{ShardAcquired{Shard: s.id, Epoch: epoch, At: now, Clean: s.clean}}
+}
--- /dev/null
+++ b/core/ownership/giveup.go
@@ -0,0 +1,88 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/core/ledger"
+	"github.com/guavarill/guavarill/port"
+)
+
+// driveOwned gives the shard up when it is to be.
+func (m *Machine) driveOwned(now time.Time, s *shard) []Command {
+	switch {
+	case m.draining:
+		return m.giveUp(s, LostDrained)
+	case m.shouldHandOver(now, s):
+		return m.giveUp(s, LostHandedOver)
+	}
+	return nil
+}
+
+// shouldHandOver reports whether another daemon has for a while been the right
+// owner. It is among the candidates, so it is alive. A stand-in holds on for
+// longer each time, since the right owner did not act before.
+func (m *Machine) shouldHandOver(now time.Time, s *shard) bool {
+	if s.rightOwner == "" || s.rightOwner == m.self || !m.MayCommit(now) {
+		return false
+	}
+	settled := !now.Before(s.ownerSince.Add(m.options.SettleTime))
+	return settled && !now.Before(s.holdUntil)
+}
+
+// giveUp stops acting on a shard and then releases it.
+func (m *Machine) giveUp(s *shard, reason LostReason) []Command {
+	s.owned = false
+	s.releasing = true
+	return append([]Command{ShardLost{Shard: s.id, Reason: reason}}, m.release(s)...)
+}
+
+// release deletes the owner key if it is still this owner's, and leaves the
+// sign that nothing more is sent under its epoch.
+func (m *Machine) release(s *shard) []Command {
+	s.call = releaseCall
+	key := ledger.OwnerKey(m.options.KeyPrefix, s.id)
+	return []Command{Release{
+		Shard: s.id,
+		Conditions: []port.Condition{
+			{Key: key, Kind: port.CompareCreateRevision, Revision: int64(s.epoch)},
+		},
+		Ops: []port.Op{
+			{Key: key, Delete: true},
+			{Key: ledger.ReleasedKey(m.options.KeyPrefix, s.id), Value: m.ownerValue()},
+		},
+	}}
+}
+
+func (m *Machine) releaseAnswered(now time.Time, ev ReleaseAnswered) {
+	s := m.find(ev.Shard)
+	if s == nil || s.call != releaseCall {
+		return
+	}
+	s.call = noCall
+	if !s.releasing {
+		return
+	}
+	if ev.Err != nil {
+		s.nextCall = s.retry.next(now)
+		return
+	}
+	s.releasing = false
+	s.epoch = 0
+	s.retry.reset()
+	s.nextCall = now.Add(m.options.RetryMax)
+}
+
+// ledgerStoodDown gives up a shard whose ledger does not trust it, and leaves
+// it alone for a while, longer each time.
+func (m *Machine) ledgerStoodDown(now time.Time, ev LedgerStoodDown) []Command {
+	s := m.find(ev.Shard)
+	if s == nil || !s.owned {
+		return nil
+	}
+	if now.Sub(s.acquiredAt) > maxPenalty {
+		s.penalty = 0
+	}
+	s.penalty = min(max(2*s.penalty, m.options.RetryMax), maxPenalty)
+	s.restUntil = now.Add(s.penalty)
+	return m.giveUp(s, LostLedger)
+}
--- /dev/null
+++ b/server/build.go
@@ -0,0 +1,189 @@
+package server
+
+import (
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/guavarill/guavarill/adapter/adminapi"
+	"github.com/guavarill/guavarill/adapter/callerapi"
+	"github.com/guavarill/guavarill/adapter/etcdstore"
+	"github.com/guavarill/guavarill/adapter/grpcpeer"
+	"github.com/guavarill/guavarill/adapter/grpcworker"
+	"github.com/guavarill/guavarill/adapter/httptarget"
+	"github.com/guavarill/guavarill/adapter/httpvms"
+	"github.com/guavarill/guavarill/adapter/tlsfiles"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/ownership"
+	"github.com/guavarill/guavarill/core/storebudget"
+	"github.com/guavarill/guavarill/daemon"
+	"github.com/guavarill/guavarill/port"
+)
+
+// marginShare bounds the margin at the end of the daemon's lease to a part of
+// the lease. The lease is renewed after a third of its time: a margin of two
+// thirds or more would leave the daemon unsure of a lease that it holds.
+const marginShare = 5
+
+// renewsPerLease is how often a task's lease is renewed in its time.
+const renewsPerLease = 6
+
+// build listens, connects and makes the daemon with its servers.
+func (s *Server) build() error {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	if err := s.listen(); err != nil {
+		return err
+	}
+	if err := s.connect(registry); err != nil {
+		return err
+	}
+	d, err := daemon.New(s.daemonOptions(registry))
+	if err != nil {
+		return &StartError{Part: PartDaemon, Cause: err}
+	}
+	s.daemon = d
+	s.serveWith(registry)
+	return nil
+}
+
+// daemonOptions are the daemon's defaults with what the settings say.
+func (s *Server) daemonOptions(registry *prometheus.Registry) daemon.Options {
+	options := daemon.DefaultOptions(s.identity(), s.ports())
+	options.Logger = s.log
+	options.Registerer = registry
+	options.RacksShard = s.settings.RacksPerShard
+	options.CommitsPerSecond = s.settings.StoreWrites / 2
+	options.TimelineEvents = s.settings.TimelineEvents
+	options.Timing.StoreCall = s.settings.StoreCall
+	options.Ownership.LeaseTTL = s.settings.LeaseTTL
+	options.Ownership.Margin = min(ownership.DefaultMargin, s.settings.LeaseTTL/marginShare)
+	options.Ownership.OutageGrace = s.settings.OutageGrace
+	options.Members.OutageGrace = s.settings.OutageGrace
+	options.Session.Lease = s.settings.TaskLease
+	options.Session.RenewEvery = s.settings.TaskLease / renewsPerLease
+	options.Session.OutageGrace = s.settings.OutageGrace
+	if s.settings.Seed != 0 {
+		options.Seed = s.settings.Seed
+	}
+	return options
+}
+
+func (s *Server) listen() error {
+	for _, l := range []struct {
+		part    Part
+		address string
+		into    *net.Listener
+	}{
+		{PartCallers, s.settings.ListenCallers, &s.listeners.callers},
+		{PartAdmin, s.settings.ListenAdmin, &s.listeners.admin},
+		{PartPeers, s.settings.ListenPeers, &s.listeners.peers},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return &StartError{Part: l.part, Address: l.address, Cause: err}
+		}
+		*l.into = listener
+	}
+	return nil
+}
+
+// connect makes the clients of the store, workers, targets and other daemons.
+func (s *Server) connect(registry *prometheus.Registry) error {
+	if err := s.readTLS(); err != nil {
+		return err
+	}
+	if err := s.connectStore(registry); err != nil {
+		return err
+	}
+	s.workers = grpcworker.New(grpcworker.Options{})
+	s.target = httptarget.New(httptarget.Options{Registerer: registry})
+	client := grpcpeer.ClientOptions{Cluster: s.settings.Cluster}
+	if s.tls != nil {
+		client.Credentials = s.tls.GRPCClient()
+	}
+	s.peerClient = grpcpeer.NewClient(client)
+	return nil
+}
+
+// readTLS reads the TLS files when any are set.
+func (s *Server) readTLS() error {
+	if s.settings.TLSCert == "" {
+		return nil
+	}
+	source, err := tlsfiles.New(tlsfiles.Options{
+		CertFile: s.settings.TLSCert, KeyFile: s.settings.TLSKey, CAFile: s.settings.TLSCA,
+	})
+	if err != nil {
+		return &StartError{Part: PartTLS, Cause: err}
+	}
+	s.tls = source
+	return nil
+}
+
+func (s *Server) connectStore(registry *prometheus.Registry) error {
+	budget := storebudget.New(time.Now(), storebudget.Options{
+		StoreReads: s.settings.StoreReads, StoreWrites: s.settings.StoreWrites,
+	})
+	store, err := etcdstore.New(etcdstore.Options{
+		Endpoint: s.settings.Store, CallTimeout: s.settings.StoreCall,
+		Budget: budget, Registerer: registry,
+	})
+	if err != nil {
+		return &StartError{Part: PartStore, Address: s.settings.Store, Cause: err}
+	}
+	s.store = store
+	return nil
+}
+
+func (s *Server) ports() daemon.Ports {
+	return daemon.Ports{
+		Store:   s.store,
+		Workers: s.workers,
+		VMs:     httpvms.New(httpvms.Options{URL: s.settings.VMList}),
+		Peers:   s.peerClient,
+		Target:  s.target,
+		Clock:   port.SystemClock{},
+	}
+}
+
+func (s *Server) identity() daemon.Identity {
+	address := s.settings.PeerAddress
+	if address == "" {
+		address = s.listeners.peers.Addr().String()
+	}
+	return daemon.Identity{
+		Cluster:      s.settings.Cluster,
+		ID:           model.DaemonID(s.settings.ID),
+		Zone:         model.Zone(s.settings.Zone),
+		PeerAddress:  address,
+		AdminAddress: s.listeners.admin.Addr().String(),
+		Started:      time.Now(),
+	}
+}
+
+// serveWith makes the servers of callers, operators and other daemons.
+func (s *Server) serveWith(registry *prometheus.Registry) {
+	s.callers = callerapi.New(callerapi.Options{
+		Engine:         s.daemon.Engine(),
+		MaxBodyBytes:   s.settings.MaxBodyBytes,
+		BalancerNotice: s.settings.BalancerNotice,
+		Log:            s.log,
+	})
+	s.admin = adminapi.New(adminapi.Options{
+		Daemon:   s.daemon,
+		Gatherer: registry,
+		Ready:    s.ready,
+		Drain:    s.askDrain,
+	})
+	options := grpcpeer.ServerOptions{Cluster: s.settings.Cluster}
+	if s.tls != nil {
+		options.Credentials = s.tls.GRPCServer()
+	}
+	s.peers = grpcpeer.NewServer(options, s.daemon)
+}
