Let one piece serve where logic stood twice: defaults, moments, fields, admission of peers

The learners of sizes and of run times each kept weight, mean and squared deviation with the same fading sums; moments does it for both. Four readers of a manifest's fields differed in the type only (readAs). The peer server checked cluster and protocol in two places (admit). Options that are zero take their default by cmp.Or in place of 31 if statements, and copies of maps are made by the standard library.

--- a/adapter/callerapi/options.go
+++ b/adapter/callerapi/options.go
@@ -1,6 +1,7 @@
 package callerapi
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -49,12 +50,8 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.MaxBodyBytes == 0 {
-		o.MaxBodyBytes = DefaultMaxBodyBytes
-	}
-	if o.MaxHeaderBytes == 0 {
-		o.MaxHeaderBytes = DefaultMaxHeaderBytes
-	}
+	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, DefaultMaxBodyBytes)
+	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDuration(&o.ReadHeaderTimeout, DefaultReadHeaderTimeout)
 	setDuration(&o.ReadTimeout, DefaultReadTimeout)
 	setDuration(&o.WriteTimeout, DefaultWriteTimeout)
--- a/adapter/grpcpeer/client.go
+++ b/adapter/grpcpeer/client.go
@@ -1,6 +1,7 @@
 package grpcpeer
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -47,21 +48,11 @@
 	if o.Credentials == nil {
 		o.Credentials = insecure.NewCredentials()
 	}
-	if o.CallTimeout == 0 {
-		o.CallTimeout = DefaultCallTimeout
-	}
-	if o.MaxMessageBytes == 0 {
-		o.MaxMessageBytes = DefaultMaxMessageBytes
-	}
-	if o.KeepaliveTime == 0 {
-		o.KeepaliveTime = DefaultKeepaliveTime
-	}
-	if o.KeepaliveTimeout == 0 {
-		o.KeepaliveTimeout = DefaultKeepaliveTimeout
-	}
-	if o.protocol == 0 {
-		o.protocol = Protocol
-	}
+	o.CallTimeout = cmp.Or(o.CallTimeout, DefaultCallTimeout)
+	o.MaxMessageBytes = cmp.Or(o.MaxMessageBytes, DefaultMaxMessageBytes)
+	o.KeepaliveTime = cmp.Or(o.KeepaliveTime, DefaultKeepaliveTime)
+	o.KeepaliveTimeout = cmp.Or(o.KeepaliveTimeout, DefaultKeepaliveTimeout)
+	o.protocol = cmp.Or(o.protocol, Protocol)
 	return o
 }
 
--- a/adapter/grpcpeer/server.go
+++ b/adapter/grpcpeer/server.go
@@ -1,6 +1,7 @@
 package grpcpeer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -44,18 +45,10 @@
 	if o.Credentials == nil {
 		o.Credentials = insecure.NewCredentials()
 	}
-	if o.MaxMessageBytes == 0 {
-		o.MaxMessageBytes = DefaultMaxMessageBytes
-	}
-	if o.KeepaliveTime == 0 {
-		o.KeepaliveTime = DefaultKeepaliveTime
-	}
-	if o.KeepaliveTimeout == 0 {
-		o.KeepaliveTimeout = DefaultKeepaliveTimeout
-	}
-	if o.MaxStreams == 0 {
-		o.MaxStreams = 256
-	}
+	o.MaxMessageBytes = cmp.Or(o.MaxMessageBytes, DefaultMaxMessageBytes)
+	o.KeepaliveTime = cmp.Or(o.KeepaliveTime, DefaultKeepaliveTime)
+	o.KeepaliveTimeout = cmp.Or(o.KeepaliveTimeout, DefaultKeepaliveTimeout)
+	o.MaxStreams = cmp.Or(o.MaxStreams, 256)
 	return o
 }
 
@@ -109,11 +102,8 @@
 
 // Exchange implements peerv1.PeerServer.
 func (s *Server) Exchange(ctx context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
-	if req.GetCluster() != s.o.Cluster {
-		return nil, s.refuseCluster()
-	}
-	if req.GetProtocol() > Protocol {
-		return nil, s.refuseProtocol()
+	if err := s.admit(req.GetCluster(), req.GetProtocol()); err != nil {
+		return nil, err
 	}
 	resp, err := s.handler.Exchange(ctx, req)
 	return resp, s.statusOf(err)
@@ -125,21 +115,29 @@
 	return resp, s.statusOf(err)
 }
 
-// check refuses calls of other clusters and newer protocols. A daemon with a
-// wrong cluster setting would otherwise mix two clusters' members and take
-// one's configuration for the other's.
+// check refuses calls that are not to be admitted by their metadata.
 func (s *Server) check(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
 	s.calls.Add(1)
 	id := incomingIdentity(ctx)
-	if id.cluster != s.o.Cluster {
-		return nil, s.refuseCluster()
-	}
-	if id.protocol > Protocol {
-		return nil, s.refuseProtocol()
+	if err := s.admit(id.cluster, id.protocol); err != nil {
+		return nil, err
 	}
 	return next(ctx, req)
 }
 
+// admit refuses other clusters and newer protocols. A daemon with a wrong
+// cluster setting would otherwise mix two clusters' members and take one's
+// configuration for the other's.
+func (s *Server) admit(cluster string, protocol uint32) error {
+	if cluster != s.o.Cluster {
+		return s.refuseCluster()
+	}
+	if protocol > Protocol {
+		return s.refuseProtocol()
+	}
+	return nil
+}
+
 func (s *Server) refuseCluster() error {
 	s.otherCluster.Add(1)
 	return status.Error(codeOtherCluster, string(port.PeerOtherCluster))
--- a/adapter/grpcworker/client.go
+++ b/adapter/grpcworker/client.go
@@ -1,6 +1,7 @@
 package grpcworker
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -43,18 +44,10 @@
 	if o.Credentials == nil {
 		o.Credentials = insecure.NewCredentials()
 	}
-	if o.KeepaliveAfter == 0 {
-		o.KeepaliveAfter = DefaultKeepaliveAfter
-	}
-	if o.KeepaliveTimeout == 0 {
-		o.KeepaliveTimeout = DefaultKeepaliveTimeout
-	}
-	if o.MaxAnswerBytes == 0 {
-		o.MaxAnswerBytes = DefaultMaxAnswerBytes
-	}
-	if o.IdleAfter == 0 {
-		o.IdleAfter = DefaultIdleAfter
-	}
+	o.KeepaliveAfter = cmp.Or(o.KeepaliveAfter, DefaultKeepaliveAfter)
+	o.KeepaliveTimeout = cmp.Or(o.KeepaliveTimeout, DefaultKeepaliveTimeout)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	o.IdleAfter = cmp.Or(o.IdleAfter, DefaultIdleAfter)
 	return o
 }
 
--- a/adapter/httptarget/options.go
+++ b/adapter/httptarget/options.go
@@ -1,6 +1,7 @@
 package httptarget
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -64,15 +65,9 @@
 	setDuration(&o.UserTimeout, DefaultUserTimeout)
 	setDuration(&o.KeepAliveIdle, DefaultKeepAliveIdle)
 	setDuration(&o.KeepAliveEvery, DefaultKeepAliveEvery)
-	if o.KeepAliveCount == 0 {
-		o.KeepAliveCount = DefaultKeepAliveCount
-	}
-	if o.MaxHeadBytes == 0 {
-		o.MaxHeadBytes = DefaultMaxHeadBytes
-	}
-	if o.MaxBodyBytes == 0 {
-		o.MaxBodyBytes = DefaultMaxBodyBytes
-	}
+	o.KeepAliveCount = cmp.Or(o.KeepAliveCount, DefaultKeepAliveCount)
+	o.MaxHeadBytes = cmp.Or(o.MaxHeadBytes, DefaultMaxHeadBytes)
+	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, DefaultMaxBodyBytes)
 	return o
 }
 
--- a/adapter/httptarget/target.go
+++ b/adapter/httptarget/target.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -121,11 +123,7 @@
 func (t *Target) allPools() []*pool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := make([]*pool, 0, len(t.pools))
-	for _, p := range t.pools {
-		all = append(all, p)
-	}
-	return all
+	return slices.Collect(maps.Values(t.pools))
 }
 
 func (t *Target) pruneLoop() {
--- a/adapter/httpvms/client.go
+++ b/adapter/httpvms/client.go
@@ -1,6 +1,7 @@
 package httpvms
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -66,15 +67,9 @@
 //
 // The transport asks for gzip and decompresses by itself.
 func New(o Options) *Client {
-	if o.Timeout == 0 {
-		o.Timeout = DefaultTimeout
-	}
-	if o.MaxBytes == 0 {
-		o.MaxBytes = DefaultMaxBytes
-	}
-	if o.FullEvery == 0 {
-		o.FullEvery = DefaultFullEvery
-	}
+	o.Timeout = cmp.Or(o.Timeout, DefaultTimeout)
+	o.MaxBytes = cmp.Or(o.MaxBytes, DefaultMaxBytes)
+	o.FullEvery = cmp.Or(o.FullEvery, DefaultFullEvery)
 	if o.Clock == nil {
 		o.Clock = port.SystemClock{}
 	}
--- a/core/dedup/options.go
+++ b/core/dedup/options.go
@@ -1,6 +1,9 @@
 package dedup
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Options.
 const (
@@ -30,18 +33,10 @@
 
 // WithDefaults returns o with its zero fields set.
 func (o Options) WithDefaults() Options {
-	if o.Retention == 0 {
-		o.Retention = DefaultRetention
-	}
-	if o.Settle == 0 {
-		o.Settle = DefaultSettle
-	}
-	if o.Skew == 0 {
-		o.Skew = DefaultSkew
-	}
-	if o.MaxRecords == 0 {
-		o.MaxRecords = DefaultMaxRecords
-	}
+	o.Retention = cmp.Or(o.Retention, DefaultRetention)
+	o.Settle = cmp.Or(o.Settle, DefaultSettle)
+	o.Skew = cmp.Or(o.Skew, DefaultSkew)
+	o.MaxRecords = cmp.Or(o.MaxRecords, DefaultMaxRecords)
 	return o
 }
 
--- a/core/interference/runtimes.go
+++ b/core/interference/runtimes.go
@@ -11,11 +11,7 @@
 type RunTimes struct {
 	priorWeight float64
 	priorStd    float64
-	workloads   map[string]*logRatio
-}
-
-type logRatio struct {
-	weight, mean, squares float64
+	workloads   map[string]*moments
 }
 
 const (
@@ -30,7 +26,7 @@
 	return &RunTimes{
 		priorWeight: runTimePriorWeight,
 		priorStd:    runTimePriorStd,
-		workloads:   make(map[string]*logRatio),
+		workloads:   make(map[string]*moments),
 	}
 }
 
@@ -42,19 +38,10 @@
 	}
 	w, ok := r.workloads[workload]
 	if !ok {
-		w = &logRatio{}
+		w = &moments{}
 		r.workloads[workload] = w
 	}
-	value := math.Log(float64(actual) / float64(declared))
-	w.weight++
-	delta := value - w.mean
-	w.mean += delta / w.weight
-	w.squares += delta * (value - w.mean)
-	if w.weight > memoryOfTasks {
-		keep := memoryOfTasks / w.weight
-		w.weight *= keep
-		w.squares *= keep
-	}
+	w.add(math.Log(float64(actual) / float64(declared)))
 }
 
 // Expect returns the median run time to expect and a time that about five in
--- a/core/interference/sizes.go
+++ b/core/interference/sizes.go
@@ -61,11 +61,11 @@
 }
 
 // ratio follows the peaks of a workload's tasks as multiples of the declared
-// size: weight, mean and squared deviation over tasks, and the hold in force.
+// size: their moments over tasks, and the hold in force.
 type ratio struct {
-	weight, mean, squares float64
-	hold                  float64
-	holdAt                time.Time
+	moments
+	hold   float64
+	holdAt time.Time
 }
 
 // NewSizes returns a learner that holds what is declared.
@@ -193,10 +193,6 @@
 	return math.Min(o.MaxRatio, math.Max(o.MinRatio, want))
 }
 
-// memoryOfTasks bounds the weight of past tasks, so that a workload whose
-// tasks change is followed.
-const memoryOfTasks = 200
-
 // replace exchanges a task's old peak for its new one, or adds the first.
 func (r *ratio) replace(seen bool, old, next float64) {
 	if seen && old == next {
@@ -205,26 +201,7 @@
 	if seen && r.weight >= 1 {
 		r.remove(old)
 	}
-	r.weight++
-	delta := next - r.mean
-	r.mean += delta / r.weight
-	r.squares += delta * (next - r.mean)
-	if r.weight > memoryOfTasks {
-		keep := memoryOfTasks / r.weight
-		r.weight *= keep
-		r.squares *= keep
-	}
-}
-
-func (r *ratio) remove(value float64) {
-	if r.weight <= 1 {
-		*r = ratio{hold: r.hold, holdAt: r.holdAt}
-		return
-	}
-	r.weight--
-	delta := value - r.mean
-	r.mean -= delta / r.weight
-	r.squares = math.Max(0, r.squares-delta*(value-r.mean))
+	r.add(next)
 }
 
 // settle raises the hold at once and lowers it slowly. Lowering at once would
--- a/core/manifest/reader.go
+++ b/core/manifest/reader.go
@@ -99,40 +99,36 @@
 	}
 }
 
-func (o *object) text(field string) string {
+// readAs reads a field as a T. It reports false and returns the zero T for a
+// field that is absent, and for one of another type, which is a problem.
+func readAs[T any](o *object, field, want string) (T, bool) {
+	var none T
 	value, ok := o.get(field)
 	if !ok {
-		return ""
+		return none, false
 	}
-	text, ok := value.(string)
+	read, ok := value.(T)
 	if !ok {
-		o.problems.add(o.at(field), ReasonWrongType, "want text, have "+typeName(value))
+		o.problems.add(o.at(field), ReasonWrongType, "want "+want+", have "+typeName(value))
 	}
+	return read, ok
+}
+
+func (o *object) text(field string) string {
+	text, _ := readAs[string](o, field, "text")
 	return text
 }
 
 func (o *object) boolean(field string) bool {
-	value, ok := o.get(field)
-	if !ok {
-		return false
-	}
-	b, ok := value.(bool)
-	if !ok {
-		o.problems.add(o.at(field), ReasonWrongType, "want true or false, have "+typeName(value))
-	}
+	b, _ := readAs[bool](o, field, "true or false")
 	return b
 }
 
 func (o *object) integer(field string) int64 {
-	value, ok := o.get(field)
+	number, ok := readAs[json.Number](o, field, "a whole number without a unit")
 	if !ok {
 		return 0
 	}
-	number, ok := value.(json.Number)
-	if !ok {
-		o.problems.add(o.at(field), ReasonWrongType, "want a whole number without a unit, have "+typeName(value))
-		return 0
-	}
 	n, err := strconv.ParseInt(number.String(), 10, 64)
 	if err != nil {
 		o.problems.add(o.at(field), ReasonWrongType, "want a whole number, have "+number.String())
@@ -159,14 +155,7 @@
 
 // list reads a field as a list; one that is absent is empty.
 func (o *object) list(field string) []any {
-	value, ok := o.get(field)
-	if !ok {
-		return nil
-	}
-	list, ok := value.([]any)
-	if !ok {
-		o.problems.add(o.at(field), ReasonWrongType, "want a list, have "+typeName(value))
-	}
+	list, _ := readAs[[]any](o, field, "a list")
 	return list
 }
 
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/guavarill/guavarill/core/fate"
@@ -25,15 +26,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Ratio == 0 {
-		o.Ratio = DefaultRatio
-	}
-	if o.Burst == 0 {
-		o.Burst = DefaultBurst
-	}
-	if o.MaxAttempts == 0 {
-		o.MaxAttempts = DefaultMaxAttempts
-	}
+	o.Ratio = cmp.Or(o.Ratio, DefaultRatio)
+	o.Burst = cmp.Or(o.Burst, DefaultBurst)
+	o.MaxAttempts = cmp.Or(o.MaxAttempts, DefaultMaxAttempts)
 	return o
 }
 
--- a/core/workersession/options.go
+++ b/core/workersession/options.go
@@ -1,6 +1,9 @@
 package workersession
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // The defaults of Options.
 const (
@@ -73,9 +76,7 @@
 	setDefault(&o.OutageGrace, DefaultOutageGrace)
 	setDefault(&o.CallTimeout, DefaultCallTimeout)
 	setDefault(&o.UnreachableAfter, renewsPerUnreachable*o.RenewEvery)
-	if o.UnreachableCalls == 0 {
-		o.UnreachableCalls = DefaultUnreachableCalls
-	}
+	o.UnreachableCalls = cmp.Or(o.UnreachableCalls, DefaultUnreachableCalls)
 	return o
 }
 
--- a/standin/platform/audit.go
+++ b/standin/platform/audit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 )
@@ -80,11 +81,7 @@
 func (a *Audit) Running() map[string]string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	running := make(map[string]string, len(a.running))
-	for task, worker := range a.running {
-		running[task] = worker
-	}
-	return running
+	return maps.Clone(a.running)
 }
 
 // Events returns what has happened so far.
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -1,7 +1,8 @@
 package platform
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -82,12 +83,7 @@
 func (w *Worker) Running() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	names := make([]string, 0, len(w.running))
-	for task := range w.running {
-		names = append(names, task)
-	}
-	sort.Strings(names)
-	return names
+	return slices.Sorted(maps.Keys(w.running))
 }
 
 // Starts returns how many attempts were started.
@@ -125,10 +121,7 @@
 // expire ends all that runs: its lease has run out.
 func (w *Worker) expire() {
 	w.mu.Lock()
-	running := make([]*run, 0, len(w.running))
-	for _, r := range w.running {
-		running = append(running, r)
-	}
+	running := slices.Collect(maps.Values(w.running))
 	for i := range w.finished {
 		w.finished[i].void = true
 	}
--- a/standin/store/listener.go
+++ b/standin/store/listener.go
@@ -1,7 +1,9 @@
 package store
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -94,11 +96,7 @@
 func (l *listener) all() []*conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	all := make([]*conn, 0, len(l.conns))
-	for _, c := range l.conns {
-		all = append(all, c)
-	}
-	return all
+	return slices.Collect(maps.Values(l.conns))
 }
 
 func (l *listener) forget(c *conn) {
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -137,11 +138,7 @@
 func (t *Target) AllRuns() map[string]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := make(map[string]int, len(t.runs))
-	for id, n := range t.runs {
-		all[id] = n
-	}
-	return all
+	return maps.Clone(t.runs)
 }
 
 // MostRuns returns the most requests that ran at once.
--- a/traffic/claims.go
+++ b/traffic/claims.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"sync"
@@ -61,9 +62,7 @@
 
 // NewQuorumClaims returns the claims of one entry.
 func NewQuorumClaims(o ClaimOptions) *QuorumClaims {
-	if o.Timeout == 0 {
-		o.Timeout = DefaultClaimTimeout
-	}
+	o.Timeout = cmp.Or(o.Timeout, DefaultClaimTimeout)
 	if o.Clock == nil {
 		o.Clock = port.SystemClock{}
 	}
--- a/traffic/options.go
+++ b/traffic/options.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -72,9 +73,7 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.ClaimMaxAge == 0 {
-		o.ClaimMaxAge = DefaultClaimMaxAge
-	}
+	o.ClaimMaxAge = cmp.Or(o.ClaimMaxAge, DefaultClaimMaxAge)
 	if o.OnLeaving == nil {
 		o.OnLeaving = func(string, string) {}
 	}
