Set defaults one way, declare commands by field, say comments without history

(ledger and ownership also replace negative values and keep theirs.) Placement's Release and Resize find the task by one function.

go vet and the tests of cli, server, capacity, core/placement, core/scheduler, core/eviction, core/storebudget, adapter/logsink, etcdstore, callerapi, httptarget, daemon and standin passed.

--- a/adapter/callerapi/options.go
+++ b/adapter/callerapi/options.go
@@ -52,19 +52,13 @@
 func (o Options) withDefaults() Options {
 	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, DefaultMaxBodyBytes)
 	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, DefaultMaxHeaderBytes)
-	setDuration(&o.ReadHeaderTimeout, DefaultReadHeaderTimeout)
-	setDuration(&o.ReadTimeout, DefaultReadTimeout)
-	setDuration(&o.WriteTimeout, DefaultWriteTimeout)
-	setDuration(&o.IdleTimeout, DefaultIdleTimeout)
-	setDuration(&o.BalancerNotice, DefaultBalancerNotice)
+	o.ReadHeaderTimeout = cmp.Or(o.ReadHeaderTimeout, DefaultReadHeaderTimeout)
+	o.ReadTimeout = cmp.Or(o.ReadTimeout, DefaultReadTimeout)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, DefaultWriteTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.BalancerNotice = cmp.Or(o.BalancerNotice, DefaultBalancerNotice)
 	if o.Log == nil {
 		o.Log = discard()
 	}
 	return o
 }
-
-func setDuration(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
--- a/adapter/etcdstore/options.go
+++ b/adapter/etcdstore/options.go
@@ -1,6 +1,7 @@
 package etcdstore
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -66,12 +67,12 @@
 func (e *OptionError) Error() string { return fmt.Sprintf("store option %s: %s", e.Option, e.Reason) }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
-	setDefault(&o.PingTime, DefaultPingTime)
-	setDefault(&o.PingTimeout, DefaultPingTimeout)
-	setDefault(&o.IdleTime, DefaultIdleTime)
-	setDefault(&o.ReconnectAfter, DefaultReconnectAfter)
-	setDefault(&o.MaxRequestBytes, DefaultMaxRequestBytes)
+	o.CallTimeout = cmp.Or(o.CallTimeout, DefaultCallTimeout)
+	o.PingTime = cmp.Or(o.PingTime, DefaultPingTime)
+	o.PingTimeout = cmp.Or(o.PingTimeout, DefaultPingTimeout)
+	o.IdleTime = cmp.Or(o.IdleTime, DefaultIdleTime)
+	o.ReconnectAfter = cmp.Or(o.ReconnectAfter, DefaultReconnectAfter)
+	o.MaxRequestBytes = cmp.Or(o.MaxRequestBytes, DefaultMaxRequestBytes)
 	if o.Clock == nil {
 		o.Clock = port.SystemClock{}
 	}
@@ -87,10 +88,3 @@
 	}
 	return nil
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/adapter/httptarget/options.go
+++ b/adapter/httptarget/options.go
@@ -56,23 +56,17 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDuration(&o.ConnectTimeout, DefaultConnectTimeout)
-	setDuration(&o.ConnectionWait, DefaultConnectionWait)
-	setDuration(&o.IdleMax, DefaultIdleMax)
-	setDuration(&o.ProvenWithin, DefaultProvenWithin)
-	setDuration(&o.SilenceAfter, DefaultSilenceAfter)
-	setDuration(&o.ProbeTimeout, DefaultProbeTimeout)
-	setDuration(&o.UserTimeout, DefaultUserTimeout)
-	setDuration(&o.KeepAliveIdle, DefaultKeepAliveIdle)
-	setDuration(&o.KeepAliveEvery, DefaultKeepAliveEvery)
+	o.ConnectTimeout = cmp.Or(o.ConnectTimeout, DefaultConnectTimeout)
+	o.ConnectionWait = cmp.Or(o.ConnectionWait, DefaultConnectionWait)
+	o.IdleMax = cmp.Or(o.IdleMax, DefaultIdleMax)
+	o.ProvenWithin = cmp.Or(o.ProvenWithin, DefaultProvenWithin)
+	o.SilenceAfter = cmp.Or(o.SilenceAfter, DefaultSilenceAfter)
+	o.ProbeTimeout = cmp.Or(o.ProbeTimeout, DefaultProbeTimeout)
+	o.UserTimeout = cmp.Or(o.UserTimeout, DefaultUserTimeout)
+	o.KeepAliveIdle = cmp.Or(o.KeepAliveIdle, DefaultKeepAliveIdle)
+	o.KeepAliveEvery = cmp.Or(o.KeepAliveEvery, DefaultKeepAliveEvery)
 	o.KeepAliveCount = cmp.Or(o.KeepAliveCount, DefaultKeepAliveCount)
 	o.MaxHeadBytes = cmp.Or(o.MaxHeadBytes, DefaultMaxHeadBytes)
 	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, DefaultMaxBodyBytes)
 	return o
 }
-
-func setDuration(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
--- a/adapter/logsink/sink.go
+++ b/adapter/logsink/sink.go
@@ -17,14 +17,14 @@
 	flushInterval = 100 * time.Millisecond
 	// pieceBytes bounds one write: what POSIX promises to write to a pipe in
 	// one piece (PIPE_BUF on Linux). A collector that takes what one read brings
-	// for whole lines tears those that a larger write spreads over two reads;
-	// one notices lines that are no JSON, 2.7 in 100 of a busy leader's before.
+	// for whole lines tears those that a larger write spreads over two reads,
+	// and what it then stores is not JSON.
 	pieceBytes = 4096
 )
 
 // Sink gathers lines and writes them in the background. A reader that stalls,
-// or a pipe that is full, costs lines and not requests: one notices the line
-// that says how many were dropped.
+// or a pipe that is full, costs lines and not requests; a line says how
+// many were dropped.
 type Sink struct {
 	out io.Writer
 
--- a/capacity/size.go
+++ b/capacity/size.go
@@ -21,7 +21,8 @@
 	RequestSeconds, SlotsBusy, NonIdempotent float64
 }
 
-// Today is the agency's size. Rates that it did not give are assumed.
+// Today is the size of the deployment in use. Rates that are not known of it
+// are assumed.
 func Today() Size {
 	return Size{
 		Workers: 50, Entries: 7, Zones: 3, Regions: 1,
--- a/cli/commands.go
+++ b/cli/commands.go
@@ -11,61 +11,63 @@
 	group []declaration
 }
 
+// The exit codes of commands that end in the same ways.
+var (
+	// codesOfLook are those of commands that show what daemons say.
+	codesOfLook = []ExitCode{ExitOK, ExitUsage, ExitNotMade, ExitIncomplete}
+	// codesOfTrial are those of commands that run stand-ins.
+	codesOfTrial = []ExitCode{ExitOK, ExitFailed, ExitUsage}
+	// codesOfJobCall are those of commands that call any daemon about jobs.
+	codesOfJobCall = []ExitCode{ExitOK, ExitUsage, ExitRefused, ExitUnknown, ExitNotMade}
+)
+
+// declarations are the commands, in the order of the help.
 func (a *app) declarations() []declaration {
 	return []declaration{
 		{
-			"apply", "accept a manifest",
-			"Sends a manifest to the first daemon that can be reached. What was accepted replaces the whole configuration; what is not declared any more ends. The same manifest again changes nothing. With --dry-run nothing is changed, and the differences to the manifest in force at that daemon are shown.",
-			[]ExitCode{ExitOK, ExitFailed, ExitUsage, ExitConflict, ExitRefused, ExitUnknown, ExitNotMade, ExitIncomplete},
-			&applyCommand{app: a}, nil,
+			name: "apply", short: "accept a manifest",
+			long:  "Sends a manifest to the first daemon that can be reached. What was accepted replaces the whole configuration; what is not declared any more ends. The same manifest again changes nothing. With --dry-run nothing is changed, and the differences to the manifest in force at that daemon are shown.",
+			codes: []ExitCode{ExitOK, ExitFailed, ExitUsage, ExitConflict, ExitRefused, ExitUnknown, ExitNotMade, ExitIncomplete}, data: &applyCommand{app: a},
 		},
 		{
-			"validate", "check a manifest without a daemon",
-			"Lists everything that is wrong with a manifest, each with its place. It is what a daemon checks, except for the cluster's name.",
-			[]ExitCode{ExitOK, ExitFailed, ExitUsage, ExitRefused},
-			&validateCommand{app: a}, nil,
+			name: "validate", short: "check a manifest without a daemon",
+			long:  "Lists everything that is wrong with a manifest, each with its place. It is what a daemon checks, except for the cluster's name.",
+			codes: []ExitCode{ExitOK, ExitFailed, ExitUsage, ExitRefused}, data: &validateCommand{app: a},
 		},
 		{
-			"status", "show daemons, shards and workers",
-			"Shows each daemon named by --daemon as it sees itself, and with --workers the workers of its shards.",
-			[]ExitCode{ExitOK, ExitUsage, ExitNotMade, ExitIncomplete},
-			&statusCommand{app: a}, nil,
+			name: "status", short: "show daemons, shards and workers",
+			long:  "Shows each daemon named by --daemon as it sees itself, and with --workers the workers of its shards.",
+			codes: codesOfLook, data: &statusCommand{app: a},
 		},
 		{
-			"jobs", "show workloads with the state and reason of each",
-			"Counts the tasks of each workload by state and by why they wait or ended. Name all daemons with --daemon: each knows the tasks of its own shards.",
-			[]ExitCode{ExitOK, ExitUsage, ExitNotMade, ExitIncomplete},
-			&jobsCommand{app: a}, nil,
+			name: "jobs", short: "show workloads with the state and reason of each",
+			long:  "Counts the tasks of each workload by state and by why they wait or ended. Name all daemons with --daemon: each knows the tasks of its own shards.",
+			codes: codesOfLook, data: &jobsCommand{app: a},
 		},
 		{
-			"cancel", "end workloads",
-			"Ends all tasks of the named workloads. They stay ended while manifests declare them as they are; one that declares them otherwise starts them anew.",
-			[]ExitCode{ExitOK, ExitUsage, ExitConflict, ExitRefused, ExitUnknown, ExitNotMade},
-			&cancelCommand{app: a}, nil,
+			name: "cancel", short: "end workloads",
+			long:  "Ends all tasks of the named workloads. They stay ended while manifests declare them as they are; one that declares them otherwise starts them anew.",
+			codes: []ExitCode{ExitOK, ExitUsage, ExitConflict, ExitRefused, ExitUnknown, ExitNotMade}, data: &cancelCommand{app: a},
 		},
 		{
-			"timeline", "show the events of all daemons in order",
-			"Merges the events that the daemons named by --daemon hold in memory.",
-			[]ExitCode{ExitOK, ExitUsage, ExitNotMade, ExitIncomplete},
-			&timelineCommand{app: a}, nil,
+			name: "timeline", short: "show the events of all daemons in order",
+			long:  "Merges the events that the daemons named by --daemon hold in memory.",
+			codes: codesOfLook, data: &timelineCommand{app: a},
 		},
 		{
-			"drain", "stop one daemon in the planned way",
-			"Asks one daemon to stop: readiness is withdrawn, requests in flight end, shards are handed over, and the process exits with code 0. The command returns when the stop has begun.",
-			[]ExitCode{ExitOK, ExitUsage, ExitUnknown, ExitNotMade},
-			&drainCommand{app: a}, nil,
+			name: "drain", short: "stop one daemon in the planned way",
+			long:  "Asks one daemon to stop: readiness is withdrawn, requests in flight end, shards are handed over, and the process exits with code 0. The command returns when the stop has begun.",
+			codes: []ExitCode{ExitOK, ExitUsage, ExitUnknown, ExitNotMade}, data: &drainCommand{app: a},
 		},
 		{
-			"standin", "run a stand-in platform for trials",
-			"Runs a store, a list of VMs and workers on this machine until interrupted, and prints the settings that daemons reach them with. Nothing is kept.",
-			[]ExitCode{ExitOK, ExitFailed, ExitUsage},
-			&standinCommand{app: a}, nil,
+			name: "standin", short: "run a stand-in platform for trials",
+			long:  "Runs a store, a list of VMs and workers on this machine until interrupted, and prints the settings that daemons reach them with. Nothing is kept.",
+			codes: codesOfTrial, data: &standinCommand{app: a},
 		},
 		{
-			"demo", "run a whole deployment on stand-ins",
-			"Runs stand-ins, three daemons and callers in this process, kills one daemon, drains another, and reports what was lost, doubled or overcommitted.",
-			[]ExitCode{ExitOK, ExitFailed, ExitUsage},
-			&demoCommand{app: a}, nil,
+			name: "demo", short: "run a whole deployment on stand-ins",
+			long:  "Runs stand-ins, three daemons and callers in this process, kills one daemon, drains another, and reports what was lost, doubled or overcommitted.",
+			codes: codesOfTrial, data: &demoCommand{app: a},
 		},
 		{
 			name: "job", short: "submit and explain jobs (see job --help)",
@@ -95,48 +97,46 @@
 
 // jobDeclarations are the commands below "job".
 func (a *app) jobDeclarations() []declaration {
-	changes := []ExitCode{ExitOK, ExitUsage, ExitRefused, ExitUnknown, ExitNotMade}
-	looks := []ExitCode{ExitOK, ExitUsage, ExitNotMade, ExitIncomplete}
 	return []declaration{
 		{
 			name: "submit", short: "submit a job",
 			long:  "Submits the job that a JSON file declares to the first daemon that accepts it. Repeated with the same id it changes nothing.",
-			codes: changes, data: &jobSubmitCommand{app: a},
+			codes: codesOfJobCall, data: &jobSubmitCommand{app: a},
 		},
 		{
 			name: "state", short: "tell a job's state",
 			long:  "Asks the daemons in turn for what a job has come to.",
-			codes: changes, data: &jobStateCommand{app: a},
+			codes: codesOfJobCall, data: &jobStateCommand{app: a},
 		},
 		{
 			name: "cancel", short: "cancel a job",
 			long:  "Ends a job that is not over. Its tasks are stopped.",
-			codes: changes, data: &jobCancelCommand{app: a},
+			codes: codesOfJobCall, data: &jobCancelCommand{app: a},
 		},
 		{
 			name: "queue", short: "count the jobs of a queue that wait",
 			long:  "Counts the jobs of a queue none of whose tasks has started.",
-			codes: changes, data: &jobQueueCommand{app: a},
+			codes: codesOfJobCall, data: &jobQueueCommand{app: a},
 		},
 		{
 			name: "list", short: "list jobs",
 			long:  "Lists the jobs that are not over, as the leader sees them, or with --log every job that saved logs name.",
-			codes: changes, data: &jobListCommand{app: a},
+			codes: codesOfJobCall, data: &jobListCommand{app: a},
 		},
 		{
 			name: "explain", short: "say what became of a job, and why",
 			long:  "Says why a job was refused, waits, failed or ended, who decided it and from what, from the lines in the daemons' memory or in saved logs. Name all daemons with --daemon: each knows its own decisions.",
-			codes: looks, data: &jobExplainCommand{app: a},
+			codes: codesOfLook, data: &jobExplainCommand{app: a},
 		},
 		{
 			name: "timeline", short: "show the log lines of all daemons in order",
 			long:  "Shows what daemons came to believe of each other, the store, the workers and the configuration, or with --job the lines about one job.",
-			codes: looks, data: &jobTimelineCommand{app: a},
+			codes: codesOfLook, data: &jobTimelineCommand{app: a},
 		},
 		{
 			name: "status", short: "show the daemons that serve jobs",
 			long:  "Shows each daemon named by --daemon as it sees itself, or with --log as its lines end.",
-			codes: looks, data: &jobStatusCommand{app: a},
+			codes: codesOfLook, data: &jobStatusCommand{app: a},
 		},
 	}
 }
--- a/core/placement/snapshot.go
+++ b/core/placement/snapshot.go
@@ -143,15 +143,21 @@
 	return true
 }
 
-// Release gives back the room of a task that is over. It reports false when
-// the task is not on the worker.
-func (s *Snapshot) Release(key model.TaskKey, id model.WorkerID) bool {
+// resident finds a task on a worker: the worker, and the task's index there.
+func (s *Snapshot) resident(key model.TaskKey, id model.WorkerID) (*Worker, int, bool) {
 	w, ok := s.Worker(id)
 	if !ok {
-		return false
+		return nil, 0, false
 	}
 	i := slices.IndexFunc(w.Tasks, func(t Resident) bool { return t.Key == key })
-	if i < 0 {
+	return w, i, i >= 0
+}
+
+// Release gives back the room of a task that is over. It reports false when
+// the task is not on the worker.
+func (s *Snapshot) Release(key model.TaskKey, id model.WorkerID) bool {
+	w, i, ok := s.resident(key, id)
+	if !ok {
 		return false
 	}
 	task := w.Tasks[i]
@@ -166,14 +172,10 @@
 // nothing, when the task is not on the worker or the worker has no room for
 // the growth.
 func (s *Snapshot) Resize(key model.TaskKey, id model.WorkerID, size model.Resources) bool {
-	w, ok := s.Worker(id)
+	w, i, ok := s.resident(key, id)
 	if !ok {
 		return false
 	}
-	i := slices.IndexFunc(w.Tasks, func(t Resident) bool { return t.Key == key })
-	if i < 0 {
-		return false
-	}
 	growth := size.Sub(w.Tasks[i].Size)
 	if !growth.Fits(w.Free) {
 		return false
--- a/core/storebudget/options.go
+++ b/core/storebudget/options.go
@@ -1,6 +1,9 @@
 package storebudget
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options sets a budget's figures. A zero field takes its default.
 type Options struct {
@@ -55,28 +58,21 @@
 
 func (o Options) withDefaults() Options {
 	o.Daemons = max(o.Daemons, 1)
-	setDefault(&o.StoreReads, DefaultStoreReads)
-	setDefault(&o.StoreWrites, DefaultStoreWrites)
-	setDefault(&o.Headroom, DefaultHeadroom)
-	setDefault(&o.MinReads, DefaultMinReads)
-	setDefault(&o.MinWrites, DefaultMinWrites)
-	setDefault(&o.BurstTime, DefaultBurstTime)
-	setDefault(&o.BackoffBase, DefaultBackoffBase)
-	setDefault(&o.LeaseBackoffCap, DefaultLeaseBackoffCap)
-	setDefault(&o.BackoffCap, DefaultBackoffCap)
-	setDefault(&o.OutageAfter, DefaultOutageAfter)
-	setDefault(&o.RampStart, DefaultRampStart)
-	setDefault(&o.RampTime, DefaultRampTime)
+	o.StoreReads = cmp.Or(o.StoreReads, DefaultStoreReads)
+	o.StoreWrites = cmp.Or(o.StoreWrites, DefaultStoreWrites)
+	o.Headroom = cmp.Or(o.Headroom, DefaultHeadroom)
+	o.MinReads = cmp.Or(o.MinReads, DefaultMinReads)
+	o.MinWrites = cmp.Or(o.MinWrites, DefaultMinWrites)
+	o.BurstTime = cmp.Or(o.BurstTime, DefaultBurstTime)
+	o.BackoffBase = cmp.Or(o.BackoffBase, DefaultBackoffBase)
+	o.LeaseBackoffCap = cmp.Or(o.LeaseBackoffCap, DefaultLeaseBackoffCap)
+	o.BackoffCap = cmp.Or(o.BackoffCap, DefaultBackoffCap)
+	o.OutageAfter = cmp.Or(o.OutageAfter, DefaultOutageAfter)
+	o.RampStart = cmp.Or(o.RampStart, DefaultRampStart)
+	o.RampTime = cmp.Or(o.RampTime, DefaultRampTime)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // rate is one daemon's share of a bucket in calls a second.
 func (o *Options) rate(b bucketID) float64 {
 	total, least := o.StoreWrites, o.MinWrites
--- a/core/workersession/options.go
+++ b/core/workersession/options.go
@@ -67,21 +67,15 @@
 
 // withDefaults returns o with its zero fields filled in.
 func (o Options) withDefaults() Options {
-	setDefault(&o.Lease, DefaultLease)
-	setDefault(&o.Margin, DefaultMargin)
-	setDefault(&o.RenewEvery, DefaultRenewEvery)
-	setDefault(&o.UsageEvery, renewsPerUsage*o.RenewEvery)
-	setDefault(&o.ReportEvery, renewsPerReport*o.RenewEvery)
-	setDefault(&o.RetryEvery, o.RenewEvery/retriesPerRenew)
-	setDefault(&o.OutageGrace, DefaultOutageGrace)
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
-	setDefault(&o.UnreachableAfter, renewsPerUnreachable*o.RenewEvery)
+	o.Lease = cmp.Or(o.Lease, DefaultLease)
+	o.Margin = cmp.Or(o.Margin, DefaultMargin)
+	o.RenewEvery = cmp.Or(o.RenewEvery, DefaultRenewEvery)
+	o.UsageEvery = cmp.Or(o.UsageEvery, renewsPerUsage*o.RenewEvery)
+	o.ReportEvery = cmp.Or(o.ReportEvery, renewsPerReport*o.RenewEvery)
+	o.RetryEvery = cmp.Or(o.RetryEvery, o.RenewEvery/retriesPerRenew)
+	o.OutageGrace = cmp.Or(o.OutageGrace, DefaultOutageGrace)
+	o.CallTimeout = cmp.Or(o.CallTimeout, DefaultCallTimeout)
+	o.UnreachableAfter = cmp.Or(o.UnreachableAfter, renewsPerUnreachable*o.RenewEvery)
 	o.UnreachableCalls = cmp.Or(o.UnreachableCalls, DefaultUnreachableCalls)
 	return o
 }
-
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
--- a/server/build.go
+++ b/server/build.go
@@ -48,7 +48,7 @@
 		return &StartError{Part: PartDaemon, Cause: err}
 	}
 	s.daemon = d
-	s.serveWith(registry)
+	s.makeServers(registry)
 	return nil
 }
 
@@ -167,8 +167,8 @@
 	}
 }
 
-// serveWith makes the servers of callers, operators and other daemons.
-func (s *Server) serveWith(registry *prometheus.Registry) {
+// makeServers makes the servers of callers, operators and other daemons.
+func (s *Server) makeServers(registry *prometheus.Registry) {
 	s.callers = callerapi.New(callerapi.Options{
 		Engine:         s.daemon.Engine(),
 		MaxBodyBytes:   s.settings.MaxBodyBytes,
--- a/standin/store/options.go
+++ b/standin/store/options.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/guavarill/guavarill/port"
@@ -41,17 +42,10 @@
 	if o.Clock == nil {
 		o.Clock = port.SystemClock{}
 	}
-	setDefault(&o.History, DefaultHistory)
-	setDefault(&o.MaxValueBytes, port.MaxValueBytes)
-	setDefault(&o.MaxRequestBytes, DefaultMaxRequestBytes)
-	setDefault(&o.MaxTxnOps, DefaultMaxTxnOps)
-	setDefault(&o.LocalTimeout, DefaultLocalTimeout)
+	o.History = cmp.Or(o.History, DefaultHistory)
+	o.MaxValueBytes = cmp.Or(o.MaxValueBytes, port.MaxValueBytes)
+	o.MaxRequestBytes = cmp.Or(o.MaxRequestBytes, DefaultMaxRequestBytes)
+	o.MaxTxnOps = cmp.Or(o.MaxTxnOps, DefaultMaxTxnOps)
+	o.LocalTimeout = cmp.Or(o.LocalTimeout, DefaultLocalTimeout)
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
