--- a/adapter/tlsfiles/source.go
+++ b/adapter/tlsfiles/source.go
@@ -27,11 +27,6 @@
 	Clock port.Clock
 }
 
-// Enabled reports whether any file is named.
-func (o Options) Enabled() bool {
-	return o.CertFile != "" || o.KeyFile != "" || o.CAFile != ""
-}
-
 // Source holds the settings read last. It is safe for concurrent use.
 type Source struct {
 	o Options
--- a/core/dissemination/table.go
+++ b/core/dissemination/table.go
@@ -108,15 +108,6 @@
 // Len returns how many lists are held.
 func (t *Table) Len() int { return len(t.lists) }
 
-// Versions returns the versions of all lists held, by shard.
-func (t *Table) Versions() []*peerv1.ShardVersion {
-	out := make([]*peerv1.ShardVersion, 0, len(t.order))
-	for _, shard := range t.order {
-		out = append(out, t.versionMessage(shard))
-	}
-	return out
-}
-
 func (t *Table) versionMessage(shard uint32) *peerv1.ShardVersion {
 	v := t.held(shard)
 	return &peerv1.ShardVersion{Shard: shard, Epoch: v.epoch, Sequence: v.sequence}
--- a/core/dissemination/tree.go
+++ b/core/dissemination/tree.go
@@ -13,11 +13,6 @@
 // daemons are reached in five steps.
 const DefaultFanout = 4
 
-// Tree returns whom self pushes a change of its own to.
-func Tree(self model.DaemonID, members []model.DaemonID, fanout int) []model.DaemonID {
-	return Children(self, self, members, fanout)
-}
-
 // Children returns whom self pushes a change to that root published: its
 // children in the tree over members and root, in which all other members
 // follow the root in the order of a hash of root and member. Daemons whose
