Give guavarill-platform's ports a function, and mend wording in comments

run began the metrics and job servers among its other steps; options.serve does. Comments say 'would otherwise' and 'the beginning'.

--- a/cmd/guavarill-platform/main.go
+++ b/cmd/guavarill-platform/main.go
@@ -97,20 +97,25 @@
 	signal.Notify(reloads, syscall.SIGHUP)
 	daemon := platform.New(settings, log)
 	go platform.FollowSettings(ctx, path, reloads, log, daemon.Reload)
+	o.serve(daemon, settings.IP, recent, log)
+	if err := daemon.Run(ctx); err != nil {
+		log.WithError(err).Error("stopped")
+		return exitFailed
+	}
+	return exitOK
+}
+
+// serve begins to serve the ports that are set.
+func (o options) serve(daemon *platform.Daemon, ip string, recent *logsink.Recent, log *logrus.Logger) {
 	if o.MetricsPort != 0 {
 		mux := http.NewServeMux()
 		mux.Handle("/metrics", daemon.MetricsHandler())
 		mux.Handle("/metrics/brief", daemon.BriefMetricsHandler())
-		go serve("metrics", settings.IP, o.MetricsPort, mux, log)
+		go serve("metrics", ip, o.MetricsPort, mux, log)
 	}
 	if o.APIPort != 0 {
-		go serve("job api", settings.IP, o.APIPort, daemon.JobAPI(recent.Lines), log)
-	}
-	if err := daemon.Run(ctx); err != nil {
-		log.WithError(err).Error("stopped")
-		return exitFailed
+		go serve("job api", ip, o.APIPort, daemon.JobAPI(recent.Lines), log)
 	}
-	return exitOK
 }
 
 // usage says what is wrong with the flags, or how they are used.
--- a/core/config/accepted.go
+++ b/core/config/accepted.go
@@ -181,7 +181,7 @@
 }
 
 // forgetOldest keeps at most MaxRetired retired names. Build pipelines that
-// name each release's jobs anew would else fill the store's value with names
+// name each release's jobs anew would otherwise fill the store's value with names
 // that never return, until nothing more can be accepted. A forgotten name's
 // generation goes into the floor, above which any unknown name begins.
 func (d *draft) forgetOldest() {
--- a/core/config/decision.go
+++ b/core/config/decision.go
@@ -69,7 +69,7 @@
 
 // conflicts reports whether another change came between. A cancellation whose
 // base was left open bears any change but one to the workloads it names: it
-// would else end a declaration that the operator has not seen.
+// would otherwise end a declaration that the operator has not seen.
 func (d *decider) conflicts(current *Accepted) bool {
 	if d.request.Manifest != nil || d.request.Base != nil {
 		return CheckBase(current, d.base) != nil
--- a/core/manifest/parse.go
+++ b/core/manifest/parse.go
@@ -73,7 +73,7 @@
 // hasManyDocuments finds a second YAML document. The YAML reader stops at the
 // end of the first one without a sign, so two manifests joined by a build
 // pipeline would be accepted as the first alone and remove all work of the
-// second. YAML allows neither mark at the begin of a line within a document.
+// second. YAML allows neither mark at the beginning of a line within a document.
 func hasManyDocuments(data []byte) bool {
 	content := false
 	for line := range bytes.Lines(data) {
--- a/core/ownership/giveup.go
+++ b/core/ownership/giveup.go
@@ -7,7 +7,8 @@
 	"github.com/guavarill/guavarill/port"
 )
 
-// driveOwned gives the shard up when it is to be.
+// driveOwned gives the shard up when this daemon drains or another one should
+// own it.
 func (m *Machine) driveOwned(now time.Time, s *shard) []Command {
 	switch {
 	case m.draining:
--- a/core/timeline/merge.go
+++ b/core/timeline/merge.go
@@ -16,7 +16,7 @@
 
 // compare looks at the content last. A process that restarted under the same
 // name numbers its events from 1 again; with a coarse clock an event of its new
-// boot would else be taken for a copy of an old one and vanish.
+// boot would otherwise be taken for a copy of an old one and vanish.
 func compare(a, b Event) int {
 	return cmp.Or(
 		a.Time.Compare(b.Time),
--- a/server/server.go
+++ b/server/server.go
@@ -59,9 +59,9 @@
 	return srv, nil
 }
 
-// ready returns why the process takes no requests. From the begin of a planned
-// stop it fails, as it does on the callers' side: a balancer that probes the
-// operators' port would else send requests until the process is gone.
+// ready returns why the process takes no requests. From the beginning of a
+// planned stop it fails, as it does on the callers' side: a balancer that probes
+// the operators' port would otherwise send requests until the process is gone.
 func (s *Server) ready() error {
 	if s.stopping.Load() {
 		return &traffic.NotServingError{Reason: traffic.Stopping}
