Merge: damaged records of our own, beside entries of workers

Both sides added platform/damage_test.go; that on records is damaged_records_test.go now. The test cluster's draw of damaged records is recordDamages.

--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -60,7 +60,9 @@
 
 	listed        bool
 	rosterChanged bool
-	deposed       bool
+	// entries follows the unusable entries of the platform's list.
+	entries entryWatch
+	deposed bool
 	// stops holds the attempts whose stop has not been acknowledged.
 	stops ordered.Map[*attempt, struct{}]
 	// sweptAt is when every attempt was looked at last.
@@ -159,7 +161,7 @@
 	case ConfigChanged:
 		m.configChanged(ev.Config)
 	case WorkersListed:
-		m.workersListed(ev.Workers)
+		m.workersListed(ev)
 	case JobAccepted:
 		m.jobAccepted(ev)
 	case JobUnreadable:
--- a/core/jobsched/property_test.go
+++ b/core/jobsched/property_test.go
@@ -59,7 +59,7 @@
 func TestNothingRunsTwiceWithDamagedRecords(t *testing.T) {
 	const days = 30
 	for seed := range uint64(days) {
-		playFaults(t, seed, func(c *cluster) { c.damages = rand.New(rand.NewPCG(seed, 3)) })
+		playFaults(t, seed, func(c *cluster) { c.recordDamages = rand.New(rand.NewPCG(seed, 3)) })
 	}
 }
 
@@ -150,7 +150,7 @@
 		case 8:
 			c.cancel(ids[rnd.IntN(len(ids))])
 		}
-		if c.damages != nil {
+		if c.recordDamages != nil {
 			c.damage(ids)
 		}
 	}
@@ -159,7 +159,7 @@
 
 // damage damages or repairs what is stored, at random.
 func (c *cluster) damage(ids []job.ID) {
-	switch id := ids[c.damages.IntN(len(ids))]; c.damages.IntN(10) {
+	switch id := ids[c.recordDamages.IntN(len(ids))]; c.recordDamages.IntN(10) {
 	case 0, 1:
 		c.damaged[id] = true
 		c.lead()
--- a/jobservice/damage_test.go
+++ b/jobservice/damage_test.go
@@ -80,10 +80,10 @@
 }
 
 // List implements port.WorkerList.
-func (w *quickWorker) List(context.Context) ([]jobsched.WorkerEntry, error) {
-	return []jobsched.WorkerEntry{{
+func (w *quickWorker) List(context.Context) (jobsched.WorkersListed, error) {
+	return jobsched.WorkersListed{Workers: []jobsched.WorkerEntry{{
 		ID: "w", Service: "pool", Address: "w", Capacity: model.Resources{MilliCPU: 16000, MemoryMB: 64000},
-	}}, nil
+	}}}, nil
 }
 
 // fixedConfig is a port.ConfigFeed whose configuration never changes.
--- a/jobservice/follow.go
+++ b/jobservice/follow.go
@@ -89,13 +89,15 @@
 
 // followWorkers reads the platform's list of workers again and again.
 func (t *term) followWorkers(ctx context.Context) {
+	defer t.leader.o.Metrics.setEntries(jobsched.EntryCounts{})
 	for ctx.Err() == nil {
 		began := time.Now()
 		call, cancel := context.WithTimeout(ctx, listTimeout)
-		workers, err := t.leader.o.List.List(call)
+		listed, err := t.leader.o.List.List(call)
 		cancel()
 		if err == nil {
-			t.postStored(ctx, jobsched.WorkersListed{Workers: workers})
+			t.postStored(ctx, listed)
+			t.countEntries(ctx)
 		} else {
 			t.leader.log.WithError(err).Debug("workers not read; tried again")
 		}
