--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -27,6 +27,7 @@
 	MessageLeadLostStore  = "lost the lead: the store did not renew the lease"
 	MessageDeposed        = "lost the lead to another daemon"
 	MessageGaveUp         = "gave the lead up"
+	MessageHandsOver      = "hands the lead over to a daemon with more processors"
 	MessageWorkerSilent   = "worker silent"
 	MessageEntryUnusable  = "worker entry unusable"
 	MessageEntryRepaired  = "worker entry good again"
