Hand the lead over to a daemon with more processors

Cause: a daemon with a fifth of a core takes the lead while the larger ones are without the store, and keeps it when they are back. Change: a leader that sees a daemon with twice its processors in two reads of the members in a row gives the lead up; at most once in 30 s. The larger one takes a free lead first, as before.

--- a/jobservice/leader.go
+++ b/jobservice/leader.go
@@ -28,6 +28,9 @@
 	// were left out since the last line. Both belong to the control goroutine.
 	routine *rate.Limiter
 	leftOut int
+	// handedOverAt is when the daemon gave the lead up to a larger one last, in
+	// nanoseconds of the clock; 0 if it never did.
+	handedOverAt atomic.Int64
 	// questions are put to the machine by its control goroutine.
 	questions chan func(*jobsched.Machine)
 }
@@ -82,12 +85,16 @@
 	aside *asideSet
 	// jobsFrom is the store's revision up to which the machine knows the jobs.
 	jobsFrom int64
+	// end ends the term; handedOver is set when that is for another daemon.
+	end        context.CancelFunc
+	handedOver atomic.Bool
 }
 
 // lead runs a term until the right to lead is lost or ctx ends.
 func (l *Leader) lead(ctx context.Context, t *term) {
 	run, cancel := context.WithCancel(ctx)
 	defer cancel()
+	t.end = cancel
 	go l.renewLease(run, t.lease, cancel)
 	go t.followJobs(run)
 	go t.followAside(run)
@@ -101,10 +108,9 @@
 	l.o.Metrics.leading.Set(0)
 	switch {
 	case ctx.Err() != nil:
-		t.finish()
-		l.revoke(t.lease)
-		l.o.Metrics.terms.WithLabelValues("stopped").Inc()
-		l.log.Info(joblog.MessageGaveUp)
+		l.giveUp(t, "stopped")
+	case t.handedOver.Load():
+		l.giveUp(t, "handed over")
 	case deposed:
 		l.o.Metrics.terms.WithLabelValues("deposed").Inc()
 		l.log.WithField("epoch", t.epoch).Warn(joblog.MessageDeposed)
@@ -115,6 +121,14 @@
 	}
 }
 
+// giveUp gives the lead up after the commit in flight, so that it is free at once.
+func (l *Leader) giveUp(t *term, end string) {
+	t.finish()
+	l.revoke(t.lease)
+	l.o.Metrics.terms.WithLabelValues(end).Inc()
+	l.log.Info(joblog.MessageGaveUp)
+}
+
 // mayAct reports whether the daemon's right to lead is certainly valid.
 func (l *Leader) mayAct() bool { return l.o.Clock.Now().UnixNano() < l.deadline.Load() }
 
--- a/jobservice/members.go
+++ b/jobservice/members.go
@@ -103,22 +103,30 @@
 	SetCarriers(carriers []Carrier)
 }
 
-// followMembers hands the other daemons to the carriers until ctx ends. While
-// the store is away, those that were there last go on.
+// followMembers hands the other daemons to the carriers until ctx ends, and the
+// lead over when one of them is much larger. While the store is away, those that
+// were there last go on.
 func (t *term) followMembers(ctx context.Context) {
 	o := &t.leader.o
 	if o.Carriers == nil {
 		return
 	}
 	defer o.Carriers.SetCarriers(nil)
+	handOver := handOver{own: o.Processors, triedAt: &t.leader.handedOverAt}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		entries, _, err := o.Store.List(call, membersPrefix)
 		cancel()
-		if err == nil {
-			o.Carriers.SetCarriers(others(entries, o.Daemon, t.leader.log, o.Metrics))
-		} else {
+		if err != nil {
 			t.leader.log.WithError(err).Debug("members not read; those known stay")
+			Pause(ctx, membersInterval)
+			continue
+		}
+		carriers := others(entries, o.Daemon, t.leader.log, o.Metrics)
+		o.Carriers.SetCarriers(carriers)
+		if ctx.Err() == nil && handOver.due(o.Clock.Now(), carriers) {
+			t.handTheLeadOver()
+			return
 		}
 		Pause(ctx, membersInterval)
 	}
