Slow best-effort work for tails above their target, not near it

Cause: best-effort work was slowed from 0.9 of a serving task's target on, and let go below 0.75. Change: slowed at once from 1.05 on, let go below 0.93, a cut aims at 0.93; a tail that is above its target for a second has work slowed too, aiming at 0.75.

--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -56,6 +56,8 @@
 	starts      int
 	machineTime time.Duration
 	allSpecs    map[job.ID]*job.Spec
+	// tail is the tail latency of serving tasks, in percent of their target.
+	tail int64
 	// slow makes the leader's steps take time; nil for a leader that takes none.
 	slow *slowLeader
 	// damages, if not nil, has a damaged entry for each worker without one, and
@@ -132,7 +134,7 @@
 
 func newCluster(t testing.TB, seed uint64, workers int) *cluster {
 	c := &cluster{
-		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: testEpoch, wall: testEpoch, options: testOptions(), epoch: 1,
+		t: t, tail: 33, rnd: rand.New(rand.NewPCG(seed, 1)), now: testEpoch, wall: testEpoch, options: testOptions(), epoch: 1,
 		workers: make(map[model.WorkerID]*fakeWorker), accepted: make(map[job.ID]*job.Accepted),
 		progress: make(map[job.ID]*job.Progress), damaged: make(map[job.ID]bool), truth: make(map[job.TaskKey]*taskTruth),
 		config: &job.Config{
--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -232,7 +232,7 @@
 		}
 		reading := a.step.Size.MilliCPU * int64(a.share) / 100
 		if a.step.LatencyTargetMs > 0 {
-			reading = a.step.LatencyTargetMs / 3
+			reading = a.step.LatencyTargetMs * w.c.tail / 100
 		}
 		report.Running = append(report.Running, RunningAttempt{
 			Key: a.key.task, Attempt: a.key.attempt, Percent: min(percent, 100), Reading: reading,
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -12,22 +12,27 @@
 	// percent is for the attempts that are known to disturb, others for the
 	// rest, which is cut only when that was not enough.
 	percent, others int
-	// pressure is the worst reading over its target, smoothed.
-	pressure float64
-	changeAt time.Time
+	// pressure is the worst reading over its target, smoothed; overSince is since
+	// when it is above the target, zero when it is not.
+	pressure            float64
+	overSince, changeAt time.Time
 }
 
 const (
 	// pressureHigh and pressureLow are the parts of the latency target above
-	// which best-effort work is slowed, and below which it is let go. The load
-	// of the serving tasks alone takes them to 0.65.
-	pressureHigh = 0.9
-	pressureLow  = 0.75
+	// which best-effort work is slowed at once, and below which it is let go.
+	pressureHigh = 1.05
+	pressureLow  = 0.93
 	// pressureAim is the part of the target that a cut aims at.
-	pressureAim = 0.75
+	pressureAim = 0.93
 	// pressureOver is the part from which work that is not known to disturb is
 	// slowed too.
-	pressureOver = 1.0
+	pressureOver = 1.15
+	// longOver is how long a task may be a little above its target before work is
+	// slowed all the same: a quarter of what the platform allows, so that several
+	// cuts come in time. They aim at longOverAim then.
+	longOver    = time.Second
+	longOverAim = 0.75
 	// throttleStep is what is given back at a time, in percent.
 	throttleStep = 25
 	// throttleFloor is the share below which work is stopped altogether: what
@@ -46,7 +51,7 @@
 func (w *worker) serves() bool { return w.servingTasks > 0 }
 
 // measurePressure takes in the readings of a new report.
-func (w *worker) measurePressure() {
+func (w *worker) measurePressure(now time.Time) {
 	worst := 0.0
 	for _, a := range w.attempts.All() {
 		if a.serving() {
@@ -59,21 +64,37 @@
 	} else {
 		t.pressure += (worst - t.pressure) * pressureWeight
 	}
+	switch {
+	case t.pressure <= 1:
+		t.overSince = time.Time{}
+	case t.overSince.IsZero():
+		t.overSince = now
+	}
+}
+
+// cuts tells from which pressures on the worker's work is slowed, that which is
+// known to disturb and the rest, and what a cut aims at.
+func (t *throttleState) cuts(now time.Time) (high, over, aim float64) {
+	if !t.overSince.IsZero() && now.Sub(t.overSince) >= longOver {
+		return 1, 1, longOverAim
+	}
+	return pressureHigh, pressureOver, pressureAim
 }
 
 // adjustThrottle decides the shares for the worker's best-effort work.
 func (m *Machine) adjustThrottle(w *worker) {
-	w.measurePressure()
+	w.measurePressure(m.now)
 	t := &w.throttle
 	if m.now.Before(t.changeAt) {
 		return
 	}
 	before := *t
+	high, over, aim := t.cuts(m.now)
 	switch {
-	case t.pressure > pressureOver && (t.percent == 0 || !m.disturbed(w)):
-		t.others = cutShare(t.others, t.pressure)
-	case t.pressure > pressureHigh:
-		t.percent = cutShare(t.percent, t.pressure)
+	case t.pressure > over && (t.percent == 0 || !m.disturbed(w)):
+		t.others = cutShare(t.others, aim/t.pressure)
+	case t.pressure > high:
+		t.percent = cutShare(t.percent, aim/t.pressure)
 	case t.pressure < pressureLow && t.others < fullSpeed:
 		t.others = min(t.others+throttleStep, fullSpeed)
 	case t.pressure < pressureLow:
@@ -86,10 +107,10 @@
 	}
 }
 
-// cutShare returns a lower share. Tails grow faster than the disturbance, so
-// the square of what is too much is taken off.
-func cutShare(percent int, pressure float64) int {
-	ratio := pressureAim / pressure
+// cutShare returns a lower share, by the part of the pressure that is aimed at.
+// Tails grow faster than the disturbance, so the square of what is too much is
+// taken off.
+func cutShare(percent int, ratio float64) int {
 	percent = int(float64(percent) * ratio * ratio)
 	if percent < throttleFloor {
 		return 0
