Let best-effort work start beside serving tasks rather than wait for ever

Cause: a step whose image disturbs the serving tasks of every worker waits until they have gone. Change: a best-effort step that has waited for 1.5 s while less than 0.6 of the processors are committed starts where it disturbs least; throttling looks after the tasks beside it.

--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -80,9 +80,40 @@
 }
 
 // filterInterference keeps best-effort work away from the serving tasks that it
-// is known to slow down.
+// is known to slow down, unless it would wait for ever.
 func filterInterference(m *Machine, t *task, w *worker) bool {
-	return !t.step.spec.BestEffort || m.worstEffect(w, t.step.spec.Image) <= harmfulEffect
+	return !t.step.spec.BestEffort || m.worstEffect(w, t.step.spec.Image) <= harmfulEffect || m.starving(t.step)
+}
+
+const (
+	// bestEffortPatience is how long a best-effort step keeps away from serving
+	// tasks that it is known to disturb, while much of the cluster is free.
+	bestEffortPatience = 1500 * time.Millisecond
+	// freeEnough is the part of the processors that may be committed for that. Above
+	// it workers without such tasks come free by and by.
+	freeEnough = 0.6
+)
+
+// starving reports whether a best-effort step has waited for long though much is
+// free. Where serving tasks of an image that it disturbs are on every worker, it
+// would wait until they have gone: one notices by steps that wait for half a
+// minute with "would disturb" for all workers. It starts where it disturbs least
+// then, and is throttled for the sake of the tasks beside it.
+func (m *Machine) starving(s *step) bool {
+	return m.muchFree && !s.waitsSince.IsZero() && m.now.Sub(s.waitsSince) >= bestEffortPatience
+}
+
+// isMuchFree reports whether so little of the workers that may be used is
+// committed that best-effort work need not wait for better places.
+func (m *Machine) isMuchFree() bool {
+	var committed, capacity int64
+	for _, w := range m.workers.All() {
+		if w.usable(m.now) {
+			committed += w.committed.MilliCPU
+			capacity += w.entry.Capacity.MilliCPU
+		}
+	}
+	return float64(committed) < freeEnough*float64(capacity)
 }
 
 // filterTicket keeps the tasks of advised queues on workers with a ticket.
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -80,6 +80,8 @@
 	pass    pass
 	crowded bool
 	misfits misfits
+	// muchFree is whether best-effort work need not wait for better places.
+	muchFree bool
 
 	learner *interference.Model
 	// learnSerial numbers the attempts for the learner.
--- a/core/jobsched/misfit.go
+++ b/core/jobsched/misfit.go
@@ -19,8 +19,9 @@
 	service, label string
 	bestEffort     bool
 	// image matters to best-effort work only, which is kept away from tasks that
-	// it would disturb.
-	image string
+	// it would disturb unless it is starving.
+	image    string
+	starving bool
 }
 
 // urgency is what decides, besides its size, for whom room can be made.
@@ -59,7 +60,7 @@
 func (m *Machine) demand(s *step) demand {
 	d := demand{service: m.queue(s.job()).Service, label: s.spec.Label, bestEffort: s.spec.BestEffort}
 	if d.bestEffort {
-		d.image = s.spec.Image
+		d.image, d.starving = s.spec.Image, m.starving(s)
 	}
 	return d
 }
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -21,6 +21,7 @@
 		m.crowded = false
 	}
 	m.misfits.reset()
+	m.muchFree = m.isMuchFree()
 	steps := m.pendingSteps()
 	front := m.startFront(steps)
 	m.pass.beginSecondHalf()
