Tell which starts are held back after a take-over, by which worker and until when

Cause for it: in the recorded series of take-overs nothing started for 5.5 s and no line said why, so that the hypotheses could not be told apart. 'start held back' names the worker that was not heard of and when the hold ends, 'job resumed after a take-over' gives the time to the first start of an older job, also as guavarill_decision_lag_seconds; guavarill_workers_unheard counts such workers. job explain tells both.

--- a/cli/jobexplain.go
+++ b/cli/jobexplain.go
@@ -98,6 +98,11 @@
 	for _, s := range e.Now.Steps {
 		row(w, s.Name, s.Done, s.Running, s.Waiting, s.Blocked, s.RuledOut)
 	}
+	for _, s := range e.Now.Steps {
+		if s.HeldBack != "" {
+			fmt.Fprintf(w, "step %s is held back: %s\n", s.Name, s.HeldBack)
+		}
+	}
 }
 
 func lineRows(w *tabwriter.Writer, lines []joblog.Line) {
--- a/core/joblog/explain.go
+++ b/core/joblog/explain.go
@@ -62,6 +62,7 @@
 	e.explainStart()
 	e.explainAside()
 	e.explainWaits()
+	e.explainHolds()
 	e.explainAttempts()
 	e.explainTakeovers()
 	e.explainEnd()
@@ -320,6 +321,25 @@
 	}
 }
 
+// explainHolds tells, for each step that was held back after a take-over, how
+// often that was noted and the last reason, with the worker that was waited for.
+func (e *explainer) explainHolds() {
+	last := make(map[string]Line)
+	count := make(map[string]int)
+	for _, l := range e.with(MessageHeldBack) {
+		last[l.Task] = l
+		count[l.Task]++
+	}
+	for _, step := range slices.Sorted(maps.Keys(last)) {
+		l := last[step]
+		worker := ""
+		if l.Worker != "" {
+			worker = " for " + l.Worker
+		}
+		e.find("step %s was held back %d time(s), the last at %s%s: %s", step, count[step], Clock(l.Time), worker, l.Reason)
+	}
+}
+
 // explainAttempts counts what befell the attempts, by kind and reason.
 func (e *explainer) explainAttempts() {
 	kinds := []string{
--- a/core/joblog/joblog_test.go
+++ b/core/joblog/joblog_test.go
@@ -114,6 +114,21 @@
 	}
 }
 
+// TestExplainTellsOfHeldStarts: a step that is held back after a take-over waits
+// for no room, and the operator must be told for which worker it waits.
+func TestExplainTellsOfHeldStarts(t *testing.T) {
+	at := time.Unix(0, 0)
+	step := string(failedJob) + ".0.0"
+	found := strings.Join(Explain([]Line{
+		{Time: at, Message: MessageTakenIn, Job: failedJob, Daemon: "a"},
+		{Time: at.Add(time.Second), Message: MessageHeldBack, Job: failedJob, Task: step, Worker: "w1", Reason: "until 5s from now"},
+		{Time: at.Add(4 * time.Second), Message: MessageHeldBack, Job: failedJob, Task: step, Worker: "w2", Reason: "until 2s from now"},
+	}, failedJob).Findings, "; ")
+	if !strings.Contains(found, "held back 2 time(s)") || !strings.Contains(found, "for w2: until 2s from now") {
+		t.Errorf("findings: %s", found)
+	}
+}
+
 // TestExplainTellsOfGaps: lines that were left out or dropped may have held the
 // cause, so that an explanation without them must say so.
 func TestExplainTellsOfGaps(t *testing.T) {
--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -21,6 +21,8 @@
 	MessageEndHeld        = "end not acknowledged"
 	MessageNotThere       = "attempt not there"
 	MessageStepWaits      = "step waits"
+	MessageHeldBack       = "start held back"
+	MessageResumed        = "job resumed after a take-over"
 	MessageLeads          = "leads"
 	MessageGoesOn         = "goes on with the state it had"
 	MessageStoreLost      = "lost the store; other daemons are asked"
--- a/core/jobsched/effect.go
+++ b/core/jobsched/effect.go
@@ -103,8 +103,8 @@
 	// Reason holds the inputs that decided it, and how old they were.
 	Reason string
 	// Lag is how long what the decision follows from, a job or its cancel, had
-	// been stored; 0 where that does not apply. It grows when the leader falls
-	// behind, or its watch is silent.
+	// been stored, or the take-over was ago; 0 where that does not apply. It grows
+	// when the leader falls behind, or its watch is silent.
 	Lag time.Duration
 	// Routine is set for what happens hundreds of times a second; such lines
 	// may be left out under load.
--- a/core/jobsched/inspect.go
+++ b/core/jobsched/inspect.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/guavarill/guavarill/core/job"
@@ -36,10 +37,12 @@
 	Blocked int `json:"blocked,omitempty"`
 	// RuledOut counts the workers by what rules them out, for a step that waits.
 	RuledOut string `json:"ruledOut,omitempty"`
-	// HeldUntil is when the step may be tried again after a refusal, zero if it
-	// is not held back.
-	HeldUntil time.Time     `json:"heldUntil,omitzero"`
-	Attempts  []AttemptView `json:"attempts,omitempty"`
+	// HeldUntil is when the step may be tried again after a refusal or a
+	// take-over, zero if it is not held back.
+	HeldUntil time.Time `json:"heldUntil,omitzero"`
+	// HeldBack says what a step that is held back after a take-over waits for.
+	HeldBack string        `json:"heldBack,omitempty"`
+	Attempts []AttemptView `json:"attempts,omitempty"`
 }
 
 // AttemptView is one attempt that may run.
@@ -119,6 +122,10 @@
 	if s.notBefore.After(m.now) {
 		view.HeldUntil = s.notBefore
 	}
+	if view.Waiting > 0 && m.held(s.job()) {
+		h := m.holdOf(s.job())
+		view.HeldUntil, view.HeldBack = h.until, strings.TrimSpace(string(h.worker)+" "+h.describe(m.now))
+	}
 	return view
 }
 
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -18,7 +18,9 @@
 	// waiting.
 	begun bool
 	// recovered is set for a job that an earlier leader may have begun.
-	recovered   bool
+	recovered bool
+	// resumed is set once a task of a recovered job was started.
+	resumed     bool
 	occurrences map[int]*occurrence
 	// next is the number of the first occurrence that has not begun.
 	next int
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -77,6 +77,7 @@
 		m.now.Sub(w.clockAt).Round(time.Millisecond), m.configVersion(), m.score(t, w))
 	a := m.addAttempt(t, w, number, phaseStarting)
 	m.noteAttempt(joblog.MessageStarted, a, reason)
+	m.noteResumed(t.step.job())
 	m.emit(Start{
 		Order: m.order(w), Key: a.key.task, Attempt: number, Payload: t.step.job().record.Spec.Payload,
 		UntilMs: w.until(m.now, m.options.Lease), Checkpoint: t.startCheckpoint(),
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -54,7 +54,9 @@
 		return false
 	}
 	switch {
-	case m.heldBack(s, m.now):
+	case m.held(s.job()):
+		m.noteHeld(s)
+	case m.now.Before(s.notBefore):
 	case s.spec.Gang:
 		m.startGang(s)
 	case !m.startStep(s):
--- a/jobservice/metrics.go
+++ b/jobservice/metrics.go
@@ -20,7 +20,9 @@
 	leading     prometheus.Gauge
 	jobs        prometheus.Gauge
 	attempts    prometheus.Gauge
-	storeAway   prometheus.Counter
+	// unheard is how many workers hold starts back after a take-over.
+	unheard   prometheus.Gauge
+	storeAway prometheus.Counter
 	// stepTime and eventsWaiting are those of the control goroutine, lag is the
 	// time from what callers have stored to the decision that follows from it.
 	stepTime      prometheus.Histogram
@@ -65,12 +67,13 @@
 		leading:  gauge("leading", "1 while the daemon leads."),
 		jobs:     gauge("jobs", "Jobs that are not over, at the leader."),
 		attempts: gauge("attempts", "Attempts that may run, at the leader."),
+		unheard:  gauge("workers_unheard", "Workers that hold starts back, because they have not answered the new leader."),
 		stepTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "leader_step_seconds", Help: "Time of a step of the leader's control goroutine.",
 			Buckets: latencyBuckets,
 		}),
 		eventsWaiting: gauge("leader_events_waiting", "Events that waited when the leader's last step began."),
-		lag:           histogram("decision_lag_seconds", "Time from a job's, or its cancel's, being stored to the leader's taking it in.", "decision"),
+		lag:           histogram("decision_lag_seconds", "Time from a job's, or its cancel's, being stored, or from a take-over, to the leader's decision.", "decision"),
 		entriesUnusable: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "worker_entries_unusable", Help: "Entries that name no worker to use, at the leader, by reason.",
 		}, []string{"reason"}),
@@ -81,7 +84,7 @@
 	}
 	m.unreadable = newUnreadable(counter("unreadable_records_total", "Changes of stored records that left them unreadable, by kind.", "kind"))
 	r.MustRegister(m.requests, m.requestTime, m.orders, m.orderTime, m.decisions, m.commitTime, m.terms,
-		m.leading, m.jobs, m.attempts, m.storeAway, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
+		m.leading, m.jobs, m.attempts, m.unheard, m.storeAway, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
 		m.entriesUnusable, m.entryTurns)
 	m.setEntries(jobsched.EntryCounts{})
 	return m
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -67,6 +67,7 @@
 	jobs, attempts := t.machine.Jobs()
 	l.o.Metrics.jobs.Set(float64(jobs))
 	l.o.Metrics.attempts.Set(float64(attempts))
+	l.o.Metrics.unheard.Set(float64(t.machine.Unheard()))
 	return false, false
 }
 
