Look for changes of the roster from time to time only

A look at 1,100 workers takes 14 us (BenchmarkRoster, beside other work), and came with each step of the control goroutine, some 300 times a second. Now it comes every 0.1 s with few workers and every 0.65 s with 1,100.

--- a/core/job/identity.go
+++ b/core/job/identity.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -46,6 +47,14 @@
 	return string(b)
 }
 
+// Compare orders keys by job, occurrence, step and index.
+func (k TaskKey) Compare(other TaskKey) int {
+	return cmp.Or(
+		cmp.Compare(k.Job, other.Job), cmp.Compare(k.Occurrence, other.Occurrence),
+		cmp.Compare(k.Step, other.Step), cmp.Compare(k.Index, other.Index),
+	)
+}
+
 // MarshalText implements encoding.TextMarshaler, for keys of stored maps.
 func (k TaskKey) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
 
--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -1,6 +1,7 @@
 package jobsched
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/guavarill/guavarill/core/job"
@@ -28,6 +29,11 @@
 	attempt int
 }
 
+// compare orders keys by their tasks, then by the attempts' numbers.
+func (k attemptKey) compare(other attemptKey) int {
+	return cmp.Or(k.task.Compare(other.task), cmp.Compare(k.attempt, other.attempt))
+}
+
 // attempt is one placement of a task. It exists until it is certain that the
 // task does not run there and will not.
 type attempt struct {
--- a/core/jobsched/bench_test.go
+++ b/core/jobsched/bench_test.go
@@ -1,6 +1,7 @@
 package jobsched
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -131,3 +132,37 @@
 	}
 	b.ReportMetric(float64(took.Microseconds())/float64(b.N)/tasks, "us/task")
 }
+
+// BenchmarkRoster measures the look at whether a roster is due, and a roster of
+// all workers with what runs there, as a leader writes it when it hands over. A
+// look at each step of the control goroutine would take some 300 a second.
+func BenchmarkRoster(b *testing.B) {
+	c := newCluster(b, 1, 1100)
+	c.run(time.Second)
+	for i := range 200 {
+		c.submit(1+i, "batch", makeStep(40, 1800, time.Minute))
+	}
+	c.run(5 * time.Second)
+	b.Run("look", func(b *testing.B) {
+		for b.Loop() {
+			c.machine.roster.lookedAt = time.Time{}
+			c.machine.rosterDue()
+		}
+	})
+	b.Run("hand over", func(b *testing.B) {
+		bytes, attempts := 0, 0
+		for b.Loop() {
+			last, _ := c.machine.HandOver(c.now, c.wall)
+			data, err := json.Marshal(last.Roster)
+			if err != nil {
+				b.Fatal(err)
+			}
+			bytes, attempts = len(data), 0
+			for _, e := range last.Roster {
+				attempts += len(e.Attempts)
+			}
+		}
+		b.ReportMetric(float64(bytes), "bytes")
+		b.ReportMetric(float64(attempts), "attempts")
+	})
+}
--- a/core/jobsched/commit.go
+++ b/core/jobsched/commit.go
@@ -58,15 +58,15 @@
 	if c.inFlight || m.now.Sub(c.sentAt) < commitInterval {
 		return
 	}
-	nothing := m.dirty.Len() == 0 && len(m.removals) == 0 && !m.rosterDue()
-	if nothing {
+	rosterDue := m.rosterDue()
+	if m.dirty.Len() == 0 && len(m.removals) == 0 && !rosterDue {
 		m.acknowledgeEnds(m.storedEnds())
 		if m.now.Sub(c.sentAt) < m.quietInterval() {
 			return
 		}
 	}
 	commit := m.newCommit()
-	if m.rosterDue() {
+	if rosterDue {
 		m.addRoster(&commit)
 	}
 	m.addRosterAge(&commit)
--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -47,7 +47,7 @@
 		list = append(list, a)
 	}
 	slices.SortFunc(list, func(a, b *fakeAttempt) int {
-		return compareTasks(a.key.task, b.key.task, a.key.attempt-b.key.attempt)
+		return a.key.compare(b.key)
 	})
 	return list
 }
@@ -264,21 +264,3 @@
 		EstimateMs: estimate.Milliseconds(), After: after,
 	}
 }
-
-// compareTasks orders task keys, then by rest.
-func compareTasks(a, b job.TaskKey, rest int) int {
-	switch {
-	case a.Job != b.Job:
-		if a.Job < b.Job {
-			return -1
-		}
-		return 1
-	case a.Occurrence != b.Occurrence:
-		return a.Occurrence - b.Occurrence
-	case a.Step != b.Step:
-		return a.Step - b.Step
-	case a.Index != b.Index:
-		return a.Index - b.Index
-	}
-	return rest
-}
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -56,9 +57,12 @@
 type rosterState struct {
 	// changed is set when a worker that is on the stored roster was forgotten.
 	changed bool
+	// lookedAt is when the workers' marks were compared with what is stored.
+	lookedAt time.Time
 	// stands is whether the machine itself has stored a roster. What an earlier
 	// leader's roster says of its workers holds at a take-over only.
 	stands bool
+	// sentAt is when the roster that was sent last was written.
 	sentAt time.Time
 	// sent holds the marks of the roster that is being stored.
 	sent map[*worker]rosterMark
@@ -68,8 +72,9 @@
 	// rosterPatience is how long a worker may be silent before the roster says that
 	// nothing is started there: a lost answer is followed by another within 0.5 s.
 	rosterPatience = time.Second
-	// rosterInterval is the least time between two rosters, and rosterIntervalEach
-	// what each worker adds to it: a roster of 1,100 workers has 0.3 MB.
+	// rosterInterval is the time between two looks at whether a roster is due, and
+	// rosterIntervalEach what each worker adds to it: a roster of 1,100 workers has
+	// 0.3 MB, and a look at them takes 14 us.
 	rosterInterval     = 100 * time.Millisecond
 	rosterIntervalEach = 500 * time.Microsecond
 	// rosterAttempts is how many attempts a roster lists at most, 45 bytes each: a
@@ -108,13 +113,15 @@
 // still have to tell.
 func (w *worker) accountable() int { return w.attempts.Len() + len(w.taken) + len(w.lost) }
 
-// rosterDue reports whether a roster is to be stored.
+// rosterDue reports whether a roster is to be stored. It looks from time to time
+// only.
 func (m *Machine) rosterDue() bool {
 	r := &m.roster
 	interval := rosterInterval + time.Duration(m.workers.Len())*rosterIntervalEach
-	if m.now.Before(m.rosterLostUntil) || m.now.Sub(r.sentAt) < interval {
+	if m.now.Before(m.rosterLostUntil) || m.now.Sub(r.lookedAt) < interval {
 		return false
 	}
+	r.lookedAt = m.now
 	if r.changed || !r.stands && !m.now.Before(m.recoveredAt.Add(rosterPatience)) {
 		return true
 	}
@@ -250,12 +257,9 @@
 	for _, e := range w.taken {
 		list = append(list, RosterAttempt{Task: e.task, Attempt: e.attempt})
 	}
-	for key := range w.lost {
+	for _, key := range slices.SortedFunc(maps.Keys(w.lost), attemptKey.compare) {
 		list = append(list, RosterAttempt{Task: key.task, Attempt: key.attempt, GivenUp: true})
 	}
-	slices.SortFunc(list, func(a, b RosterAttempt) int {
-		return cmp.Or(cmp.Compare(a.Task.String(), b.Task.String()), cmp.Compare(a.Attempt, b.Attempt))
-	})
 	return list
 }
 
