Let the stand-in's callers submit long-running jobs

Cause for it: a stand-in's worker gives all of its tasks one time, so that tasks with an end and tasks without one could not run beside each other, and no caller could submit the second kind.

A job's specification tells the worker now that a task is long-running; it runs until it is stopped. What a worker has and a task takes are named. Jobs without the new specification are sent as before.

--- a/standin/platform/caller.go
+++ b/standin/platform/caller.go
@@ -13,6 +13,9 @@
 	"github.com/guavarill/guavarill/core/job"
 )
 
+// TaskCPU is what a caller's task takes of a worker, in thousandths of a core.
+const TaskCPU = 1000
+
 // StateError is an answer that tells no state.
 type StateError struct {
 	Text  string
@@ -37,22 +40,44 @@
 // Submit submits a job with so many tasks in each step, each of which follows
 // the one before, and returns the status of the answer.
 func (c *Caller) Submit(address, id string, steps []int) (int, error) {
-	type step struct {
-		Count       int   `json:"count"`
-		CPU         int   `json:"cpu"`
-		MemMb       int   `json:"memMb"`
-		EstimatedMs int   `json:"estimatedMs"`
-		After       []int `json:"after,omitempty"`
-	}
 	var list []step
 	for i, count := range steps {
-		s := step{Count: count, CPU: 1000, MemMb: 500, EstimatedMs: 500}
+		s := newStep(count)
 		if i > 0 {
 			s.After = []int{i - 1}
 		}
 		list = append(list, s)
 	}
-	body, err := json.Marshal(map[string]any{"specification": "text", "steps": list})
+	return c.submit(address, id, "text", list)
+}
+
+// SubmitLongRunning submits a job with so many long-running tasks, and returns
+// the status of the answer.
+func (c *Caller) SubmitLongRunning(address, id string, count int) (int, error) {
+	s := newStep(count)
+	s.LongRunning = true
+	return c.submit(address, id, longRunning, []step{s})
+}
+
+// longRunning is the specification by which a worker knows long-running tasks.
+const longRunning = "long-running"
+
+// step is a step of a job on the wire.
+type step struct {
+	Count       int   `json:"count"`
+	CPU         int   `json:"cpu"`
+	MemMb       int   `json:"memMb"`
+	EstimatedMs int   `json:"estimatedMs"`
+	After       []int `json:"after,omitempty"`
+	LongRunning bool  `json:"longRunning,omitempty"`
+}
+
+func newStep(count int) step {
+	return step{Count: count, CPU: TaskCPU, MemMb: 500, EstimatedMs: 500}
+}
+
+func (c *Caller) submit(address, id, specification string, steps []step) (int, error) {
+	body, err := json.Marshal(map[string]any{"specification": specification, "steps": steps})
 	if err != nil {
 		return 0, err
 	}
--- a/standin/platform/orders.go
+++ b/standin/platform/orders.go
@@ -8,13 +8,15 @@
 
 // order is the body of every call to a worker.
 type order struct {
-	Task         string `json:"task"`
-	Run          int    `json:"run"`
-	UntilMs      int64  `json:"untilMs"`
-	FencingToken int64  `json:"fencingToken"`
-	LastSeen     int64  `json:"lastSeen"`
-	WaitMs       int64  `json:"waitMs"`
-	Percent      int    `json:"percent"`
+	Task string `json:"task"`
+	Run  int    `json:"run"`
+	// Specification is the job's, as its caller wrote it.
+	Specification string `json:"specification"`
+	UntilMs       int64  `json:"untilMs"`
+	FencingToken  int64  `json:"fencingToken"`
+	LastSeen      int64  `json:"lastSeen"`
+	WaitMs        int64  `json:"waitMs"`
+	Percent       int    `json:"percent"`
 }
 
 type orderAnswer struct {
@@ -144,8 +146,8 @@
 	for task, r := range w.running {
 		// Tasks without an end are at work from the start.
 		percent := 100
-		if w.TaskTime > 0 {
-			percent = min(int(100*time.Since(r.began)/w.TaskTime), 99)
+		if r.life > 0 {
+			percent = min(int(100*time.Since(r.began)/r.life), 99)
 		}
 		reply.Running = append(reply.Running, []any{task, r.number, "", percent, 0})
 	}
--- a/standin/platform/site.go
+++ b/standin/platform/site.go
@@ -34,6 +34,9 @@
 	siteZone = "z"
 )
 
+// WorkerCPU is what a worker has, in thousandths of a core.
+const WorkerCPU = 16000
+
 // JobsQueue returns a queue for the pool of a Site.
 func JobsQueue() Queue {
 	return Queue{
@@ -117,7 +120,7 @@
 	w := s.Workers[id]
 	s.Store.Put(entriesPrefix+id, Entry{
 		Service: sitePool, Address: w.Address, Zone: siteZone, Version: "1", Slots: 8, Sequence: 1, State: state,
-		Capacity: map[string]int{"cpu": 16000, "memMb": 64000}, Labels: w.labels,
+		Capacity: map[string]int{"cpu": WorkerCPU, "memMb": 64000}, Labels: w.labels,
 	})
 }
 
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -8,7 +9,7 @@
 )
 
 // Worker is one incarnation of a worker. Its tasks take TaskTime each, or run
-// until they are stopped when that is 0.
+// until they are stopped when that is 0, as long-running ones always do.
 type Worker struct {
 	ID       string
 	TaskTime time.Duration
@@ -33,7 +34,9 @@
 	task   string
 	number int
 	began  time.Time
-	timer  *time.Timer
+	// life is how long it takes, 0 when it runs until it is stopped.
+	life  time.Duration
+	timer *time.Timer
 }
 
 type end struct {
@@ -132,16 +135,18 @@
 	}
 }
 
+// noEnd is longer than any test.
+const noEnd = time.Hour
+
 func (w *Worker) begin(o order) {
-	r := &run{task: o.Task, number: o.Run, began: time.Now()}
+	r := &run{task: o.Task, number: o.Run, began: time.Now(), life: w.TaskTime}
+	if o.Specification == longRunning {
+		r.life = 0
+	}
 	w.starts++
 	w.running[o.Task] = r
 	w.Audit.note(AuditStarted, o.Task, w.ID)
-	life := w.TaskTime
-	if life == 0 {
-		life = time.Hour
-	}
-	r.timer = time.AfterFunc(life, func() { w.finish(r, "done") })
+	r.timer = time.AfterFunc(cmp.Or(r.life, noEnd), func() { w.finish(r, "done") })
 }
 
 func (w *Worker) finish(r *run, how string) {
