Play planned work in series beside the soak's faults

Cause for it: the soak drew one drain or one stop at a time, seconds apart and mostly next to a kill.

Two lines go on beside the drawn faults: all workers are replaced one after the other, a new one each 0.4 to 1 s before an old one drains, stays 1.5 to 3 s and leaves; and all daemons are restarted with SIGTERM in turn, 0.9 to 1.6 s apart, the leader after each one. They draw from streams of their own, so that the seeds that are kept draw the faults they were kept for. -planned plays the two alone.

A planned drain adds the new worker before the old one says that it leaves; it was the other way round. The map of proxies is read under its lock; it was not.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -99,6 +99,13 @@
 	return slices.Clone(d.listed)
 }
 
+// wayTo returns the proxy before a worker.
+func (d *deployment) wayTo(id string) *proxy {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.workerWays[id]
+}
+
 // must notes a failure of the soak itself.
 func (d *deployment) must(err error) {
 	if err != nil {
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -4,11 +4,14 @@
 //
 //	go test ./soak                                   the seeds of CI
 //	go test ./soak -run Fresh -seeds 50 -first 1000  by hand
+//	go test ./soak -run Fresh -seeds 3 -planned      nothing but planned work
 //
 // Faults come in series and overlap: daemons are killed, stopped, suspended and
 // restarted by signals; proxies on loopback delay, reset, silence or cut one way
 // the connections to the store and to workers; the store is down for all or
 // ends the leader's lease; workers are lost, replaced and drained; the
-// configuration changes. Clocks are not disturbed: a process cannot be given
+// configuration changes. Beside them goes planned work, in series of several
+// seconds: all workers are replaced one after the other, and all daemons are
+// restarted in turn. Clocks are not disturbed: a process cannot be given
 // another without privileges.
 package soak
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -75,10 +75,17 @@
 	d.must(p.start())
 }
 
-// stopDaemon stops a daemon in the planned way, and expects it to end in the
-// time that it has, unless another fault suspends it meanwhile.
+// stopDaemon stops a daemon in the planned way for a while.
 func stopDaemon(d *deployment, rnd *rand.Rand) {
 	p := pick(rnd, d.daemons)
+	d.stop(p)
+	time.Sleep(between(rnd, 1, 1000))
+	d.must(p.start())
+}
+
+// stop stops a daemon in the planned way, and expects it to end in the time that
+// it has, unless another fault suspends it meanwhile.
+func (d *deployment) stop(p *process) {
 	paused, before := p.suspensions()
 	p.signal(syscall.SIGTERM)
 	grace := time.Duration(p.settings.Bounds.GraceS * float64(time.Second))
@@ -88,8 +95,6 @@
 		}
 		p.kill()
 	}
-	time.Sleep(between(rnd, 1, 1000))
-	d.must(p.start())
 }
 
 func suspendDaemon(d *deployment, rnd *rand.Rand) { suspend(pick(rnd, d.daemons), rnd) }
@@ -123,7 +128,7 @@
 }
 
 func disturbWorker(d *deployment, rnd *rand.Rand) {
-	disturb(d.workerWays[pick(rnd, d.workerIDs())], rnd)
+	disturb(d.wayTo(pick(rnd, d.workerIDs())), rnd)
 }
 
 func disturb(p *proxy, rnd *rand.Rand) {
@@ -154,11 +159,21 @@
 func drainWorker(d *deployment, rnd *rand.Rand) {
 	d.mu.Lock()
 	id := pick(rnd, d.listed)
-	d.unlist(id)
-	d.site.Drain(id)
-	d.addWorker()
+	d.replace(id)
 	d.mu.Unlock()
 	time.Sleep(between(rnd, 2000, 5000))
+	d.leave(id)
+}
+
+// replace says that a worker leaves, once another one is there. d.mu is held.
+func (d *deployment) replace(id string) {
+	d.addWorker()
+	d.unlist(id)
+	d.site.Drain(id)
+}
+
+// leave lets a worker leave that was replaced.
+func (d *deployment) leave(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.site.LoseWorker(id)
--- a/soak/process.go
+++ b/soak/process.go
@@ -22,6 +22,8 @@
 	file     string
 	settings *platform.Settings
 	log      *os.File
+	// restarting is held while a planned series restarts the daemon.
+	restarting sync.Mutex
 
 	mu      sync.Mutex
 	command *exec.Cmd
--- a/soak/run.go
+++ b/soak/run.go
@@ -17,6 +17,9 @@
 	// Length is how long faults come, Settle how long everything has after the
 	// last one to be done.
 	Length, Settle time.Duration
+	// Planned leaves all faults out but the series of planned work, which then
+	// follow each other without a pause.
+	Planned bool
 }
 
 const (
@@ -24,6 +27,9 @@
 	callerCount = 4
 	// faultLines is how many series of faults go on beside each other.
 	faultLines = 3
+	// plannedStream is where the streams of random numbers of the planned series
+	// begin: beyond those of the faults and of the callers.
+	plannedStream = 200
 	// readyTimeout bounds the start of the deployment.
 	readyTimeout = 15 * time.Second
 )
@@ -72,20 +78,9 @@
 // play plays callers and faults, and returns the jobs.
 func (d *deployment) play(ctx, calling context.Context, o Options, result *Result) []*submitted {
 	var faulty, callers sync.WaitGroup
-	var mu sync.Mutex
-	for line := range faultLines {
-		rnd := rand.New(rand.NewPCG(o.Seed, uint64(line)))
-		faulty.Go(func() {
-			for ctx.Err() == nil {
-				f := drawFault(rnd)
-				mu.Lock()
-				result.Faults[f.name]++
-				mu.Unlock()
-				f.play(d, rnd)
-				time.Sleep(between(rnd, 0, 1500))
-			}
-		})
-	}
+	count := counter{result: result}
+	d.playFaults(ctx, &faulty, o, &count)
+	d.playSeries(ctx, &faulty, o, &count)
 	list := make([]*caller, callerCount)
 	for i := range list {
 		list[i] = newCaller(d, o.Seed, i)
@@ -101,6 +96,61 @@
 	return jobs
 }
 
+// counter counts faults by name.
+type counter struct {
+	mu     sync.Mutex
+	result *Result
+}
+
+func (c *counter) add(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.result.Faults[name]++
+}
+
+// playFaults begins the lines of drawn faults.
+func (d *deployment) playFaults(ctx context.Context, faulty *sync.WaitGroup, o Options, count *counter) {
+	if o.Planned {
+		return
+	}
+	for line := range faultLines {
+		rnd := rand.New(rand.NewPCG(o.Seed, uint64(line)))
+		faulty.Go(func() {
+			for ctx.Err() == nil {
+				f := drawFault(rnd)
+				count.add(f.name)
+				f.play(d, rnd)
+				time.Sleep(between(rnd, 0, 1500))
+			}
+		})
+	}
+}
+
+// playSeries begins a line of each planned series, with random numbers of its
+// own: the draws of the other lines are those that a seed was kept for.
+func (d *deployment) playSeries(ctx context.Context, faulty *sync.WaitGroup, o Options, count *counter) {
+	for line, s := range plannedSeries {
+		rnd := rand.New(rand.NewPCG(o.Seed, uint64(plannedStream+line)))
+		faulty.Go(func() {
+			for ctx.Err() == nil {
+				if !o.Planned {
+					pause(ctx, between(rnd, 0, 6000))
+				}
+				count.add(s.name)
+				s.play(ctx, d, rnd)
+			}
+		})
+	}
+}
+
+// pause waits, or until ctx ends.
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
+
 // finish checks what is left, and fills the result in.
 func (d *deployment) finish(o Options, jobs []*submitted, result *Result) {
 	d.checkEnd(jobs)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,6 +13,7 @@
 var (
 	freshSeeds = flag.Int("seeds", 0, "how many fresh seeds TestFresh plays")
 	firstSeed  = flag.Uint64("first", 1, "the first of them")
+	planned    = flag.Bool("planned", false, "play nothing in them but the planned series")
 	length     = flag.Duration("length", 20*time.Second, "how long faults come in each of them")
 	keep       = flag.String("keep", "", "folder that keeps the daemons' logs of seeds that failed")
 )
@@ -50,9 +51,10 @@
 }
 
 // play plays a seed and reports what it broke.
-func play(t *testing.T, seed uint64, length time.Duration) {
+func play(t *testing.T, o Options) {
 	dir := t.TempDir()
-	result, err := Run(Options{Seed: seed, Binary: program, Dir: dir, Length: length, Settle: settle})
+	o.Binary, o.Dir, o.Settle = program, dir, settle
+	result, err := Run(o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,7 +67,7 @@
 		t.Error("no job was completed")
 	}
 	if t.Failed() && *keep != "" {
-		to := filepath.Join(*keep, fmt.Sprint("seed-", seed))
+		to := filepath.Join(*keep, fmt.Sprint("seed-", o.Seed))
 		if err := os.CopyFS(to, os.DirFS(dir)); err != nil {
 			t.Log(err)
 		}
@@ -95,7 +97,7 @@
 	for _, s := range seeds {
 		t.Run(fmt.Sprint(s.seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, s.seed, s.length)
+			play(t, Options{Seed: s.seed, Length: s.length})
 		})
 	}
 }
@@ -106,7 +108,7 @@
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, seed, *length)
+			play(t, Options{Seed: seed, Length: *length, Planned: *planned})
 		})
 	}
 }
