Check in the soak that long-running tasks run again

Cause for it: the soak had no long-running tasks, and no check of how long a task waits: a job that is done in the end satisfied it, however long it was held back.

A caller keeps three long-running jobs of four tasks. By what the workers saw, which was all there but for when each worker was there to stay, a task that has no run for more than 9 s is told: 6 s after its last run it is to run again by the users' rule, and 3 s more pass before it counts. Excused are all drawn faults with 9 s after each, and the time in which no worker was known that was to stay. Planned restarts and drains excuse nothing.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -39,14 +39,16 @@
 	id string
 	// steps holds the number of tasks of each step.
 	steps []int
+	// longRunning is whether its tasks run until it is canceled; it has one step.
+	longRunning bool
 
 	mu         sync.Mutex
 	fate       fate
 	acceptedAt time.Time
 	canceledAt time.Time
-	// canceling is set when a cancel was sent, whatever came of it.
-	canceling bool
-	final     job.State
+	// cancelSentAt is when the first cancel was sent, whatever came of it.
+	cancelSentAt time.Time
+	final        job.State
 }
 
 // caller submits jobs and follows them over connections that it keeps.
@@ -81,26 +83,40 @@
 	following.Wait()
 }
 
+// nextID returns the id of the caller's next job.
+func (c *caller) nextID() string { return fmt.Sprintf("%04x%012x", c.prefix, len(c.jobs)+1) }
+
 // draw returns a job of one to three steps.
 func (c *caller) draw() *submitted {
-	j := &submitted{id: fmt.Sprintf("%04x%012x", c.prefix, len(c.jobs)+1)}
+	j := &submitted{id: c.nextID()}
 	for range 1 + c.rnd.IntN(3) {
 		j.steps = append(j.steps, 1+c.rnd.IntN(4))
 	}
 	return j
 }
 
-// follow submits a job, looks at it now and then, and cancels some.
-func (c *caller) follow(ctx context.Context, j *submitted, rnd *rand.Rand) {
+// submit submits a job, and returns whether it was accepted.
+func (c *caller) submit(ctx context.Context, j *submitted, rnd *rand.Rand) bool {
 	for range submitTries {
-		status, err := c.client.Submit(c.anyone(rnd), j.id, j.steps)
-		j.settle(status, err)
+		j.settle(c.submitOnce(rnd, j))
 		if j.fate == accepted || ctx.Err() != nil {
 			break
 		}
 		time.Sleep(between(rnd, 50, 400))
 	}
-	if j.fate != accepted {
+	return j.fate == accepted
+}
+
+func (c *caller) submitOnce(rnd *rand.Rand, j *submitted) (status int, err error) {
+	if j.longRunning {
+		return c.client.SubmitLongRunning(c.anyone(rnd), j.id, j.steps[0])
+	}
+	return c.client.Submit(c.anyone(rnd), j.id, j.steps)
+}
+
+// follow submits a job, looks at it now and then, and cancels some.
+func (c *caller) follow(ctx context.Context, j *submitted, rnd *rand.Rand) {
+	if !c.submit(ctx, j, rnd) {
 		return
 	}
 	cancelAt := time.Time{}
@@ -131,7 +147,9 @@
 
 func (c *caller) cancel(rnd *rand.Rand, j *submitted) {
 	j.mu.Lock()
-	j.canceling = true
+	if j.cancelSentAt.IsZero() {
+		j.cancelSentAt = time.Now()
+	}
 	j.mu.Unlock()
 	status, err := c.client.Cancel(c.anyone(rnd), j.id)
 	if err == nil && status == http.StatusOK {
@@ -172,7 +190,7 @@
 	}
 	j.final = state
 	switch {
-	case state == job.Canceled && !j.canceling:
+	case state == job.Canceled && j.cancelSentAt.IsZero():
 		r.add("job %s is canceled, and nobody asked for it", j.id)
 	case state == job.Failed:
 		r.add("job %s is told as failed, and none of its tasks can fail", j.id)
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -37,15 +38,20 @@
 	workerWays map[string]*proxy
 	// listed are the workers that are there to stay.
 	listed []string
+	// stays are the times in which each worker was one of them.
+	stays  map[string]*span
 	added  int
 	queues []standin.Queue
+	// unplanned are the times in which something went wrong that is no planned
+	// work, and all that overlaps with it.
+	unplanned []*span
 }
 
 // newDeployment starts everything, with files in dir.
 func newDeployment(dir, binary string, r *report) (*deployment, error) {
 	d := &deployment{
 		site: standin.NewSite(), report: r, workerWays: make(map[string]*proxy),
-		queues: []standin.Queue{standin.JobsQueue()},
+		stays: make(map[string]*span), queues: []standin.Queue{standin.JobsQueue()},
 	}
 	d.site.Configure(d.queues...)
 	d.mu.Lock()
@@ -86,11 +92,13 @@
 	d.site.List(id)
 	d.workerWays[id] = way
 	d.listed = append(d.listed, id)
+	d.stays[id] = beginSpan()
 }
 
 // unlist notes that a worker is on its way out. d.mu is held.
 func (d *deployment) unlist(id string) {
 	d.listed = slices.DeleteFunc(d.listed, func(other string) bool { return other == id })
+	d.stays[id].end()
 }
 
 func (d *deployment) workerIDs() []string {
@@ -106,6 +114,18 @@
 	return d.workerWays[id]
 }
 
+// disturb plays a fault and notes when it was under way.
+func (d *deployment) disturb(f fault, rnd *rand.Rand) {
+	s := beginSpan()
+	d.mu.Lock()
+	d.unplanned = append(d.unplanned, s)
+	d.mu.Unlock()
+	f.play(d, rnd)
+	d.mu.Lock()
+	s.end()
+	d.mu.Unlock()
+}
+
 // must notes a failure of the soak itself.
 func (d *deployment) must(err error) {
 	if err != nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -22,6 +22,16 @@
 	Planned bool
 }
 
+// linger is how long long-running jobs stay after the last fault: until each of
+// their tasks must have run again. Beside drawn faults one of these is always too
+// near to the end for the check to accuse anybody.
+func (o Options) linger() time.Duration {
+	if o.Planned {
+		return mostWithout
+	}
+	return 0
+}
+
 const (
 	// callerCount is how many callers submit jobs: together about 15 a second.
 	callerCount = 4
@@ -42,6 +52,10 @@
 	// attempts that workers began; Faults by name.
 	Jobs, Accepted, Completed, Starts int
 	Faults                            map[string]int
+	// LongestWithout is the longest time for which a long-running task had no run
+	// though nothing excused it, and LongestTask the task.
+	LongestWithout time.Duration
+	LongestTask    string
 }
 
 // Run plays a seed. An error is one of the soak itself.
@@ -86,10 +100,12 @@
 		list[i] = newCaller(d, o.Seed, i)
 		callers.Go(func() { list[i].run(ctx, calling) })
 	}
+	keeper := newCaller(d, o.Seed, callerCount)
+	callers.Go(func() { keeper.keep(ctx, calling, o.linger()) })
 	faulty.Wait()
 	d.calm()
 	callers.Wait()
-	var jobs []*submitted
+	jobs := keeper.jobs
 	for _, c := range list {
 		jobs = append(jobs, c.jobs...)
 	}
@@ -119,7 +135,7 @@
 			for ctx.Err() == nil {
 				f := drawFault(rnd)
 				count.add(f.name)
-				f.play(d, rnd)
+				d.disturb(f, rnd)
 				time.Sleep(between(rnd, 0, 1500))
 			}
 		})
@@ -156,6 +172,7 @@
 	d.checkEnd(jobs)
 	events := d.site.Audit.Events()
 	check(d.report, events, d.site.Audit.Twice(), jobs)
+	d.checkLongRunning(events, jobs, result)
 	for _, p := range d.daemons {
 		if what := p.failed(); what != "" {
 			d.report.add("%s", what)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,6 +60,8 @@
 	}
 	t.Logf("%d jobs, %d accepted, %d completed, %d starts, faults %v",
 		result.Jobs, result.Accepted, result.Completed, result.Starts, result.Faults)
+	t.Logf("longest time of a long-running task without a run that nothing excuses: %d ms, %s",
+		result.LongestWithout.Milliseconds(), result.LongestTask)
 	for _, broken := range result.Broken {
 		t.Error(broken)
 	}
