Start interrupted long-running tasks before new ones

Cause: among long-running steps those came first whose job could still meet its objective. A long-running job is too late after some seconds for good, so that in a full cluster new jobs took each worker that came while others were being replaced, and tasks that had lost their worker waited for 10 s and more.

Change: interrupted tasks have a turn of their own before all others, those of all jobs before any first start; long-running steps are never late. After a take-over all tasks of recovered jobs count as interrupted, since it is not known which of them ran.

Left: a new worker's room goes to first starts while a leaving worker's tasks are still being stopped.

--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -110,6 +110,15 @@
 // idle reports whether the task wants an attempt.
 func (t *task) idle() bool { return !t.done && len(t.attempts) == 0 }
 
+// interrupted reports whether the task is to run on and has lost its place. What a
+// new leader has not heard of may have had one, and counts as that.
+func (t *task) interrupted() bool { return t.idle() && t.step.spec.LongRunning && t.last > 0 }
+
+// interrupted reports whether any of the step's tasks is interrupted.
+func (s *step) interrupted() bool {
+	return s.spec.LongRunning && slices.ContainsFunc(s.tasks, (*task).interrupted)
+}
+
 // newOccurrence makes an occurrence none of whose tasks is done.
 func newOccurrence(j *jobState, number int) *occurrence {
 	o := &occurrence{job: j, number: number, left: len(j.record.Spec.Steps)}
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -29,7 +29,7 @@
 		if p.turn == m.pass.number {
 			continue
 		}
-		if !m.takeTurn(p.step) {
+		if !m.takeTurn(p) {
 			return
 		}
 	}
@@ -40,7 +40,7 @@
 // in the pass, as far as the looks go. It returns how many.
 func (m *Machine) startFront(steps []pendingStep) int {
 	for i, p := range steps {
-		if !m.takeTurn(p.step) {
+		if !m.takeTurn(p) {
 			return i
 		}
 	}
@@ -49,7 +49,8 @@
 
 // takeTurn starts what fits of a step. It returns false when the round has no
 // looks left for it.
-func (m *Machine) takeTurn(s *step) bool {
+func (m *Machine) takeTurn(p pendingStep) bool {
+	s := p.step
 	if m.pass.spent() {
 		return false
 	}
@@ -59,6 +60,8 @@
 	case m.now.Before(s.notBefore):
 	case s.spec.Gang:
 		m.startGang(s)
+	case p.interrupted:
+		return m.startTasks(s, (*task).interrupted) != startsCut
 	case !m.startStep(s):
 		return false
 	}
@@ -69,19 +72,27 @@
 // pendingStep is a step that is ready, with what it is ordered by.
 type pendingStep struct {
 	*step
+	// interrupted is set for the turn of those of its tasks that ran before.
+	interrupted bool
 	priority    int
 	lateness    lateness
 	objectiveMs int64
 }
 
-// pendingSteps returns the steps that are ready, the most urgent first.
+// pendingSteps returns the steps that are ready, the most urgent first. One with
+// interrupted tasks is there twice, first for these.
 func (m *Machine) pendingSteps() []pendingStep {
 	steps := make([]pendingStep, 0, m.pending.Len())
 	for s := range m.pending.All() {
 		if s.ready() {
-			steps = append(steps, pendingStep{
+			p := pendingStep{
 				step: s, priority: m.queue(s.job()).Priority, lateness: m.lateness(s), objectiveMs: m.objectiveMs(s),
-			})
+			}
+			steps = append(steps, p)
+			if s.interrupted() {
+				p.interrupted = true
+				steps = append(steps, p)
+			}
 		} else if s.left == 0 {
 			m.pending.Delete(s)
 		}
@@ -91,17 +102,15 @@
 }
 
 // compareUrgency puts long-running tasks first, since each second without them
-// is lost for good; then the lower priority number; then jobs that can still
-// meet their objective, those that can only be late, and those that are too
-// late to be of use; then the earlier objective.
+// is lost for good, and of these the interrupted ones: in a full cluster new jobs
+// would take each place that comes free, and what ran before would not run again.
+// Then comes the lower priority number; then jobs that can still meet their
+// objective, those that can only be late, and those that are too late to be of
+// use; then the earlier objective.
 func compareUrgency(a, b pendingStep) int {
-	if a.spec.LongRunning != b.spec.LongRunning {
-		if a.spec.LongRunning {
-			return -1
-		}
-		return 1
-	}
 	return cmp.Or(
+		compareFirst(a.interrupted, b.interrupted),
+		compareFirst(a.spec.LongRunning, b.spec.LongRunning),
 		cmp.Compare(a.priority, b.priority),
 		cmp.Compare(a.lateness, b.lateness),
 		cmp.Compare(a.objectiveMs, b.objectiveMs),
@@ -111,6 +120,17 @@
 	)
 }
 
+// compareFirst puts what is so before what is not.
+func compareFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
 // dueMs returns when the step's occurrence was due, or its job accepted.
 func (s *step) dueMs() int64 {
 	if schedule := s.job().record.Spec.Schedule; schedule != nil {
@@ -142,8 +162,12 @@
 	tooLate
 )
 
+// lateness tells how far the step's occurrence is past its objective. Long-running
+// ones have no end that could be late: they are of use however late they run.
 func (m *Machine) lateness(s *step) lateness {
 	switch now := m.wall.UnixMilli(); {
+	case s.spec.LongRunning:
+		return inTime
 	case now < m.objectiveMs(s):
 		return inTime
 	case now < s.dueMs()+lateFactor*m.allowanceMs(s):
@@ -157,40 +181,60 @@
 // startStep starts as many idle tasks of the step as fit. It returns false when
 // the round has no looks left for the rest of them.
 func (m *Machine) startStep(s *step) bool {
+	switch m.startTasks(s, (*task).idle) {
+	case startsCut:
+		return false
+	case startsWait:
+		m.crowded = true
+		m.noteWaiting(s)
+		m.askAdvice(s)
+	case startsAll:
+		m.pending.Delete(s)
+		s.waitsSince = time.Time{}
+	case startsUnstored:
+	}
+	return true
+}
+
+// starts tells how far the starts of some tasks came.
+type starts int
+
+const (
+	// startsAll: all were started.
+	startsAll starts = iota
+	// startsUnstored: the rest is to be stored first.
+	startsUnstored
+	// startsWait: there is no place for some.
+	startsWait
+	// startsCut: the round has no looks left, or too many starts are in flight.
+	startsCut
+)
+
+// startTasks starts as many of the wanted tasks of the step as fit.
+func (m *Machine) startTasks(s *step, wanted func(*task) bool) starts {
 	full := m.fitsNowhere(s)
-	left, unstored := false, false
+	result := startsAll
 	var places *candidates
 	for _, t := range s.tasks {
-		if !t.idle() {
+		if !wanted(t) {
 			continue
 		}
 		if m.pass.spent() || m.starting >= m.options.StartsInFlight {
-			return false
+			return startsCut
 		}
 		if !m.restartStored(t) {
-			unstored = true
+			result = max(result, startsUnstored)
 			continue
 		}
 		if !full && m.startSomewhere(t, &places) {
 			continue
 		}
-		left, full = true, true
+		result, full = startsWait, true
 		if !m.preempt(t) {
 			break
 		}
 	}
-	if !left && unstored {
-		return true
-	}
-	if !left {
-		m.pending.Delete(s)
-		s.waitsSince = time.Time{}
-		return true
-	}
-	m.crowded = true
-	m.noteWaiting(s)
-	m.askAdvice(s)
-	return true
+	return result
 }
 
 // startSomewhere starts a task on the best worker, and returns false if there
