Replay a watch of the leader's key beyond the store's history; the test fails

A daemon that follows asks for the changes since the leader's key was written. The platform's store keeps 20 s of history, after which every such watch is refused at once, the key is read again and 100 ms later the same begins anew.

--- /dev/null
+++ b/jobservice/campaign_test.go
@@ -0,0 +1,51 @@
+package jobservice
+
+import (
+	"context"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/guavarill/guavarill/adapter/logsink"
+	"github.com/guavarill/guavarill/port"
+)
+
+// Half of all calls to the store came from daemons that did not lead. A daemon that
+// follows watches the leader's key. It asked for the changes since the key was
+// written, and once that was longer ago than the store keeps its history, each watch
+// was refused at once: the daemon read the key again, paused for 100 ms and asked
+// the same, for as long as the leader led. The watch has to go on from the store's
+// revision at the time of the read.
+func TestAFollowerOfALongTermIsNotRefused(t *testing.T) {
+	store := newMemStore()
+	lease, err := store.GrantLease(t.Context(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.write(port.Op{Key: leaderKey, Value: encodeRecord(leaderRecord{Daemon: "a", Incarnation: "1"}), Lease: lease})
+	for range 3 {
+		store.write(port.Op{Key: ledgerKey, Value: encodeRecord(ledgerRecord{})})
+	}
+	store.forget()
+	l := NewLeader(Options{
+		Daemon: "b", Incarnation: "1", Processors: 1, Store: store, Log: logsink.NewLogger(t.Output()),
+		Metrics: NewMetrics(prometheus.NewRegistry()),
+	})
+	vacant := make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		_, err := l.awaitVacancy(ctx)
+		vacant <- err
+	}()
+	<-store.watched
+	if err := store.RevokeLease(t.Context(), lease); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-vacant; err != nil {
+		t.Fatalf("the lead is not free: %v", err)
+	}
+	if n := store.compactedWatches(); n > 0 {
+		t.Errorf("%d watches asked for history that the store no longer has", n)
+	}
+}
--- a/jobservice/memstore_test.go
+++ b/jobservice/memstore_test.go
@@ -21,12 +21,18 @@
 	changed  chan struct{}
 	// failing counts, by key, the reads that still fail.
 	failing map[string]int
+	// forgotten is the revision up to which the history is gone. compacted counts
+	// the watches that were refused for it.
+	forgotten int64
+	compacted int
+	// watched gets a value with the first watch.
+	watched chan struct{}
 }
 
 func newMemStore() *memStore {
 	return &memStore{
 		revision: 1, items: make(map[string]port.KeyValue), leases: make(map[port.LeaseID]bool),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), watched: make(chan struct{}, 1),
 	}
 }
 
@@ -37,6 +43,32 @@
 	s.apply([]port.Op{op})
 }
 
+// forget drops the history so far, as the platform's store does after some seconds.
+func (s *memStore) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.revision
+	s.history = nil
+}
+
+// compactedWatches returns how many watches asked for history that is gone.
+func (s *memStore) compactedWatches() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.compacted
+}
+
+// refuseForgotten reports whether a watch after the revision lacks its history.
+func (s *memStore) refuseForgotten(after int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after >= s.forgotten {
+		return false
+	}
+	s.compacted++
+	return true
+}
+
 func (s *memStore) apply(changes []port.Op) {
 	s.revision++
 	for _, c := range changes {
@@ -120,8 +152,16 @@
 
 func (s *memStore) Watch(ctx context.Context, prefix string, after int64) (<-chan port.WatchEvent, error) {
 	events := make(chan port.WatchEvent)
+	select {
+	case s.watched <- struct{}{}:
+	default:
+	}
 	go func() {
 		defer close(events)
+		if s.refuseForgotten(after) {
+			deliverTo(ctx, events, port.WatchEvent{Err: &port.StoreError{Call: "Watch", Kind: port.StoreCompacted}})
+			return
+		}
 		for {
 			s.mu.Lock()
 			news, changed := s.history, s.changed
@@ -130,9 +170,7 @@
 				if ev.Revision <= after || !strings.HasPrefix(ev.KeyValue.Key, prefix) {
 					continue
 				}
-				select {
-				case events <- ev:
-				case <-ctx.Done():
+				if !deliverTo(ctx, events, ev) {
 					return
 				}
 			}
@@ -148,3 +186,13 @@
 	}()
 	return events, nil
 }
+
+// deliverTo hands an event to a watch, and returns false when the watch has ended.
+func deliverTo(ctx context.Context, events chan<- port.WatchEvent, ev port.WatchEvent) bool {
+	select {
+	case events <- ev:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
