Watch the leader's key from the store's revision, not from the key's

Cause: a daemon that follows watched from the revision of the leader's key. The store keeps 20 s of history; after that each such watch was refused at once, and the key was read again ten times a second.

--- a/jobservice/campaign.go
+++ b/jobservice/campaign.go
@@ -60,7 +60,7 @@
 // waited for until the lease ends.
 func (l *Leader) awaitVacancy(ctx context.Context) (int64, error) {
 	for {
-		kv, err := l.get(ctx, leaderKey)
+		kv, revision, err := l.readLeader(ctx)
 		if err != nil {
 			return 0, err
 		}
@@ -79,13 +79,29 @@
 		case holder.Daemon == l.o.Daemon:
 			return kv.ModRevision, nil
 		}
-		l.awaitChange(ctx, kv, holder)
+		l.awaitChange(ctx, kv, revision, holder)
 		if ctx.Err() != nil {
 			return 0, ctx.Err()
 		}
 	}
 }
 
+// readLeader reads the leader's key, and the store's revision at that time.
+func (l *Leader) readLeader(ctx context.Context) (port.KeyValue, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+	defer cancel()
+	found, revision, err := l.o.Store.List(ctx, leaderKey)
+	if err != nil {
+		return port.KeyValue{}, 0, err
+	}
+	for _, kv := range found {
+		if kv.Key == leaderKey {
+			return kv, revision, nil
+		}
+	}
+	return port.KeyValue{Key: leaderKey}, revision, nil
+}
+
 // NoLeaseError is a leader's key that hangs on no lease.
 type NoLeaseError struct{ Holder string }
 
@@ -115,10 +131,14 @@
 }
 
 // awaitChange returns when the leader's key has changed, or is to be read again.
-func (l *Leader) awaitChange(ctx context.Context, key port.KeyValue, holder leaderRecord) {
+// It was read at the store's revision given. The watch goes on from there and not
+// from the revision of the key: once a leader has led for longer than the store
+// keeps its history, a watch from its beginning is refused, and each follower would
+// read the key ten times a second for the rest of the term.
+func (l *Leader) awaitChange(ctx context.Context, key port.KeyValue, revision int64, holder leaderRecord) {
 	ctx, cancel := context.WithTimeout(ctx, leaderPoll)
 	defer cancel()
-	events, err := l.o.Store.Watch(ctx, leaderKey, key.ModRevision)
+	events, err := l.o.Store.Watch(ctx, leaderKey, revision)
 	if err != nil {
 		Pause(ctx, campaignPause)
 		return
