Tell effects by the share of a worker's processors, and blame best-effort work alone

Hypothesis: an effect grows with the processors that the aggressor uses, and serving tasks do not disturb each other.

--- a/core/interference/model.go
+++ b/core/interference/model.go
@@ -98,8 +98,8 @@
 	m.residency.Started(now, w, key, class)
 }
 
-// Throttled records the share of its processors, from 0 to 1, that a task has
-// from now on.
+// Throttled records the share of its effect that counts from now on, as a Presence
+// has it.
 func (m *Model) Throttled(now time.Time, w model.WorkerID, key model.TaskKey, share float64) {
 	m.residency.Throttled(now, w, key, share)
 }
--- a/core/interference/residency.go
+++ b/core/interference/residency.go
@@ -7,11 +7,13 @@
 	"github.com/guavarill/guavarill/core/model"
 )
 
-// Presence is a task on a worker at one time. Share is how much of its
-// processors it was allowed: 1 when not throttled.
+// Presence is a task on a worker at one time.
 type Presence struct {
 	Key   model.TaskKey
 	Class string
+	// Share is how much of its effect counts: 1 for a task at full speed, less for
+	// one that is throttled, 0 for one that disturbs nobody. A caller that knows how
+	// large tasks are may tell effects by size and give large ones more than 1.
 	Share float64
 	// Present is whether the task is still there.
 	Present bool
@@ -53,8 +55,8 @@
 	r.change(now, w, Presence{Key: key, Class: class, Share: 1})
 }
 
-// Throttled records the share of its processors that a task has from now on,
-// between 0 and 1. A task that is not on the worker is ignored.
+// Throttled records the share of its effect that counts from now on, 0 or more. A
+// task that is not on the worker is ignored.
 func (r *Residency) Throttled(now time.Time, w model.WorkerID, key model.TaskKey, share float64) {
 	ws, ok := r.workers[w]
 	if !ok {
--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -82,7 +82,8 @@
 // filterInterference keeps best-effort work away from the serving tasks that it
 // is known to slow down, unless it would wait for ever.
 func filterInterference(m *Machine, t *task, w *worker) bool {
-	return !t.step.spec.BestEffort || m.worstEffect(w, t.step.spec.Image) <= harmfulEffect || m.starving(t.step)
+	spec := t.step.spec
+	return !spec.BestEffort || m.worstEffect(w, spec.Image, spec.Size.MilliCPU) <= harmfulEffect || m.starving(t.step)
 }
 
 const (
--- a/core/jobsched/interference.go
+++ b/core/jobsched/interference.go
@@ -43,14 +43,32 @@
 	// calmPressure bounds what is taken for the undisturbed tail of a step, as
 	// a part of its target: all of its tasks may be disturbed.
 	calmPressure = 0.6
-	// harmfulEffect is the predicted slowdown, above 1, from which an image is
-	// kept away from another. It is just above the prior, so that a pair that was
-	// never seen may be tried, and below what is learned of any pair that
-	// disturbs: that comes out too low, because such work is soon throttled.
-	// At 0.2 and 0.35 two and ten times as much work was moved.
+	// harmfulEffect is the predicted slowdown, above 1, from which an attempt is
+	// taken to disturb. It is just above the prior, so that a pair that was never
+	// seen may be tried, and below what is learned of any pair that disturbs: that
+	// comes out too low, because such work is soon throttled.
 	harmfulEffect = 0.12
+	// effectUnit is the part of a worker's processors to which effects are told: a
+	// usual best-effort task uses about as much.
+	effectUnit = 0.1
 )
 
+// effectWeight returns how strongly best-effort work that uses so much of the
+// worker's processors disturbs there, in units of effectUnit. Effects by the task
+// would make small tasks look as harmful as large ones of their image.
+func (w *worker) effectWeight(milliCPU int64) float64 {
+	return part(milliCPU, w.entry.Capacity.MilliCPU) / effectUnit
+}
+
+// effectWeight returns how strongly the attempt disturbs at full speed: not at all
+// unless it is best-effort work.
+func (a *attempt) effectWeight() float64 { return a.worker.effectWeight(a.bestEffortCPU) }
+
+// presentWeight returns how strongly the attempt disturbs at its present share.
+func (a *attempt) presentWeight() float64 {
+	return a.effectWeight() * float64(a.throttle) / fullSpeed
+}
+
 // learnable reports whether the attempt is a victim or an aggressor.
 func (a *attempt) learnable() bool {
 	s := a.step()
@@ -67,6 +85,9 @@
 	a.image = m.effects.imageIndex(image)
 	a.learnKey = model.TaskKey{Workload: image, Generation: m.learnSerial}
 	m.learner.Started(m.now, a.worker.id, a.learnKey, image)
+	// Serving tasks weigh nothing: blamed for each other's tails, they would take a
+	// part of the blame from the work that disturbs.
+	m.learner.Throttled(m.now, a.worker.id, a.learnKey, a.presentWeight())
 }
 
 // learnStop tells the learner that an attempt has gone.
@@ -157,7 +178,7 @@
 	sum := 0.0
 	for _, a := range victim.worker.attempts.All() {
 		if a.bestEffortCPU > 0 && a.learnKey.Generation != 0 {
-			sum += effects[a.image] * float64(a.throttle) / fullSpeed
+			sum += effects[a.image] * a.presentWeight()
 		}
 	}
 	return sum
@@ -229,9 +250,10 @@
 	w.servingTasks += by
 }
 
-// worstEffect predicts the worst slowdown, above 1, that a best-effort image
-// brings to the serving tasks of a worker.
-func (m *Machine) worstEffect(w *worker, aggressor string) float64 {
+// worstEffect predicts the worst slowdown, above 1, that best-effort work of an
+// image brings to the serving tasks of a worker when it uses so much of the
+// processors.
+func (m *Machine) worstEffect(w *worker, aggressor string, milliCPU int64) float64 {
 	if w.servingTasks == 0 {
 		return 0
 	}
@@ -243,5 +265,5 @@
 			worst = max(worst, m.effects.effects[v][a])
 		}
 	}
-	return worst
+	return worst * w.effectWeight(milliCPU)
 }
--- a/core/jobsched/score.go
+++ b/core/jobsched/score.go
@@ -85,7 +85,7 @@
 	spec := t.step.spec
 	switch {
 	case spec.BestEffort && w.serves():
-		return servingScore * (w.throttle.pressure + m.worstEffect(w, spec.Image))
+		return servingScore * (w.throttle.pressure + m.worstEffect(w, spec.Image, spec.Size.MilliCPU))
 	case spec.LatencyTargetMs > 0:
 		return sameImageScore * m.imageShare(w, spec.Image)
 	}
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -134,7 +134,7 @@
 	if a.bestEffortCPU == 0 || a.task == nil {
 		return false
 	}
-	return m.worstEffect(a.worker, a.step().spec.Image) > harmfulEffect
+	return m.worstEffect(a.worker, a.step().spec.Image, a.bestEffortCPU) > harmfulEffect
 }
 
 // wantedShare returns the share at which an attempt should work.
@@ -207,7 +207,7 @@
 		}
 		a.throttle = ev.Percent
 		if a.learnKey.Generation != 0 {
-			m.learner.Throttled(m.now, w.id, a.learnKey, float64(ev.Percent)/fullSpeed)
+			m.learner.Throttled(m.now, w.id, a.learnKey, a.presentWeight())
 		}
 	case VerdictFenced:
 		m.depose(w)
