Start best-effort work by what the tails beside it bear

Hypothesis: what brings tails over their target is the sum of small effects at the peak of the serving tasks' load. So the headroom up to the target, of which one task and all together may use a part, takes the place of one bound for each pair.

--- a/core/jobsched/headroom_test.go
+++ b/core/jobsched/headroom_test.go
@@ -64,6 +64,17 @@
 	}
 }
 
+// Where tails are never far below their target, an image of which nothing is known
+// would wait for a lower load for ever, and nothing would ever be known of it.
+func TestAnUnknownImageIsTriedAtAnyLoad(t *testing.T) {
+	c := servingCluster(t, 60)
+	id := c.submit(2, "batch", bestEffortStep("unknown", 1, 1600))
+	c.run(300 * time.Millisecond)
+	if n := c.runningOf(id); n != 1 {
+		t.Errorf("%d tasks run, want 1", n)
+	}
+}
+
 // Best-effort tasks with many processors disturbed far more than was predicted, and
 // small ones were kept away from places where they would have harmed nobody: effects
 // were learned and predicted by the task, whatever its size. They grow with the part
--- a/core/jobsched/interference.go
+++ b/core/jobsched/interference.go
@@ -178,7 +178,7 @@
 	sum := 0.0
 	for _, a := range victim.worker.attempts.All() {
 		if a.bestEffortCPU > 0 && a.learnKey.Generation != 0 {
-			sum += effects[a.image] * a.presentWeight()
+			sum += effects[a.image].Mean * a.presentWeight()
 		}
 	}
 	return sum
@@ -191,7 +191,7 @@
 	index map[string]int
 	names []string
 	// effects is by victim, then aggressor.
-	effects     [][]float64
+	effects     [][]interference.Estimate
 	refreshedAt time.Time
 }
 
@@ -219,12 +219,12 @@
 		return
 	}
 	c.refreshedAt = m.now
-	c.effects = make([][]float64, len(c.names))
+	c.effects = make([][]interference.Estimate, len(c.names))
 	for v, victim := range c.names {
-		c.effects[v] = make([]float64, len(c.names))
+		c.effects[v] = make([]interference.Estimate, len(c.names))
 		for a, aggressor := range c.names {
 			if v < len(m.victims) && m.victims[v] > 0 {
-				c.effects[v][a] = m.learner.Predict(victim, aggressor, 0).Mean
+				c.effects[v][a] = m.learner.Predict(victim, aggressor, 0)
 			}
 		}
 	}
@@ -257,13 +257,19 @@
 	if w.servingTasks == 0 {
 		return 0
 	}
-	a := m.effects.imageIndex(aggressor)
-	m.refreshEffects()
 	worst := 0.0
-	for v, count := range w.victims {
+	for victim, count := range w.victims {
 		if count > 0 {
-			worst = max(worst, m.effects.effects[v][a])
+			worst = max(worst, m.effect(victim, aggressor).Mean)
 		}
 	}
 	return worst * w.effectWeight(milliCPU)
 }
+
+// effect predicts the slowdown, above 1, that a unit of best-effort work of an image
+// brings to serving tasks of the image with a number.
+func (m *Machine) effect(victim int, aggressor string) interference.Estimate {
+	a := m.effects.imageIndex(aggressor)
+	m.refreshEffects()
+	return m.effects.effects[victim][a]
+}
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -206,6 +206,7 @@
 			a.throttledAt = m.now
 		}
 		a.throttle = ev.Percent
+		w.tails.stale = true
 		if a.learnKey.Generation != 0 {
 			m.learner.Throttled(m.now, w.id, a.learnKey, a.presentWeight())
 		}
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -63,6 +63,7 @@
 	reserved []reservation
 	health   health
 	throttle throttleState
+	tails    tailCache
 }
 
 func newWorker(e WorkerEntry) *worker {
@@ -90,6 +91,7 @@
 // add takes an attempt in and commits its size.
 func (w *worker) add(a *attempt) {
 	w.attempts.Set(a.key, a)
+	w.tails.stale = true
 	w.committed = w.committed.Add(a.size)
 	w.bestEffortCPU += a.bestEffortCPU
 	if a.longRunning {
@@ -103,6 +105,7 @@
 // remove forgets an attempt and frees its size.
 func (w *worker) remove(a *attempt) {
 	w.attempts.Delete(a.key)
+	w.tails.stale = true
 	w.committed = w.committed.Sub(a.size)
 	w.bestEffortCPU -= a.bestEffortCPU
 	if a.longRunning {
