Slow disturbing work to the share that the tails beside it bear

Hypothesis: work that is known to disturb and has no other place is let up to full speed in steps, until a tail is over its target, and is cut half a second late; a share predicted from the learned effects and the undisturbed tails comes before that.

--- a/core/jobsched/headroom.go
+++ b/core/jobsched/headroom.go
@@ -15,6 +15,9 @@
 	// several times their size within seconds, so that most of it is kept.
 	pairPart = 0.12
 	sumPart  = 0.4
+	// shareAim is the part of a latency target that work which is known to disturb
+	// is slowed for.
+	shareAim = 0.7
 	// leastAdded is the slowdown, above 1, below which a task adds nothing that could
 	// be told from none.
 	leastAdded = 0.01
@@ -39,6 +42,9 @@
 	// present is the slowdown, above 1, that all best-effort work on the worker
 	// brings at its present shares.
 	present float64
+	// quiet is the part of present that is of work not known to disturb; loud is what
+	// the rest would bring at full speed.
+	quiet, loud float64
 }
 
 // headroom returns how much slowdown, above 1, the tail bears up to an aim.
@@ -84,7 +90,14 @@
 
 // addEffect adds what a best-effort attempt does to a tail.
 func (m *Machine) addEffect(t *tail, a *attempt) {
-	t.present += m.effect(t.image, a.step().spec.Image).Mean * a.presentWeight()
+	effect := m.effect(t.image, a.step().spec.Image).Mean
+	present := effect * a.presentWeight()
+	t.present += present
+	if m.disturbs(a) {
+		t.loud += effect * a.effectWeight()
+	} else {
+		t.quiet += present
+	}
 }
 
 // calmPart returns the undisturbed tail of a step's tasks, as a part of their target.
@@ -121,3 +134,20 @@
 	}
 	return pairPart * t.headroom(startAim)
 }
+
+// fittingShare returns the share, in percent, at which the best-effort work on a
+// worker that is known to disturb may run so that no tail there is predicted above
+// its aim. Let up to full speed until a tail is over, it would be over again and
+// again, since readings tell of it half a second late.
+func (m *Machine) fittingShare(w *worker) int {
+	share := 1.0
+	for _, t := range m.tails(w) {
+		if t.loud > 0 {
+			share = min(share, (t.headroom(shareAim)-t.quiet)/t.loud)
+		}
+	}
+	if percent := int(share * fullSpeed); percent >= throttleFloor {
+		return percent
+	}
+	return 0
+}
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -85,6 +85,8 @@
 func (m *Machine) adjustThrottle(w *worker) {
 	w.measurePressure(m.now)
 	t := &w.throttle
+	fitting := m.fittingShare(w)
+	t.percent = min(t.percent, fitting)
 	if m.now.Before(t.changeAt) {
 		return
 	}
@@ -98,7 +100,7 @@
 	case t.pressure < pressureLow && t.others < fullSpeed:
 		t.others = min(t.others+throttleStep, fullSpeed)
 	case t.pressure < pressureLow:
-		t.percent = min(t.percent+throttleStep, fullSpeed)
+		t.percent = min(t.percent+throttleStep, fitting)
 	}
 	if t.percent != before.percent || t.others != before.others {
 		// A reading covers the last half second: the next one that shows the
