--- a/core/jobsched/candidates.go
+++ b/core/jobsched/candidates.go
@@ -4,10 +4,9 @@
 
 // candidates are the workers that alike tasks of a step may go to, the best
 // first. A start changes what its own worker is worth and no other's, so that each
-// further task costs a look at one worker and not at all of them. Of steps of 40
-// tasks, one took 130 us of a core with 1,100 workers and 981 with 3,500, and
-// takes 9 and 23 (BenchmarkPlacement): a leader with 0.8 of a core could not start
-// the 2,000 a second that are asked of it there.
+// further task costs a look at one worker and not at all of them: with a thousand
+// workers, the leader could not start what is asked of it otherwise
+// (BenchmarkPlacement).
 type candidates struct {
 	m *Machine
 	// task stands for all of them.
--- a/core/jobsched/interference.go
+++ b/core/jobsched/interference.go
@@ -14,9 +14,8 @@
 // all, some triple the tail latency.
 func learnerOptions() interference.Options {
 	return interference.Options{
-		// A pair that was never seen is a little suspect. An aggressor's class
-		// says little, the pair much: regressions over a day's readings gave
-		// effects of 0 or of 0.5 to 3.
+		// A pair that was never seen is a little suspect. An aggressor's class says
+		// little, the pair much: most disturb not at all, the others a lot.
 		PriorMean: 0.1, ClassStd: 0.2, PairStd: 0.8,
 		// Load and workload are not told apart here.
 		BucketStd: 0.02, WorkloadStd: 0.01,
@@ -128,9 +127,8 @@
 }
 
 // calmInterval is how long a calm reading is used: a tenth of the time that each
-// of the readings behind it covers. Every report of every worker worked it out
-// anew for each of the step's tasks there, which took 0.17 cores of a leader
-// with 350 workers, learner included, and takes 0.13 with the interval.
+// of the readings behind it covers. Every report of every worker would work it out
+// anew otherwise, for each of the step's tasks there.
 const calmInterval = 50 * time.Millisecond
 
 // calmReading returns the step's calm reading, or 0 when it is not known.
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -251,8 +251,7 @@
 	crowdedInterval = 30 * time.Millisecond
 	// sweepInterval is the time between two looks at every attempt, for those
 	// that stand still or have another share than they should. Their readings
-	// are half a second old anyway, and with 350 workers a look takes about
-	// 0.35 ms: with 200 and 22 looks a busy second took 129 and 58 ms.
+	// are half a second old anyway.
 	sweepInterval = 45 * time.Millisecond
 	// TickInterval is how often Advance is to be called without an event.
 	TickInterval = 50 * time.Millisecond
--- a/core/jobsched/misfit.go
+++ b/core/jobsched/misfit.go
@@ -11,8 +11,8 @@
 // look at every worker again. Within a round room only shrinks, so that what
 // fits nowhere once fits nowhere until its end.
 //
-// Without this a round with 350 workers and 600 waiting steps took 200 ms of
-// the leader's processor; orders, ends and cancellations waited up to 8 s.
+// Without this a round takes a good part of a second with some hundred workers and
+// waiting steps; one notices by orders, ends and cancellations that wait for it.
 
 // demand is what decides, besides its size, where a task fits.
 type demand struct {
--- a/core/jobsched/pass.go
+++ b/core/jobsched/pass.go
@@ -1,17 +1,16 @@
 package jobsched
 
 // DefaultRoundLooks is how many looks at a worker for a task a round of placement
-// may take: 16 ms of a core, at the 0.32 us a look that were measured with 350
-// workers.
+// may take, for a leader with a whole core: some hundredths of a second.
 const DefaultRoundLooks = 50_000
 
-// startLooks is what a start counts as besides, in looks: its order and its line
-// in the log take about 10 us of a core.
+// startLooks is what a start counts as besides, in looks, for its order and its
+// line in the log.
 const startLooks = 30
 
 // DefaultStartsInFlight is how many starts may be sent and not answered, for a
-// leader with a whole core. An answer takes 30 ms on a calm day, so that this
-// allows for 13,000 starts a second.
+// leader with a whole core. Answers take some tens of milliseconds on a calm day,
+// so that this allows for thousands of starts a second.
 //
 // Without the bound a leader short of processor time sends hundreds of starts at
 // once. Their answers, the renewal of its own lease and those of the workers' all
@@ -29,7 +28,7 @@
 // as many rounds as its looks need, and events are taken in between two of them.
 // Half of each round is for the most urgent steps, whether they had their turn or
 // not: otherwise a task that fails while its step has had its turn would wait for
-// the end of the pass, 8 s with a slow leader.
+// the end of the pass, many seconds with a slow leader.
 //
 // Without the bound a round takes the longer the more steps wait, while cancels,
 // ends and the renewal of leases wait for it; the jobs pile up the more, and one
@@ -45,8 +44,8 @@
 }
 
 // roundNotes is how many notes on steps that wait a round may make: each looks at
-// all workers for its reason. Hundreds of steps that had begun to wait together
-// were noted together, which took 27 ms of a core with 600 steps and 350 workers.
+// all workers for its reason. Hundreds of steps that begin to wait together would
+// be noted together otherwise, while orders wait.
 const roundNotes = 8
 
 // mayNote takes one of the round's notes, if there is one left.
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -352,8 +352,8 @@
 
 // placeGangOn places a gang on some workers. Each one's room is taken by trial
 // attempts that are taken back at the end. Whether there is room for all members
-// is counted first: trials look at all workers for each of them, and took 137 ms
-// of a core for one gang of 400 on 350 workers.
+// is counted first: trials look at all workers for each of them, which holds all
+// orders up for a gang of hundreds.
 func (m *Machine) placeGangOn(s *step, workers []*worker) ([]*worker, bool) {
 	if !m.holdsGang(s, workers) {
 		return nil, false
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -170,8 +170,7 @@
 }
 
 // moveRetry is the time between two searches for another worker for an attempt
-// that stands still. With a search in each sweep 1,580 attempts on 350 workers
-// took 9.4 ms of a core 22 times a second.
+// that stands still: each looks at all workers.
 const moveRetry = 500 * time.Millisecond
 
 // sweepMoves is how many such searches a sweep makes.
