--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -79,11 +79,11 @@
 	return !t.step.spec.Gang
 }
 
-// filterInterference keeps best-effort work away from the serving tasks whose tails
-// would not bear it, unless it would wait for ever.
+// filterInterference keeps best-effort work away from serving tasks whose tails have
+// no headroom for it, unless it would wait for ever.
 func filterInterference(m *Machine, t *task, w *worker) bool {
 	spec := t.step.spec
-	return !spec.BestEffort || m.bearable(w, spec.Image, spec.Size.MilliCPU) || m.starving(t.step)
+	return !spec.BestEffort || m.withinHeadroom(w, spec.Image, spec.Size.MilliCPU) || m.starving(t.step)
 }
 
 const (
--- a/core/jobsched/headroom.go
+++ b/core/jobsched/headroom.go
@@ -42,9 +42,9 @@
 	// present is the slowdown, above 1, that all best-effort work on the worker
 	// brings at its present shares.
 	present float64
-	// quiet is the part of present that is of work not known to disturb; loud is what
-	// the rest would bring at full speed.
-	quiet, loud float64
+	// harmless is the part of present that is of work not known to disturb;
+	// disturbing is what the rest would bring at full speed.
+	harmless, disturbing float64
 }
 
 // headroom returns how much slowdown, above 1, the tail bears up to an aim.
@@ -94,9 +94,9 @@
 	present := effect * a.presentWeight()
 	t.present += present
 	if m.disturbs(a) {
-		t.loud += effect * a.effectWeight()
+		t.disturbing += effect * a.effectWeight()
 	} else {
-		t.quiet += present
+		t.harmless += present
 	}
 }
 
@@ -108,27 +108,27 @@
 	return unknownCalm
 }
 
-// bearable reports whether the serving tasks of a worker bear one more best-effort
-// task of an image that uses so much of the processors. What each task adds is small
-// beside the target; it is the sum that brings tails over it, and at the peak of
-// their load sooner than at other times.
-func (m *Machine) bearable(w *worker, aggressor string, milliCPU int64) bool {
+// withinHeadroom reports whether the tails on a worker have the headroom for one more
+// best-effort task of an image that uses so much of the processors. What each task
+// adds is small beside the target; it is the sum that brings tails over it, and at
+// the peak of their load sooner than at other times.
+func (m *Machine) withinHeadroom(w *worker, aggressor string, milliCPU int64) bool {
 	weight := w.effectWeight(milliCPU)
 	for _, t := range m.tails(w) {
 		effect := m.effect(t.image, aggressor)
 		added := effect.Mean * weight
-		if added >= leastAdded && (added > t.most(effect) || t.present+added > sumPart*t.headroom(startAim)) {
+		if added >= leastAdded && (added > t.mostAdded(effect) || t.present+added > sumPart*t.headroom(startAim)) {
 			return false
 		}
 	}
 	return true
 }
 
-// most returns the slowdown, above 1, that one task may add to the tail. A pair of
-// images of which nothing is known may be tried whatever the load: where tails are
-// never far below their target it would not be known otherwise, and work of that
-// image would wait for ever.
-func (t *tail) most(effect interference.Estimate) float64 {
+// mostAdded returns the slowdown, above 1, that one task may add to the tail. A pair
+// of images of which nothing is known may be tried whatever the load: where tails
+// are never far below their target nothing would become known of it, and work of
+// that image would wait for ever.
+func (t *tail) mostAdded(effect interference.Estimate) float64 {
 	if effect.Std >= unknownStd {
 		return harmfulEffect
 	}
@@ -142,8 +142,8 @@
 func (m *Machine) fittingShare(w *worker) int {
 	share := 1.0
 	for _, t := range m.tails(w) {
-		if t.loud > 0 {
-			share = min(share, (t.headroom(shareAim)-t.quiet)/t.loud)
+		if t.disturbing > 0 {
+			share = min(share, (t.headroom(shareAim)-t.harmless)/t.disturbing)
 		}
 	}
 	if percent := int(share * fullSpeed); percent >= throttleFloor {
