Tell of workers that crash, and of each attempt how long it was seen to run

No logic changes. Callers saw one task started 79 times on workers that each crashed; the log said of such an end only that another incarnation answers. A line for the worker says how many attempts it took along and which was started last; each 'attempt lost' says how long the attempt was seen to run and how many of its task ended so before. The test cluster can let a worker crash and come back as another incarnation at its address.

--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -32,6 +32,7 @@
 	MessageGaveUp         = "gave the lead up"
 	MessageHandsOver      = "hands the lead over to a daemon with more processors"
 	MessageWorkerSilent   = "worker silent"
+	MessageWorkerCrashed  = "worker crashed"
 	MessageEntryUnusable  = "worker entry unusable"
 	MessageEntryRepaired  = "worker entry good again"
 	MessageEntryGone      = "worker entry gone"
--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -58,6 +58,8 @@
 	// checkRounds has every round of placement checked.
 	checkRounds bool
 	starts      int
+	// restarts counts the incarnations that came after a crash.
+	restarts    int
 	machineTime time.Duration
 	allSpecs    map[job.ID]*job.Spec
 	// planned draws the planned work on a day; nil for none.
@@ -94,17 +96,19 @@
 
 // fakeWorker behaves as the platform's contract says.
 type fakeWorker struct {
-	c        *cluster
-	entry    WorkerEntry
-	listed   bool
-	dead     bool
-	cutOff   bool
-	epoch    model.Epoch
-	lease    time.Time
-	attempts map[attemptKey]*fakeAttempt
-	barred   map[job.TaskKey]int
-	ended    []fakeEnd
-	number   int64
+	c      *cluster
+	entry  WorkerEntry
+	listed bool
+	dead   bool
+	cutOff bool
+	// successor is the incarnation that came after it at its address.
+	successor *fakeWorker
+	epoch     model.Epoch
+	lease     time.Time
+	attempts  map[attemptKey]*fakeAttempt
+	barred    map[job.TaskKey]int
+	ended     []fakeEnd
+	number    int64
 	// failAll makes every attempt fail; freeze keeps them from advancing.
 	failAll, freeze bool
 	// fault is what is wrong with its entry.
@@ -166,7 +170,7 @@
 	w := &fakeWorker{
 		c: c, listed: true, attempts: make(map[attemptKey]*fakeAttempt), barred: make(map[job.TaskKey]int),
 		entry: WorkerEntry{
-			ID: id, Service: "pool", Address: string(id), Rack: rackOfWorker(i),
+			ID: id, Machine: "vm-" + string(id), Service: "pool", Address: string(id), Rack: rackOfWorker(i),
 			Labels:   []string{"a", string(rackOfWorker(i))},
 			Capacity: model.Resources{MilliCPU: 16000, MemoryMB: 64000},
 		},
@@ -369,7 +373,7 @@
 	if c.rnd.Float64() < c.delayOrders {
 		late := 2*time.Second + time.Duration(c.rnd.Int64N(int64(6*time.Second)))
 		c.after(late, func() {
-			if !w.dead && !w.cutOff && o.Epoch >= w.epoch {
+			if !w.unreachable() && w.successor == nil && o.Epoch >= w.epoch {
 				w.epoch = o.Epoch
 				act(w)
 			}
@@ -379,12 +383,15 @@
 	}
 	lost := c.rnd.Float64() < c.loseAnswers
 	c.after(orderDelay, func() {
-		if w.dead || w.cutOff {
+		if w.unreachable() {
 			c.tell(m, time.Second, func() Event { return event(VerdictUnknown) })
 			return
 		}
 		verdict := VerdictFenced
-		if o.Epoch >= w.epoch {
+		switch {
+		case w.successor != nil:
+			verdict = VerdictOtherInstance
+		case o.Epoch >= w.epoch:
 			w.epoch = o.Epoch
 			verdict = act(w)
 		}
@@ -412,7 +419,7 @@
 	m := c.machine
 	var wait func(left time.Duration)
 	wait = func(left time.Duration) {
-		if left <= 0 || len(w.ended) > 0 && w.ended[len(w.ended)-1].Number > e.AckedEnds || w.dead || w.cutOff {
+		if left <= 0 || len(w.ended) > 0 && w.ended[len(w.ended)-1].Number > e.AckedEnds || w.dead || w.cutOff || w.successor != nil {
 			if m == c.machine {
 				c.deliver(e.Order, act, event)
 			}
--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -113,6 +113,34 @@
 	w.ended = append(w.ended, fakeEnd{EndedAttempt: end, at: w.c.now})
 }
 
+// restartTime is what a worker that has crashed takes to come back as another
+// incarnation.
+const restartTime = 1500 * time.Millisecond
+
+// restart crashes the worker, and has another incarnation come at its address.
+func (c *cluster) restart(w *fakeWorker) {
+	w.crash()
+	c.after(entryLife, func() { w.listed = false })
+	c.after(restartTime, func() {
+		next := c.addWorker(1000 + c.restarts)
+		c.restarts++
+		next.entry.Address, next.entry.Machine, next.entry.Capacity = w.entry.Address, w.entry.Machine, w.entry.Capacity
+		next.entry.Labels, next.entry.Rack = w.entry.Labels, w.entry.Rack
+		w.successor = next
+	})
+}
+
+// entryLife is how long the entry of a worker stays that writes it no more.
+const entryLife = 1200 * time.Millisecond
+
+// unreachable reports whether nobody answers at the worker's address.
+func (w *fakeWorker) unreachable() bool {
+	if w.successor != nil {
+		return w.successor.unreachable()
+	}
+	return w.dead || w.cutOff
+}
+
 // crash ends the worker with all that runs on it.
 func (w *fakeWorker) crash() {
 	w.dead = true
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -99,6 +99,8 @@
 	checkpoint string
 	// givenUp is set once an attempt was given up without news of it.
 	givenUp bool
+	// crashes counts the attempts that ended with their worker.
+	crashes int
 	// failedOn is the worker on which it failed last.
 	failedOn *worker
 	// reservedOn is where room was made for it last.
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -36,8 +36,10 @@
 	// silentSince is when the first of the unanswered calls was sent; zero when
 	// the last was answered.
 	silentSince time.Time
-	renewing    bool
-	renewAt     time.Time
+	// heardAt is when it answered a renewal last.
+	heardAt  time.Time
+	renewing bool
+	renewAt  time.Time
 	// seenEnds numbers the last end taken in, ackedEnds the last one that the
 	// worker may forget; taken lists those between.
 	seenEnds  int64
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -111,10 +111,18 @@
 	return silent && !m.now.Before(w.leaseBound)
 }
 
-// loseAttempts declares all attempts on w as lost.
-func (m *Machine) loseAttempts(w *worker, reason string) {
+// crashAttempts declares all attempts on w as lost, because w has ended.
+func (m *Machine) crashAttempts(w *worker, reason string) {
+	if w.attempts.Len() > 0 {
+		m.noteCrash(w, reason)
+	}
 	for _, a := range w.attempts.All() {
-		m.loseAttempt(a, reason)
+		t, told := a.task, reason
+		if t != nil {
+			told += "; " + t.describeLoss(a)
+			t.crashes++
+		}
+		m.loseAttempt(a, told)
 	}
 }
 
@@ -137,7 +145,7 @@
 
 // workerOver takes in that the incarnation has ended, with all that ran on it.
 func (m *Machine) workerOver(w *worker) {
-	m.loseAttempts(w, "another incarnation answers at its address")
+	m.crashAttempts(w, "another incarnation answers at its address")
 	w.closedUntil = m.now.Add(time.Second)
 	w.unaccounted = false
 	m.unresolved.Delete(w.id)
@@ -161,6 +169,7 @@
 			Reason: "after " + m.now.Sub(w.silentSince).Round(time.Millisecond).String()})
 	}
 	w.silentSince = time.Time{}
+	w.heardAt = m.now
 	if !w.answered {
 		w.answered = true
 		w.unaccounted = false
