--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -58,6 +58,8 @@
 	// checkRounds has every round of placement checked.
 	checkRounds bool
 	starts      int
+	// crashers holds the jobs with tasks that crash their workers.
+	crashers map[job.ID]crasher
 	// restarts counts the incarnations that came after a crash.
 	restarts    int
 	machineTime time.Duration
@@ -85,6 +87,9 @@
 	// failed holds the attempts that ever failed.
 	failed    map[int]struct{}
 	lastStart time.Time
+	// crashed counts the workers that the task has crashed, startsAfterMost its
+	// starts since that were as many as may be.
+	crashed, startsAfterMost int
 }
 
 type delivery struct {
@@ -129,6 +134,7 @@
 	need     time.Duration
 	worked   time.Duration
 	waited   time.Duration
+	begun    time.Time
 	stopping time.Time
 	share    int
 }
@@ -146,7 +152,7 @@
 	c := &cluster{
 		t: t, tail: 33, rnd: rand.New(rand.NewPCG(seed, 1)), now: testEpoch, wall: testEpoch, options: testOptions(), epoch: 1,
 		workers: make(map[model.WorkerID]*fakeWorker), accepted: make(map[job.ID]*job.Accepted),
-		progress: make(map[job.ID]*job.Progress), damaged: make(map[job.ID]bool), truth: make(map[job.TaskKey]*taskTruth),
+		progress: make(map[job.ID]*job.Progress), damaged: make(map[job.ID]bool), crashers: make(map[job.ID]crasher), truth: make(map[job.TaskKey]*taskTruth),
 		config: &job.Config{
 			Version: 1,
 			Queues: map[string]*job.Queue{
@@ -505,6 +511,9 @@
 	if record == nil {
 		return
 	}
+	if c.crashedTwice(id) {
+		return
+	}
 	limit := c.config.Queues[record.Queue.Name].MaxAttempts
 	for number := range record.Spec.Steps {
 		step := &record.Spec.Steps[number]
@@ -520,7 +529,7 @@
 			return
 		}
 	}
-	c.t.Errorf("job %s is failed, and no task or gang has failed %d times", id, limit)
+	c.t.Errorf("job %s is failed, no task or gang has failed %d times, and none has crashed two workers", id, limit)
 }
 
 func (c *cluster) checkCompleted(id job.ID) {
--- /dev/null
+++ b/core/jobsched/crasher_test.go
@@ -0,0 +1,76 @@
+package jobsched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+)
+
+// crasher tells which tasks of a job crash the worker that starts them, and how
+// long after the start.
+type crasher struct {
+	// tasks holds the indexes in the first step; empty for all.
+	tasks []int
+	after time.Duration
+}
+
+const (
+	// crashesMost is how many workers a task may have crashed before its starts
+	// are counted, furtherStarts the number of further ones that is one too many.
+	crashesMost   = 3
+	furtherStarts = 3
+)
+
+// crash says that tasks of a job crash their workers.
+func (c *cluster) crash(id job.ID, after time.Duration, tasks ...int) {
+	c.crashers[id] = crasher{tasks: tasks, after: after}
+}
+
+// guilty reports whether a task crashes its workers.
+func (c *cluster) guilty(key job.TaskKey) bool {
+	g, ok := c.crashers[key.Job]
+	return ok && key.Step == 0 && (len(g.tasks) == 0 || slices.Contains(g.tasks, key.Index))
+}
+
+func (c *cluster) crashesBy(a *fakeAttempt) bool {
+	return c.guilty(a.key.task) && c.now.Sub(a.begun) >= c.crashers[a.key.task.Job].after
+}
+
+func (c *cluster) crashUnder(w *fakeWorker, a *fakeAttempt) {
+	c.task(a.key.task).crashed++
+	c.restart(w)
+}
+
+// checkCrashes holds a start against the workers that the task has crashed.
+func (c *cluster) checkCrashes(key job.TaskKey, truth *taskTruth) {
+	if truth.crashed < crashesMost {
+		return
+	}
+	truth.startsAfterMost++
+	if truth.startsAfterMost == furtherStarts {
+		c.t.Errorf("%s: %s is started %d times after %d workers have crashed under it", c.now.Sub(testEpoch), key, furtherStarts, crashesMost)
+	}
+}
+
+// crashedTwice reports whether a task of the job has crashed two workers, so that
+// the job may be given up.
+func (c *cluster) crashedTwice(id job.ID) bool {
+	for key, truth := range c.truth {
+		if key.Job == id && truth.crashed >= 2 {
+			return true
+		}
+	}
+	return false
+}
+
+// crashedBy counts the workers that tasks of a job have crashed.
+func (c *cluster) crashedBy(id job.ID) int {
+	n := 0
+	for key, truth := range c.truth {
+		if key.Job == id {
+			n += truth.crashed
+		}
+	}
+	return n
+}
--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -22,7 +22,12 @@
 		}
 	}
 	for _, a := range w.sorted() {
+		if w.dead {
+			return
+		}
 		switch {
+		case w.c.crashesBy(a):
+			w.c.crashUnder(w, a)
 		case !a.stopping.IsZero() && !w.c.now.Before(a.stopping):
 			w.end(a, EndStopped)
 		case w.c.now.After(w.lease):
@@ -180,7 +185,7 @@
 	}
 	w.check(s, step)
 	w.attempts[key] = &fakeAttempt{
-		key: key, step: step, need: time.Duration(step.EstimateMs) * time.Millisecond, share: 100,
+		key: key, step: step, begun: w.c.now, need: time.Duration(step.EstimateMs) * time.Millisecond, share: 100,
 	}
 	w.c.task(s.Key).running[w.entry.ID] = s.Attempt
 	return VerdictDone
@@ -198,6 +203,7 @@
 		c.t.Errorf("%s: %s starts on %s after it is done", at, s.Key, w.entry.ID)
 	}
 	truth.lastStart = c.now
+	c.checkCrashes(s.Key, truth)
 	if limit := c.config.Queues["batch"].MaxAttempts; truth.failures >= limit && !step.LongRunning {
 		c.t.Errorf("%s: %s starts after %d failures", at, s.Key, truth.failures)
 	}
