Give up tasks that crash their workers, and count it over leaders

Callers saw one task of a job started 79 times, each time on a worker that crashed 10 ms later and came back after three seconds; with each went what ran there. Cause: nothing counted the end of an attempt with its worker. Only ends that a worker reports count, and one that has crashed reports none.

Ruled out: a count that is lost with the leader (the same leader started the task again and again), and crashes for other reasons (each run ended after 10 ms, each on another worker).

The ends of attempts with their worker are kept with the job's record, by attempt number. From the first on each start is stored before it is made, with its worker, so that a leader that takes over counts it if that worker has ended too; a flag in the ledger covers workers of which no leader knows what ran there. A job is given up after three crashes at the same time of a run, else after four, five where other workers ended at the same moment. An attempt that ran for four seconds ends the count, unless crashes come at that same time. A task under which two workers have crashed is tried alone; of a step one such task at a time.

A start whose answer is still out when its worker is known to have ended is settled by its answer: it was not there if another incarnation refuses it.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+
+	"github.com/guavarill/guavarill/core/model"
 )
 
 // State is what callers are told of a job.
@@ -90,8 +92,39 @@
 	// and in another order.
 	Failed     []int  `json:"failed,omitempty"`
 	Checkpoint string `json:"checkpoint,omitempty"`
+	// Crashes lists the attempts that ended with their worker, in the order of their
+	// numbers, from the last on that ran for long before.
+	Crashes []Crash `json:"crashes,omitempty"`
+	// Trial is set while an attempt may have been started after such an end, of which
+	// it is not stored how it ended.
+	Trial *Trial `json:"trial,omitempty"`
+}
+
+// Trial is the start of an attempt that is stored before it is made, for a task
+// under which a worker may have crashed: whoever takes over and finds that the
+// worker has ended, too, counts the attempt as ended with it.
+type Trial struct {
+	// Attempt is the attempt's number, or a lower one.
+	Attempt int            `json:"n"`
+	Worker  model.WorkerID `json:"worker"`
 }
 
+// Crash is the end of an attempt with its worker.
+type Crash struct {
+	Attempt int `json:"n"`
+	// SeenMs is for how long the attempt had been seen to run, in milliseconds; 0 if
+	// no report of its worker listed it, CrashTimeUnknown if that is not known.
+	SeenMs int64 `json:"ms"`
+	// Unsure is set when the attempt may never have run, as its start was not
+	// answered, or its worker may have left as announced.
+	Unsure bool `json:"unsure,omitempty"`
+	// Several is whether several other workers ended at about the same time.
+	Several bool `json:"several,omitempty"`
+}
+
+// CrashTimeUnknown stands for the time of a crash of which a later leader heard.
+const CrashTimeUnknown = -1
+
 // Encode returns the record's stored form.
 func (a *Accepted) Encode() []byte { return encode(a) }
 
@@ -183,7 +216,7 @@
 		return &InvalidError{Field: "done", Reason: "must be of 0 and 1"}
 	}
 	for index, t := range s.Tasks {
-		if index < 0 || t.Attempts < 0 {
+		if index < 0 || t.Attempts < 0 || t.Trial != nil && t.Trial.Attempt < 1 {
 			return &InvalidError{Field: "tasks", Reason: "must have no negative numbers"}
 		}
 	}
--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -47,7 +47,9 @@
 	// inherited is set while only an earlier leader's roster says that it may run:
 	// its worker has not answered this leader.
 	inherited bool
-	size      model.Resources
+	// adopted is set when an earlier leader started it, it is not known when.
+	adopted bool
+	size    model.Resources
 	// bestEffortCPU is the processor time that it would use, if its share is
 	// not committed.
 	bestEffortCPU int64
--- a/core/jobsched/commit.go
+++ b/core/jobsched/commit.go
@@ -37,6 +37,8 @@
 	jobs []job.ID
 	// restarts are those of the jobs' records.
 	restarts map[job.ID]job.Restarts
+	// trials are those of the jobs' records.
+	trials map[job.TaskKey]job.Trial
 	// learnedAt is when what was learned was stored last.
 	learnedAt time.Time
 }
@@ -79,6 +81,7 @@
 		c.learnedAt = m.now
 	}
 	c.restarts = restartsIn(commit.Puts)
+	c.trials = trialsIn(commit.Puts)
 	c.ends = m.storedEnds()
 	c.number++
 	c.inFlight = true
@@ -181,11 +184,12 @@
 		}
 	}
 	m.rosterStored()
+	m.trialsStored(c.trials)
 	for id, stored := range c.restarts {
 		add(&m.restarts.stored, id, stored)
 		m.changed = true
 	}
-	c.ends, c.jobs, c.restarts = nil, nil, nil
+	c.ends, c.jobs, c.restarts, c.trials = nil, nil, nil, nil
 }
 
 // restartsIn returns the restarts in some records.
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -2,11 +2,53 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
+	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/joblog"
 )
 
+// A task can crash each worker that starts it, and a worker that crashes takes all
+// along that runs there. So the ends of attempts with their worker are counted for
+// each task and stored with its job, and a task that has crashed too many workers
+// is given up. One notices the want of it by workers that end one after the other,
+// each shortly after a start of the same task.
+//
+// Most of the tasks that are there when a worker crashes have nothing to do with
+// it. What tells them apart is that a crash for other reasons comes at any moment
+// of a run, often to several workers at once, and seldom to the same task again.
+
+const (
+	// crashesMost is how many workers may crash under a task. The platform's
+	// contract bears two more starts after the third.
+	crashesMost = 5
+	// crashesUnexplained is the same where a crash may not have been counted, or the
+	// task alone explains all of them.
+	crashesUnexplained = 4
+	// crashesAlike is the same for crashes that came at the same time of a run.
+	crashesAlike = 3
+	// sureCrashes is how many attempts of a task must have run for certain when their
+	// workers crashed, unless there are crashesMost.
+	sureCrashes = 2
+	// longRun is how long an attempt must have run for its end not to be put down
+	// to its start.
+	longRun = 4 * time.Second
+	// reportAge is how much longer an attempt may have run than it was seen to: the
+	// time between two reports, and a little for their way.
+	reportAge = renewWait + 100*time.Millisecond
+	// seenLeast is the least time at which crashes count as alike by their times:
+	// most tasks are shorter, and two of their crashes are always near each other.
+	seenLeast = time.Second
+	// sameMoment is how near in time crashes of several workers count as one event,
+	// sameMomentWorkers how many others make it one.
+	sameMoment        = time.Second
+	sameMomentWorkers = 3
+	// crashMemory is how long the crash of a worker is remembered for that: workers
+	// come back, by which their crash is known, within some seconds.
+	crashMemory = 15 * time.Second
+)
+
 // seenFor returns for how long the attempt was seen to run, by the last answer of
 // its worker; 0 for one that the worker has not listed yet.
 func (a *attempt) seenFor() time.Duration {
@@ -16,6 +58,16 @@
 	return max(a.worker.heardAt.Sub(a.startedAt), 0).Round(time.Millisecond)
 }
 
+// crashTime returns seenFor in milliseconds, or that it is not known when the
+// attempt began.
+func (a *attempt) crashTime() int64 {
+	seen := a.seenFor()
+	if a.inherited || a.adopted && seen < longRun {
+		return job.CrashTimeUnknown
+	}
+	return seen.Milliseconds()
+}
+
 // noteCrash notes that a worker has ended without having announced it, and which
 // of its attempts was started last.
 func (m *Machine) noteCrash(w *worker, reason string) {
@@ -42,7 +94,185 @@
 	return latest
 }
 
-// describeLoss says what is known of an attempt that ended with its worker.
-func (t *task) describeLoss(a *attempt) string {
-	return fmt.Sprintf("seen to run for %s; so ended %d attempts of the task before, as far as this leader knows", a.seenFor(), t.crashes)
+// crashAttempts declares all attempts on w as lost, because w has ended; but for
+// those whose start is not answered yet: the answer tells whether they were there.
+func (m *Machine) crashAttempts(w *worker, reason string) {
+	if w.attempts.Len() > 0 && !w.over {
+		m.noteCrash(w, reason)
+		m.recentCrashes = append(m.recentCrashes, w.heardAt)
+	}
+	for _, a := range w.attempts.All() {
+		if a.phase == phaseStarting {
+			continue
+		}
+		m.crashed(a)
+		m.loseAttempt(a, fmt.Sprintf("%s; seen to run for %s", reason, a.seenFor()))
+	}
+}
+
+// succeeded reports whether another incarnation of the worker's VM is on the
+// platform's list and the worker is not.
+func (m *Machine) succeeded(w *worker) bool {
+	if w.listed || w.entry.Machine == "" {
+		return false
+	}
+	for _, other := range m.workers.All() {
+		if other != w && other.listed && other.entry.Machine == w.entry.Machine {
+			return true
+		}
+	}
+	return false
+}
+
+// crashed counts the end of an attempt with its worker against its task. A worker
+// that had announced its end has left, unless a task on trial was there, which may
+// have ended it sooner.
+func (m *Machine) crashed(a *attempt) {
+	leaves := a.worker.entry.Draining
+	if a.task == nil || a.task.done || leaves && a.task.trial.number == 0 {
+		return
+	}
+	m.countCrash(a.task, job.Crash{
+		Attempt: a.key.attempt, SeenMs: a.crashTime(), Several: m.crashedTogether(a.worker),
+		Unsure: a.startedAt.IsZero() && !a.inherited || leaves,
+	})
+}
+
+// crashedTogether reports whether several other workers were last heard of at the
+// same time as w, and have ended or do not answer.
+func (m *Machine) crashedTogether(w *worker) bool {
+	if w.heardAt.IsZero() {
+		return false
+	}
+	near := func(at time.Time) bool { return at.Sub(w.heardAt).Abs() <= sameMoment }
+	others := 0
+	for _, other := range m.workers.All() {
+		if other != w && !other.over && other.attempts.Len() > 0 && !other.silentSince.IsZero() && near(other.heardAt) {
+			others++
+		}
+	}
+	m.recentCrashes = slices.DeleteFunc(m.recentCrashes, func(at time.Time) bool { return m.now.Sub(at) > crashMemory })
+	for _, at := range m.recentCrashes {
+		if near(at) {
+			others++
+		}
+	}
+	if slices.Contains(m.recentCrashes, w.heardAt) {
+		others--
+	}
+	return others >= sameMomentWorkers
+}
+
+// countCrash takes in that a worker has crashed under a task, each attempt once,
+// and gives the job up when that was one too many.
+func (m *Machine) countCrash(t *task, c job.Crash) {
+	j := t.step.job()
+	if j.state.Final() || len(t.crashes) > 0 && t.crashes[len(t.crashes)-1].Attempt >= c.Attempt {
+		return
+	}
+	t.crashes = addCrash(t.crashes, c)
+	t.trial = trial{}
+	m.markDirty(j)
+	m.emit(Note{
+		Decision: joblog.MessageCrashCounted, Job: j.id, Task: t.key().String(), Attempt: c.Attempt, Routine: true,
+		Reason: "its worker has ended with it; since it last ran for long: " + describeCrashes(t.crashes),
+	})
+	if tooManyCrashes(t.crashes) {
+		m.conclude(j, job.Failed, fmt.Sprintf("task %s crashes its workers: %s", t.key(), describeCrashes(t.crashes)), 0)
+	}
+}
+
+// addCrash adds a crash to those before it, which it outdates if an attempt ran for
+// long in between, unless the two came at the same time of a run.
+func addCrash(crashes []job.Crash, c job.Crash) []job.Crash {
+	if len(crashes) == 0 {
+		return []job.Crash{c}
+	}
+	last := crashes[len(crashes)-1]
+	long := max(last.SeenMs, c.SeenMs) >= longRun.Milliseconds()
+	if long && !alike(last, c) {
+		return []job.Crash{c}
+	}
+	return append(slices.Clone(crashes), c)
+}
+
+// tooManyCrashes reports whether a task that these workers crashed under is to be
+// given up.
+func tooManyCrashes(crashes []job.Crash) bool {
+	n := len(crashes)
+	sure := 0
+	for _, c := range crashes {
+		if !c.Unsure {
+			sure++
+		}
+	}
+	switch {
+	case n >= crashesMost:
+		return true
+	case sure < sureCrashes:
+		return false
+	case n >= crashesUnexplained:
+		return mayLack(crashes) || !slices.ContainsFunc(crashes, explained)
+	case n >= crashesAlike:
+		return allAlike(crashes[n-crashesAlike:])
+	}
+	return false
+}
+
+// mayLack reports whether a crash under the task may not have been counted: only a
+// first attempt has none before it, and a crash of which a later leader heard may
+// have followed on others.
+func mayLack(crashes []job.Crash) bool {
+	unknown := func(c job.Crash) bool { return c.SeenMs == job.CrashTimeUnknown }
+	return crashes[0].Attempt > 1 || slices.ContainsFunc(crashes, unknown)
+}
+
+// explained reports whether something else than the task may have been the cause.
+func explained(c job.Crash) bool { return c.Several }
+
+// allAlike reports whether all crashes came at the same time of a run, with nothing
+// else to explain them.
+func allAlike(crashes []job.Crash) bool {
+	for _, c := range crashes {
+		for _, other := range crashes {
+			if explained(c) || !alike(c, other) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// alike reports whether two crashes came at the same time of a run, as far as
+// reports tell: before any of them, or late enough and near each other.
+func alike(a, b job.Crash) bool {
+	if a.SeenMs == 0 && b.SeenMs == 0 {
+		return true
+	}
+	near := max(a.SeenMs, b.SeenMs)-min(a.SeenMs, b.SeenMs) <= reportAge.Milliseconds()
+	return near && min(a.SeenMs, b.SeenMs) >= seenLeast.Milliseconds()
+}
+
+// describeCrashes lists crashes with their attempts and times.
+func describeCrashes(crashes []job.Crash) string {
+	text := ""
+	for i, c := range crashes {
+		if i > 0 {
+			text += ", "
+		}
+		text += fmt.Sprintf("attempt %d ", c.Attempt)
+		switch c.SeenMs {
+		case job.CrashTimeUnknown:
+			text += "at a time not known"
+		default:
+			text += "seen for " + (time.Duration(c.SeenMs) * time.Millisecond).String()
+		}
+		if c.Unsure {
+			text += ", its start unanswered"
+		}
+		if c.Several {
+			text += " as other workers ended too"
+		}
+	}
+	return text
 }
--- a/core/jobsched/effect.go
+++ b/core/jobsched/effect.go
@@ -75,6 +75,9 @@
 	RosterStands bool
 	// RosterAge is how long before the commit the stored roster was written.
 	RosterAge time.Duration
+	// UnseenCrash is whether tasks that wait may have been on a worker that ended
+	// without a leader knowing what ran there.
+	UnseenCrash bool
 	// Learned is what is known of interference; nil when it is not to be stored
 	// now. The next leader begins with it: to learn it anew takes ten seconds
 	// in which disturbing work is put beside serving tasks.
--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -10,7 +10,7 @@
 	// fitFilters hold for a worker whatever runs on it now.
 	fitFilters = []placementFilter{filterUsable, filterService, filterLabel, filterProbing, filterTicket}
 	// roomFilters depend on what runs there.
-	roomFilters = []placementFilter{filterRoom, filterSpread, filterInterference}
+	roomFilters = []placementFilter{filterRoom, filterSpread, filterTrial, filterInterference}
 )
 
 // allowed reports whether the task may go to the worker now.
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -99,8 +99,11 @@
 	checkpoint string
 	// givenUp is set once an attempt was given up without news of it.
 	givenUp bool
-	// crashes counts the attempts that ended with their worker.
-	crashes int
+	// crashes lists the attempts that ended with their worker since one ran for long.
+	crashes []job.Crash
+	trial   trial
+	// known is set once the machine itself has started or adopted an attempt.
+	known bool
 	// failedOn is the worker on which it failed last.
 	failedOn *worker
 	// reservedOn is where room was made for it last.
@@ -201,6 +204,10 @@
 	t.last = p.Attempts
 	t.failed = p.Failed
 	t.checkpoint = p.Checkpoint
+	t.crashes = p.Crashes
+	if p.Trial != nil {
+		t.trial = trial{number: p.Trial.Attempt, worker: p.Trial.Worker, inherited: true}
+	}
 	if t.step.spec.Gang {
 		t.step.checkpoint = p.Checkpoint
 	}
@@ -251,15 +258,26 @@
 		p.Done = string(done)
 	}
 	for i, t := range s.tasks {
-		// The first attempt alone is not worth a line: whoever takes over skips
-		// the numbers that may have been used.
-		if t.done || t.last <= 1 && len(t.failed) == 0 && t.checkpoint == "" {
+		if t.done || !t.worthRecord() {
 			continue
 		}
 		if p.Tasks == nil {
 			p.Tasks = make(map[int]job.TaskProgress)
 		}
-		p.Tasks[i] = job.TaskProgress{Attempts: t.last, Failed: slices.Clone(t.failed), Checkpoint: t.checkpoint}
+		p.Tasks[i] = t.progress()
 	}
 	return p
 }
+
+// worthRecord reports whether more is to be stored of a task that is not done than
+// its first attempt: whoever takes over skips the numbers that may have been used.
+func (t *task) worthRecord() bool {
+	return t.last > 1 || len(t.failed) > 0 || t.checkpoint != "" || len(t.crashes) > 0 || t.trial.number > 0
+}
+
+func (t *task) progress() job.TaskProgress {
+	return job.TaskProgress{
+		Attempts: t.last, Failed: slices.Clone(t.failed), Checkpoint: t.checkpoint,
+		Crashes: slices.Clone(t.crashes), Trial: t.trial.record(),
+	}
+}
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -69,6 +69,18 @@
 	// restarts holds the tasks that were started while an earlier attempt may
 	// have been done unheard.
 	restarts restarts
+	// unseenCrash is set from the moment at which a worker ended on which an earlier
+	// leader may have started what no later one knows, until all tasks that may have
+	// been there are known again.
+	unseenCrash bool
+	// recentCrashes holds when workers were last heard of that have crashed lately.
+	recentCrashes []time.Time
+	// trials holds the attempts of tasks under which workers have crashed,
+	// workersOnTrial the workers with such on trial, triedAlone how many tasks are
+	// tried alone.
+	trials         ordered.Map[*attempt, struct{}]
+	workersOnTrial []*worker
+	triedAlone     int
 	// stops holds the attempts whose stop has not been acknowledged.
 	stops ordered.Map[*attempt, struct{}]
 	// sweptAt is when every attempt was looked at last.
@@ -121,6 +133,8 @@
 	// RosterLost is set when the stored roster cannot be read: it is not known
 	// where attempts may run.
 	RosterLost bool
+	// UnseenCrash is that of the last commit.
+	UnseenCrash bool
 	// Learned is what was stored of interference.
 	Learned []interference.Effect
 }
@@ -133,6 +147,7 @@
 	}
 	m.options.RoundLooks = cmp.Or(o.RoundLooks, DefaultRoundLooks)
 	m.options.StartsInFlight = cmp.Or(o.StartsInFlight, DefaultStartsInFlight)
+	m.unseenCrash = r.UnseenCrash
 	m.learner.Import(now, r.Learned)
 	for _, id := range slices.Sorted(maps.Keys(r.Progress)) {
 		progress := r.Progress[id]
--- a/core/jobsched/misfit.go
+++ b/core/jobsched/misfit.go
@@ -83,7 +83,7 @@
 // kept it from a worker that has room.
 func (m *Machine) noteMisfit(t *task) {
 	s := t.step
-	if m.plain(s) || !m.roomAnywhere(t) {
+	if m.plain(s) && !t.alone() || !m.roomAnywhere(t) {
 		addSize(m.misfits.placed, m.demand(s), s.spec.Size)
 	}
 }
--- a/core/jobsched/note.go
+++ b/core/jobsched/note.go
@@ -54,7 +54,7 @@
 var filterNames = []namedFilter{
 	{"not usable", filterUsable}, {"other service", filterService}, {"label", filterLabel},
 	{"on probation", filterProbing}, {"no ticket", filterTicket}, {"no room", filterRoom},
-	{"spread", filterSpread}, {"would disturb", filterInterference},
+	{"spread", filterSpread}, {"on trial", filterTrial}, {"would disturb", filterInterference},
 }
 
 // ruledOut counts the workers by the first reason for which they do not do.
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -36,6 +36,7 @@
 	t.last = max(t.last, number)
 	t.step.job().attempts++
 	w.add(a)
+	m.beginTrial(a)
 	m.countVictim(a, 1)
 	m.countStarting(a, 1)
 	if p == phaseRunning {
@@ -76,6 +77,7 @@
 	reason := fmt.Sprintf("room %s, report %s old, configuration %d, score %.2f", w.room(),
 		m.now.Sub(w.clockAt).Round(time.Millisecond), m.configVersion(), m.score(t, w))
 	a := m.addAttempt(t, w, number, phaseStarting)
+	t.known = true
 	m.noteAttempt(joblog.MessageStarted, a, reason)
 	m.noteResumed(t.step.job())
 	m.emit(Start{
@@ -106,11 +108,8 @@
 		return
 	}
 	switch ev.Verdict {
-	case VerdictDone:
-		m.attemptRuns(a)
-		return
-	case VerdictUnknown:
-		m.doubt(a)
+	case VerdictDone, VerdictUnknown:
+		m.mayRun(a, ev.Verdict)
 		return
 	case VerdictFenced:
 		m.depose(w)
@@ -125,8 +124,7 @@
 	case VerdictUnhealthy, VerdictUnreachable:
 		w.closedUntil = m.now.Add(unhealthyPause)
 	case VerdictOtherInstance:
-		m.workerOver(w)
-		return
+		defer m.workerOver(w)
 	case VerdictInvalid:
 		a.step().notBefore = m.now.Add(invalidPause)
 	case VerdictNoTicket:
@@ -139,6 +137,19 @@
 	m.endAttempt(a, endLost, "")
 }
 
+// mayRun takes in that a start was carried out, or that it may have been.
+func (m *Machine) mayRun(a *attempt, v Verdict) {
+	switch {
+	case a.worker.over:
+		m.crashed(a)
+		m.loseAttempt(a, "its worker has ended since")
+	case v == VerdictDone:
+		m.attemptRuns(a)
+	default:
+		m.doubt(a)
+	}
+}
+
 // attemptRuns takes in that a worker runs an attempt that was in question.
 func (m *Machine) attemptRuns(a *attempt) {
 	doubtful := a.phase == phaseDoubtful
@@ -232,6 +243,7 @@
 	a.worker.remove(a)
 	m.countStarting(a, -1)
 	m.stops.Delete(a)
+	m.trials.Delete(a)
 	m.countVictim(a, -1)
 	m.learnStop(a)
 	m.changed = true
@@ -253,6 +265,7 @@
 			t.step.checkpoint = checkpoint
 		}
 	}
+	m.settleTrial(t, a, cause)
 	m.settle(t, a, cause)
 	if !j.state.Final() && !t.done {
 		m.pending.Set(t.step, struct{}{})
--- a/core/jobsched/preempt.go
+++ b/core/jobsched/preempt.go
@@ -49,7 +49,7 @@
 func (m *Machine) startReserved(w *worker) {
 	for _, r := range slices.Clone(w.reserved) {
 		t := r.task
-		if t.idle() && t.step.ready() && !m.heldBack(t.step, m.now) && m.allowed(t, w) && m.restartStored(t) {
+		if t.idle() && t.step.ready() && !m.heldBack(t.step, m.now) && m.allowed(t, w) && m.restartStored(t) && m.mayTry(t) && m.trialStored(t, w) {
 			m.startAttempt(t, w, t.last+1)
 			// Its reservation would count beside its attempt for those that follow.
 			w.release(m.now)
--- a/core/jobsched/property_test.go
+++ b/core/jobsched/property_test.go
@@ -86,6 +86,44 @@
 	}
 }
 
+// crashDays is how many days TestNothingRunsTwiceWithCrashingTasks plays.
+var crashDays = flag.Int("crash-days", 40, "how many days TestNothingRunsTwiceWithCrashingTasks plays")
+
+// crashStream is the stream of random numbers that crashes are drawn from.
+const crashStream = 6
+
+// TestNothingRunsTwiceWithCrashingTasks plays such days on which tasks of some jobs
+// crash the workers that start them, and workers crash for other reasons. A task
+// that does may be started a few times only, whatever becomes of leaders, answers
+// and the store, and a job of which no task does must not be given up for it.
+func TestNothingRunsTwiceWithCrashingTasks(t *testing.T) {
+	for seed := range uint64(*crashDays) {
+		playFaults(t, seed, func(c *cluster) {
+			c.keepStates()
+			c.crashing = rand.New(rand.NewPCG(seed, crashStream))
+			c.checkRounds = true
+			if seed%2 == 1 {
+				c.planned = rand.New(rand.NewPCG(seed, plannedStream))
+			}
+		})
+	}
+}
+
+// crashAtRandom makes a job that was just handed in one that crashes its workers,
+// or crashes a worker, or does nothing, at random.
+func (c *cluster) crashAtRandom(id job.ID) {
+	switch c.crashing.IntN(30) {
+	case 0:
+		c.crash(id, crashDelays[c.crashing.IntN(len(crashDelays))])
+	case 1:
+		c.crash(id, crashDelays[c.crashing.IntN(len(crashDelays))], 0)
+	case 2, 3:
+		if w := c.workers[c.workerIDs()[c.crashing.IntN(len(c.workers))]]; !w.dead {
+			c.restart(w)
+		}
+	}
+}
+
 // TestPlannedSeedsThatOnceFailed plays seeds of such days that showed something,
 // each with the seed of its planned work.
 func TestPlannedSeedsThatOnceFailed(t *testing.T) {
@@ -157,6 +195,10 @@
 		ids := c.faultyDay(rnd)
 		c.calm()
 		c.run(40 * time.Second)
+		if c.crashing != nil {
+			// With eight workers one task is tried alone at a time.
+			c.run(80 * time.Second)
+		}
 		for _, id := range ids {
 			if s := c.state(id); !s.Final() {
 				t.Errorf("job %s is %s in the end: %s", id, s, c.describe(id))
@@ -203,6 +245,9 @@
 		if c.planned != nil {
 			c.plannedWork(1000 + i)
 		}
+		if c.crashing != nil {
+			c.crashAtRandom(ids[len(ids)-1])
+		}
 	}
 	return ids
 }
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -236,6 +236,8 @@
 	m.noteAdopted(t, r.Attempt)
 	a := m.addAttempt(t, w, r.Attempt, phaseRunning)
 	a.startedAt = m.now
+	a.adopted = true
+	m.adoptTrial(t, r.Attempt, w.id)
 	if !alone {
 		m.requestStop(a, "its task has another attempt")
 		return a
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -174,6 +174,7 @@
 // addRosterAge adds to a commit whether the statements of the stored roster stand,
 // and how old they are.
 func (m *Machine) addRosterAge(commit *Commit) {
+	commit.UnseenCrash = m.crashUnseen()
 	commit.RosterStands = m.roster.stands || commit.Roster != nil
 	if commit.RosterStands {
 		commit.RosterAge = m.now.Sub(m.roster.sentAt)
@@ -203,8 +204,10 @@
 // no order any more: the roster would not list it.
 func (m *Machine) HandOver(now, wall time.Time) (Commit, []Note) {
 	m.now, m.wall = now, wall
+	m.dropTrials()
 	commit := m.newCommit()
 	commit.Learned = m.learner.Export()
+	commit.UnseenCrash = m.crashUnseen()
 	if !m.now.Before(m.rosterLostUntil) {
 		for _, l := range m.rosterLines(m.lastMarkOf) {
 			commit.Roster = append(commit.Roster, l.entry)
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -13,6 +13,7 @@
 // schedule starts what is ready and fits, the most urgent first, until all steps
 // had their turn or the round has no looks left.
 func (m *Machine) schedule() {
+	m.lookAtTrials()
 	for _, w := range m.workers.All() {
 		w.release(m.now)
 		m.startReserved(w)
@@ -55,6 +56,7 @@
 		return false
 	}
 	switch {
+	case s.job().state.Final():
 	case m.held(s.job()):
 		m.noteHeld(s)
 	case m.now.Before(s.notBefore):
@@ -228,9 +230,24 @@
 			result = max(result, startsUnstored)
 			continue
 		}
+		if !m.mayTry(t) {
+			m.dropTrial(t)
+			result = startsWait
+			continue
+		}
 		if !full && m.startSomewhere(t, &places) {
 			continue
 		}
+		if t.trial.awaited() {
+			result = max(result, startsUnstored)
+			continue
+		}
+		if len(t.crashes) > 0 {
+			// It is restricted to other workers than the rest of the step.
+			result = startsWait
+			m.preempt(t)
+			continue
+		}
 		result, full = startsWait, true
 		if !m.preempt(t) {
 			break
@@ -243,6 +260,15 @@
 // is none. places are the candidates for tasks of its step, nil before the first.
 func (m *Machine) startSomewhere(t *task, places **candidates) bool {
 	m.pass.look(startLooks)
+	if t.trial.awaited() {
+		return false
+	}
+	if t.trial.stored {
+		*places = nil
+		if m.startTrial(t) {
+			return true
+		}
+	}
 	if !m.alike(t) {
 		// It changes what its worker is worth, which the candidates do not notice.
 		*places = nil
@@ -261,9 +287,13 @@
 // startOn starts a task on the worker that was found for it, if one was.
 func (m *Machine) startOn(t *task, w *worker) bool {
 	if w == nil {
+		m.dropTrial(t)
 		m.noteMisfit(t)
 		return false
 	}
+	if !m.trialStored(t, w) {
+		return false
+	}
 	m.startAttempt(t, w, t.last+1)
 	return true
 }
@@ -312,16 +342,22 @@
 		}
 		number = max(number, t.last)
 	}
-	if !m.restartsStored(s) {
+	if !m.restartsStored(s) || !m.gangMayTry(s) {
 		return
 	}
 	placed, ok := m.placeGang(s)
 	if !ok {
+		for _, t := range s.tasks {
+			m.dropTrial(t)
+		}
 		m.crowded = true
 		m.noteWaiting(s)
 		m.askAdvice(s)
 		return
 	}
+	if !m.trialsOfGangStored(s, placed) {
+		return
+	}
 	for i, t := range s.tasks {
 		t.last = number
 		m.startAttempt(t, placed[i], number+1)
--- a/core/jobsched/score.go
+++ b/core/jobsched/score.go
@@ -5,7 +5,7 @@
 type placementScore func(m *Machine, t *task, w *worker) float64
 
 var placementScores = []placementScore{
-	scoreBalance, scoreDataRack, scoreSameRack, scoreOtherWorker, scoreServing,
+	scoreBalance, scoreDataRack, scoreSameRack, scoreOtherWorker, scoreTrials, scoreServing,
 }
 
 func (m *Machine) score(t *task, w *worker) float64 {
@@ -24,6 +24,9 @@
 	// failedThereScore keeps a task off the worker that it failed on while
 	// there is any other.
 	failedThereScore = -20.0
+	// trialScore keeps tasks under which workers have crashed apart from each other:
+	// together they would all be blamed for what one of them does.
+	trialScore = -5.0
 	// servingScore keeps best-effort work off workers whose long-running tasks
 	// it would slow down, while there are others.
 	servingScore = -1.0
@@ -77,6 +80,13 @@
 	return 0
 }
 
+func scoreTrials(_ *Machine, t *task, w *worker) float64 {
+	if len(t.crashes) == 0 {
+		return 0
+	}
+	return trialScore * float64(w.trials)
+}
+
 // scoreServing keeps best-effort work away from tasks with a latency target,
 // the more the closer these are to it and the more it may slow them down; and
 // puts serving tasks together with others of their image, so that there are
--- /dev/null
+++ b/core/jobsched/trial.go
@@ -0,0 +1,299 @@
+package jobsched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// An attempt of a task under which a worker may have crashed is a trial: its number
+// is stored before it is started, so that a leader that takes over knows of it even
+// if the worker and the leader before are both gone. Without that a task which
+// crashes its workers while leaders are lost is started again without end, as
+// nobody is left to count.
+
+// trial is an attempt that was started, or is about to be, after a crash.
+type trial struct {
+	// number is the attempt's, or a lower one; 0 for none.
+	number int
+	worker model.WorkerID
+	// stored is whether that is stored, inherited whether an earlier leader stored
+	// it and no worker has told of the attempt yet.
+	stored, inherited bool
+}
+
+// record returns the trial's stored form, nil for none.
+func (t trial) record() *job.Trial {
+	if t.number == 0 {
+		return nil
+	}
+	return &job.Trial{Attempt: t.number, Worker: t.worker}
+}
+
+// awaited reports whether the trial is to be stored before it may begin.
+func (t trial) awaited() bool { return t.number > 0 && !t.stored && !t.inherited }
+
+const (
+	// aloneCrashes is from how many crashes on a task is tried alone: on a worker
+	// without another trial, and where nothing new is started beside it.
+	aloneCrashes = 2
+	// workersPerTrial is how many workers there are for each task that may be tried
+	// alone at a time: each may cost a worker and what runs there.
+	workersPerTrial = 8
+	// unknownTrial is how long a trial lasts when it is not known how long the
+	// attempts before it ran.
+	unknownTrial = 2 * time.Second
+)
+
+// suspect reports whether starts of the task are trials: a worker has crashed under
+// it, or one may have without anybody having seen it.
+func (m *Machine) suspect(t *task) bool {
+	if len(t.crashes) > 0 || t.givenUp {
+		return true
+	}
+	return !t.known && t.step.job().recovered && (m.unseenCrash || m.restarts.unheard)
+}
+
+// crashUnseen reports whether a task that waits may have been on a worker that
+// ended unseen, and ends unseenCrash if none may.
+func (m *Machine) crashUnseen() bool {
+	if !m.unseenCrash && !m.restarts.unheard {
+		return false
+	}
+	for s := range m.pending.All() {
+		if s.ready() && s.job().recovered && slices.ContainsFunc(s.tasks, (*task).unknown) {
+			return true
+		}
+	}
+	m.unseenCrash = false
+	return false
+}
+
+// unknown reports whether the task waits, and may have been started by earlier
+// leaders only.
+func (t *task) unknown() bool { return t.idle() && !t.known }
+
+// alone reports whether the task is to be tried alone. Members of a gang run
+// together or not at all.
+func (t *task) alone() bool { return len(t.crashes) >= aloneCrashes && !t.step.spec.Gang }
+
+// trialTime returns how long an attempt of the task must be seen to run to show
+// that it outlasts the moment at which its workers crashed.
+func (t *task) trialTime() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range t.crashes {
+		seen := time.Duration(c.SeenMs) * time.Millisecond
+		if c.SeenMs == job.CrashTimeUnknown {
+			seen = unknownTrial
+		}
+		longest = max(longest, seen)
+	}
+	return longest + reportAge
+}
+
+// onTrial reports whether the attempt may still crash its worker, as earlier ones
+// of its task did or may have done.
+func (a *attempt) onTrial() bool {
+	t := a.task
+	if t == nil || t.trial.number == 0 && len(t.crashes) == 0 {
+		return false
+	}
+	return a.seenFor() < t.trialTime()
+}
+
+// lookAtTrials notes for the workers which of them have attempts on trial.
+func (m *Machine) lookAtTrials() {
+	for _, w := range m.workersOnTrial {
+		w.trials, w.triedAlone = 0, false
+	}
+	m.workersOnTrial, m.triedAlone = m.workersOnTrial[:0], 0
+	for a := range m.trials.All() {
+		if a.onTrial() {
+			m.countTrial(a.task, a.worker)
+		}
+	}
+}
+
+// countTrial notes that a task is on trial on a worker, or is about to be.
+func (m *Machine) countTrial(t *task, w *worker) {
+	w.trials++
+	m.workersOnTrial = append(m.workersOnTrial, w)
+	if t.alone() {
+		w.triedAlone = true
+		m.triedAlone++
+	}
+}
+
+// beginTrial follows an attempt of a task under which workers have crashed.
+func (m *Machine) beginTrial(a *attempt) {
+	if len(a.task.crashes) > 0 {
+		m.trials.Set(a, struct{}{})
+		m.countTrial(a.task, a.worker)
+	}
+}
+
+// filterTrial keeps everything else off a worker on which a task is tried alone,
+// and such a task off workers with other trials.
+func filterTrial(_ *Machine, t *task, w *worker) bool {
+	return !w.triedAlone && (w.trials == 0 || !t.alone())
+}
+
+// mayTry reports whether the task may be started as far as crashes under it go.
+func (m *Machine) mayTry(t *task) bool {
+	m.settleInherited(t)
+	switch {
+	case t.step.job().state.Final():
+		return false
+	case len(t.crashes) == 0:
+		return true
+	case t.alone() && m.triedAlone >= max(m.workers.Len()/workersPerTrial, 1):
+		return false
+	}
+	return t.step.spec.Gang || !t.step.triesAnother(t)
+}
+
+// settleInherited settles a trial of an earlier leader of which no worker tells,
+// though nothing is waited for any more: it has ended with its worker, or never
+// began where that worker still is.
+func (m *Machine) settleInherited(t *task) {
+	if !t.trial.inherited {
+		return
+	}
+	if w := m.workers.Get(t.trial.worker); w == nil || w.over {
+		m.countCrash(t, job.Crash{Attempt: t.trial.number, SeenMs: job.CrashTimeUnknown})
+		return
+	}
+	t.trial = trial{}
+	m.markDirty(t.step.job())
+}
+
+// triesAnother reports whether another task of the step is on trial and none of the
+// step has outlasted that yet. If all tasks of a step crash their workers, one of
+// them is enough to find out.
+func (s *step) triesAnother(t *task) bool {
+	tries := false
+	for _, other := range s.tasks {
+		if other.done {
+			return false
+		}
+		for _, a := range other.attempts {
+			if a.seenFor() >= t.trialTime() {
+				return false
+			}
+		}
+		about := len(other.attempts) > 0 || other.index < t.index && other.trial.awaited()
+		tries = tries || other != t && about && len(other.crashes) > 0
+	}
+	return tries
+}
+
+// trialStored reports whether the task may be started on the worker as far as the
+// record of its trial goes, and has it stored if not.
+func (m *Machine) trialStored(t *task, w *worker) bool {
+	if !m.suspect(t) {
+		return true
+	}
+	if t.trial.number == 0 || t.trial.worker != w.id {
+		t.trial = trial{number: t.last + 1, worker: w.id}
+		m.markDirty(t.step.job())
+		m.countTrial(t, w)
+	}
+	return t.trial.stored
+}
+
+// startTrial starts a task whose trial is stored on the worker that the record
+// names, and takes the trial back if it can't go there any more.
+func (m *Machine) startTrial(t *task) bool {
+	w := m.workers.Get(t.trial.worker)
+	if w == nil || !m.allowed(t, w) {
+		m.dropTrial(t)
+		return false
+	}
+	m.startAttempt(t, w, t.last+1)
+	return true
+}
+
+// trialsOfGangStored is trialStored for all members of a gang and their workers.
+func (m *Machine) trialsOfGangStored(s *step, placed []*worker) bool {
+	all := true
+	for i, t := range s.tasks {
+		all = m.trialStored(t, placed[i]) && all
+	}
+	return all
+}
+
+// dropTrial takes back a trial that did not begin.
+func (m *Machine) dropTrial(t *task) {
+	if t.trial.number > 0 && !t.trial.inherited && t.idle() {
+		t.trial = trial{}
+		m.markDirty(t.step.job())
+	}
+}
+
+// dropTrials takes back all trials that did not begin.
+func (m *Machine) dropTrials() {
+	for s := range m.pending.All() {
+		for _, t := range s.tasks {
+			m.dropTrial(t)
+		}
+	}
+}
+
+// adoptTrial takes in that an attempt which an earlier leader started runs.
+func (m *Machine) adoptTrial(t *task, attempt int, on model.WorkerID) {
+	if m.suspect(t) {
+		t.trial = trial{number: attempt, worker: on, stored: t.trial.inherited}
+		m.markDirty(t.step.job())
+	}
+	t.known = true
+}
+
+// settleTrial takes in that an attempt has ended: otherwise than with its worker,
+// or its crash is counted already.
+func (m *Machine) settleTrial(t *task, a *attempt, cause EndCause) {
+	ofTrial := t.trial.number > 0 && a.key.attempt >= t.trial.number
+	cleared := cause != endLost && len(t.crashes) > 0 && a.seenFor() >= longRun
+	if ofTrial {
+		t.trial = trial{}
+	}
+	if cleared {
+		t.crashes = nil
+	}
+	if ofTrial || cleared {
+		m.markDirty(t.step.job())
+	}
+}
+
+// trialsIn returns the trials in some records.
+func trialsIn(records []ProgressRecord) map[job.TaskKey]job.Trial {
+	found := make(map[job.TaskKey]job.Trial)
+	for _, r := range records {
+		for number, o := range r.Progress.Occurrences {
+			for step, s := range o.Steps {
+				for index, t := range s.Tasks {
+					if t.Trial != nil {
+						found[job.TaskKey{Job: r.ID, Occurrence: number, Step: step, Index: index}] = *t.Trial
+					}
+				}
+			}
+		}
+	}
+	return found
+}
+
+// trialsStored takes in that trials are stored.
+func (m *Machine) trialsStored(stored map[job.TaskKey]job.Trial) {
+	for key, trial := range stored {
+		if t := m.task(key); t != nil && t.trial.number == trial.Attempt && t.trial.worker == trial.Worker {
+			t.trial.stored = true
+			m.changed = true
+		}
+	}
+}
+
+// gangMayTry reports whether all members of a gang may be tried.
+func (m *Machine) gangMayTry(s *step) bool {
+	return !slices.ContainsFunc(s.tasks, func(t *task) bool { return !m.mayTry(t) })
+}
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -24,6 +24,8 @@
 	// unaccounted is set while the machine does not know what an earlier leader may
 	// have started there.
 	unaccounted bool
+	// over is set once another incarnation has answered at its address.
+	over bool
 	// answered is whether it has answered under the machine's epoch; before
 	// that nothing is started on it.
 	answered bool
@@ -59,6 +61,10 @@
 	// lost are attempts that were declared lost with their lease. Their later
 	// ends say nothing.
 	lost map[attemptKey]struct{}
+	// trials counts its attempts on trial, triedAlone is whether one of them is of a
+	// task that is tried alone.
+	trials     int
+	triedAlone bool
 	// closedUntil holds back new starts after a refusal.
 	closedUntil time.Time
 	// reserved is room that is being made for tasks.
@@ -160,7 +166,7 @@
 
 // usable reports whether new tasks may go there at all.
 func (w *worker) usable(now time.Time) bool {
-	allowed := w.listed && w.onRoster && !w.closed && !w.bounded && !w.entry.Draining
+	allowed := w.listed && w.onRoster && !w.closed && !w.bounded && !w.entry.Draining && !w.over
 	well := w.answered && w.silentSince.IsZero() && !w.clockAt.IsZero() && len(w.taken) < mostUnacked
 	return allowed && well && !now.Before(w.closedUntil) && w.health.open(now)
 }
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -86,7 +86,7 @@
 		}
 	}
 	for _, w := range m.workers.All() {
-		heard := w.answered && w.silentSince.IsZero()
+		heard := w.answered && w.silentSince.IsZero() && !w.over
 		if !heard && !m.now.Before(w.leaseBound) {
 			m.giveUp(w)
 		}
@@ -97,7 +97,7 @@
 }
 
 // departed reports whether a worker has left: it is not on the list, and no attempt
-// may run there. Where no end is awaited from it either, it is enough that it said
+// may run there. That is enough where another incarnation has followed it. Where no end is awaited from it either, it is enough that it said
 // it would leave, or does not answer. Else, or where it is not known what ran
 // there, it must be silent until its leases have ended.
 func (m *Machine) departed(w *worker) bool {
@@ -105,27 +105,15 @@
 		return false
 	}
 	silent := !w.silentSince.IsZero()
+	if w.over {
+		return true
+	}
 	if !w.unaccounted && w.outstanding() == 0 {
 		return silent || w.entry.Draining
 	}
 	return silent && !m.now.Before(w.leaseBound)
 }
 
-// crashAttempts declares all attempts on w as lost, because w has ended.
-func (m *Machine) crashAttempts(w *worker, reason string) {
-	if w.attempts.Len() > 0 {
-		m.noteCrash(w, reason)
-	}
-	for _, a := range w.attempts.All() {
-		t, told := a.task, reason
-		if t != nil {
-			told += "; " + t.describeLoss(a)
-			t.crashes++
-		}
-		m.loseAttempt(a, told)
-	}
-}
-
 func (m *Machine) loseAttempt(a *attempt, reason string) {
 	a.worker.lost[a.key] = struct{}{}
 	if a.task != nil {
@@ -145,13 +133,13 @@
 
 // workerOver takes in that the incarnation has ended, with all that ran on it.
 func (m *Machine) workerOver(w *worker) {
+	if w.unaccounted {
+		m.unseenCrash = true
+	}
 	m.crashAttempts(w, "another incarnation answers at its address")
-	w.closedUntil = m.now.Add(time.Second)
+	w.over = true
 	w.unaccounted = false
 	m.unresolved.Delete(w.id)
-	if !w.listed {
-		m.forget(w)
-	}
 }
 
 // silent notes that a call to w got no answer.
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -228,7 +228,7 @@
 func (t *term) changes(c jobsched.Commit) []port.Op {
 	record := ledgerRecord{
 		Incarnation: t.leader.o.Incarnation, Number: c.Number, Summary: c.Summary,
-		RosterStands: c.RosterStands, RosterAge: c.RosterAge,
+		RosterStands: c.RosterStands, RosterAge: c.RosterAge, UnseenCrash: c.UnseenCrash,
 	}
 	changes := []port.Op{{Key: ledgerKey, Value: encodeRecord(record)}}
 	if c.Roster != nil {
