Start bystanders of crashes again without delay

Cause: every task that was lost with a worker was kept apart until it had run for longer than before, and its start was stored only once there was a place, which others took meanwhile.

Now only suspicious crashes have tasks kept apart: those within four seconds of the start, with no other workers ending at the same moment on which the step had nothing. What must be stored before a restart is stored together with the loss. Where the record names a worker, room is kept there.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -105,8 +105,9 @@
 // worker has ended, too, counts the attempt as ended with it.
 type Trial struct {
 	// Attempt is the attempt's number, or a lower one.
-	Attempt int            `json:"n"`
-	Worker  model.WorkerID `json:"worker"`
+	Attempt int `json:"n"`
+	// Worker is empty if it may be any.
+	Worker model.WorkerID `json:"worker,omitempty"`
 }
 
 // Crash is the end of an attempt with its worker.
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -99,7 +99,7 @@
 func (m *Machine) crashAttempts(w *worker, reason string) {
 	if w.attempts.Len() > 0 && !w.over {
 		m.noteCrash(w, reason)
-		m.recentCrashes = append(m.recentCrashes, w.heardAt)
+		m.rememberCrash(w)
 	}
 	for _, a := range w.attempts.All() {
 		if a.phase == phaseStarting {
@@ -107,6 +107,7 @@
 		}
 		m.crashed(a)
 		m.loseAttempt(a, fmt.Sprintf("%s; seen to run for %s", reason, a.seenFor()))
+		m.prepareRestart(a.task)
 	}
 }
 
@@ -133,36 +134,63 @@
 		return
 	}
 	m.countCrash(a.task, job.Crash{
-		Attempt: a.key.attempt, SeenMs: a.crashTime(), Several: m.crashedTogether(a.worker),
+		Attempt: a.key.attempt, SeenMs: a.crashTime(), Several: m.crashedWithout(a.step(), a.worker),
 		Unsure: a.startedAt.IsZero() && !a.inherited || leaves,
 	})
 }
 
-// crashedTogether reports whether several other workers were last heard of at the
-// same time as w, and have ended or do not answer.
-func (m *Machine) crashedTogether(w *worker) bool {
+// workerCrash is the crash of a worker, as it is remembered for a while.
+type workerCrash struct {
+	worker *worker
+	// steps holds those of which attempts were there.
+	steps map[*step]struct{}
+}
+
+// rememberCrash remembers the crash of a worker with what runs there.
+func (m *Machine) rememberCrash(w *worker) {
+	steps := make(map[*step]struct{})
+	for _, a := range w.attempts.All() {
+		steps[a.step()] = struct{}{}
+	}
+	m.recentCrashes = append(m.recentCrashes, workerCrash{worker: w, steps: steps})
+}
+
+// crashedWithout reports whether several other workers were last heard of at the
+// same time as w, and have ended or do not answer, though no attempt of the step
+// was there: the step is not what they have in common.
+func (m *Machine) crashedWithout(s *step, w *worker) bool {
 	if w.heardAt.IsZero() {
 		return false
 	}
-	near := func(at time.Time) bool { return at.Sub(w.heardAt).Abs() <= sameMoment }
+	m.recentCrashes = slices.DeleteFunc(m.recentCrashes, func(c workerCrash) bool {
+		return m.now.Sub(c.worker.heardAt) > crashMemory
+	})
+	together := func(other *worker) bool { return other != w && other.heardAt.Sub(w.heardAt).Abs() <= sameMoment }
 	others := 0
-	for _, other := range m.workers.All() {
-		if other != w && !other.over && other.attempts.Len() > 0 && !other.silentSince.IsZero() && near(other.heardAt) {
+	for _, c := range m.recentCrashes {
+		if _, there := c.steps[s]; together(c.worker) && !there {
 			others++
 		}
 	}
-	m.recentCrashes = slices.DeleteFunc(m.recentCrashes, func(at time.Time) bool { return m.now.Sub(at) > crashMemory })
-	for _, at := range m.recentCrashes {
-		if near(at) {
+	for _, other := range m.workers.All() {
+		silent := !other.over && !other.silentSince.IsZero() && other.attempts.Len() > 0
+		if silent && together(other) && !other.runs(s) {
 			others++
 		}
 	}
-	if slices.Contains(m.recentCrashes, w.heardAt) {
-		others--
-	}
 	return others >= sameMomentWorkers
 }
 
+// runs reports whether an attempt of the step may run on the worker.
+func (w *worker) runs(s *step) bool {
+	for _, a := range w.attempts.All() {
+		if a.step() == s {
+			return true
+		}
+	}
+	return false
+}
+
 // countCrash takes in that a worker has crashed under a task, each attempt once,
 // and gives the job up when that was one too many.
 func (m *Machine) countCrash(t *task, c job.Crash) {
@@ -230,6 +258,9 @@
 // explained reports whether something else than the task may have been the cause.
 func explained(c job.Crash) bool { return c.Several }
 
+// suspicious reports whether the start of the task may have been the cause.
+func suspicious(c job.Crash) bool { return !explained(c) && c.SeenMs < longRun.Milliseconds() }
+
 // allAlike reports whether all crashes came at the same time of a run, with nothing
 // else to explain them.
 func allAlike(crashes []job.Crash) bool {
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -73,11 +73,10 @@
 	// leader may have started what no later one knows, until all tasks that may have
 	// been there are known again.
 	unseenCrash bool
-	// recentCrashes holds when workers were last heard of that have crashed lately.
-	recentCrashes []time.Time
-	// trials holds the attempts of tasks under which workers have crashed,
-	// workersOnTrial the workers with such on trial, triedAlone how many tasks are
-	// tried alone.
+	// recentCrashes holds the workers that have crashed lately.
+	recentCrashes []workerCrash
+	// trials holds the attempts of tasks that are watched, workersOnTrial the workers
+	// with such on trial, triedAlone how many tasks are tried alone.
 	trials         ordered.Map[*attempt, struct{}]
 	workersOnTrial []*worker
 	triedAlone     int
--- a/core/jobsched/preempt.go
+++ b/core/jobsched/preempt.go
@@ -15,6 +15,8 @@
 	task  *task
 	size  model.Resources
 	until time.Time
+	// trial is set for a task that is about to be tried there.
+	trial bool
 }
 
 // reservationSlack is how long a reservation outlasts the time of a stop: the
@@ -32,14 +34,16 @@
 	return room
 }
 
-// release ends the reservations that are over, or of a task that has started or
-// whose job is over.
+// release ends the reservations that are over, or of a task that has started, is
+// not to be tried there any more, or whose job is over. A round of placement relies
+// on it that room comes free between two of them only.
 func (w *worker) release(now time.Time) {
 	if len(w.reserved) == 0 {
 		return
 	}
 	w.reserved = slices.DeleteFunc(w.reserved, func(r reservation) bool {
-		return !now.Before(r.until) || !r.task.idle() || r.task.step.job().state.Final()
+		elsewhere := r.trial && r.task.trial.worker != w.id
+		return !now.Before(r.until) || elsewhere || !r.task.idle() || r.task.step.job().state.Final()
 	})
 }
 
@@ -89,16 +93,21 @@
 	if best == nil {
 		return false
 	}
-	t.reservedOn = best
-	best.reserved = append(best.reserved, reservation{
-		task: t, size: t.step.spec.Committed(), until: m.now.Add(m.options.StopTime + reservationSlack),
-	})
+	m.reserve(t, best, m.options.StopTime+reservationSlack, false)
 	for _, a := range victims {
 		m.requestStop(a, "more urgent work needs its room: "+t.key().String())
 	}
 	return true
 }
 
+// reserve keeps room for a task on a worker.
+func (m *Machine) reserve(t *task, w *worker, d time.Duration, forTrial bool) {
+	t.reservedOn = w
+	w.reserved = append(w.reserved, reservation{
+		task: t, size: t.step.spec.Committed(), until: m.now.Add(d), trial: forTrial,
+	})
+}
+
 // cheapestDisplacement returns the worker on which room for a task loses least,
 // and what is to be stopped there; no worker when there is none.
 func (m *Machine) cheapestDisplacement(t *task) (*worker, []*attempt) {
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -231,7 +231,7 @@
 			continue
 		}
 		if !m.mayTry(t) {
-			m.dropTrial(t)
+			m.dropNamedTrial(t)
 			result = startsWait
 			continue
 		}
@@ -242,7 +242,7 @@
 			result = max(result, startsUnstored)
 			continue
 		}
-		if len(t.crashes) > 0 {
+		if t.watched() {
 			// It is restricted to other workers than the rest of the step.
 			result = startsWait
 			m.preempt(t)
@@ -263,7 +263,7 @@
 	if t.trial.awaited() {
 		return false
 	}
-	if t.trial.stored {
+	if t.trial.stored && t.trial.worker != "" {
 		*places = nil
 		if m.startTrial(t) {
 			return true
@@ -287,7 +287,7 @@
 // startOn starts a task on the worker that was found for it, if one was.
 func (m *Machine) startOn(t *task, w *worker) bool {
 	if w == nil {
-		m.dropTrial(t)
+		m.dropNamedTrial(t)
 		m.noteMisfit(t)
 		return false
 	}
@@ -348,7 +348,7 @@
 	placed, ok := m.placeGang(s)
 	if !ok {
 		for _, t := range s.tasks {
-			m.dropTrial(t)
+			m.dropNamedTrial(t)
 		}
 		m.crowded = true
 		m.noteWaiting(s)
--- a/core/jobsched/silence.go
+++ b/core/jobsched/silence.go
@@ -43,6 +43,7 @@
 				m.crashed(a)
 			}
 			m.loseAttempt(a, "its lease ran out without an answer")
+			m.prepareRestart(a.task)
 		}
 	}
 }
--- a/core/jobsched/trial.go
+++ b/core/jobsched/trial.go
@@ -18,6 +18,7 @@
 type trial struct {
 	// number is the attempt's, or a lower one; 0 for none.
 	number int
+	// worker is empty if it may be any.
 	worker model.WorkerID
 	// stored is whether that is stored, inherited whether an earlier leader stored
 	// it and no worker has told of the attempt yet.
@@ -36,12 +37,17 @@
 func (t trial) awaited() bool { return t.number > 0 && !t.stored && !t.inherited }
 
 const (
-	// aloneCrashes is from how many crashes on a task is tried alone: on a worker
-	// without another trial, and where nothing new is started beside it.
-	aloneCrashes = 2
+	// aloneSuspicious is from how many suspicious crashes on a task is tried alone: on
+	// a worker without another trial, and where nothing new is started beside it.
+	// aloneCrashes is the same for crashes of any kind.
+	aloneSuspicious = 2
+	aloneCrashes    = 3
 	// workersPerTrial is how many workers there are for each task that may be tried
 	// alone at a time: each may cost a worker and what runs there.
 	workersPerTrial = 8
+	// trialWait is how long room is kept for a trial that is being stored. Without it
+	// the room goes to others meanwhile, and in a full cluster the task never starts.
+	trialWait = 500 * time.Millisecond
 	// unknownTrial is how long a trial lasts when it is not known how long the
 	// attempts before it ran.
 	unknownTrial = 2 * time.Second
@@ -77,7 +83,25 @@
 
 // alone reports whether the task is to be tried alone. Members of a gang run
 // together or not at all.
-func (t *task) alone() bool { return len(t.crashes) >= aloneCrashes && !t.step.spec.Gang }
+func (t *task) alone() bool {
+	tried := t.suspicious() >= aloneSuspicious || len(t.crashes) >= aloneCrashes
+	return tried && !t.step.spec.Gang
+}
+
+// watched reports whether attempts of the task are kept apart from each other until
+// they have outlasted the moment at which workers crashed.
+func (t *task) watched() bool { return t.suspicious() > 0 || t.alone() }
+
+// suspicious counts the suspicious crashes under the task.
+func (t *task) suspicious() int {
+	n := 0
+	for _, c := range t.crashes {
+		if suspicious(c) {
+			n++
+		}
+	}
+	return n
+}
 
 // trialTime returns how long an attempt of the task must be seen to run to show
 // that it outlasts the moment at which its workers crashed.
@@ -85,8 +109,12 @@
 	longest := time.Duration(0)
 	for _, c := range t.crashes {
 		seen := time.Duration(c.SeenMs) * time.Millisecond
-		if c.SeenMs == job.CrashTimeUnknown {
+		switch {
+		case c.SeenMs == job.CrashTimeUnknown:
 			seen = unknownTrial
+		case seen >= longRun:
+			// The start was not the cause.
+			seen = 0
 		}
 		longest = max(longest, seen)
 	}
@@ -110,7 +138,7 @@
 	}
 	m.workersOnTrial, m.triedAlone = m.workersOnTrial[:0], 0
 	for a := range m.trials.All() {
-		if a.onTrial() {
+		if a.task.watched() && a.onTrial() {
 			m.countTrial(a.task, a.worker)
 		}
 	}
@@ -126,9 +154,9 @@
 	}
 }
 
-// beginTrial follows an attempt of a task under which workers have crashed.
+// beginTrial follows an attempt of a task that is watched.
 func (m *Machine) beginTrial(a *attempt) {
-	if len(a.task.crashes) > 0 {
+	if a.task.watched() {
 		m.trials.Set(a, struct{}{})
 		m.countTrial(a.task, a.worker)
 	}
@@ -146,23 +174,23 @@
 	switch {
 	case t.step.job().state.Final():
 		return false
-	case len(t.crashes) == 0:
-		return true
 	case t.alone() && m.triedAlone >= max(m.workers.Len()/workersPerTrial, 1):
 		return false
 	}
-	return t.step.spec.Gang || !t.step.triesAnother(t)
+	return t.step.spec.Gang || t.suspicious() == 0 || !t.step.triesAnother(t)
 }
 
 // settleInherited settles a trial of an earlier leader of which no worker tells,
-// though nothing is waited for any more: it has ended with its worker, or never
-// began where that worker still is.
+// though nothing is waited for any more. If its worker has ended, it has ended with
+// it. One that names no worker may have, if any worker has ended unseen.
 func (m *Machine) settleInherited(t *task) {
 	if !t.trial.inherited {
 		return
 	}
-	if w := m.workers.Get(t.trial.worker); w == nil || w.over {
-		m.countCrash(t, job.Crash{Attempt: t.trial.number, SeenMs: job.CrashTimeUnknown})
+	w := m.workers.Get(t.trial.worker)
+	named := t.trial.worker != ""
+	if named && (w == nil || w.over) || !named && m.unseenCrash {
+		m.countCrash(t, job.Crash{Attempt: t.trial.number, SeenMs: job.CrashTimeUnknown, Unsure: !named})
 		return
 	}
 	t.trial = trial{}
@@ -184,25 +212,49 @@
 			}
 		}
 		about := len(other.attempts) > 0 || other.index < t.index && other.trial.awaited()
-		tries = tries || other != t && about && len(other.crashes) > 0
+		tries = tries || other != t && about && other.suspicious() > 0
 	}
 	return tries
 }
 
 // trialStored reports whether the task may be started on the worker as far as the
-// record of its trial goes, and has it stored if not.
+// record of its trial goes, and has it stored if not. The record names the worker of
+// a task that is watched, and room is kept there meanwhile.
 func (m *Machine) trialStored(t *task, w *worker) bool {
-	if !m.suspect(t) {
+	switch {
+	case !m.suspect(t):
 		return true
-	}
-	if t.trial.number == 0 || t.trial.worker != w.id {
-		t.trial = trial{number: t.last + 1, worker: w.id}
-		m.markDirty(t.step.job())
+	case t.watched() && t.trial.worker != w.id:
+		m.announceTrial(t, w.id)
 		m.countTrial(t, w)
+		if !t.step.spec.Gang {
+			m.reserve(t, w, trialWait, true)
+		}
+	case t.trial.number == 0:
+		m.announceTrial(t, "")
 	}
 	return t.trial.stored
 }
 
+// announceTrial has it stored that the task is about to be started, on the worker
+// that is named or on any.
+func (m *Machine) announceTrial(t *task, on model.WorkerID) {
+	t.trial = trial{number: t.last + 1, worker: on}
+	m.markDirty(t.step.job())
+}
+
+// prepareRestart has stored what must be before a task is started again that has
+// just lost an attempt, together with that loss.
+func (m *Machine) prepareRestart(t *task) {
+	if t == nil || !t.idle() || t.step.job().state.Final() {
+		return
+	}
+	m.restartStored(t)
+	if !t.watched() && t.trial.number == 0 && m.suspect(t) {
+		m.announceTrial(t, "")
+	}
+}
+
 // startTrial starts a task whose trial is stored on the worker that the record
 // names, and takes the trial back if it can't go there any more.
 func (m *Machine) startTrial(t *task) bool {
@@ -226,9 +278,18 @@
 
 // dropTrial takes back a trial that did not begin.
 func (m *Machine) dropTrial(t *task) {
-	if t.trial.number > 0 && !t.trial.inherited && t.idle() {
-		t.trial = trial{}
-		m.markDirty(t.step.job())
+	if t.trial.number == 0 || t.trial.inherited || !t.idle() {
+		return
+	}
+	t.trial = trial{}
+	m.markDirty(t.step.job())
+}
+
+// dropNamedTrial is dropTrial for a trial that names its worker: one that does not
+// is as good elsewhere.
+func (m *Machine) dropNamedTrial(t *task) {
+	if t.trial.worker != "" {
+		m.dropTrial(t)
 	}
 }
 
