--- /dev/null
+++ b/core/jobsched/capacity_test.go
@@ -0,0 +1,97 @@
+package jobsched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/model"
+)
+
+// shrinkNotice is how long after its capacity has shrunk a worker may still be
+// given what fitted before: the platform's time to notice, and a heartbeat.
+const shrinkNotice = 3500 * time.Millisecond
+
+// resize changes the capacity that the worker shows.
+func (w *fakeWorker) resize(capacity model.Resources) {
+	if capacity != w.entry.Capacity {
+		w.before, w.resizedAt = w.entry.Capacity, w.c.now
+		w.entry.Capacity = capacity
+	}
+}
+
+// holds reports whether a start may bring the worker to so much.
+func (w *fakeWorker) holds(used model.Resources) bool {
+	noticed := w.c.now.Sub(w.resizedAt) >= shrinkNotice
+	return used.Fits(w.entry.Capacity) || !noticed && used.Fits(w.before)
+}
+
+// TestStartsFollowCapacitiesThatChange plays workers that shrink to a part of their
+// size and grow again while jobs of all kinds come, gangs and urgent ones that
+// displace others among them, and leaders change. No start may bring a worker over
+// its capacity, and all jobs are done once the workers have their size again.
+func TestStartsFollowCapacitiesThatChange(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			c := newCluster(t, seed, 8)
+			c.keepStates()
+			c.run(200 * time.Millisecond)
+			rnd := rand.New(rand.NewPCG(seed, 8))
+			full := c.workers["w000"].entry.Capacity
+			var ids []job.ID
+			for i := range 60 {
+				ids = append(ids, c.randomJob(rnd, 1+i))
+				c.run(time.Duration(rnd.IntN(400)) * time.Millisecond)
+				w := c.workers[c.workerIDs()[rnd.IntN(len(c.workers))]]
+				switch rnd.IntN(6) {
+				case 0, 1:
+					w.resize(model.Resources{MilliCPU: full.MilliCPU / 4, MemoryMB: full.MemoryMB / 4})
+				case 2:
+					w.resize(full)
+				case 3:
+					c.handOver()
+				case 4:
+					c.lead()
+				}
+			}
+			for _, w := range c.workers {
+				w.resize(full)
+			}
+			c.run(40 * time.Second)
+			for _, id := range ids {
+				if s := c.state(id); s != job.Completed {
+					t.Errorf("job %s is %s in the end", id, s)
+				}
+			}
+		})
+	}
+}
+
+// All workers were shrunk when the roster was stored that tells what jobs could
+// ever run, also by a leader that took over meanwhile, or when a worker had come
+// back from a crash. A job that fits when they have grown again was turned away.
+func TestRosterTellsTheFullSizeOfShrunkWorkers(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.run(time.Second)
+	full := c.workers["w000"].entry.Capacity
+	for _, w := range c.workers {
+		w.resize(model.Resources{MilliCPU: 1000, MemoryMB: 4000})
+	}
+	c.run(time.Second)
+	c.lead()
+	c.run(time.Second)
+	c.restart(c.workers["w001"])
+	c.run(10 * time.Second)
+	c.lead()
+	c.run(time.Second)
+	if len(c.roster) != 2 {
+		t.Fatalf("%d workers on the roster, want 2", len(c.roster))
+	}
+	for _, e := range c.roster {
+		if e.FullCapacity() != full {
+			t.Errorf("%s has %s at its full size, want %s", e.ID, e.FullCapacity(), full)
+		}
+	}
+}
--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -112,6 +112,9 @@
 	listed bool
 	dead   bool
 	cutOff bool
+	// before is the capacity before resizedAt.
+	before    model.Resources
+	resizedAt time.Time
 	// successor is the incarnation that came after it at its address.
 	successor *fakeWorker
 	epoch     model.Epoch
--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -185,7 +185,7 @@
 	for _, a := range w.attempts {
 		used = used.Add(a.step.Committed())
 	}
-	if !used.Fits(w.entry.Capacity) {
+	if !w.holds(used) {
 		w.c.t.Errorf("%s: %s does not fit on %s", w.c.now.Sub(testEpoch), s.Key, w.entry.ID)
 		return VerdictNoRoom
 	}
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/model"
 )
 
 // A leader that takes over must not start a task that may run elsewhere. What it
@@ -35,12 +36,18 @@
 	// anything may run.
 	Closed   bool            `json:",omitempty"`
 	Attempts []RosterAttempt `json:",omitempty"`
+	// Full is the largest capacity that is known of the worker's VM, in each
+	// dimension, if it is larger than Capacity.
+	Full model.Resources `json:",omitzero"`
 	// LeaseLeft is how long leases there last at most, from the moment of writing
 	// on; negative when they have ended. It is nil where leases may be renewed, so
 	// that no such bound is known.
 	LeaseLeft *time.Duration `json:",omitempty"`
 }
 
+// FullCapacity returns the largest capacity that is known of the worker's VM.
+func (e *RosterEntry) FullCapacity() model.Resources { return e.Capacity }
+
 // RosterAttempt is an attempt that may run, or whose end its worker may still
 // have to tell.
 type RosterAttempt struct {
--- a/jobservice/fleet_test.go
+++ b/jobservice/fleet_test.go
@@ -21,6 +21,20 @@
 	}}}
 }
 
+// All workers showed a quarter of their size for a while, and jobs that they have
+// room for at any other time were turned away for good.
+func TestShrunkWorkersTurnNothingAway(t *testing.T) {
+	store := newMemStore()
+	view := fleetView{log: logrus.NewEntry(logrus.New()), metrics: NewMetrics(prometheus.NewRegistry())}
+	view.log.Logger.SetOutput(&lockedBuffer{})
+	roster := rosterOf(500)
+	roster[0].Full = model.Resources{MilliCPU: 2000, MemoryMB: 1000}
+	store.write(fleetChange(roster))
+	if err := view.check(context.Background(), store, time.Now(), "pool", testSpec()); err != nil {
+		t.Errorf("a job that fits when the worker has its size again: %v", err)
+	}
+}
+
 // TestFleetThatCannotBeReadTurnsNothingAway: another writer damages what is
 // written of the fleet. Symptom if broken: jobs are turned away that workers have
 // room for, or every hand-in fails.
