Hold jobs against the full size of workers that are shrunk for a while

Callers whose jobs fit on no worker at the moment, because workers show a part of their capacity, were turned away as if no worker were ever that large. The roster keeps the largest capacity that is known of each VM, over incarnations and leaders, and the fleet that hand-ins are held against is made from it.

--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -46,7 +46,7 @@
 }
 
 // FullCapacity returns the largest capacity that is known of the worker's VM.
-func (e *RosterEntry) FullCapacity() model.Resources { return e.Capacity }
+func (e *RosterEntry) FullCapacity() model.Resources { return e.Capacity.Max(e.Full) }
 
 // RosterAttempt is an attempt that may run, or whose end its worker may still
 // have to tell.
@@ -266,6 +266,9 @@
 	room := rosterAttemptsMost
 	for _, w := range m.rosterOrder() {
 		l := rosterLine{worker: w, mark: markOf(w), entry: RosterEntry{WorkerEntry: w.entry}}
+		if w.full != w.entry.Capacity {
+			l.entry.Full = w.full
+		}
 		if l.mark.bounded {
 			left := max(w.leaseBound.Sub(m.now), leaseLeftLeast)
 			l.entry.LeaseLeft = &left
@@ -299,6 +302,7 @@
 // least.
 func (m *Machine) recoverWorker(e RosterEntry, stands bool, age time.Duration) {
 	w := newWorker(e.WorkerEntry)
+	w.full = e.FullCapacity()
 	w.onRoster = true
 	w.leaseBound = m.earlierLeasesEnd()
 	m.workers.Set(w.id, w)
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -12,6 +12,9 @@
 type worker struct {
 	id    model.WorkerID
 	entry WorkerEntry
+	// full is the largest capacity that is known of its VM, in each dimension: what
+	// it shows may shrink for a while.
+	full model.Resources
 	// listed is whether the last list had it.
 	listed bool
 	// onRoster is whether it is on the stored roster, before which nothing is
@@ -76,7 +79,7 @@
 
 func newWorker(e WorkerEntry) *worker {
 	return &worker{
-		id: e.ID, entry: e, lost: make(map[attemptKey]struct{}), throttle: throttleState{percent: fullSpeed, others: fullSpeed},
+		id: e.ID, entry: e, full: e.Capacity, lost: make(map[attemptKey]struct{}), throttle: throttleState{percent: fullSpeed, others: fullSpeed},
 	}
 }
 
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -22,6 +22,7 @@
 		w := m.workers.Get(e.ID)
 		if w == nil {
 			w = newWorker(e)
+			m.inheritSize(w)
 			m.workers.Set(e.ID, w)
 			m.emit(Note{Decision: "worker found", Worker: e.ID, Reason: "address " + e.Address + ", rack " + string(e.Rack)})
 		}
@@ -37,6 +38,23 @@
 	}
 	w.listed = true
 	w.entry = e
+	if full := w.full.Max(e.Capacity); full != w.full {
+		w.full = full
+		m.roster.outdated = true
+	}
+}
+
+// inheritSize takes the full capacity of a worker's VM over from its earlier
+// incarnation.
+func (m *Machine) inheritSize(w *worker) {
+	if w.entry.Machine == "" {
+		return
+	}
+	for _, earlier := range m.workers.All() {
+		if earlier.entry.Machine == w.entry.Machine {
+			w.full = w.full.Max(earlier.full)
+		}
+	}
 }
 
 // earlierLeasesEnd returns when nothing runs any more under a lease that an
--- a/core/model/resources.go
+++ b/core/model/resources.go
@@ -42,6 +42,15 @@
 	}
 }
 
+// Max returns the larger of the two in each dimension.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{
+		MilliCPU:     max(r.MilliCPU, o.MilliCPU),
+		MemoryMB:     max(r.MemoryMB, o.MemoryMB),
+		Accelerators: max(r.Accelerators, o.Accelerators),
+	}
+}
+
 // Fits reports whether r fits within room in every dimension.
 func (r Resources) Fits(room Resources) bool {
 	return r.MilliCPU <= room.MilliCPU &&
--- a/jobservice/fleet.go
+++ b/jobservice/fleet.go
@@ -12,11 +12,12 @@
 	"github.com/guavarill/guavarill/port"
 )
 
-// fleetOf returns what the workers of a roster have.
+// fleetOf returns what the workers of a roster have at their full size: a job that
+// fits then is not hopeless because they are shrunk for a while.
 func fleetOf(roster []jobsched.RosterEntry) *job.Fleet {
 	f := new(job.Fleet)
 	for _, w := range roster {
-		f.Add(w.Service, w.Labels, w.Capacity)
+		f.Add(w.Service, w.Labels, w.FullCapacity())
 	}
 	return f
 }
