Count the time for which a lost roster holds jobs on over leaders

A roster is stored at once now, and each commit says for how long it may lack workers; the next leader waits that long and no longer. So that this is true, a lease is renewed in that time only on a worker that is on a roster: one that answered a leader which is lost before its roster is stored lapses in time.

Ruled out: a bound alone, without the roster; leases that earlier leaders renewed meanwhile would outlast it.

--- a/core/jobsched/effect.go
+++ b/core/jobsched/effect.go
@@ -75,6 +75,9 @@
 	RosterStands bool
 	// RosterAge is how long before the commit the stored roster was written.
 	RosterAge time.Duration
+	// RosterLostLeft is how long, from the commit on, attempts may run on workers that
+	// the stored roster lacks, because an earlier one could not be read; 0 if none may.
+	RosterLostLeft time.Duration
 	// UnseenCrash is whether tasks that wait may have been on a worker that ended
 	// without a leader knowing what ran there.
 	UnseenCrash bool
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -132,8 +132,9 @@
 	// RosterLost is set when the stored roster cannot be read: it is not known
 	// where attempts may run.
 	RosterLost bool
-	// UnseenCrash is that of the last commit.
-	UnseenCrash bool
+	// RosterLostLeft and UnseenCrash are those of the last commit.
+	RosterLostLeft time.Duration
+	UnseenCrash    bool
 	// Learned is what was stored of interference.
 	Learned []interference.Effect
 }
@@ -162,8 +163,11 @@
 		}
 	}
 	m.setAsideAll(r.SetAside)
-	if r.RosterLost {
-		m.loseRoster()
+	switch {
+	case r.RosterLost:
+		m.loseRoster(m.earlierLeasesEnd(), "it cannot be read")
+	case r.RosterLostLeft > 0:
+		m.loseRoster(now.Add(r.RosterLostLeft), "an earlier leader could not read it")
 	}
 	for _, entry := range r.Roster {
 		m.recoverWorker(entry, r.RosterStands, r.RosterAge)
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -53,11 +53,12 @@
 }
 
 // leaseFor returns for how long the leases on a worker are to be renewed: not at
-// all while the statements of the leader before still stand, and not beyond what
-// the stored roster says of the worker.
+// all while the statements of the leader before still stand, or while the next
+// leader would not know of the worker, and not beyond what the stored roster says
+// of it.
 func (m *Machine) leaseFor(w *worker) time.Duration {
 	switch {
-	case !m.commit.stored:
+	case !m.commit.stored || !w.onRoster && m.now.Before(m.rosterLostUntil):
 		return 0
 	case w.bounded:
 		return min(m.options.Lease, w.leaseWithin(m.now, w.leaseBound))
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -147,7 +147,7 @@
 func (m *Machine) rosterDue() bool {
 	r := &m.roster
 	interval := rosterInterval + time.Duration(m.workers.Len())*rosterIntervalEach
-	if m.now.Before(m.rosterLostUntil) || m.now.Sub(r.lookedAt) < interval {
+	if m.now.Sub(r.lookedAt) < interval {
 		return false
 	}
 	r.lookedAt = m.now
@@ -182,6 +182,7 @@
 // and how old they are.
 func (m *Machine) addRosterAge(commit *Commit) {
 	commit.UnseenCrash = m.crashUnseen()
+	commit.RosterLostLeft = m.rosterLostLeft()
 	commit.RosterStands = m.roster.stands || commit.Roster != nil
 	if commit.RosterStands {
 		commit.RosterAge = m.now.Sub(m.roster.sentAt)
@@ -215,12 +216,11 @@
 	commit := m.newCommit()
 	commit.Learned = m.learner.Export()
 	commit.UnseenCrash = m.crashUnseen()
-	if !m.now.Before(m.rosterLostUntil) {
-		for _, l := range m.rosterLines(m.lastMarkOf) {
-			commit.Roster = append(commit.Roster, l.entry)
-		}
-		commit.RosterStands = true
+	commit.RosterLostLeft = m.rosterLostLeft()
+	for _, l := range m.rosterLines(m.lastMarkOf) {
+		commit.Roster = append(commit.Roster, l.entry)
 	}
+	commit.RosterStands = true
 	m.deposed = true
 	return commit, m.takeNotes()
 }
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -65,19 +65,21 @@
 }
 
 // loseRoster notes that the stored roster could not be read. Attempts may run on
-// any worker, also on one that the platform's list lacks, so nothing is started
-// until their leases have ended, and no roster is stored before: it would lack
-// such workers, and another leader would take it for whole. Until then no worker
-// is on the stored roster, so what came after the take-over waits too. Attempts
-// on listed workers are adopted as always.
-func (m *Machine) loseRoster() {
-	m.rosterLostUntil = m.earlierLeasesEnd()
+// any worker until the time given, also on one that the platform's list lacks, so
+// nothing is started before. Leases are renewed on workers that are on a roster
+// of this leader or a later one, and each commit says for how long that roster may
+// lack others: the next leader waits no longer than this one.
+func (m *Machine) loseRoster(until time.Time, reason string) {
+	m.rosterLostUntil = until
 	m.restarts.unheard = true
 	m.roster.outdated = true
-	m.emit(Note{Decision: joblog.MessageRosterLost, Reason: "it cannot be read; nothing is started until " +
+	m.emit(Note{Decision: joblog.MessageRosterLost, Reason: reason + "; nothing is started until " +
 		m.rosterLostUntil.Sub(m.now).String() + " from now, when all earlier leases have ended"})
 }
 
+// rosterLostLeft returns how long the stored roster may still lack workers.
+func (m *Machine) rosterLostLeft() time.Duration { return max(m.rosterLostUntil.Sub(m.now), 0) }
+
 // held reports whether a task must wait because an earlier leader may have
 // started it on a worker that has not answered yet, or because the statements of
 // that leader's roster still stand: the first commit ends that. Jobs that came
--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -284,7 +284,9 @@
 	// know of them leaves them out of its first commit.
 	RosterStands bool          `json:"rosterStands,omitempty"`
 	RosterAge    time.Duration `json:"rosterAge,omitempty"`
-	UnseenCrash  bool          `json:"unseenCrash,omitempty"`
+	// RosterLostLeft and UnseenCrash are those of the commit too.
+	RosterLostLeft time.Duration `json:"rosterLostLeft,omitempty"`
+	UnseenCrash    bool          `json:"unseenCrash,omitempty"`
 }
 
 // decodeLedger reads the ledger, which is empty if it is not there. An error is a
--- a/jobservice/recover.go
+++ b/jobservice/recover.go
@@ -19,7 +19,7 @@
 	began := l.o.Clock.Now()
 	r := jobsched.Recovered{
 		Config: l.o.Config.Current(), RosterStands: ledger.RosterStands, RosterAge: ledger.RosterAge,
-		UnseenCrash: ledger.UnseenCrash,
+		UnseenCrash: ledger.UnseenCrash, RosterLostLeft: ledger.RosterLostLeft,
 	}
 	if err := l.recoverCluster(ctx, &r); err != nil {
 		return err
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -229,6 +229,7 @@
 	record := ledgerRecord{
 		Incarnation: t.leader.o.Incarnation, Number: c.Number, Summary: c.Summary,
 		RosterStands: c.RosterStands, RosterAge: c.RosterAge, UnseenCrash: c.UnseenCrash,
+		RosterLostLeft: c.RosterLostLeft,
 	}
 	changes := []port.Op{{Key: ledgerKey, Value: encodeRecord(record)}}
 	if c.Roster != nil {
