Count the time without progress of tasks on over planned changes of the lead

Tasks on a worker whose work stands still were never moved while the lead was handed over every 1.4 s: each new leader counted the 1.5 s without progress from its own take-over (TestStalledTasksOverPlannedChanges, known red: running after 15 s).

The last roster of a leader that gives the lead up says of attempts that stand still for how long, and at which part of their work; the next leader counts on from there if its first report shows the same. Time in which nobody led does not count. A leader that is lost without a word still leaves nothing of it.

--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -238,6 +238,7 @@
 	a := m.addAttempt(t, w, r.Attempt, phaseRunning)
 	a.startedAt = m.now
 	a.adopted = true
+	a.inheritStillness(r.Percent)
 	m.adoptTrial(t, r.Attempt, w.id)
 	if !alone {
 		m.requestStop(a, "its task has another attempt")
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -55,6 +55,10 @@
 	Attempt int         `json:"n"`
 	// GivenUp is set when it was declared lost.
 	GivenUp bool `json:"givenUp,omitempty"`
+	// StillFor is for how long it has stood still at Percent; 0 if it has not, or not
+	// for long.
+	StillFor time.Duration `json:"still,omitempty"`
+	Percent  int           `json:"percent,omitempty"`
 }
 
 // rosterMark is what a roster should say of a worker, in short. A roster is due
@@ -275,18 +279,35 @@
 		}
 		if l.mark.closed && w.outstanding() <= room {
 			room -= w.outstanding()
-			l.entry.Closed, l.entry.Attempts = true, w.rosterAttempts()
+			l.entry.Closed, l.entry.Attempts = true, w.rosterAttempts(m.now)
 		}
 		lines = append(lines, l)
 	}
 	return lines
 }
 
+// stillLeast is the least time without progress that is handed over: reports are
+// half a second apart, and most attempts advance with each.
+const stillLeast = 750 * time.Millisecond
+
+// stillFor returns for how long an attempt has stood still, 0 if that is not long.
+func (a *attempt) stillFor(now time.Time) time.Duration {
+	still := now.Sub(a.lastAdvance())
+	if a.phase != phaseRunning || a.percent >= 100 || a.throttle < fullSpeed || still < stillLeast {
+		return 0
+	}
+	return still
+}
+
 // rosterAttempts lists what may run on the worker, and what it may still tell of.
-func (w *worker) rosterAttempts() []RosterAttempt {
+func (w *worker) rosterAttempts(now time.Time) []RosterAttempt {
 	var list []RosterAttempt
-	for key := range w.attempts.All() {
-		list = append(list, RosterAttempt{Task: key.task, Attempt: key.attempt})
+	for key, a := range w.attempts.All() {
+		still, percent := a.stillFor(now), 0
+		if still > 0 {
+			percent = a.percent
+		}
+		list = append(list, RosterAttempt{Task: key.task, Attempt: key.attempt, StillFor: still, Percent: percent})
 	}
 	for _, e := range w.taken {
 		list = append(list, RosterAttempt{Task: e.task, Attempt: e.attempt})
@@ -333,6 +354,9 @@
 			}
 		case t != nil && !t.done:
 			m.addAttempt(t, w, r.Attempt, phaseDoubtful).inherited = true
+			if r.StillFor > 0 {
+				w.still[key] = stillness{percent: r.Percent, since: m.recoveredAt.Add(-r.StillFor)}
+			}
 		case m.aside[r.Task.Job] != nil:
 			a := m.addUnwanted(w, &RunningAttempt{Key: r.Task, Attempt: r.Attempt})
 			a.phase, a.inherited = phaseDoubtful, true
--- a/core/jobsched/watch.go
+++ b/core/jobsched/watch.go
@@ -48,11 +48,31 @@
 	if a.bestEffortCPU > 0 {
 		limit = bestEffortStallTime
 	}
-	last := a.advancedAt
-	if a.startedAt.After(last) {
-		last = a.startedAt
+	return now.Sub(a.lastAdvance()) > limit
+}
+
+// lastAdvance returns when the attempt was started or last advanced, as far as is
+// known.
+func (a *attempt) lastAdvance() time.Time {
+	if a.startedAt.After(a.advancedAt) {
+		return a.startedAt
+	}
+	return a.advancedAt
+}
+
+// stillness is what an earlier leader saw of an attempt that stands still.
+type stillness struct {
+	percent int
+	since   time.Time
+}
+
+// inheritStillness counts the time without progress on that an earlier leader saw.
+func (a *attempt) inheritStillness(percent int) {
+	still, ok := a.worker.still[a.key]
+	delete(a.worker.still, a.key)
+	if ok && still.percent == percent {
+		a.startedAt, a.advancedAt, a.percent = still.since, still.since, percent
 	}
-	return now.Sub(last) > limit
 }
 
 // evacuate moves what a leaving worker would end. Long-running tasks go at
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -64,6 +64,8 @@
 	// lost are attempts that were declared lost with their lease. Their later
 	// ends say nothing.
 	lost map[attemptKey]struct{}
+	// still tells which attempts an earlier leader saw standing still.
+	still map[attemptKey]stillness
 	// trials counts its attempts on trial, triedAlone is whether one of them is of a
 	// task that is tried alone.
 	trials     int
@@ -79,7 +81,7 @@
 
 func newWorker(e WorkerEntry) *worker {
 	return &worker{
-		id: e.ID, entry: e, full: e.Capacity, lost: make(map[attemptKey]struct{}), throttle: throttleState{percent: fullSpeed, others: fullSpeed},
+		id: e.ID, entry: e, full: e.Capacity, lost: make(map[attemptKey]struct{}), still: make(map[attemptKey]stillness), throttle: throttleState{percent: fullSpeed, others: fullSpeed},
 	}
 }
 
