Tell in job explain which workers ended under a job's tasks

The reason of 'attempt lost' is plain again, so that equal ones are counted together; how long an attempt was seen to run stands in 'crash counted', with all crashes that count against the task.

--- a/cli/jobexplain.go
+++ b/cli/jobexplain.go
@@ -102,6 +102,9 @@
 		if s.HeldBack != "" {
 			fmt.Fprintf(w, "step %s is held back: %s\n", s.Name, s.HeldBack)
 		}
+		for _, c := range s.Crashes {
+			fmt.Fprintf(w, "workers have ended under task %s\n", c)
+		}
 	}
 }
 
--- a/core/joblog/explain.go
+++ b/core/joblog/explain.go
@@ -357,6 +357,7 @@
 		}
 	}
 	e.explainFailures(e.with(MessageEnded))
+	e.explainCrashes(e.with(MessageCrashCounted))
 }
 
 // reasonFailed is the reason of an attempt that ended by failing.
@@ -382,6 +383,20 @@
 	}
 }
 
+// explainCrashes says of which tasks attempts ended with their workers, and what was
+// known of these ends in the end.
+func (e *explainer) explainCrashes(counted []Line) {
+	last := make(map[string]Line)
+	count := make(map[string]int)
+	for _, l := range counted {
+		last[l.Task] = l
+		count[l.Task]++
+	}
+	for _, task := range slices.Sorted(maps.Keys(last)) {
+		e.find("task %s ended with its worker %d time(s), the last at %s: %s", task, count[task], Clock(last[task].Time), last[task].Reason)
+	}
+}
+
 func byReason(lines []Line) string {
 	counts := make(map[string]int)
 	for _, l := range lines {
--- a/core/joblog/joblog_test.go
+++ b/core/joblog/joblog_test.go
@@ -129,6 +129,19 @@
 	}
 }
 
+func TestExplainTellsOfCrashes(t *testing.T) {
+	at := time.Unix(0, 0)
+	task := string(failedJob) + ".0.0.3"
+	found := strings.Join(Explain([]Line{
+		{Time: at, Message: MessageTakenIn, Job: failedJob, Daemon: "a"},
+		{Time: at.Add(time.Second), Message: MessageCrashCounted, Job: failedJob, Task: task, Attempt: 1, Reason: "attempt 1 seen for 0s"},
+		{Time: at.Add(4 * time.Second), Message: MessageCrashCounted, Job: failedJob, Task: task, Attempt: 2, Reason: "attempt 1 seen for 0s, attempt 2 seen for 0s"},
+	}, failedJob).Findings, "; ")
+	if !strings.Contains(found, "task "+task+" ended with its worker 2 time(s)") || !strings.Contains(found, "attempt 2 seen for 0s") {
+		t.Errorf("findings: %s", found)
+	}
+}
+
 // TestExplainTellsOfGaps: lines that were left out or dropped may have held the
 // cause, so that an explanation without them must say so.
 func TestExplainTellsOfGaps(t *testing.T) {
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		m.crashed(a)
-		m.loseAttempt(a, fmt.Sprintf("%s; seen to run for %s", reason, a.seenFor()))
+		m.loseAttempt(a, reason)
 		m.prepareRestart(a.task)
 	}
 }
--- a/core/jobsched/inspect.go
+++ b/core/jobsched/inspect.go
@@ -42,7 +42,9 @@
 	// not known.
 	HeldUntil time.Time `json:"heldUntil,omitzero"`
 	// HeldBack says what is waited for where a task of the step may run elsewhere.
-	HeldBack string        `json:"heldBack,omitempty"`
+	HeldBack string `json:"heldBack,omitempty"`
+	// Crashes tells of the workers that have ended under tasks, a line for each task.
+	Crashes  []string      `json:"crashes,omitempty"`
 	Attempts []AttemptView `json:"attempts,omitempty"`
 }
 
@@ -116,6 +118,9 @@
 		for _, a := range t.attempts {
 			view.Attempts = append(view.Attempts, a.view())
 		}
+		if len(t.crashes) > 0 {
+			view.Crashes = append(view.Crashes, t.key().String()+": "+describeCrashes(t.crashes))
+		}
 	}
 	if view.Waiting > 0 && view.Blocked == 0 {
 		view.RuledOut = m.ruledOut(s)
