Play tasks that crash their workers in the stand-in and the soak

The soak killed daemons and lost workers for good; no task ended its worker, and none came back. Checked: no further start after the rule's last one, nobody else's job is failed, each is over in the end.

Such jobs go on with it when the other faults are over, so that these runs have 25 s more.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -41,6 +41,8 @@
 	steps []int
 	// longRunning is whether its tasks run until it is canceled; it has one step.
 	longRunning bool
+	// crashing is whether its only task crashes each worker that starts it.
+	crashing bool
 
 	mu         sync.Mutex
 	fate       fate
@@ -111,6 +113,9 @@
 	if j.longRunning {
 		return c.client.SubmitLongRunning(c.anyone(rnd), j.id, j.steps[0])
 	}
+	if j.crashing {
+		return c.client.SubmitCrashing(c.anyone(rnd), j.id)
+	}
 	return c.client.Submit(c.anyone(rnd), j.id, j.steps)
 }
 
@@ -192,7 +197,9 @@
 	switch {
 	case state == job.Canceled && j.cancelSentAt.IsZero():
 		r.add("job %s is canceled, and nobody asked for it", j.id)
-	case state == job.Failed:
+	case state == job.Completed && j.crashing:
+		r.add("job %s is told as completed, and its task never is", j.id)
+	case state == job.Failed && !j.crashing:
 		r.add("job %s is told as failed, and none of its tasks can fail", j.id)
 	}
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -49,7 +49,10 @@
 	for _, j := range jobs {
 		byID[j.id] = j
 	}
-	h := history{report: r, jobs: byID, done: make(map[string]bool), settled: make(map[string]bool)}
+	h := history{
+		report: r, jobs: byID, done: make(map[string]bool), settled: make(map[string]bool),
+		crashes: make(map[string]int), further: make(map[string]int),
+	}
 	for _, e := range events {
 		h.take(e)
 	}
@@ -64,6 +67,9 @@
 	jobs    map[string]*submitted
 	done    map[string]bool
 	settled map[string]bool
+	// crashes counts the workers that a task has crashed, further its starts since
+	// that were as many as may be.
+	crashes, further map[string]int
 }
 
 func (h *history) take(e standin.AuditEvent) {
@@ -72,8 +78,11 @@
 		h.done[e.Task] = true
 	case standin.AuditSettled:
 		h.settled[e.Task] = true
+	case standin.AuditCrashed:
+		h.crashes[e.Task]++
 	case standin.AuditStarted:
 		h.started(e)
+		h.startedAgain(e)
 	}
 }
 
@@ -104,6 +113,24 @@
 	}
 }
 
+const (
+	// crashesMost is how many workers a task may have crashed before its further
+	// starts count, furtherMost how many of these there may be, by the users' rule.
+	crashesMost = 3
+	furtherMost = 2
+)
+
+// startedAgain checks a start against the workers that the task has crashed.
+func (h *history) startedAgain(e standin.AuditEvent) {
+	if h.crashes[e.Task] < crashesMost {
+		return
+	}
+	h.further[e.Task]++
+	if h.further[e.Task] > furtherMost {
+		h.report.add("%s was started %d times more after it had crashed %d workers", e.Task, h.further[e.Task], crashesMost)
+	}
+}
+
 // end checks what has become of a job.
 func (h *history) end(j *submitted) {
 	switch {
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -39,9 +39,11 @@
 	// listed are the workers that are there to stay.
 	listed []string
 	// stays are the times in which each worker was one of them.
-	stays  map[string]*span
-	added  int
-	queues []standin.Queue
+	stays map[string]*span
+	added int
+	// returns counts the workers that came back from a crash.
+	returns int
+	queues  []standin.Queue
 	// unplanned are the times in which a drawn fault was under way.
 	unplanned []*span
 }
@@ -53,6 +55,7 @@
 		stays: make(map[string]*span), queues: []standin.Queue{standin.JobsQueue()},
 	}
 	d.site.Configure(d.queues...)
+	d.site.OnCrash = d.crashed
 	d.mu.Lock()
 	for range workerCount {
 		d.addWorker()
--- a/soak/run.go
+++ b/soak/run.go
@@ -20,6 +20,8 @@
 	// Planned leaves all faults out but the series of planned work, which then
 	// follow each other without a pause.
 	Planned bool
+	// Crashing adds a caller whose jobs crash their workers.
+	Crashing bool
 }
 
 // linger is how long long-running jobs stay after the last fault: until each of
@@ -102,10 +104,14 @@
 	}
 	keeper := newCaller(d, o.Seed, callerCount)
 	callers.Go(func() { keeper.keep(ctx, calling, o.linger()) })
+	crasher := newCaller(d, o.Seed, callerCount+1)
+	if o.Crashing {
+		callers.Go(func() { crasher.crash(ctx, calling) })
+	}
 	faulty.Wait()
 	d.calm()
 	callers.Wait()
-	jobs := keeper.jobs
+	jobs := append(keeper.jobs, crasher.jobs...)
 	for _, c := range list {
 		jobs = append(jobs, c.jobs...)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,6 +14,7 @@
 	freshSeeds = flag.Int("seeds", 0, "how many fresh seeds TestFresh plays")
 	firstSeed  = flag.Uint64("first", 1, "the first of them")
 	planned    = flag.Bool("planned", false, "play nothing in them but the planned series")
+	crashes    = flag.Bool("crashing", false, "add jobs to them that crash their workers")
 	length     = flag.Duration("length", 20*time.Second, "how long faults come in each of them")
 	keep       = flag.String("keep", "", "folder that keeps the daemons' logs of seeds that failed")
 )
@@ -23,6 +24,9 @@
 	ciLength = 8 * time.Second
 	// settle is beyond what all jobs of a run take after its last fault.
 	settle = 25 * time.Second
+	// crashingSettle is what jobs that crash their workers take until all are given
+	// up: they go on with it when the other faults are over.
+	crashingSettle = 25 * time.Second
 	// plannedLength is how long the planned series come in TestPlannedWork. With
 	// the wait for the last run of a long-running task after it, the test stays
 	// below half a minute.
@@ -58,6 +62,9 @@
 func play(t *testing.T, o Options) {
 	dir := t.TempDir()
 	o.Binary, o.Dir, o.Settle = program, dir, settle
+	if o.Crashing {
+		o.Settle += crashingSettle
+	}
 	result, err := Run(o)
 	if err != nil {
 		t.Fatal(err)
@@ -125,13 +132,23 @@
 	play(t, Options{Seed: plannedSeed, Length: plannedLength, Planned: true})
 }
 
+// TestCrashingTasks plays jobs that crash their workers beside all other faults.
+//
+// Symptom: a task was started 79 times, each time on a worker that crashed, with
+// all that ran there. Cause: nobody counted the ends of workers against the tasks
+// that ran on them.
+func TestCrashingTasks(t *testing.T) {
+	t.Parallel()
+	play(t, Options{Seed: 1, Length: ciLength, Crashing: true})
+}
+
 // TestFresh plays seeds by hand.
 func TestFresh(t *testing.T) {
 	for i := range *freshSeeds {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, Options{Seed: seed, Length: *length, Planned: *planned})
+			play(t, Options{Seed: seed, Length: *length, Planned: *planned, Crashing: *crashes})
 		})
 	}
 }
--- a/standin/platform/audit.go
+++ b/standin/platform/audit.go
@@ -23,9 +23,11 @@
 	AuditStopped
 	// AuditLost: a run ended with its worker.
 	AuditLost
+	// AuditCrashed: a run has crashed its worker; AuditLost follows.
+	AuditCrashed
 )
 
-var auditNames = [...]string{"started", "done", "settled", "stopped", "lost"}
+var auditNames = [...]string{"started", "done", "settled", "stopped", "lost", "crashed"}
 
 // String returns the kind's name.
 func (k AuditKind) String() string { return auditNames[k] }
--- a/standin/platform/caller.go
+++ b/standin/platform/caller.go
@@ -59,6 +59,15 @@
 	return c.submit(address, id, longRunning, []step{s})
 }
 
+// SubmitCrashing submits a job with one task that crashes each worker that starts
+// it, and returns the status of the answer.
+func (c *Caller) SubmitCrashing(address, id string) (int, error) {
+	return c.submit(address, id, crashing, []step{newStep(1)})
+}
+
+// crashing is the specification by which a worker knows tasks that crash it.
+const crashing = "crashing"
+
 // longRunning is the specification by which a worker knows long-running tasks.
 const longRunning = "long-running"
 
--- a/standin/platform/site.go
+++ b/standin/platform/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"sync/atomic"
@@ -49,6 +50,9 @@
 	Store *Store
 	// Audit sees every start and end at the workers.
 	Audit *Audit
+	// OnCrash is called when a task has crashed a worker, before what ran there is
+	// lost; nil if no task does. It must call LoseWorker.
+	OnCrash func(id string)
 	// Workers are those that were added, by id.
 	Workers map[string]*SiteWorker
 
@@ -62,7 +66,9 @@
 	// Address is the one that it is listed with: its own, or a proxy's.
 	Address string
 	server  *httptest.Server
-	labels  []string
+	// serves is the incarnation that answers at the server.
+	serves *atomic.Pointer[Worker]
+	labels []string
 }
 
 // OwnAddress returns the address at which it serves.
@@ -101,14 +107,35 @@
 // AddWorker starts a worker with 16 cores whose tasks take taskTime, or run
 // until they are stopped when that is 0, and lists it.
 func (s *Site) AddWorker(id string, taskTime time.Duration, labels ...string) *SiteWorker {
-	w := &SiteWorker{Worker: NewWorker(id, taskTime, s.Audit), labels: append([]string{"a", "r1"}, labels...)}
-	w.server = httptest.NewServer(w.Worker)
+	w := &SiteWorker{
+		Worker: NewWorker(id, taskTime, s.Audit), serves: new(atomic.Pointer[Worker]),
+		labels: append([]string{"a", "r1"}, labels...),
+	}
+	w.OnCrash = s.OnCrash
+	w.serves.Store(w.Worker)
+	w.server = httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		w.serves.Load().ServeHTTP(out, r)
+	}))
 	w.Address = w.OwnAddress()
 	s.Workers[id] = w
 	s.List(id)
 	return w
 }
 
+// Return has another incarnation of a worker that was lost come at its address,
+// with an id of its own.
+func (s *Site) Return(lost, id string) {
+	old := s.Workers[lost]
+	w := &SiteWorker{
+		Worker: NewWorker(id, old.TaskTime, s.Audit), Address: old.Address, server: old.server,
+		serves: old.serves, labels: old.labels,
+	}
+	w.OnCrash = s.OnCrash
+	w.serves.Store(w.Worker)
+	s.Workers[id] = w
+	s.List(id)
+}
+
 // List lists a worker as ready.
 func (s *Site) List(id string) { s.enter(id, entryReady) }
 
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -15,6 +15,9 @@
 	TaskTime time.Duration
 	// Audit is told of every start and end; it may be nil.
 	Audit *Audit
+	// OnCrash is called with the worker's id when a task crashes it: who made the
+	// worker ends it then.
+	OnCrash func(id string)
 
 	mu       sync.Mutex
 	began    time.Time
@@ -135,20 +138,39 @@
 	}
 }
 
-// noEnd is longer than any test.
-const noEnd = time.Hour
+const (
+	// noEnd is longer than any test.
+	noEnd = time.Hour
+	// crashTime is how long a task runs before it crashes its worker.
+	crashTime = 10 * time.Millisecond
+)
 
 func (w *Worker) begin(o order) {
 	r := &run{task: o.Task, number: o.Run, began: time.Now(), life: w.TaskTime}
 	if o.Specification == longRunning {
 		r.life = 0
 	}
+	if o.Specification == crashing {
+		r.life = noEnd
+		time.AfterFunc(crashTime, func() { w.crashUnder(r) })
+	}
 	w.starts++
 	w.running[o.Task] = r
 	w.Audit.note(AuditStarted, o.Task, w.ID)
 	r.timer = time.AfterFunc(cmp.Or(r.life, noEnd), func() { w.finish(r, "done") })
 }
 
+// crashUnder ends the worker, if it still has the run.
+func (w *Worker) crashUnder(r *run) {
+	w.mu.Lock()
+	runs := w.running[r.task] == r
+	w.mu.Unlock()
+	if runs && w.OnCrash != nil {
+		w.Audit.note(AuditCrashed, r.task, w.ID)
+		w.OnCrash(w.ID)
+	}
+}
+
 func (w *Worker) finish(r *run, how string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
