--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -65,6 +65,8 @@
 	// crashing draws which jobs have tasks that crash their workers, and which
 	// workers crash for other reasons on a day; nil for none.
 	crashing *rand.Rand
+	// restartTime is what a crashed worker takes to come back; 0 for the usual.
+	restartTime time.Duration
 	// restarts counts the incarnations that came after a crash.
 	restarts    int
 	machineTime time.Duration
--- a/core/jobsched/crash_test.go
+++ b/core/jobsched/crash_test.go
@@ -72,6 +72,19 @@
 	}
 }
 
+// Workers that a task had crashed came back only when their leases had ended, so
+// that the task was given up as unheard of, and started again without end.
+func TestTaskThatCrashesWorkersThatReturnLate(t *testing.T) {
+	for _, after := range crashDelays {
+		t.Run(after.String(), func(t *testing.T) {
+			playCrasher(t, after, 5, func(c *cluster) {
+				c.restartTime = 10 * time.Second
+				c.run(100 * time.Millisecond)
+			})
+		})
+	}
+}
+
 func calmTime(c *cluster) { c.run(100 * time.Millisecond) }
 
 // A task that crashes each worker that starts it was started again without end.
--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -1,6 +1,7 @@
 package jobsched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -126,7 +127,7 @@
 func (c *cluster) restart(w *fakeWorker) {
 	w.crash()
 	c.after(entryLife, func() { w.listed = false })
-	c.after(restartTime, func() {
+	c.after(cmp.Or(c.restartTime, restartTime), func() {
 		next := c.addWorker(firstRestart + c.restarts)
 		c.restarts++
 		next.entry.Address, next.entry.Machine, next.entry.Capacity = w.entry.Address, w.entry.Machine, w.entry.Capacity
