Count trials that are not heard of again shortly after their start

A task that crashes its workers three seconds after the start was started without end where workers come back only after ten: the leases had ended, the attempt was given up for silence, and that counted only within 0.6 s of the start. A trial of which nothing is heard any more counts within four seconds now, the time after which a crash is not put down to the start.

--- a/core/jobsched/silence.go
+++ b/core/jobsched/silence.go
@@ -39,7 +39,7 @@
 	crashed := m.succeeded(w)
 	for _, a := range w.attempts.All() {
 		if all || a.longRunning || a.task == nil {
-			if crashed || a.onTrial() {
+			if crashed || a.mayHaveCrashed() {
 				m.crashed(a)
 			}
 			m.loseAttempt(a, "its lease ran out without an answer")
--- a/core/jobsched/trial.go
+++ b/core/jobsched/trial.go
@@ -68,6 +68,12 @@
 // leaders only.
 func (t *task) unknown() bool { return t.idle() && !t.known }
 
+// mayHaveCrashed reports whether an attempt of which nothing is heard any more is to
+// count as ended with its worker: a trial shortly after its start.
+func (a *attempt) mayHaveCrashed() bool {
+	return a.task != nil && a.task.trial.number > 0 && a.seenFor() < longRun
+}
+
 // settleInherited settles a trial of an earlier leader of which no worker tells,
 // though nothing is waited for any more. If its worker has ended, it has ended with
 // it. One that names no worker may have, if any worker has ended unseen.
--- a/core/jobsched/watched.go
+++ b/core/jobsched/watched.go
@@ -69,11 +69,7 @@
 // onTrial reports whether the attempt may still crash its worker, as earlier ones
 // of its task did or may have done.
 func (a *attempt) onTrial() bool {
-	t := a.task
-	if t == nil || t.trial.number == 0 && len(t.crashes) == 0 {
-		return false
-	}
-	return a.seenFor() < t.trialTime()
+	return a.seenFor() < a.task.trialTime()
 }
 
 // lookAtTrials notes for the workers which of them have attempts on trial.
