--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -138,7 +138,6 @@
 // all that ran there. Cause: nobody counted the ends of workers against the tasks
 // that ran on them.
 func TestCrashingTasks(t *testing.T) {
-	t.Parallel()
 	play(t, Options{Seed: 1, Length: ciLength, Crashing: true})
 }
 
