Look for a VM's next incarnation only where an attempt is lost; say things once

While a worker was silent beyond its lease, each step of the leader looked at all workers for another incarnation of its VM; that is asked only for an attempt that is being lost. The sizes of VMs are gathered in one pass over the workers for a list, in place of one for each new worker.

What must be stored before a restart is prepared where attempts are lost, and what each commit tells of lost rosters and unseen crashes where commits are made. The workers with trials are no longer kept in a list. The end of startTasks is a switch. The log said "its start unanswered" also of a worker that had announced its end.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -119,7 +119,8 @@
 	// Unsure is set when the attempt may never have run, as its start was not
 	// answered, or its worker may have left as announced.
 	Unsure bool `json:"unsure,omitempty"`
-	// Several is whether several other workers ended at about the same time.
+	// Several is whether several other workers ended at about the same time, without an
+	// attempt of the task's step.
 	Several bool `json:"several,omitempty"`
 }
 
--- a/core/joblog/explain.go
+++ b/core/joblog/explain.go
@@ -309,13 +309,21 @@
 	}
 }
 
+// lastByTask returns the last of some lines about each task or step, and how many
+// there are.
+func lastByTask(lines []Line) (last map[string]Line, count map[string]int) {
+	last, count = make(map[string]Line), make(map[string]int)
+	for _, l := range lines {
+		last[l.Task] = l
+		count[l.Task]++
+	}
+	return last, count
+}
+
 // explainWaits tells the last wait of each step: it is the longest, and says
 // what ruled the workers out.
 func (e *explainer) explainWaits() {
-	last := make(map[string]Line)
-	for _, l := range e.with(MessageStepWaits) {
-		last[l.Task] = l
-	}
+	last, _ := lastByTask(e.with(MessageStepWaits))
 	for _, step := range slices.Sorted(maps.Keys(last)) {
 		e.find("step %s waited at %s %s", step, Clock(last[step].Time), last[step].Reason)
 	}
@@ -324,12 +332,7 @@
 // explainHolds tells, for each step or task that was held back, how often that was
 // noted and the last reason, with the worker that was waited for.
 func (e *explainer) explainHolds() {
-	last := make(map[string]Line)
-	count := make(map[string]int)
-	for _, l := range e.with(MessageHeldBack) {
-		last[l.Task] = l
-		count[l.Task]++
-	}
+	last, count := lastByTask(e.with(MessageHeldBack))
 	for _, step := range slices.Sorted(maps.Keys(last)) {
 		l := last[step]
 		worker := ""
@@ -386,12 +389,7 @@
 // explainCrashes says of which tasks attempts ended with their workers, and what was
 // known of these ends in the end.
 func (e *explainer) explainCrashes(counted []Line) {
-	last := make(map[string]Line)
-	count := make(map[string]int)
-	for _, l := range counted {
-		last[l.Task] = l
-		count[l.Task]++
-	}
+	last, count := lastByTask(counted)
 	for _, task := range slices.Sorted(maps.Keys(last)) {
 		e.find("task %s ended with its worker %d time(s), the last at %s: %s", task, count[task], Clock(last[task].Time), last[task].Reason)
 	}
--- a/core/jobsched/commit.go
+++ b/core/jobsched/commit.go
@@ -99,7 +99,9 @@
 
 // newCommit returns the next commit, with as many records as it has room for.
 func (m *Machine) newCommit() Commit {
-	commit := Commit{Number: m.commit.number + 1, Summary: m.summary()}
+	commit := Commit{
+		Number: m.commit.number + 1, Summary: m.summary(), UnseenCrash: m.crashUnseen(), RosterLostLeft: m.rosterLostLeft(),
+	}
 	m.commit.jobs = m.fillCommit(&commit)
 	return commit
 }
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -107,7 +107,6 @@
 		}
 		m.crashed(a)
 		m.loseAttempt(a, reason)
-		m.prepareRestart(a.task)
 	}
 }
 
@@ -299,7 +298,7 @@
 			text += "seen for " + (time.Duration(c.SeenMs) * time.Millisecond).String()
 		}
 		if c.Unsure {
-			text += ", its start unanswered"
+			text += ", perhaps not there"
 		}
 		if c.Several {
 			text += " as other workers ended too"
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -75,11 +75,10 @@
 	unseenCrash bool
 	// recentCrashes holds the workers that have crashed lately.
 	recentCrashes []workerCrash
-	// trials holds the attempts of tasks that are watched, workersOnTrial the workers
-	// with such on trial, triedAlone how many tasks are tried alone.
-	trials         ordered.Map[*attempt, struct{}]
-	workersOnTrial []*worker
-	triedAlone     int
+	// trials holds the attempts of tasks that are watched, triedAlone counts the tasks
+	// that are tried alone.
+	trials     ordered.Map[*attempt, struct{}]
+	triedAlone int
 	// stops holds the attempts whose stop has not been acknowledged.
 	stops ordered.Map[*attempt, struct{}]
 	// sweptAt is when every attempt was looked at last.
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -143,7 +143,6 @@
 	case a.worker.over:
 		m.crashed(a)
 		m.loseAttempt(a, "its worker has ended since")
-		m.prepareRestart(a.task)
 	case v == VerdictDone:
 		m.attemptRuns(a)
 	default:
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -185,8 +185,6 @@
 // addRosterAge adds to a commit whether the statements of the stored roster stand,
 // and how old they are.
 func (m *Machine) addRosterAge(commit *Commit) {
-	commit.UnseenCrash = m.crashUnseen()
-	commit.RosterLostLeft = m.rosterLostLeft()
 	commit.RosterStands = m.roster.stands || commit.Roster != nil
 	if commit.RosterStands {
 		commit.RosterAge = m.now.Sub(m.roster.sentAt)
@@ -219,8 +217,6 @@
 	m.dropTrials()
 	commit := m.newCommit()
 	commit.Learned = m.learner.Export()
-	commit.UnseenCrash = m.crashUnseen()
-	commit.RosterLostLeft = m.rosterLostLeft()
 	for _, l := range m.rosterLines(m.lastMarkOf) {
 		commit.Roster = append(commit.Roster, l.entry)
 	}
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -235,22 +235,19 @@
 			result = startsWait
 			continue
 		}
-		if !full && m.startSomewhere(t, &places) {
-			continue
-		}
-		if t.trial.awaited() {
+		switch {
+		case !full && m.startSomewhere(t, &places):
+		case t.trial.awaited():
 			result = max(result, startsUnstored)
-			continue
-		}
-		if t.watched() {
+		case t.watched():
 			// It is restricted to other workers than the rest of the step.
 			result = startsWait
 			m.preempt(t)
-			continue
-		}
-		result, full = startsWait, true
-		if !m.preempt(t) {
-			break
+		default:
+			result, full = startsWait, true
+			if !m.preempt(t) {
+				return result
+			}
 		}
 	}
 	return result
--- a/core/jobsched/silence.go
+++ b/core/jobsched/silence.go
@@ -36,15 +36,14 @@
 // else those that are never done.
 func (m *Machine) giveUp(w *worker) {
 	all := w.endsWithLease() || !m.now.Before(w.leaseBound.Add(w.patience()))
-	crashed := m.succeeded(w)
 	for _, a := range w.attempts.All() {
-		if all || a.longRunning || a.task == nil {
-			if crashed || a.mayHaveCrashed() {
-				m.crashed(a)
-			}
-			m.loseAttempt(a, "its lease ran out without an answer")
-			m.prepareRestart(a.task)
+		if !all && !a.longRunning && a.task != nil {
+			continue
 		}
+		if a.mayHaveCrashed() || m.succeeded(w) {
+			m.crashed(a)
+		}
+		m.loseAttempt(a, "its lease ran out without an answer")
 	}
 }
 
--- a/core/jobsched/watched.go
+++ b/core/jobsched/watched.go
@@ -74,10 +74,10 @@
 
 // lookAtTrials notes for the workers which of them have attempts on trial.
 func (m *Machine) lookAtTrials() {
-	for _, w := range m.workersOnTrial {
+	for _, w := range m.workers.All() {
 		w.trials, w.triedAlone = 0, false
 	}
-	m.workersOnTrial, m.triedAlone = m.workersOnTrial[:0], 0
+	m.triedAlone = 0
 	for a := range m.trials.All() {
 		if a.task.watched() && a.onTrial() {
 			m.countTrial(a.task, a.worker)
@@ -88,7 +88,6 @@
 // countTrial notes that a task is on trial on a worker, or is about to be.
 func (m *Machine) countTrial(t *task, w *worker) {
 	w.trials++
-	m.workersOnTrial = append(m.workersOnTrial, w)
 	if t.alone() {
 		w.triedAlone = true
 		m.triedAlone++
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -18,11 +18,12 @@
 		w.listed = false
 	}
 	usable, unusable := m.judge(list)
+	sizes := m.fullSizes()
 	for _, e := range usable {
 		w := m.workers.Get(e.ID)
 		if w == nil {
 			w = newWorker(e)
-			m.inheritSize(w)
+			w.full = w.full.Max(sizes[e.Machine])
 			m.workers.Set(e.ID, w)
 			m.emit(Note{Decision: "worker found", Worker: e.ID, Reason: "address " + e.Address + ", rack " + string(e.Rack)})
 		}
@@ -44,17 +45,15 @@
 	}
 }
 
-// inheritSize takes the full capacity of a worker's VM over from its earlier
-// incarnation.
-func (m *Machine) inheritSize(w *worker) {
-	if w.entry.Machine == "" {
-		return
-	}
-	for _, earlier := range m.workers.All() {
-		if earlier.entry.Machine == w.entry.Machine {
-			w.full = w.full.Max(earlier.full)
+// fullSizes returns the full capacities of the VMs that are known.
+func (m *Machine) fullSizes() map[string]model.Resources {
+	sizes := make(map[string]model.Resources, m.workers.Len())
+	for _, w := range m.workers.All() {
+		if vm := w.entry.Machine; vm != "" {
+			sizes[vm] = sizes[vm].Max(w.full)
 		}
 	}
+	return sizes
 }
 
 // earlierLeasesEnd returns when nothing runs any more under a lease that an
@@ -117,17 +116,18 @@
 }
 
 // departed reports whether a worker has left: it is not on the list, and no attempt
-// may run there. That is enough where another incarnation has followed it. Where no end is awaited from it either, it is enough that it said
-// it would leave, or does not answer. Else, or where it is not known what ran
-// there, it must be silent until its leases have ended.
+// may run there. That is enough where another incarnation has followed it. Where no
+// end is awaited from it either, it is enough that it said it would leave, or does
+// not answer. Else, or where it is not known what ran there, it must be silent until
+// its leases have ended.
 func (m *Machine) departed(w *worker) bool {
 	if !m.listed || w.listed || w.attempts.Len() > 0 {
 		return false
 	}
-	silent := !w.silentSince.IsZero()
 	if w.over {
 		return true
 	}
+	silent := !w.silentSince.IsZero()
 	if !w.unaccounted && w.outstanding() == 0 {
 		return silent || w.entry.Draining
 	}
@@ -141,6 +141,7 @@
 	}
 	m.noteAttempt(joblog.MessageLost, a, reason)
 	m.endAttempt(a, endLost, "")
+	m.prepareRestart(a.task)
 }
 
 func (m *Machine) forget(w *worker) {
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// crashingJobs bounds the time between two jobs that crash their workers, in
+	// crashingLeast and crashingMost bound the time between two jobs that crash their workers, in
 	// milliseconds.
 	crashingLeast, crashingMost = 1500, 4000
 	// returnLeast and returnMost bound the time that a worker takes to come back from
