core/jobsched: start nothing in a cordoned availability zone

Change: CordonsRead brings the zones. A filter keeps tasks off their workers, so all ways to a start pass it; starts wait while the known cordons are too old; a start is sent with a lease that ends within the bound, so that a worker refuses a late one.

--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -37,6 +37,8 @@
 	MessageWorkerCrashed        = "worker crashed"
 	MessageWorkerRestarted      = "worker started again"
 	MessageCrashCounted         = "crash counted"
+	MessageZoneCordoned         = "zone cordoned"
+	MessageCordonLifted         = "cordon lifted"
 	MessageEntryUnusable        = "worker entry unusable"
 	MessageEntryRepaired        = "worker entry good again"
 	MessageEntryGone            = "worker entry gone"
--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -89,6 +89,8 @@
 	// slow makes the leader's steps take time; nil for a leader whose steps take
 	// none.
 	slow *slowLeader
+	// cordons holds the cordoned zones.
+	cordons clusterCordons
 	// damages, if not nil, lists a damaged entry for each unlisted worker, and for
 	// unknown workers.
 	damages *entryDamage
@@ -214,7 +216,8 @@
 	w := &fakeWorker{
 		c: c, listed: true, attempts: make(map[attemptKey]*fakeAttempt), barred: make(map[job.TaskKey]int),
 		entry: WorkerEntry{
-			Incarnation: model.Incarnation{ID: id, StartedMs: c.wall.UnixMilli()}, Machine: "vm-" + string(id), Service: "pool", Address: string(id), Rack: rackOfWorker(i),
+			Incarnation: model.Incarnation{ID: id, StartedMs: c.wall.UnixMilli()}, Machine: "vm-" + string(id), Service: "pool", Address: string(id),
+			Zone: zoneOfWorker(i), Rack: rackOfWorker(i),
 			Labels:   []string{"a", string(rackOfWorker(i))},
 			Capacity: model.Resources{MilliCPU: 16000, MemoryMB: 64000},
 		},
@@ -254,6 +257,7 @@
 	}
 	c.machine = New(c.now, c.epoch, c.options, r)
 	c.list()
+	c.cordons.readAt = time.Time{}
 }
 
 func (c *cluster) list() {
@@ -339,6 +343,7 @@
 	if c.now.UnixMilli()%500 < clusterTick.Milliseconds() {
 		c.list()
 	}
+	c.readCordonsIfDue()
 	if c.slow != nil && !c.slow.begin(c) {
 		return
 	}
--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -137,7 +137,7 @@
 		next := c.addWorker(firstRestart + c.restarts)
 		c.restarts++
 		next.entry.Address, next.entry.Machine, next.entry.Capacity = w.entry.Address, w.entry.Machine, w.entry.Capacity
-		next.entry.Labels, next.entry.Rack = w.entry.Labels, w.entry.Rack
+		next.entry.Labels, next.entry.Zone, next.entry.Rack = w.entry.Labels, w.entry.Zone, w.entry.Rack
 		w.successor = next
 	})
 }
@@ -248,6 +248,7 @@
 	if truth.settled {
 		c.t.Errorf("%s: %s is started on %s after it is done", at, s.Key, w.entry.ID)
 	}
+	c.checkCordon(s, w)
 	truth.lastStart = c.now
 	c.checkCrashes(s.Key, truth)
 	if limit := c.config.Queues["batch"].MaxAttempts; truth.failures >= limit && !step.LongRunning {
--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -9,7 +9,7 @@
 // selective ones run first.
 var (
 	// fitFilters do not depend on what runs on the worker now.
-	fitFilters = []placementFilter{filterUsable, filterService, filterLabel, filterProbation, filterTicket}
+	fitFilters = []placementFilter{filterUsable, filterCordon, filterService, filterLabel, filterProbation, filterTicket}
 	// roomFilters depend on what runs there.
 	roomFilters = []placementFilter{filterRoom, filterSpread, filterTrial, filterInterference}
 )
@@ -107,11 +107,11 @@
 }
 
 // hasLowUtilization reports whether less than lowUtilizationLimit of the processors
-// of usable workers is committed.
+// of the workers that may be given tasks is committed.
 func (m *Machine) hasLowUtilization() bool {
 	var committed, capacity int64
 	for _, w := range m.workers.All() {
-		if w.isUsable(m.now) {
+		if w.isUsable(m.now) && !m.isCordoned(w) {
 			committed += w.committed.MilliCPU
 			capacity += w.entry.Capacity.MilliCPU
 		}
--- a/core/jobsched/hold.go
+++ b/core/jobsched/hold.go
@@ -8,8 +8,8 @@
 	"github.com/guavarill/guavarill/core/model"
 )
 
-// startHold is why a start is held back after a takeover: an earlier leader may
-// have started the task on another worker.
+// startHold is why a start is held back. After a takeover, an earlier leader may have
+// started the task on another worker.
 type startHold struct {
 	// worker is the worker that holds the start back longest; empty if the reason
 	// is not a worker.
@@ -41,6 +41,8 @@
 	switch {
 	case !m.commit.stored:
 		return startHold{reason: "no commit of this leader is stored yet"}
+	case !m.cordonsCurrent():
+		return startHold{reason: "the cordoned zones have not been read " + m.describeCordonAge()}
 	case m.now.Before(m.rosterLostUntil):
 		return startHold{until: m.rosterLostUntil, reason: "the stored roster cannot be read"}
 	case m.unresolved.Len() == 0:
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/guavarill/guavarill/core/cordon"
 	"github.com/guavarill/guavarill/core/interference"
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/model"
@@ -28,6 +29,9 @@
 	KeepFinal time.Duration
 	// ThrottleDelay is how long a throttle takes to have an effect.
 	ThrottleDelay time.Duration
+	// CordonWithin is how soon after a cordon of a zone was stored it must be in
+	// force; 0 if no such time is required.
+	CordonWithin time.Duration
 	// RoundBudget bounds the checks of a worker for a task in one placement round;
 	// 0 means DefaultRoundBudget. A leader with a fraction of a core gets that
 	// fraction of the default.
@@ -76,6 +80,10 @@
 
 	listed bool
 	roster rosterState
+	// cordons holds the zones in which nothing may be started, and cordonLimits how
+	// old that knowledge may be when something is.
+	cordons      cordon.View
+	cordonLimits cordon.Limits
 	// entries tracks the unusable entries of the platform's list.
 	entries entryTracker
 	deposed bool
@@ -160,6 +168,7 @@
 		options: o, epoch: epoch, config: r.Config, now: now, recoveredAt: now,
 		final: make(map[job.ID]time.Time), incarnations: make(map[model.WorkerID]*workerIncarnations), unreadable: make(map[job.ID]*unreadableJob), learner: interference.New(learnerOptions()),
 	}
+	m.cordonLimits = cordon.LimitsFor(o.CordonWithin)
 	m.options.MaxLease = cmp.Or(o.MaxLease, o.Lease)
 	m.options.RoundBudget = cmp.Or(o.RoundBudget, DefaultRoundBudget)
 	m.options.StartsInFlight = cmp.Or(o.StartsInFlight, DefaultStartsInFlight)
@@ -206,6 +215,8 @@
 	switch ev := ev.(type) {
 	case ConfigChanged:
 		m.configChanged(ev.Config)
+	case CordonsRead:
+		m.cordonsRead(ev)
 	case WorkersListed:
 		m.workersListed(ev)
 	case JobAccepted:
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -83,7 +83,7 @@
 	m.noteResumed(t.step.job())
 	m.emit(Start{
 		Order: m.order(w), Key: a.key.task, Attempt: number, Payload: t.step.job().record.Spec.Payload,
-		UntilMs: w.until(m.now, m.options.Lease), Checkpoint: t.startCheckpoint(),
+		UntilMs: w.until(m.now, m.cordonLimits.StartLease(m.options.Lease)), Checkpoint: t.startCheckpoint(),
 		Ticket: t.step.advice.ticket(w.id),
 	})
 	if w.renewAt.After(m.now.Add(renewWait)) {
--- a/core/jobsched/preempt.go
+++ b/core/jobsched/preempt.go
@@ -35,15 +35,20 @@
 }
 
 // dropReservations removes reservations that have expired, whose task has started
-// or is to be tried elsewhere, or whose job is over. It runs only between placement
+// or is to be tried elsewhere, or whose job is over, and all of a worker in a
+// cordoned zone. It runs only between placement
 // rounds, because a round relies on room not increasing.
-func (w *worker) dropReservations(now time.Time) {
+func (m *Machine) dropReservations(w *worker) {
 	if len(w.reserved) == 0 {
 		return
 	}
+	if m.isCordoned(w) {
+		w.reserved = nil
+		return
+	}
 	w.reserved = slices.DeleteFunc(w.reserved, func(r reservation) bool {
 		elsewhere := r.trial && r.task.trial.worker != w.id
-		return !now.Before(r.until) || elsewhere || !r.task.idle() || r.task.step.job().state.Final()
+		return !m.now.Before(r.until) || elsewhere || !r.task.idle() || r.task.step.job().state.Final()
 	})
 }
 
@@ -57,7 +62,7 @@
 			m.startAttempt(t, w, t.last+1)
 			// Otherwise the reservation would count in addition to the attempt for
 			// the following tasks.
-			w.dropReservations(m.now)
+			m.dropReservations(w)
 		}
 	}
 }
--- a/core/jobsched/property_test.go
+++ b/core/jobsched/property_test.go
@@ -251,6 +251,9 @@
 		if c.restarting != nil {
 			c.restartAtRandom()
 		}
+		if c.cordons.rnd != nil {
+			c.cordonAtRandom()
+		}
 	}
 	return ids
 }
@@ -303,6 +306,7 @@
 	c.repairAll()
 	c.loseAnswers, c.delayOrders = 0, 0
 	c.restoreStore()
+	c.endCordons()
 	for _, w := range c.workers {
 		w.partitioned, w.failAll, w.freeze = false, false, false
 		w.listed = !w.dead
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -15,7 +15,7 @@
 func (m *Machine) schedule() {
 	m.countTrials()
 	for _, w := range m.workers.All() {
-		w.dropReservations(m.now)
+		m.dropReservations(w)
 		m.startReserved(w)
 	}
 	if m.pass.begin(m.options.RoundBudget) {
--- a/core/jobsched/waitnote.go
+++ b/core/jobsched/waitnote.go
@@ -52,7 +52,7 @@
 
 // filterNames lists the filters in the order in which ruledOut applies them.
 var filterNames = []namedFilter{
-	{"not usable", filterUsable}, {"other service", filterService}, {"label", filterLabel},
+	{"not usable", filterUsable}, {"zone cordoned", filterCordon}, {"other service", filterService}, {"label", filterLabel},
 	{"on probation", filterProbation}, {"no ticket", filterTicket}, {"no room", filterRoom},
 	{"spread", filterSpread}, {"on trial", filterTrial}, {"would disturb", filterInterference},
 }
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -87,9 +87,10 @@
 // earlier leader may have started its tasks on a worker that has not answered yet,
 // and until the first commit of this leader ends the guarantees of the earlier
 // leader's roster. Jobs accepted after the takeover can have been started elsewhere
-// only while the earlier leader may still have been acting, for LeaderTTL.
+// only while the earlier leader may still have been acting, for LeaderTTL. Nothing is
+// started either while the known cordons of zones may be out of date.
 func (m *Machine) startsHeld(j *jobState) bool {
-	if !m.commit.stored || m.now.Before(m.rosterLostUntil) {
+	if !m.commit.stored || !m.cordonsCurrent() || m.now.Before(m.rosterLostUntil) {
 		return true
 	}
 	if m.unresolved.Len() == 0 {
