--- a/adapter/jobapi/messages.go
+++ b/adapter/jobapi/messages.go
@@ -7,6 +7,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/guavarill/guavarill/core/cordon"
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/jobservice"
 )
@@ -69,6 +70,17 @@
 	StoreSilence time.Duration `json:"storeSilenceNs"`
 	// Peers is the number of other daemons that this daemon knows.
 	Peers int `json:"peers"`
+	// Cordons is what the leader knows of the cordoned availability zones; nil at the
+	// other daemons, and before the leader has read them.
+	Cordons *CordonStatus `json:"cordons,omitempty"`
+}
+
+// CordonStatus is the state of the cordoned availability zones.
+type CordonStatus struct {
+	// Zones maps each cordoned zone to the store revision that cordoned it.
+	Zones cordon.Zones `json:"zones"`
+	// Age is the time since the zones were read.
+	Age time.Duration `json:"ageNs"`
 }
 
 // TooLargeError reports a request body that exceeds the limit.
--- a/cli/job_test.go
+++ b/cli/job_test.go
@@ -12,6 +12,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/guavarill/guavarill/adapter/jobapi"
+	"github.com/guavarill/guavarill/core/cordon"
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/jobsched"
 )
@@ -60,7 +61,7 @@
 			Crashes: []string{jobName + ".0.0.1: attempt 1 seen for 0s"}}},
 	}
 	return jobDaemon(t, map[string]any{
-		"GET /v1/status":                     jobapi.Status{Daemon: "b", Zone: "z2", Ready: true, Leads: true, ConfigVersion: 7, StoreSilence: 3 * time.Millisecond, Peers: 1},
+		"GET /v1/status":                     jobapi.Status{Daemon: "b", Zone: "z2", Ready: true, Leads: true, ConfigVersion: 7, StoreSilence: 3 * time.Millisecond, Peers: 1, Cordons: &jobapi.CordonStatus{Zones: cordon.Zones{"z1": 12, "z3": 9}, Age: time.Second}},
 		"GET /v1/jobs":                       []jobsched.JobView{view},
 		"GET /v1/jobs/" + jobName + "/tasks": view,
 		"GET /v1/jobs/" + jobName:            jobapi.JobState{ID: jobName, State: job.Queued},
--- a/cli/jobexplain.go
+++ b/cli/jobexplain.go
@@ -197,9 +197,9 @@
 		return err
 	}
 	err = c.app.print(statuses, func(w *tabwriter.Writer) {
-		row(w, "DAEMON", "ZONE", "LEADS", "READY", "CONFIGURATION", "STORE SILENT FOR", "PEERS")
+		row(w, "DAEMON", "ZONE", "LEADS", "READY", "CONFIGURATION", "STORE SILENT FOR", "PEERS", "CORDONED ZONES")
 		for _, s := range statuses {
-			row(w, s.Daemon, s.Zone, yesNo(s.Leads), yesNo(s.Ready), s.ConfigVersion, s.StoreSilence.Round(time.Millisecond), s.Peers)
+			row(w, s.Daemon, s.Zone, yesNo(s.Leads), yesNo(s.Ready), s.ConfigVersion, s.StoreSilence.Round(time.Millisecond), s.Peers, cordonedZones(s.Cordons))
 		}
 	})
 	if err != nil {
@@ -222,6 +222,22 @@
 	})
 }
 
+// cordonedZones lists the zones that a daemon knows to be cordoned: "none" if it knows
+// that none is, and nothing if it does not know.
+func cordonedZones(c *jobapi.CordonStatus) string {
+	switch {
+	case c == nil:
+		return ""
+	case len(c.Zones) == 0:
+		return "none"
+	}
+	var names []string
+	for _, zone := range c.Zones.Names() {
+		names = append(names, string(zone))
+	}
+	return strings.Join(names, ",")
+}
+
 func yesNo(b bool) string {
 	if b {
 		return "yes"
--- a/jobservice/leader.go
+++ b/jobservice/leader.go
@@ -32,6 +32,8 @@
 	// handedOverAt is when the daemon last handed leadership over to a larger one, in
 	// nanoseconds of the clock; 0 if it never did.
 	handedOverAt atomic.Int64
+	// cordons is the last reading of the term, nil before the first and without a term.
+	cordons atomic.Pointer[CordonView]
 	// queries are functions that the control goroutine runs on the machine.
 	queries chan func(*jobsched.Machine)
 }
@@ -122,6 +124,7 @@
 	go t.followJobs(run)
 	go t.recheckUnreadableJobs(run)
 	go t.pollWorkers(run)
+	go t.pollCordons(run)
 	go t.followConfig(run)
 	go t.pollMembers(run)
 	l.o.Metrics.leading.Set(1)
--- a/jobservice/metrics.go
+++ b/jobservice/metrics.go
@@ -25,6 +25,8 @@
 	// therefore hold starts back.
 	unansweredWorkers prometheus.Gauge
 	storeLost         prometheus.Counter
+	// cordonedZones is how many zones the leader starts nothing in.
+	cordonedZones prometheus.Gauge
 	// stepTime and eventsWaiting describe the control goroutine, lag is the time from
 	// when a caller's request was stored to the decision that follows from it.
 	stepTime      prometheus.Histogram
@@ -91,6 +93,7 @@
 			Namespace: namespace, Name: "store_lost_total", Help: "Times that callers' requests lost the store.",
 		}),
 	}
+	m.cordonedZones = gauge("cordoned_zones", "Availability zones in which nothing is started, at the leader.")
 	m.configVersion = gauge("configuration_version", "Version of the configuration in force, 0 before the first.")
 	m.configFailures = counter("configuration_read_failures_total", "Reads of the configuration that failed, by whether a part of the answer had come.", "part")
 	m.configWastedBytes = prometheus.NewCounter(prometheus.CounterOpts{
@@ -108,7 +111,7 @@
 	})
 	m.unreadable = newUnreadableRecords(counter("unreadable_records_total", "Changes of stored records that left them unreadable, by kind.", "kind"))
 	r.MustRegister(m.requests, m.requestTime, m.orders, m.orderTime, m.decisions, m.commitTime, m.terms,
-		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.storeLost, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
+		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.storeLost, m.cordonedZones, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
 		m.entriesUnusable, m.entryChanges, m.configVersion, m.configFailures, m.configWastedBytes, configAge)
 	m.setEntries(jobsched.EntryCounts{})
 	return m
--- a/jobservice/options.go
+++ b/jobservice/options.go
@@ -25,6 +25,8 @@
 	Store      port.Store
 	Workers    port.TaskWorkers
 	List       port.WorkerList
+	// Cordons may be nil: then no zone is ever cordoned.
+	Cordons port.CordonReader
 	// Relays may be nil: the leader then sends its orders itself.
 	Relays  RelaySetter
 	Advisor port.Advisor
--- a/port/jobs.go
+++ b/port/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"github.com/guavarill/guavarill/core/cordon"
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/jobsched"
 )
@@ -26,6 +27,12 @@
 	List(ctx context.Context) (jobsched.WorkersListed, error)
 }
 
+// CordonReader reads the availability zones that the operator has cordoned, at least
+// all that were cordoned before the call. Its errors are *CordonError.
+type CordonReader interface {
+	Read(ctx context.Context) (cordon.Zones, error)
+}
+
 // Advisor asks the advice service which workers may run a step.
 type Advisor interface {
 	Advise(ctx context.Context, a jobsched.Advise) jobsched.Advised
@@ -40,6 +47,15 @@
 	Changed() <-chan struct{}
 }
 
+// CordonError is a failure to read the cordoned zones.
+type CordonError struct{ Cause error }
+
+// Error implements error.
+func (e *CordonError) Error() string { return fmt.Sprintf("cordoned zones: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *CordonError) Unwrap() error { return e.Cause }
+
 // WorkerListError is a failure to read the platform's list of workers.
 type WorkerListError struct{ Cause error }
 
