--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -49,6 +49,8 @@
 	// returns counts the workers that came back from a crash.
 	returns int
 	queues  []standin.Queue
+	// cordons are the times in which each zone was cordoned.
+	cordons map[string][]*span
 	// unplanned are the times in which a drawn fault was under way.
 	unplanned []*span
 }
@@ -57,7 +59,7 @@
 func newDeployment(o Options, r *report) (*deployment, error) {
 	d := &deployment{
 		site: standin.NewSite(), report: r, workerWays: make(map[string]*proxy), down: make(map[string]bool), keepIDs: o.Restarting,
-		stays: make(map[string]*span), queues: []standin.Queue{standin.JobsQueue()},
+		stays: make(map[string]*span), cordons: make(map[string][]*span), queues: []standin.Queue{standin.JobsQueue()},
 	}
 	d.site.Configure(d.queues...)
 	d.site.OnCrash = d.crashed
@@ -93,7 +95,7 @@
 func (d *deployment) addWorker() {
 	d.added++
 	id := fmt.Sprintf("worker-%d", d.added)
-	w := d.site.AddWorker(id, taskTimes[d.added%len(taskTimes)])
+	w := d.site.AddWorkerIn(zoneOf(d.added), id, taskTimes[d.added%len(taskTimes)])
 	way, err := newProxy(w.OwnAddress())
 	if err != nil {
 		d.must(err)
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -7,6 +7,7 @@
 //	go test ./soak -run Fresh -seeds 3 -planned      nothing but planned work
 //	go test ./soak -run Fresh -seeds 3 -large        large configurations, slow links
 //	go test ./soak -run Fresh -seeds 3 -restarting   workers that start again under their ids
+//	go test ./soak -run Fresh -seeds 3 -cordoning    zones that are cordoned and reopened
 //
 // Faults come in series and overlap: daemons are killed, stopped, suspended and
 // restarted by signals; proxies on loopback delay, reset, silence or cut one way
--- a/soak/run.go
+++ b/soak/run.go
@@ -24,6 +24,8 @@
 	Crashing bool
 	// Restarting has workers start again under their ids.
 	Restarting bool
+	// Cordoning has zones cordoned and reopened in series.
+	Cordoning bool
 	// Large has every other daemon reach the store over a slow link, and the
 	// configuration grow and shrink by thousands of queues.
 	Large bool
@@ -63,6 +65,9 @@
 	// though nothing excused it, and LongestTask the task.
 	LongestWithout time.Duration
 	LongestTask    string
+	// LatestCordonedStart is the longest time after a zone was cordoned at which a
+	// task was started there.
+	LatestCordonedStart time.Duration
 }
 
 // Run plays a seed. An error is one of the soak itself.
@@ -187,6 +192,7 @@
 	d.checkEnd(jobs)
 	events := d.site.Audit.Events()
 	check(d.report, events, d.site.Audit.Twice(), jobs)
+	result.LatestCordonedStart = d.checkCordons(events)
 	d.checkLongRunning(events, jobs, result)
 	for _, p := range d.daemons {
 		if what := p.failed(); what != "" {
--- a/soak/series.go
+++ b/soak/series.go
@@ -30,6 +30,9 @@
 	if o.Restarting {
 		list = append(list, series{"workers start again under their ids", restartWorkers})
 	}
+	if o.Cordoning {
+		list = append(list, series{"zones cordoned", cordonZones})
+	}
 	return list
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,6 +17,7 @@
 	crashes    = flag.Bool("crashing", false, "add jobs to them that crash their workers")
 	large      = flag.Bool("large", false, "have large configurations in them, and slow links to the store")
 	restarting = flag.Bool("restarting", false, "have workers in them start again under their ids")
+	cordoning  = flag.Bool("cordoning", false, "have zones in them cordoned and reopened")
 	length     = flag.Duration("length", 20*time.Second, "how long faults come in each of them")
 	keep       = flag.String("keep", "", "folder that keeps the daemons' logs of seeds that failed")
 )
@@ -77,6 +78,7 @@
 		result.Jobs, result.Accepted, result.Completed, result.Starts, result.Faults)
 	t.Logf("longest time of a long-running task without a run that nothing excuses: %d ms, %s",
 		result.LongestWithout.Milliseconds(), result.LongestTask)
+	t.Logf("latest start in a cordoned zone: %d ms after the cordon", result.LatestCordonedStart.Milliseconds())
 	for _, broken := range result.Broken {
 		t.Error(broken)
 	}
@@ -165,13 +167,22 @@
 	play(t, Options{Seed: 1, Length: ciLength, Restarting: true})
 }
 
+// TestCordonedZones has zones cordoned and reopened, also twice within a second, with
+// killed leaders among them, beside all other faults.
+//
+// It guards against tasks that are started in a zone after its cordon must be in force.
+func TestCordonedZones(t *testing.T) {
+	t.Parallel()
+	play(t, Options{Seed: 1, Length: ciLength, Cordoning: true})
+}
+
 // TestFresh plays seeds by hand.
 func TestFresh(t *testing.T) {
 	for i := range *freshSeeds {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, Options{Seed: seed, Length: *length, Planned: *planned, Crashing: *crashes, Large: *large, Restarting: *restarting})
+			play(t, Options{Seed: seed, Length: *length, Planned: *planned, Crashing: *crashes, Large: *large, Restarting: *restarting, Cordoning: *cordoning})
 		})
 	}
 }
--- a/standin/platform/caller.go
+++ b/standin/platform/caller.go
@@ -56,7 +56,7 @@
 func (c *Caller) SubmitLongRunning(address, id string, count int) (int, error) {
 	s := newStep(count)
 	s.LongRunning = true
-	return c.submit(address, id, longRunning, []step{s})
+	return c.submit(address, id, LongRunning, []step{s})
 }
 
 // SubmitCrashing submits a job with one task that crashes each worker that starts
@@ -68,8 +68,8 @@
 // crashing is the specification by which a worker knows tasks that crash it.
 const crashing = "crashing"
 
-// longRunning is the specification by which a worker knows long-running tasks.
-const longRunning = "long-running"
+// LongRunning is the specification by which a worker knows long-running tasks.
+const LongRunning = "long-running"
 
 // step is a step of a job on the wire.
 type step struct {
--- a/standin/platform/site.go
+++ b/standin/platform/site.go
@@ -29,12 +29,19 @@
 	entryDraining = "draining"
 )
 
-// The one pool of workers of a Site, and their zone.
+// cordonsPrefix precedes the name of each zone that the operator has closed to starts.
+const cordonsPrefix = "op/evacuate/"
+
+// The one pool of workers of a Site, and the zone of its daemons and of workers that
+// name none.
 const (
 	sitePool = "pool"
 	siteZone = "z"
 )
 
+// CordonWithin is the time within which a cordon must be in force.
+const CordonWithin = 5 * time.Second
+
 // WorkerCPU is what a worker has, in thousandths of a core.
 const WorkerCPU = 16000
 
@@ -68,6 +75,7 @@
 	server  *httptest.Server
 	// serves is the incarnation that answers at the server.
 	serves *atomic.Pointer[Worker]
+	zone   string
 	labels []string
 }
 
@@ -110,8 +118,13 @@
 // AddWorker starts a worker with 16 cores whose tasks take taskTime, or run
 // until they are stopped when that is 0, and lists it.
 func (s *Site) AddWorker(id string, taskTime time.Duration, labels ...string) *SiteWorker {
+	return s.AddWorkerIn(siteZone, id, taskTime, labels...)
+}
+
+// AddWorkerIn starts a worker as AddWorker does, in a zone.
+func (s *Site) AddWorkerIn(zone, id string, taskTime time.Duration, labels ...string) *SiteWorker {
 	w := &SiteWorker{
-		Worker: NewWorker(id, taskTime, s.Audit), serves: new(atomic.Pointer[Worker]),
+		Worker: NewWorker(id, taskTime, s.Audit), serves: new(atomic.Pointer[Worker]), zone: zone,
 		labels: append([]string{"a", "r1"}, labels...),
 	}
 	w.OnCrash = s.OnCrash
@@ -140,7 +153,7 @@
 	old := s.Workers[lost]
 	w := &SiteWorker{
 		Worker: NewWorker(id, old.TaskTime, s.Audit), Address: old.Address, server: old.server,
-		serves: old.serves, labels: old.labels,
+		serves: old.serves, zone: old.zone, labels: old.labels,
 	}
 	w.OnCrash = s.OnCrash
 	w.serves.Store(w.Worker)
@@ -158,11 +171,20 @@
 func (s *Site) enter(id, state string) {
 	w := s.Workers[id]
 	s.Store.Put(entriesPrefix+id, Entry{
-		Service: sitePool, Address: w.Address, Zone: siteZone, Version: "1", Slots: 8, Sequence: 1, State: state, Born: w.Born,
+		Service: sitePool, Address: w.Address, Zone: w.zone, Version: "1", Slots: 8, Sequence: 1, State: state, Born: w.Born,
 		Capacity: map[string]int{"cpu": WorkerCPU, "memMb": 64000}, Labels: w.labels,
 	})
 }
 
+// Zone returns the zone of a worker.
+func (s *Site) Zone(id string) string { return s.Workers[id].zone }
+
+// Cordon asks that nothing be started in a zone any more, with any value.
+func (s *Site) Cordon(zone string, value []byte) { s.Store.PutBytes(cordonsPrefix+zone, value) }
+
+// LiftCordon opens a zone again.
+func (s *Site) LiftCordon(zone string) { s.Store.Delete(cordonsPrefix + zone) }
+
 // Damage writes bytes in the place of an entry, which need not be a worker's.
 func (s *Site) Damage(id string, value []byte) { s.Store.PutBytes(entriesPrefix+id, value) }
 
@@ -199,8 +221,8 @@
 internalPorts: [7720]
 listen: {front: "%s:8161", readiness: "%s:8167"}
 limits: {memoryMb: 284}
-bounds: {maxHoldMs: 3000, stopMs: 400, graceS: 6, status_s: 120, paceMs: 100, configApplyMs: 2000, maxStretchMs: 5000}
+bounds: {maxHoldMs: 3000, stopMs: 400, graceS: 6, status_s: 120, paceMs: 100, configApplyMs: 2000, maxStretchMs: 5000, evacuationMs: %d}
 platform: {address: "%s", minTtlMs: 1000}
 advice: "127.0.0.1:1"
-`, daemon, siteZone, ip, ip, ip, store)
+`, daemon, siteZone, ip, ip, ip, CordonWithin.Milliseconds(), store)
 }
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -172,7 +172,7 @@
 
 func (w *Worker) begin(o order) {
 	r := &run{task: o.Task, number: o.Run, began: time.Now(), life: w.TaskTime}
-	if o.Specification == longRunning {
+	if o.Specification == LongRunning {
 		r.life = 0
 	}
 	if o.Specification == crashing {
