guavarilld: start nothing in a cordoned availability zone

Cause: operators of guavarilld could close a single VM at most, not a zone. Change: owners of shards read the cordons every second and start nothing by an older reading than 5 s; a placement filter, preemption and the room told to other shards leave the zone out; tasks assigned there that do not run yet go elsewhere.

--- a/core/placement/filter_state.go
+++ b/core/placement/filter_state.go
@@ -7,6 +7,7 @@
 	QuarantineFilterName  = "quarantined"
 	LeavingFilterName     = "leaving"
 	UnreachableFilterName = "unreachable"
+	CordonFilterName      = "zone cordoned"
 )
 
 // QuarantineFilter rejects quarantined workers.
@@ -30,6 +31,16 @@
 	return !w.Leaving && w.VM.State != model.VMLeaving
 }
 
+// CordonFilter rejects workers in an availability zone that an operator has
+// cordoned.
+type CordonFilter struct{}
+
+// Name implements Filter.
+func (CordonFilter) Name() string { return CordonFilterName }
+
+// Admit implements Filter.
+func (CordonFilter) Admit(_ *Snapshot, _ *Request, w *Worker) bool { return !w.Cordoned }
+
 // UnreachableFilter rejects workers that do not answer. A task placed on one
 // would hold resources there until its lease is certain to have expired.
 type UnreachableFilter struct{}
--- a/core/placement/filter_state_test.go
+++ b/core/placement/filter_state_test.go
@@ -7,14 +7,15 @@
 	"github.com/guavarill/guavarill/core/model"
 )
 
-// Guards against a task starting on a worker that is quarantined, leaving or
-// unreachable. Each state alone must exclude every task and be named as the
+// Guards against a task starting on a worker that is quarantined, leaving,
+// unreachable or in a cordoned zone. Each state alone must exclude every task and be named as the
 // reason.
 func TestWorkerStateExcludesTasks(t *testing.T) {
 	cases := map[string]func(w *Worker){
 		QuarantineFilterName:  func(w *Worker) { w.Quarantined = true },
 		LeavingFilterName:     func(w *Worker) { w.Leaving = true },
 		UnreachableFilterName: func(w *Worker) { w.Unreachable = true },
+		CordonFilterName:      func(w *Worker) { w.Cordoned = true },
 	}
 	for name, change := range cases {
 		workers := fleet(1, 1, 1, big)
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -70,6 +70,7 @@
 		QuarantineFilter{},
 		LeavingFilter{},
 		UnreachableFilter{},
+		CordonFilter{},
 		RoomFilter{},
 		DefaultFailureDomainFilter(),
 		DefaultSpreadFilter(),
@@ -253,7 +254,7 @@
 		case RoomFilter:
 			dimension, _ := r.Size.Exceeds(w.Free)
 			lacking[dimension]++
-		case QuarantineFilter, LeavingFilter, UnreachableFilter:
+		case QuarantineFilter, LeavingFilter, UnreachableFilter, CordonFilter:
 		default:
 			general = false
 		}
--- a/core/placement/worker.go
+++ b/core/placement/worker.go
@@ -20,8 +20,9 @@
 	Committed model.Resources
 	Tasks     []Resident
 	// Quarantined, Leaving and Unreachable each exclude the worker from new
-	// tasks.
-	Quarantined, Leaving, Unreachable bool
+	// tasks, and so does Cordoned, which is set for all workers of a cordoned
+	// availability zone.
+	Quarantined, Leaving, Unreachable, Cordoned bool
 	// Load is the measured utilization of the processors, from 0 to 1.
 	Load float64
 
@@ -43,7 +44,7 @@
 
 // eligible reports whether the state of w allows new tasks.
 func (w *Worker) eligible() bool {
-	return !w.Quarantined && !w.Leaving && !w.Unreachable && w.VM.State != model.VMLeaving
+	return !w.Quarantined && !w.Leaving && !w.Unreachable && !w.Cordoned && w.VM.State != model.VMLeaving
 }
 
 func (w *Worker) countGroup(g group) {
--- a/core/scheduler/decide.go
+++ b/core/scheduler/decide.go
@@ -32,6 +32,7 @@
 		c.replaceServices()
 	}
 	c.drainLeavingWorkers()
+	c.withdrawFromCordonedZones()
 	c.placePending()
 	return c.plan
 }
--- a/core/scheduler/decide_test.go
+++ b/core/scheduler/decide_test.go
@@ -320,6 +320,35 @@
 	}
 }
 
+// TestUnstartedTasksLeaveACordonedZone guards against tasks that were assigned in a
+// zone before it was cordoned and start there afterwards. What runs there stays.
+func TestUnstartedTasksLeaveACordonedZone(t *testing.T) {
+	w := newWorld(accept(t, nil, teams, service("svc", 2, 1000), batch("job", "a", "normal", 2, 1000)), 2)
+	w.cycle()
+	w.cycle()
+	assigned := len(w.ledger.OnWorker("w0"))
+	w.snapshot.Workers[0].Cordoned = true
+	w.cycle()
+	for _, task := range w.ledger.OnWorker("w0") {
+		if task.State != ledger.Stopping || !task.Resume || task.NotBefore.After(w.snapshot.Now) {
+			t.Errorf("%s is %s", task.Key, task.State)
+		}
+	}
+	for range 20 {
+		w.run()
+		w.cycle()
+	}
+	w.run()
+	if left := len(w.ledger.OnWorker("w0")); assigned == 0 || left != 0 || w.ledger.count(ledger.Running) != 4 {
+		t.Errorf("%d tasks assigned, %d left, %d running", assigned, left, w.ledger.count(ledger.Running))
+	}
+	w.snapshot.Workers[0].Cordoned, w.snapshot.Workers[1].Cordoned = false, true
+	w.cycle()
+	if n := len(w.ledger.OnWorker("w1")); n != 4 || w.ledger.count(ledger.Running) != 4 {
+		t.Errorf("%d of 4 running tasks stay in a zone that was cordoned", n)
+	}
+}
+
 func TestRemovedWorkloadIsStoppedAndDeleted(t *testing.T) {
 	first := accept(t, nil, teams, batch("job", "a", "normal", 6, 2000), batch("other", "a", "normal", 1, 100))
 	w := newWorld(first, 1)
--- a/core/scheduler/doc.go
+++ b/core/scheduler/doc.go
@@ -10,7 +10,8 @@
 //     whose generation was replaced, removed or cancelled are stopped or
 //     deleted.
 //  2. Services whose declaration changed are replaced instance by instance.
-//  3. Tasks on leaving workers are stopped, to be started elsewhere.
+//  3. Tasks on leaving workers, and tasks that have not started in cordoned
+//     availability zones, are stopped, to be started elsewhere.
 //  4. Pending tasks are placed: by priority, and within a priority in turns
 //     between the teams.
 //  5. Urgent tasks that do not fit preempt tasks of lower priority.
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -200,6 +200,7 @@
 		Quarantined: w.Quarantined,
 		Leaving:     w.Leaving,
 		Unreachable: w.Unreachable,
+		Cordoned:    w.Cordoned,
 		Load:        w.Load,
 	}
 	for _, t := range c.snapshot.Ledger.OnWorker(w.VM.ID) {
--- a/core/scheduler/preempt.go
+++ b/core/scheduler/preempt.go
@@ -36,7 +36,7 @@
 	var candidates []eviction.Candidate
 	for i := range p.snapshot.Workers {
 		w := &p.snapshot.Workers[i]
-		if w.Leaving || w.Quarantined || w.Unreachable || w.VM.State == model.VMLeaving {
+		if w.Leaving || w.Quarantined || w.Unreachable || w.Cordoned || w.VM.State == model.VMLeaving {
 			continue
 		}
 		candidates = append(candidates, p.preemptionCandidate(w))
--- a/core/scheduler/replace.go
+++ b/core/scheduler/replace.go
@@ -128,3 +128,22 @@
 		}
 	}
 }
+
+// withdrawFromCordonedZones stops the tasks that are assigned to workers in cordoned
+// availability zones and do not run yet, so that they start elsewhere. No entry sends
+// requests to them, so that they need no time to drain.
+func (c *cycle) withdrawFromCordonedZones() {
+	for i := range c.snapshot.Workers {
+		w := &c.snapshot.Workers[i]
+		if !w.Cordoned {
+			continue
+		}
+		for _, t := range c.snapshot.Ledger.OnWorker(w.VM.ID) {
+			if t.State != ledger.Assigned || c.touched[t.Key] {
+				continue
+			}
+			t.State, t.Resume, t.Reason = ledger.Stopping, true, ReasonCordoned
+			c.put(t)
+		}
+	}
+}
--- a/core/scheduler/snapshot.go
+++ b/core/scheduler/snapshot.go
@@ -46,6 +46,8 @@
 	Leaving     bool
 	Unreachable bool
 	Quarantined bool
+	// Cordoned is set for workers in a cordoned availability zone.
+	Cordoned bool
 	// Load is the measured utilization of the worker's processors, from 0 to
 	// 1.
 	Load float64
--- a/core/scheduler/sync.go
+++ b/core/scheduler/sync.go
@@ -13,6 +13,7 @@
 	ReasonReplaced  = "replaced by a newer declaration"
 	ReasonLeaving   = "worker is leaving"
 	ReasonPreempted = "preempted by urgent work"
+	ReasonCordoned  = "zone cordoned before it started"
 )
 
 // createMissing adds a pending record for each task that the configuration
--- a/core/timeline/kind.go
+++ b/core/timeline/kind.go
@@ -77,6 +77,8 @@
 	WorkerFenced      Kind = "worker refused epoch"
 	WorkerQuarantined Kind = "worker quarantined"
 	WorkerReleased    Kind = "worker released from quarantine"
+	ZoneCordoned      Kind = "zone cordoned"
+	CordonLifted      Kind = "cordon lifted"
 )
 
 // Events of a service's targets and requests. Daemons count requests and record no
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavarill/guavarill/core/config"
+	"github.com/guavarill/guavarill/core/cordon"
 	"github.com/guavarill/guavarill/core/dissemination"
 	"github.com/guavarill/guavarill/core/interference"
 	"github.com/guavarill/guavarill/core/membership"
@@ -62,6 +63,8 @@
 	nextID  uint64
 
 	configWatch configWatch
+	// cordons are the availability zones in which nothing is started.
+	cordons cordon.View
 	// storeRead is whether the stored configuration was read since the start,
 	// peersHeard the daemons that answered since then.
 	storeRead  bool
@@ -93,6 +96,8 @@
 	topoBusy   bool
 	probe      time.Time
 	tables     time.Time
+	cordons    time.Time
+	cordonBusy bool
 }
 
 // tables is what the engine was last given.
--- /dev/null
+++ b/daemon/cordons.go
@@ -0,0 +1,131 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/guavarill/guavarill/core/cordon"
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/storebudget"
+	"github.com/guavarill/guavarill/core/timeline"
+	"github.com/guavarill/guavarill/port"
+)
+
+// cordonLimits bounds the age of the cordons by which tasks are started. Late starts
+// need no limit of their own: a start carries a grant, and workers refuse one whose
+// grant is older than the lease of tasks.
+func (c *control) cordonLimits() cordon.Limits {
+	return cordon.Limits{MaxAge: c.o.Timing.CordonMaxAge}
+}
+
+// cordonsCurrent reports whether the known cordons are recent enough for starts.
+func (c *control) cordonsCurrent(now time.Time) bool {
+	return c.cordons.IsCurrent(now, c.cordonLimits())
+}
+
+// isCordoned reports whether a worker is in a cordoned availability zone.
+func (c *control) isCordoned(w *worker) bool { return c.cordons.IsCordoned(w.vm.Zone) }
+
+// readCordons reads the cordons of all zones.
+func (c *control) readCordons() {
+	requestedAt := c.clock.Now()
+	c.list(storebudget.ClassPoll, c.o.cordonsPrefix(), func(kvs []port.KeyValue, _ int64, err error) event {
+		return cordonsRead{kvs: kvs, err: err, requestedAt: requestedAt}
+	})
+}
+
+// cordonsRead brings the stored cordons.
+type cordonsRead struct {
+	kvs         []port.KeyValue
+	err         error
+	requestedAt time.Time
+}
+
+func (ev cordonsRead) apply(c *control) {
+	c.periods.cordonBusy = false
+	c.periods.cordons = c.clock.Now().Add(c.o.Timing.Cordons)
+	if ev.err != nil {
+		c.log.WithError(ev.err).Debug("cordons not read; reading them again")
+		return
+	}
+	wasCurrent := c.cordonsCurrent(c.clock.Now())
+	change := c.cordons.Update(c.zonesOf(ev.kvs), ev.requestedAt)
+	for _, zone := range change.Cordoned {
+		c.record(timeline.Event{Kind: timeline.ZoneCordoned, Subject: string(zone)})
+	}
+	for _, zone := range change.Lifted {
+		c.record(timeline.Event{Kind: timeline.CordonLifted, Subject: string(zone)})
+	}
+	if wasCurrent && len(change.Cordoned)+len(change.Lifted) == 0 {
+		return
+	}
+	for _, id := range c.sortedShards() {
+		c.shards[id].dirty = true
+		c.shards[id].wishAll()
+	}
+}
+
+// zonesOf returns the zones that the keys name. The values say nothing.
+func (c *control) zonesOf(kvs []port.KeyValue) cordon.Zones {
+	zones := make(cordon.Zones, len(kvs))
+	for _, kv := range kvs {
+		if zone := strings.TrimPrefix(kv.Key, c.o.cordonsPrefix()); zone != "" {
+			zones[model.Zone(zone)] = kv.ModRevision
+		}
+	}
+	return zones
+}
+
+// cordonRequested is an operator's change of the cordon of a zone.
+type cordonRequested struct {
+	zone  model.Zone
+	lift  bool
+	reply chan<- error
+}
+
+func (ev cordonRequested) apply(c *control) {
+	key := c.o.cordonsPrefix() + string(ev.zone)
+	op := port.Op{Key: key, Value: []byte("{}")}
+	if ev.lift {
+		op = port.Op{Key: key, Delete: true}
+	}
+	c.txn(storebudget.ClassCommit, nil, []port.Op{op}, func(_ port.TxnResult, err error) event {
+		return cordonWritten{err: err, reply: ev.reply}
+	})
+}
+
+// cordonWritten is the store's answer to such a change.
+type cordonWritten struct {
+	err   error
+	reply chan<- error
+}
+
+func (ev cordonWritten) apply(c *control) {
+	c.periods.cordons = c.clock.Now()
+	ev.reply <- ev.err
+}
+
+// SetCordon cordons an availability zone or, with lift, opens it again. It returns
+// once the store has the change; to repeat it changes nothing. An error is a
+// *port.StoreError, or a *StoppedError with which the outcome is not known.
+func (d *Daemon) SetCordon(ctx context.Context, zone model.Zone, lift bool) error {
+	reply := make(chan error, 1)
+	d.exec.deliver(cordonRequested{zone: zone, lift: lift, reply: reply})
+	select {
+	case err := <-reply:
+		return err
+	case <-d.ctx.Done():
+		return &StoppedError{Reason: StopEnded}
+	case <-ctx.Done():
+		return &StoppedError{Reason: StopCanceled, Cause: ctx.Err()}
+	}
+}
+
+// CordonNotMade reports whether a change of a cordon that failed with err was
+// certainly not made.
+func CordonNotMade(err error) bool {
+	var failed *port.StoreError
+	return errors.As(err, &failed) && failed.Outcome == port.OutcomeNotDone
+}
--- a/daemon/decide.go
+++ b/daemon/decide.go
@@ -36,10 +36,10 @@
 
 // mayDecide reports whether a decision could be committed now. Decisions made
 // on an old list of VMs, or without a configuration, would be undone by the
-// next one.
+// next one. Without current cordons a task might start in a cordoned zone.
 func (s *shard) mayDecide(now time.Time) bool {
 	full, _ := s.c.mayAct(now, s)
-	return full && s.loaded && s.c.vmsKnown && s.c.config.Current() != nil && !s.c.drain.begun
+	return full && s.loaded && s.c.cordonsCurrent(now) && s.c.vmsKnown && s.c.config.Current() != nil && !s.c.drain.begun
 }
 
 func (s *shard) capacity(id model.WorkerID) (model.Resources, bool) {
@@ -81,6 +81,7 @@
 			VM:          w.vm,
 			Leaving:     w.leaving,
 			Unreachable: w.unreachable,
+			Cordoned:    s.c.isCordoned(w),
 			Quarantined: !s.judge.MayStart(now, id, running),
 			Load:        w.load,
 		})
--- a/daemon/operate.go
+++ b/daemon/operate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/config"
+	"github.com/guavarill/guavarill/core/cordon"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/storebudget"
 	"github.com/guavarill/guavarill/core/timeline"
@@ -125,6 +126,10 @@
 	Owned         []ShardStatus  `json:"owned"`
 	Members       []MemberStatus `json:"members"`
 	WorkersListed int            `json:"workersListed"`
+	// Cordons are the cordoned availability zones, by the store revision that
+	// cordoned each. It is nil while this daemon owns no shard, or has not read
+	// them yet.
+	Cordons cordon.Zones `json:"cordons,omitempty"`
 }
 
 // MemberStatus is one daemon as another sees it.
@@ -156,6 +161,7 @@
 	Tasks       int             `json:"tasks"`
 	Leaving     bool            `json:"leaving,omitempty"`
 	Unreachable bool            `json:"unreachable,omitempty"`
+	Cordoned    bool            `json:"cordoned,omitempty"`
 	Quarantine  string          `json:"quarantine,omitempty"`
 }
 
@@ -187,6 +193,9 @@
 		Shards:        c.topologyCount(),
 		WorkersListed: len(c.vms),
 	}
+	if _, known := c.cordons.Age(c.clock.Now()); known {
+		st.Cordons = c.cordons.Zones()
+	}
 	if notServing != nil {
 		st.Reason = notServing.Error()
 	}
@@ -222,6 +231,7 @@
 			Tasks:       len(contents.OnWorker(id)),
 			Leaving:     w.leaving || w.vm.State == model.VMLeaving,
 			Unreachable: w.unreachable,
+			Cordoned:    s.c.isCordoned(w),
 		}
 		if state := s.judge.State(now, id); state != 0 {
 			ws.Quarantine = state.String()
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -54,6 +54,10 @@
 	ConfigPoll time.Duration
 	// Topology is the time between two reads of the topology.
 	Topology time.Duration
+	// Cordons is the time between two reads of the cordoned availability zones,
+	// and CordonMaxAge how old the last one may be when a task is started.
+	Cordons      time.Duration
+	CordonMaxAge time.Duration
 	// Decide is the longest time between two scheduling cycles of a shard.
 	Decide time.Duration
 	// Tables is the longest time between two updates of the engine's tables.
@@ -77,6 +81,8 @@
 		VMList:         time.Second,
 		ConfigPoll:     30 * time.Second,
 		Topology:       15 * time.Second,
+		Cordons:        time.Second,
+		CordonMaxAge:   5 * time.Second,
 		Decide:         time.Second,
 		Tables:         time.Second,
 		ShareGrowDelay: 3 * time.Second,
@@ -149,3 +155,6 @@
 func (o *Options) manifestHeadKey() string { return o.manifestKey() + "-head" }
 
 func (o *Options) topologyKey() string { return KeyPrefix(o.Identity.Cluster) + "topology" }
+
+// cordonsPrefix precedes the name of each cordoned availability zone.
+func (o *Options) cordonsPrefix() string { return KeyPrefix(o.Identity.Cluster) + "cordons/" }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -30,6 +30,10 @@
 		c.periods.configBusy = true
 		c.pollConfig()
 	}
+	if !c.periods.cordonBusy && !now.Before(c.periods.cordons) && len(c.shards) > 0 {
+		c.periods.cordonBusy = true
+		c.readCordons()
+	}
 	c.keepConfigWatch(now)
 }
 
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -135,7 +135,7 @@
 	var best model.Resources
 	for _, id := range s.sortedWorkers() {
 		w := s.workers[id]
-		if !w.listed || w.leaving || w.unreachable || w.vm.State == model.VMLeaving {
+		if !w.listed || w.leaving || w.unreachable || s.c.isCordoned(w) || w.vm.State == model.VMLeaving {
 			continue
 		}
 		free := w.vm.Capacity.Sub(s.ledger.Effective().Committed(id))
--- a/daemon/worker.go
+++ b/daemon/worker.go
@@ -228,6 +228,9 @@
 	}
 	switch t.State {
 	case ledger.Assigned:
+		if s.c.isCordoned(w) || !s.c.cordonsCurrent(now) {
+			return d
+		}
 		d.Kind = workersession.Start
 		d.Start = s.startRequest(t)
 	case ledger.Stopping:
