--- a/adapter/adminapi/adminapi_test.go
+++ b/adapter/adminapi/adminapi_test.go
@@ -30,6 +30,8 @@
 	current *config.Accepted
 	err     error
 	changes int
+	// cordons lists the changes of cordons, lifted zones with a minus sign.
+	cordons []string
 }
 
 func (d *fakeDaemon) Apply(context.Context, config.ApplyRequest) (config.ApplyResult, error) {
@@ -43,6 +45,15 @@
 func (d *fakeDaemon) Config(context.Context) (*config.Accepted, error) { return d.current, d.err }
 func (d *fakeDaemon) Timeline() []timeline.Event                       { return nil }
 
+func (d *fakeDaemon) SetCordon(_ context.Context, zone model.Zone, lift bool) error {
+	sign := ""
+	if lift {
+		sign = "-"
+	}
+	d.cordons = append(d.cordons, sign+string(zone))
+	return d.err
+}
+
 type fixture struct {
 	daemon   *fakeDaemon
 	notReady error
--- a/adapter/adminapi/client.go
+++ b/adapter/adminapi/client.go
@@ -100,8 +100,13 @@
 }
 
 func (c *Client) change(ctx context.Context, path string, body []byte) (ChangeResult, error) {
+	return c.changeWith(ctx, http.MethodPost, path, body)
+}
+
+// changeWith makes a call that changes something, and decodes its outcome.
+func (c *Client) changeWith(ctx context.Context, method, path string, body []byte) (ChangeResult, error) {
 	var result ChangeResult
-	status, response, err := c.do(ctx, http.MethodPost, path, body)
+	status, response, err := c.do(ctx, method, path, body)
 	if err != nil {
 		return result, err
 	}
--- a/adapter/adminapi/server.go
+++ b/adapter/adminapi/server.go
@@ -31,6 +31,7 @@
 	Tasks(ctx context.Context) ([]daemon.TaskStatus, error)
 	Config(ctx context.Context) (*config.Accepted, error)
 	Timeline() []timeline.Event
+	SetCordon(ctx context.Context, zone model.Zone, lift bool) error
 }
 
 // Options configures a Server.
@@ -72,6 +73,8 @@
 	e.GET("/v1/tasks", s.tasks)
 	e.GET("/v1/timeline", s.timeline)
 	e.POST("/v1/drain", s.drain)
+	e.PUT("/v1/cordons/:zone", func(c echo.Context) error { return s.setCordon(c, false) })
+	e.DELETE("/v1/cordons/:zone", func(c echo.Context) error { return s.setCordon(c, true) })
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(o.Gatherer, promhttp.HandlerOpts{})))
 	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "live\n") })
 	e.GET("/readyz", s.ready)
--- a/cli/commands.go
+++ b/cli/commands.go
@@ -61,6 +61,16 @@
 			long:  "Asks one daemon to stop: readiness is withdrawn, requests in flight end, shards are handed over, and the process exits with code 0. The command returns when the stop has begun.",
 			codes: []ExitCode{ExitOK, ExitUsage, ExitUnknown, ExitNotMade}, data: &drainCommand{app: a},
 		},
+		{
+			name: "cordon", short: "close an availability zone to new tasks, or list those that are",
+			long:  "Keeps new tasks off the workers of a zone until uncordon; what runs there runs on. Without a zone it lists the cordons that each daemon named by --daemon goes by; one that owns no shard reads none.",
+			codes: []ExitCode{ExitOK, ExitUsage, ExitUnknown, ExitNotMade, ExitIncomplete}, data: &cordonCommand{app: a},
+		},
+		{
+			name: "uncordon", short: "open an availability zone again",
+			long:  "Lifts the cordon of a zone. A zone that has none stays as it is.",
+			codes: []ExitCode{ExitOK, ExitUsage, ExitUnknown, ExitNotMade}, data: &uncordonCommand{app: a},
+		},
 		{
 			name: "standin", short: "run a stand-in platform for trials",
 			long:  "Runs a store, a list of VMs and workers on this machine until interrupted, and prints the settings that daemons reach them with. Nothing is kept.",
--- a/cli/golden_test.go
+++ b/cli/golden_test.go
@@ -8,6 +8,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/guavarill/guavarill/core/config"
+	"github.com/guavarill/guavarill/core/cordon"
 	"github.com/guavarill/guavarill/core/manifest"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/timeline"
@@ -23,9 +24,10 @@
 	one := &fakeDaemon{
 		statuses: []daemon.Status{{
 			Daemon: "entry-1", Zone: "a", Cluster: "c", Serving: true, Revision: 3, Shards: 2, Members: members,
+			Cordons: cordon.Zones{"a": 17, "c": 9},
 			Owned: []daemon.ShardStatus{{Shard: 0, Loaded: true, Epoch: 11, Workers: []daemon.WorkerStatus{{
 				ID: "worker-00", Capacity: model.Resources{MilliCPU: 16000, MemoryMB: 61440},
-				Committed: model.Resources{MilliCPU: 4000, MemoryMB: 8192}, Tasks: 1, Leaving: true,
+				Committed: model.Resources{MilliCPU: 4000, MemoryMB: 8192}, Tasks: 1, Leaving: true, Cordoned: true,
 			}}}},
 		}},
 		tasks: []daemon.TaskStatus{
@@ -74,6 +76,10 @@
 		{"validate-wrong", nil, []string{"validate", "WRONG"}},
 		{"validate-json", nil, []string{"validate", "-o", "json", "WRONG"}},
 		{"cancel", config.ApplyAccepted{Revision: 4, Diff: config.Diff{Cancelled: []string{"night"}}}, []string{"cancel", "night"}},
+		{"cordon", nil, []string{"cordon", "a"}},
+		{"cordon-list", nil, []string{"cordon"}},
+		{"cordon-list-json", nil, []string{"cordon", "-o", "json"}},
+		{"uncordon", nil, []string{"uncordon", "a"}},
 		{"status", nil, []string{"status", "--workers"}},
 		{"status-json", nil, []string{"status", "-o", "json"}},
 		{"jobs", nil, []string{"jobs"}},
--- a/cli/helper_test.go
+++ b/cli/helper_test.go
@@ -13,6 +13,7 @@
 	"github.com/guavarill/guavarill/adapter/adminapi"
 	"github.com/guavarill/guavarill/core/config"
 	"github.com/guavarill/guavarill/core/manifest"
+	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/timeline"
 	"github.com/guavarill/guavarill/daemon"
 )
@@ -56,6 +57,7 @@
 func (d *fakeDaemon) Tasks(context.Context) ([]daemon.TaskStatus, error) { return d.tasks, d.err }
 func (d *fakeDaemon) Config(context.Context) (*config.Accepted, error)   { return d.current, d.err }
 func (d *fakeDaemon) Timeline() []timeline.Event                         { return d.events }
+func (d *fakeDaemon) SetCordon(context.Context, model.Zone, bool) error  { return d.err }
 
 // serve starts an operators' interface in front of d and returns its address.
 func serve(t *testing.T, d *fakeDaemon) string {
--- a/cli/jobexplain.go
+++ b/cli/jobexplain.go
@@ -231,11 +231,7 @@
 	case len(c.Zones) == 0:
 		return "none"
 	}
-	var names []string
-	for _, zone := range c.Zones.Names() {
-		names = append(names, string(zone))
-	}
-	return strings.Join(names, ",")
+	return strings.Join(zoneList(c.Zones), ",")
 }
 
 func yesNo(b bool) string {
--- a/cli/status.go
+++ b/cli/status.go
@@ -61,6 +61,9 @@
 	if st.Draining {
 		notes = append(notes, "draining")
 	}
+	if zones := zoneList(st.Cordons); len(zones) > 0 {
+		notes = append(notes, "cordoned zones: "+strings.Join(zones, ","))
+	}
 	if st.StoreSilent {
 		notes = append(notes, "store silent")
 	}
@@ -87,6 +90,9 @@
 	if w.Unreachable {
 		notes = append(notes, "unreachable")
 	}
+	if w.Cordoned {
+		notes = append(notes, "zone cordoned")
+	}
 	if w.Quarantine != "" {
 		notes = append(notes, w.Quarantine)
 	}
