core/jobsched: tell in the note of a job's end what it waited for and cost

Cause: the log did not say where jobs lose time: lines of single attempts are dropped under load, and stops had free texts for reasons. Change: a tally for each job (first start, waits for workers, starts, failures, stops by cause, unsaved work), told with its end; stops have a typed cause.

--- a/core/jobsched/cordon.go
+++ b/core/jobsched/cordon.go
@@ -56,7 +56,7 @@
 		}
 		for _, a := range w.attempts.All() {
 			if a.phase == phaseStarting && a.task != nil && !a.step().spec.Gang {
-				m.requestStop(a, "its zone was cordoned before its start was confirmed")
+				m.requestStop(a, stopCordoned, "its zone was cordoned before its start was confirmed")
 			}
 		}
 	}
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -176,8 +176,8 @@
 	if !m.wall.IsZero() {
 		j.overAtMs = m.wall.UnixMilli()
 	}
-	m.emit(Note{Decision: joblog.JobFinalMessage(state), Job: j.id, Lag: lag, Reason: fmt.Sprintf("%s; accepted %s ago",
-		reason, m.age(j))})
+	m.emit(Note{Decision: joblog.JobFinalMessage(state), Job: j.id, Lag: lag, Reason: fmt.Sprintf("%s; accepted %s ago%s",
+		reason, m.age(j), m.describeTally(j))})
 	for number := range j.next {
 		o := j.occurrences[number]
 		if o == nil {
@@ -187,7 +187,7 @@
 			m.pending.Delete(s)
 			for _, t := range s.tasks {
 				for _, a := range slices.Clone(t.attempts) {
-					m.requestStop(a, "job "+string(state))
+					m.requestStop(a, stopUnneeded, "job "+string(state))
 				}
 			}
 		}
@@ -229,7 +229,7 @@
 // finishTask marks a task as done and stops its other attempts.
 func (m *Machine) finishTask(t *task) {
 	for _, a := range slices.Clone(t.attempts) {
-		m.requestStop(a, "another attempt is done")
+		m.requestStop(a, stopSuperseded, "another attempt is done")
 	}
 	m.markDone(t)
 }
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -32,6 +32,8 @@
 	done int
 	// attempts counts the attempts of all its tasks that may be running.
 	attempts int
+	// tally is what the job has waited for and cost.
+	tally jobTally
 }
 
 // total returns the number of occurrences.
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -79,6 +79,7 @@
 		m.now.Sub(w.clockAt).Round(time.Millisecond), m.configVersion(), m.score(t, w))
 	a := m.addAttempt(t, w, number, phaseStarting)
 	t.known = true
+	t.step.job().tally.noteStart(m.now)
 	m.noteAttempt(joblog.MessageAttemptStarted, a, reason)
 	m.noteResumed(t.step.job())
 	m.emit(Start{
@@ -190,11 +191,15 @@
 	a.worker.noStartsUntil = m.now.Add(unhealthyPause)
 }
 
-// requestStop stops an attempt, unless it is being stopped already.
-func (m *Machine) requestStop(a *attempt, reason string) {
+// requestStop stops an attempt, unless it is being stopped already. reason is the text
+// of the note about it.
+func (m *Machine) requestStop(a *attempt, cause stopCause, reason string) {
 	if a.phase == phaseStopping {
 		return
 	}
+	if a.task != nil {
+		a.step().job().tally.noteStop(cause)
+	}
 	m.beginStop(a)
 	m.stops.Set(a, struct{}{})
 	m.noteAttempt(joblog.MessageAttemptStopped, a, reason)
@@ -256,6 +261,7 @@
 	j := t.step.job()
 	t.attempts = slices.DeleteFunc(t.attempts, func(other *attempt) bool { return other == a })
 	j.attempts--
+	j.tally.noteEnd(a, cause, m.now)
 	if j.state.Final() {
 		m.dropIfFinal(j)
 		return
--- a/core/jobsched/preempt.go
+++ b/core/jobsched/preempt.go
@@ -101,7 +101,7 @@
 	}
 	m.reserve(t, best, m.options.StopTime+reservationSlack, false)
 	for _, a := range victims {
-		m.requestStop(a, "preempted by a more urgent task: "+t.key().String())
+		m.requestStop(a, stopPreempted, "preempted by a more urgent task: "+t.key().String())
 	}
 	return true
 }
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -278,7 +278,7 @@
 	t := m.task(r.Key)
 	if t == nil || t.done {
 		a := m.addOrphan(w, r)
-		m.requestStop(a, "no task needs it")
+		m.requestStop(a, stopUnneeded, "no task needs it")
 		return a
 	}
 	if a := m.moveFromOtherIncarnation(t, w, r.Attempt); a != nil {
@@ -293,7 +293,7 @@
 	a.applyInheritedStall(r.Percent)
 	m.adoptTrial(t, r.Attempt, w.id)
 	if !alone {
-		m.requestStop(a, "its task has another attempt")
+		m.requestStop(a, stopSuperseded, "its task has another attempt")
 		return a
 	}
 	m.markBegun(t)
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -5,7 +5,6 @@
 	"iter"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/guavarill/guavarill/core/model"
 )
@@ -194,7 +193,7 @@
 		m.askAdvice(s)
 	case startedAll:
 		m.pending.Delete(s)
-		s.waitingSince = time.Time{}
+		m.noteFoundWorkers(s)
 	case startAwaitsRecord:
 	}
 	return true
--- a/core/jobsched/stall.go
+++ b/core/jobsched/stall.go
@@ -31,7 +31,7 @@
 			if a.isStalled(m.now) {
 				w.health.recordFailure(m.now)
 				a.task.failedOn = w
-				m.requestStop(a, fmt.Sprintf("stands still at %d%%", a.percent))
+				m.requestStop(a, stopStalled, fmt.Sprintf("stands still at %d%%", a.percent))
 			}
 		}
 	}
@@ -90,9 +90,9 @@
 		spec := a.step().spec
 		switch {
 		case spec.LongRunning:
-			m.requestStop(a, "its worker leaves")
+			m.requestStop(a, stopWorkerLeaves, "its worker leaves")
 		case spec.Checkpointing && a.remaining(m.now) > w.entry.Remaining:
-			m.requestStop(a, "its worker leaves before it is expected to finish")
+			m.requestStop(a, stopWorkerLeaves, "its worker leaves before it is expected to finish")
 		}
 	}
 }
--- /dev/null
+++ b/core/jobsched/tally.go
@@ -0,0 +1,112 @@
+package jobsched
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// stopCause is the kind of reason for which an attempt is stopped.
+type stopCause string
+
+// The causes of stops.
+const (
+	stopPreempted    stopCause = "preempted"
+	stopDisturbing   stopCause = "disturbs others"
+	stopStalled      stopCause = "stands still"
+	stopWorkerLeaves stopCause = "worker leaves"
+	stopCordoned     stopCause = "zone cordoned"
+	stopSuperseded   stopCause = "other attempt"
+	stopUnneeded     stopCause = "job over"
+)
+
+// jobTally is what a job has waited for and cost since this leader took it in. The
+// note about the job's end tells it, so that operators see from the log alone where
+// jobs lose time and work.
+type jobTally struct {
+	// firstStartAt is when the first attempt was started; zero if none was.
+	firstStartAt     time.Time
+	starts, failures int
+	stops            map[stopCause]int
+	// lostCPUMs is the unsaved work of attempts that ended undone, in thousandths of
+	// a core times milliseconds.
+	lostCPUMs int64
+	// waited sums, over the steps, the time in which no worker was found for a part
+	// of the step.
+	waited time.Duration
+}
+
+func (t *jobTally) noteStart(now time.Time) {
+	t.starts++
+	if t.firstStartAt.IsZero() {
+		t.firstStartAt = now
+	}
+}
+
+func (t *jobTally) noteStop(cause stopCause) {
+	if t.stops == nil {
+		t.stops = make(map[stopCause]int)
+	}
+	t.stops[cause]++
+}
+
+// noteEnd counts an attempt that ended now.
+func (t *jobTally) noteEnd(a *attempt, cause EndCause, now time.Time) {
+	if cause == EndFailed {
+		t.failures++
+	}
+	ran := cause != EndDone && !a.startedAt.IsZero() && !a.longRunning
+	if ran && !a.step().spec.Checkpointing {
+		t.lostCPUMs += a.step().spec.Size.MilliCPU * now.Sub(a.startedAt).Milliseconds()
+	}
+}
+
+// noteFoundWorkers ends the step's wait for workers, if it waits.
+func (m *Machine) noteFoundWorkers(s *step) {
+	if !s.waitingSince.IsZero() {
+		s.job().tally.waited += m.now.Sub(s.waitingSince)
+		s.waitingSince = time.Time{}
+	}
+}
+
+// describeTally says what the job has waited for and cost. It is empty for a job with
+// a schedule or long-running tasks, whose occurrences have objectives of their own or
+// none.
+func (m *Machine) describeTally(j *jobState) string {
+	if len(j.occurrences) == 0 && j.tally.starts == 0 || j.record.Spec.Schedule != nil || j.record.Spec.Steps[0].LongRunning {
+		return ""
+	}
+	t := &j.tally
+	tasks, workMs := 0, int64(0)
+	for i := range j.record.Spec.Steps {
+		s := &j.record.Spec.Steps[i]
+		tasks += s.Count
+		workMs += int64(s.Count) * s.Size.MilliCPU * s.EstimateMs
+	}
+	q := m.queue(j)
+	allowance := time.Duration(q.Stretch*float64(j.record.Spec.CriticalPathMs())+float64(q.LatencyTargetMs)) * time.Millisecond
+	firstStart := "no start"
+	if !t.firstStartAt.IsZero() {
+		accepted := m.age(j) - m.now.Sub(t.firstStartAt)
+		firstStart = fmt.Sprintf("first start after %s", max(accepted, 0).Round(time.Millisecond))
+	}
+	return fmt.Sprintf("; queue %s, allowed %s, %d tasks of %.1f core-s; %s; waited %s for workers; %d starts, %d failed, stopped: %s; %.1f core-s lost",
+		q.Name, allowance, tasks, coreSeconds(workMs), firstStart, t.waited.Round(time.Millisecond), t.starts, t.failures, t.describeStops(), coreSeconds(t.lostCPUMs))
+}
+
+// describeStops lists the stops by cause, in alphabetical order.
+func (t *jobTally) describeStops() string {
+	if len(t.stops) == 0 {
+		return "none"
+	}
+	var parts []string
+	for _, cause := range slices.Sorted(maps.Keys(t.stops)) {
+		parts = append(parts, fmt.Sprintf("%s %d", cause, t.stops[cause]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// coreSeconds converts thousandths of a core times milliseconds.
+func coreSeconds(cpuMs int64) float64 { return float64(cpuMs) / 1e6 }
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -167,7 +167,7 @@
 				a.throttlePending = true
 				m.emit(Throttle{Order: m.order(w), Key: a.key.task, Attempt: a.key.attempt, Percent: share})
 			} else if share == 0 && m.now.Sub(a.throttledAt) > moveAfter && m.movable(a, &searches) {
-				m.requestStop(a, "it slows down the tasks beside it")
+				m.requestStop(a, stopDisturbing, "it slows down the tasks beside it")
 			}
 		}
 	}
