core/jobsched: in a backlog, serve jobs that can still be in time, the cheapest first

Cause: waiting steps were ordered by objective. Change: the order is in a file of its own. A job counts as in time if what is left of it, with a margin, can be done before its objective, and among those the least work left in relation to the size of the job comes first.

--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -54,6 +54,11 @@
 	// criticalPathMs is the longest chain of estimated work through the steps, in
 	// milliseconds.
 	criticalPathMs int64
+	// pathLeftMs is the same for the steps that are not done.
+	pathLeftMs int64
+	// work is the estimated work of all tasks, workLeft of those that are not done,
+	// in thousandths of a core times milliseconds.
+	work, workLeft float64
 }
 
 // step is one step of an occurrence.
@@ -148,6 +153,11 @@
 		}
 	}
 	o.criticalPathMs = j.record.Spec.CriticalPathMs()
+	o.pathLeftMs = o.criticalPathMs
+	for _, s := range o.steps {
+		o.work += float64(s.spec.Count) * s.taskWork()
+	}
+	o.workLeft = o.work
 	return o
 }
 
@@ -169,11 +179,13 @@
 	}
 	t.done = true
 	t.checkpoint = ""
+	o.workLeft -= t.step.taskWork()
 	t.step.left--
 	if t.step.left > 0 {
 		return nil
 	}
 	o.left--
+	o.pathLeftMs = o.longestPathLeft()
 	var ready []*step
 	for _, s := range t.step.next {
 		s.blocking--
@@ -184,6 +196,27 @@
 	return ready
 }
 
+// taskWork returns the estimated work of one task, in thousandths of a core times
+// milliseconds. It is never 0, also without an estimate.
+func (s *step) taskWork() float64 {
+	return float64(max(s.spec.EstimateMs, 1)) * float64(max(s.spec.Size.MilliCPU, 1))
+}
+
+// longestPathLeft returns the longest chain of estimated run times through the steps
+// that are not done, in milliseconds.
+func (o *occurrence) longestPathLeft() int64 {
+	ends := make([]int64, len(o.steps))
+	for i, s := range o.steps {
+		for _, earlier := range s.spec.After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		if s.left > 0 {
+			ends[i] += s.spec.EstimateMs
+		}
+	}
+	return slices.Max(ends)
+}
+
 // restore applies recorded progress to an occurrence. attemptGap is added to the
 // recorded attempt numbers to skip those that were used but not recorded.
 func (o *occurrence) restore(p job.OccurrenceProgress, attemptGap int) {
--- a/core/jobsched/overload_test.go
+++ b/core/jobsched/overload_test.go
@@ -109,6 +109,36 @@
 	return float64(n) / float64(max(len(jobs), 1))
 }
 
+// inTimeShare returns the share of jobs that met their objective.
+func inTimeShare(jobs []*shortJob) float64 {
+	n := 0
+	for _, j := range jobs {
+		if !j.completed.IsZero() && j.completed.Sub(j.at) <= j.allowance {
+			n++
+		}
+	}
+	return float64(n) / float64(max(len(jobs), 1))
+}
+
+// TestBacklogLeavesJobsInTime guards against an order by objective alone. In a backlog
+// that never clears, it spends the room on jobs that are about to be late all the
+// same, so that most are late. The jobs in time must be at least three quarters of the share
+// that there is room for.
+func TestBacklogLeavesJobsInTime(t *testing.T) {
+	for _, c := range []struct{ jobsPerSecond, shortage float64 }{{24, 1.2}, {36, 1.9}} {
+		const seeds = 3
+		inTime := 0.0
+		for seed := range uint64(seeds) {
+			inTime += inTimeShare(playShortage(t, seed+1, c.jobsPerSecond)) / seeds
+		}
+		if want := 0.75 / c.shortage; inTime < want {
+			t.Errorf("%.2f of the jobs are in time where they ask for %.1f times the room, want %.2f", inTime, c.shortage, want)
+		} else {
+			t.Logf("%.2f of the jobs are in time where they ask for %.1f times the room", inTime, c.shortage)
+		}
+	}
+}
+
 // TestLargeJobsInASmallShortage checks that large jobs are not starved when urgent
 // jobs request 1.2 times the room that long-running tasks leave. Large jobs wait for
 // more tasks than others; the largest tenth must be served at least half as often as
--- /dev/null
+++ b/core/jobsched/waitingorder.go
@@ -0,0 +1,142 @@
+package jobsched
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+)
+
+// This file decides in which order ready steps get workers. It answers a backlog of
+// jobs that the workers cannot clear: what is spent on a job that will be late all the
+// same is missing for others.
+
+// pendingStep is a ready step with its sort keys.
+type pendingStep struct {
+	*step
+	// interrupted marks the turn that covers only the step's interrupted tasks. The
+	// step's other turn in the pass comes later.
+	interrupted bool
+	priority    int
+	lateness    lateness
+	cost        float64
+	objectiveMs int64
+}
+
+// pendingSteps returns the ready steps, the most urgent first. A step with
+// interrupted tasks appears twice, the first time for those tasks alone.
+func (m *Machine) pendingSteps() []pendingStep {
+	steps := make([]pendingStep, 0, m.pending.Len())
+	for s := range m.pending.All() {
+		if s.ready() {
+			p := pendingStep{
+				step: s, priority: m.queue(s.job()).Priority, lateness: m.lateness(s), cost: s.cost(), objectiveMs: m.objectiveMs(s),
+			}
+			steps = append(steps, p)
+			if s.interrupted() {
+				p.interrupted = true
+				steps = append(steps, p)
+			}
+		} else if s.left == 0 {
+			m.pending.Delete(s)
+		}
+	}
+	slices.SortFunc(steps, compareUrgency)
+	return steps
+}
+
+// compareUrgency puts long-running tasks first, since each second without them is
+// lost for good, and among these the interrupted ones: otherwise, in a full
+// cluster, new jobs would take every place that becomes free, and tasks that ran
+// before would not run again. Then come the lower priority number; then jobs that
+// can still meet their objective, those that can only be late, and those too late to
+// be of use; then the lower cost; then the earlier objective.
+func compareUrgency(a, b pendingStep) int {
+	return cmp.Or(
+		compareFirst(a.interrupted, b.interrupted),
+		compareFirst(a.spec.LongRunning, b.spec.LongRunning),
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.lateness, b.lateness),
+		cmp.Compare(a.cost, b.cost),
+		cmp.Compare(a.objectiveMs, b.objectiveMs),
+		strings.Compare(string(a.job().id), string(b.job().id)),
+		cmp.Compare(a.occurrence.number, b.occurrence.number),
+		cmp.Compare(a.number, b.number),
+	)
+}
+
+// compareFirst orders true before false.
+func compareFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// dueMs returns when the step's occurrence was due, or when its job was accepted if
+// it has no schedule.
+func (s *step) dueMs() int64 {
+	if schedule := s.job().record.Spec.Schedule; schedule != nil {
+		return schedule.Due(s.occurrence.number).UnixMilli()
+	}
+	return s.job().record.AcceptedAtMs
+}
+
+// allowanceMs returns how long the occurrence may take after it is due.
+func (m *Machine) allowanceMs(s *step) int64 {
+	q := m.queue(s.job())
+	return int64(q.Stretch*float64(s.occurrence.criticalPathMs)) + q.LatencyTargetMs
+}
+
+// objectiveMs returns the time by which the occurrence should be done.
+func (m *Machine) objectiveMs(s *step) int64 { return s.dueMs() + m.allowanceMs(s) }
+
+// lateFactor is how many times its allowance a job may take before its result is of
+// no use to the caller.
+const lateFactor = 3
+
+// lateness classifies an occurrence by whether it can meet its objective.
+type lateness int
+
+// The lateness values, in order of urgency.
+const (
+	inTime lateness = iota
+	late
+	tooLate
+)
+
+// runTimeMargin is how many times its estimate the rest of an occurrence is expected
+// to take: its tasks share processors, some fail, and each step waits for its slowest.
+const runTimeMargin = 1.3
+
+// lateness returns whether the step's occurrence can still meet its objective, if
+// what is left of it started now. Long-running occurrences never end, so they are
+// always in time.
+func (m *Machine) lateness(s *step) lateness {
+	rest := int64(runTimeMargin * float64(s.occurrence.pathLeftMs))
+	switch end := m.wall.UnixMilli() + rest; {
+	case s.spec.LongRunning:
+		return inTime
+	case end < m.objectiveMs(s):
+		return inTime
+	case end < s.dueMs()+lateFactor*m.allowanceMs(s):
+		return late
+	}
+	return tooLate
+}
+
+// cost returns what it takes to finish the step's occurrence, in relation to its
+// size: the work that is left, divided by the square root of the whole work. Of jobs
+// that have not begun, the small ones come first, so that the room that there is
+// serves many callers; one that has begun comes before new ones that need as much,
+// so that work is not left unfinished. It is 0 for long-running occurrences, which
+// have no work to finish.
+func (s *step) cost() float64 {
+	if s.spec.LongRunning {
+		return 0
+	}
+	return s.occurrence.workLeft / math.Sqrt(s.occurrence.work)
+}
