core/jobsched: learn how much longer than estimated the jobs of a queue run

Cause: with a fixed margin a job counted as in time that could not be: each step waits for its slowest task, and some attempts fail. Change: the margin is learned by queue from jobs that waited for no worker.

--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -150,6 +150,7 @@
 	}
 	delete(o.job.occurrences, o.number)
 	o.job.done++
+	m.observeRunTime(o)
 	m.markDirty(o.job)
 }
 
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -59,6 +59,10 @@
 	// work is the estimated work of all tasks, workLeft of those that are not done,
 	// in thousandths of a core times milliseconds.
 	work, workLeft float64
+	// firstStartAt is when this machine started its first attempt; zero if it has
+	// not. waited is set once no worker was found for a part of it.
+	firstStartAt time.Time
+	waited       bool
 }
 
 // step is one step of an occurrence.
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -80,6 +80,9 @@
 	a := m.addAttempt(t, w, number, phaseStarting)
 	t.known = true
 	t.step.job().tally.noteStart(m.now)
+	if o := t.step.occurrence; o.firstStartAt.IsZero() {
+		o.firstStartAt = m.now
+	}
 	m.noteAttempt(joblog.MessageAttemptStarted, a, reason)
 	m.noteResumed(t.step.job())
 	m.emit(Start{
--- a/core/jobsched/waitingorder.go
+++ b/core/jobsched/waitingorder.go
@@ -108,15 +108,12 @@
 	tooLate
 )
 
-// runTimeMargin is how many times its estimate the rest of an occurrence is expected
-// to take: its tasks share processors, some fail, and each step waits for its slowest.
-const runTimeMargin = 1.3
-
 // lateness returns whether the step's occurrence can still meet its objective, if
-// what is left of it started now. Long-running occurrences never end, so they are
+// what is left of it started now and took as much longer than estimated as other jobs
+// of its queue. Long-running occurrences never end, so they are
 // always in time.
 func (m *Machine) lateness(s *step) lateness {
-	rest := int64(runTimeMargin * float64(s.occurrence.pathLeftMs))
+	rest := int64(m.runTimes.of(m.queue(s.job()).Name) * float64(s.occurrence.pathLeftMs))
 	switch end := m.wall.UnixMilli() + rest; {
 	case s.spec.LongRunning:
 		return inTime
--- a/core/jobsched/waitnote.go
+++ b/core/jobsched/waitnote.go
@@ -35,6 +35,7 @@
 	switch {
 	case s.waitingSince.IsZero():
 		s.waitingSince = m.now
+		s.occurrence.waited = true
 	case m.now.Sub(s.waitingSince) >= waitNoteDelay && !m.now.Before(s.nextNoteAt) && m.pass.takeNote():
 		s.nextNoteAt = m.now.Add(waitNoteInterval)
 		m.emit(Note{
