--- a/core/jobsched/tally.go
+++ b/core/jobsched/tally.go
@@ -87,13 +87,17 @@
 	}
 	q := m.queue(j)
 	allowance := time.Duration(q.Stretch*float64(j.record.Spec.CriticalPathMs())+float64(q.LatencyTargetMs)) * time.Millisecond
+	since := ""
+	if j.recovered {
+		since = "since the take-over "
+	}
 	firstStart := "no start"
 	if !t.firstStartAt.IsZero() {
 		accepted := m.age(j) - m.now.Sub(t.firstStartAt)
 		firstStart = fmt.Sprintf("first start after %s", max(accepted, 0).Round(time.Millisecond))
 	}
-	return fmt.Sprintf("; queue %s, allowed %s, %d tasks of %.1f core-s; %s; waited %s for workers; %d starts, %d failed, stopped: %s; %.1f core-s lost",
-		q.Name, allowance, tasks, coreSeconds(workMs), firstStart, t.waited.Round(time.Millisecond), t.starts, t.failures, t.describeStops(), coreSeconds(t.lostCPUMs))
+	return fmt.Sprintf("; queue %s, allowed %s, %d tasks of %.1f core-s; %s%s; waited %s for workers; %d starts, %d failed, stopped: %s; %.1f core-s lost",
+		q.Name, allowance, tasks, coreSeconds(workMs), since, firstStart, t.waited.Round(time.Millisecond), t.starts, t.failures, t.describeStops(), coreSeconds(t.lostCPUMs))
 }
 
 // describeStops lists the stops by cause, in alphabetical order.
