--- a/core/jobsched/handover_test.go
+++ b/core/jobsched/handover_test.go
@@ -53,15 +53,10 @@
 const maxAbsence = 6 * time.Second
 
 // TestTasksGoOnWhileWorkersAndLeadersAreReplaced guards against workers that have
-// left and hold back older jobs after each takeover. Workers are replaced one by one
-// after announcing it, and all daemons are restarted in turn, so that the leader
-// changes every two seconds. Workers that had left stayed on the stored roster for
-// as long as their last lease could last. They never answer, so each new leader held
-// back all older jobs until 6.8 s after its own takeover, and none led for that
-// long. Long-running tasks that were stopped because their worker left were not
-// started again for 9 to 14 s, although there was room. The log showed no attempt of
-// any older job for 12 s, then "worker gone" 21 times and all starts in one round,
-// 6.86 s after the last takeover.
+// left and hold back older jobs after each takeover. Workers are replaced and
+// daemons restarted in turn; if each new leader counts anew how long leases may last
+// on workers that never answer it, long-running tasks do not restart although there
+// is room.
 func TestTasksGoOnWhileWorkersAndLeadersAreReplaced(t *testing.T) {
 	const tasks, first = 6, 8
 	c := newCluster(t, 1, first)
--- a/core/jobsched/headroom_test.go
+++ b/core/jobsched/headroom_test.go
@@ -37,12 +37,10 @@
 	return s
 }
 
-// TestBestEffortWorkStaysWithinTheLatencyHeadroom checks that the number of
-// best-effort tasks that start next to serving tasks follows from the sum of their
-// effects and from the headroom that the load leaves. If only each task by itself is
-// bounded, many tasks with an effect of a few hundredths each add up; serving tasks
-// exceeded their target mostly at peak load, when little headroom is left, next to
-// best-effort work that was known to be harmless.
+// TestBestEffortWorkStaysWithinTheLatencyHeadroom checks that the number of best-
+// effort tasks beside serving tasks follows from the sum of their effects and the
+// headroom that the load leaves. With a bound on each task alone, many small effects
+// add up and serving tasks exceed their target at peak load.
 func TestBestEffortWorkStaysWithinTheLatencyHeadroom(t *testing.T) {
 	tests := []struct {
 		name string
--- a/core/jobsched/inherit_test.go
+++ b/core/jobsched/inherit_test.go
@@ -20,14 +20,9 @@
 }
 
 // TestLaterRepetitionIsInherited guards against an inherited attempt that is dropped
-// because it belongs to a later repetition. Two repetitions of a job have begun and
-// neither is stored when the lead is handed over. The roster names the attempt of
-// the second one first. The next leader assumed that only the first repetition could
-// have begun and dropped the attempt; when the second repetition was due, its task
-// was started although the attempt was running.
-//
-// The checks of the cluster on each start and end detect the fault, here and in the
-// next test.
+// because it belongs to a later repetition than the first unrecorded one. Its task
+// is then started again although it runs; the cluster's checks of starts and ends
+// find that, here and in the next test.
 func TestLaterRepetitionIsInherited(t *testing.T) {
 	c := newCluster(t, 1, 3)
 	c.run(200 * time.Millisecond)
@@ -59,11 +54,9 @@
 }
 
 // TestAttemptOfAJobSetAsideIsGivenUp guards against a restart that is not stored
-// first after an attempt of an unreadable job was lost. The job's records cannot be
-// read when the lead is handed over, and an attempt of it is declared lost because
-// its worker is unreachable. After the records are repaired the task is started
-// again; then the worker reports that the earlier attempt is done, and both ends
-// count.
+// first after an attempt of an unreadable job was lost. Its records are repaired,
+// the task restarts, and then the silent worker reports the earlier attempt as done:
+// both ends would count.
 func TestAttemptOfAJobSetAsideIsGivenUp(t *testing.T) {
 	c := newCluster(t, 1, 2)
 	c.run(200 * time.Millisecond)
--- a/core/jobsched/interrupted_test.go
+++ b/core/jobsched/interrupted_test.go
@@ -5,13 +5,10 @@
 	"time"
 )
 
-// TestInterruptedTasksGoBeforeNewOnesInAFullCluster guards against interrupted
-// long-running tasks that wait behind new ones. Workers of a full cluster are
-// replaced one by one while long-running jobs keep arriving. If steps whose job can
-// still meet its objective come first among long-running steps, each new worker is
-// given to the newest jobs. Tasks that were stopped because their worker left were
-// not started again for 10 s and more, with "no room" on all workers, while eight of
-// nine long-running starts were first starts.
+// TestInterruptedTasksGoBeforeNewOnesInAFullCluster guards against interrupted long-
+// running tasks that wait behind new ones. Workers of a full cluster are replaced
+// one by one while long-running jobs keep arriving, and each new worker is given to
+// the newest jobs.
 func TestInterruptedTasksGoBeforeNewOnesInAFullCluster(t *testing.T) {
 	const workers, tasks = 6, 30
 	c := newCluster(t, 1, workers)
--- a/core/jobsched/lostattempts_test.go
+++ b/core/jobsched/lostattempts_test.go
@@ -18,12 +18,9 @@
 }
 
 // TestEndsOfASilentWorkerWithNothingLeftToRun guards against attempts that are
-// declared lost too early, so that their tasks are done twice and both ends count. A
-// worker is unreachable for longer than its lease; the tasks there complete in the
-// meantime, so that the end of the lease ends nothing. If the leader declares the
-// attempts lost and starts the tasks elsewhere, the worker's ends are acknowledged
-// as well once it answers again: time without an answer does not prove that the
-// attempts had no result.
+// declared lost because their worker was silent for longer than its lease. They
+// completed in the meantime, so that the lease ended nothing; when the worker
+// answers again, their ends count beside those of the restarted tasks.
 func TestEndsOfASilentWorkerWithNothingLeftToRun(t *testing.T) {
 	c, id := shortTasks(t, 4)
 	c.workers["w001"].partitioned = true
--- a/core/jobsched/pass_test.go
+++ b/core/jobsched/pass_test.go
@@ -85,11 +85,9 @@
 }
 
 // TestTheMostUrgentStepsHaveATurnInEveryRound guards against rounds that only
-// continue where the previous one stopped. On a slow leader, a long-running task
-// failed after its step had had its turn in a pass of hundreds of steps that fitted
-// nowhere. It was started again 8 s later, at the end of the pass. The log showed
-// "attempt ended" for the task and then nothing for 15 s, while 270 attempts of
-// other tasks were started each second.
+// continue where the previous one stopped. A long-running task that fails after its
+// step had its turn would wait for the end of a pass of hundreds of steps that fit
+// nowhere.
 func TestTheMostUrgentStepsHaveATurnInEveryRound(t *testing.T) {
 	c := newCluster(t, 1, 8)
 	c.options.RoundBudget = 32
--- a/core/jobsched/property_test.go
+++ b/core/jobsched/property_test.go
@@ -22,12 +22,10 @@
 	faultSeed = flag.Int64("fault-seed", 20, "the seed from which TestNothingRunsTwiceUnderFaults draws its days")
 )
 
-// TestNothingRunsTwiceUnderFaults plays random jobs under random faults: lost
-// responses, orders executed seconds late, workers that crash, are partitioned, fail
-// or freeze, store outages, and changes of the leader. The workers check each start:
-// no task runs twice, or is started after it is done, before the steps that it
-// depends on, more often than allowed, or where it does not fit. In the end every
-// job must be final.
+// TestNothingRunsTwiceUnderFaults plays random jobs under lost responses, late
+// orders, failing workers, store outages and changes of the leader. Workers check
+// that no task runs twice, after it is done, too early, too often or without room;
+// in the end every job must be final.
 func TestNothingRunsTwiceUnderFaults(t *testing.T) {
 	parameters := gopter.DefaultTestParameters()
 	parameters.MinSuccessfulTests = *faultDays
--- a/core/jobsched/restartrecord_test.go
+++ b/core/jobsched/restartrecord_test.go
@@ -18,16 +18,10 @@
 }
 
 // TestTwoLeadersNeverUseTheSameNumber guards against two leaders that give the same
-// number to two attempts of a task, so that the task is done twice. The first leader
-// has taken over, so that it starts at number 17, and is lost before any record of
-// the job is stored. The worker completes the task and is partitioned. The second
-// leader waits until the leases there have ended, stores that attempt 17 is a
-// restart, and starts it on another worker. When the first worker reports that
-// attempt 17 is done, its number is not below that of the restart, and the end is
-// acknowledged.
-//
-// The checks of the cluster on each start and end detect the fault, here and in the
-// next test.
+// number to two attempts of a task. The first is lost before it recorded its
+// attempt; the second counts that attempt's end as the end of its own, which has the
+// same number. The cluster's checks of starts and ends find it, here and in the next
+// test.
 func TestTwoLeadersNeverUseTheSameNumber(t *testing.T) {
 	c := newCluster(t, 1, 2)
 	c.run(200 * time.Millisecond)
@@ -52,12 +46,9 @@
 }
 
 // TestEndsThatALostRosterHid guards against a restart that is not stored first after
-// the roster was lost. The roster cannot be read, and an unreachable worker has done
-// a task without reporting it. Once all leases have ended, the task is started on
-// another worker, and the unreported end is received and acknowledged later, so that
-// both ends count. The possibility that a task was done unreported was considered
-// only for workers on the roster whose lease bound had passed, and the lost roster
-// named none.
+// the roster was lost. A task was done on an unreachable worker that no roster
+// names; it is started again once all leases have ended, and both ends would count
+// when the worker answers.
 func TestEndsThatALostRosterHid(t *testing.T) {
 	c := newCluster(t, 1, 2)
 	c.run(200 * time.Millisecond)
--- a/core/jobsched/roster_test.go
+++ b/core/jobsched/roster_test.go
@@ -39,11 +39,9 @@
 }
 
 // TestLeaseIsNotRenewedBeyondWhatTheRosterSays guards against leases that outlast
-// the bound in the stored roster, which it has for workers that have not answered a
-// new leader. The worker answers while the store is unavailable. If its lease were
-// renewed beyond the bound, the next leader would start its tasks elsewhere while
-// they are still running. Up to the bound the lease is renewed, because the worker
-// is healthy.
+// the bound in the stored roster. A worker answers a new leader while the store is
+// away; if its lease is renewed beyond the bound, the next leader starts its tasks
+// elsewhere while they run.
 func TestLeaseIsNotRenewedBeyondWhatTheRosterSays(t *testing.T) {
 	c := newCluster(t, 1, 2)
 	c.run(200 * time.Millisecond)
--- a/core/jobsched/slowleader_test.go
+++ b/core/jobsched/slowleader_test.go
@@ -76,15 +76,8 @@
 
 // TestCancelIsTakenInBesideHundredsOfWaitingSteps guards against cancellations that
 // are delayed by placement. If each round checks every worker for each of hundreds
-// of steps that wait in a full cluster, a step of the leader takes longer the more
-// steps wait. Events then arrive faster than they are handled, 256 at a time, and
-// cancellations wait among them. Tasks of canceled jobs ran on for 9.5 s where 4.4 s
-// are allowed. After a restart of all daemons almost nothing was served, because the
-// waiting jobs are stored and the next leader starts with all of them.
-//
-// On two such days, up to 18.5 s passed between "job canceled by its caller" and
-// "job canceled", and 27.9 s between "job accepted" and "job taken in", while "state
-// read" took 0.37 s and one worker of 350 was unreachable.
+// of waiting steps, events arrive faster than they are handled, and tasks of
+// canceled jobs run on.
 func TestCancelIsTakenInBesideHundredsOfWaitingSteps(t *testing.T) {
 	for name, step := range map[string]func(i int) job.Step{
 		"steps that fit nowhere": func(i int) job.Step {
--- a/core/jobsched/starving_test.go
+++ b/core/jobsched/starving_test.go
@@ -7,15 +7,10 @@
 	"github.com/guavarill/guavarill/core/interference"
 )
 
-// TestBestEffortWorkDoesNotWaitForEverBesideServingTasks checks that a best-effort
-// step that has waited for long while much of the cluster is free starts where it
-// disturbs least; throttling then protects the tasks next to it. In a crowded
-// cluster it keeps waiting.
-//
-// Without this rule, best-effort steps waited for 31 s in a mostly free cluster:
-// their image was known to disturb the serving tasks, and each worker had a few of
-// them. Until the end, all of the steps were noted as "step waits ... no room 1,
-// would disturb 47".
+// TestBestEffortWorkDoesNotWaitForEverBesideServingTasks guards against a best-
+// effort step that waits for ever because every worker has a few tasks that it
+// disturbs. While much of the cluster is free it starts where it disturbs least and
+// is throttled; in a crowded cluster it waits.
 func TestBestEffortWorkDoesNotWaitForEverBesideServingTasks(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/core/jobsched/takeover_test.go
+++ b/core/jobsched/takeover_test.go
@@ -85,11 +85,8 @@
 }
 
 // TestFailingWorkerLeavesQuarantine guards against a worker that stays on probation
-// because it runs long-running tasks. A worker fails its tasks for a while and is
-// quarantined while it still runs older long-running tasks. It was to get one task
-// at a time, with nothing else running there, until one was done, but long-running
-// tasks never complete: a long-running task had no worker for 13 s although one had
-// room.
+// because it runs long-running tasks: it gets one task at a time until one is done,
+// and long-running tasks are never done.
 func TestFailingWorkerLeavesQuarantine(t *testing.T) {
 	c := newCluster(t, 1, 2)
 	c.run(200 * time.Millisecond)
--- a/core/ledger/interleaving_test.go
+++ b/core/ledger/interleaving_test.go
@@ -678,12 +678,10 @@
 	}
 }
 
-// TestInterleavings guards against tasks that run twice or are lost, and against owners that
-// decide on contents that differ from the store. Two daemons share two shards. Responses of
-// the store are lost, late or duplicated, requests reach the store after they timed out,
-// daemons pause past their leases, and shards and tasks change owners. The fault would be to
-// assume the outcome of a commit without knowing it, or a commit that is applied after a
-// change of owner or after its sequence was used.
+// TestInterleavings guards against tasks that run twice or are lost, and owners that
+// decide on other contents than the store's: because the outcome of a commit is
+// assumed, or a commit is applied after a change of owner or of its sequence. Two
+// daemons share two shards while responses are lost, late or duplicated.
 func TestInterleavings(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(20)
 	parameters.MinSuccessfulTests = 400
--- a/core/membership/outage_end_test.go
+++ b/core/membership/outage_end_test.go
@@ -167,12 +167,10 @@
 	over  bool
 }
 
-// Two owners must never both renew tasks of one worker, and a task must not be
-// started elsewhere while its old owner still renews it. Daemons lose the store
-// and the paths between them for random periods; at any time one may be an
-// owner that renews in an outage and another a new owner that waits. Before a
-// takeover is cleared there must be a lease's length in which no daemon has a
-// majority for a silent store.
+// TestFlappingStoreNeverLetsBothAct guards against two owners that both renew tasks
+// of one worker, and against a task that starts elsewhere while its old owner renews
+// it. Daemons lose the store and each other at random; before a takeover is cleared,
+// no daemon may have a majority for a silent store for the length of a lease.
 func TestFlappingStoreNeverLetsBothAct(t *testing.T) {
 	for _, size := range []int{2, 3, 4, 5, 8} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
--- a/core/ownership/machine_test.go
+++ b/core/ownership/machine_test.go
@@ -168,12 +168,9 @@
 }
 
 // TestOutageRenewalNeedsFreshConfirmations guards against an owner that renews
-// task leases when a new owner may already assume that it does not. A majority
-// confirmed the outage once, and the same confirmations are reported again and
-// again; or the daemon is paused after a confirmation, and the first event after
-// the pause is the next confirmation. The faults would be to count the age of a
-// confirmation from when it is reported, and to resume renewals after an
-// interruption.
+// leases when a new owner may assume that it does not: because the age of a
+// confirmation is counted from its report, or renewals resume after an interruption
+// such as a paused process.
 func TestOutageRenewalNeedsFreshConfirmations(t *testing.T) {
 	s := newSession(t, "d1", "d1")
 	s.own()
--- a/core/workersession/golden_test.go
+++ b/core/workersession/golden_test.go
@@ -85,12 +85,10 @@
 	golden(t, s)
 }
 
-// TestDelayedStartOfPausedOwnerIsRefused guards against a task that still runs on
-// its old worker after it was moved. An owner is paused after it committed and
-// sent a start, and the message is delayed. A new owner takes over and ends the
-// attempt, and then the message arrives. Finally the old owner resumes. The fault
-// would be an agent that accepts messages of a replaced owner or from before the
-// end of the attempt.
+// TestDelayedStartOfPausedOwnerIsRefused guards against a task that runs on its old
+// worker after it was moved. A paused owner's start is delivered after a new owner
+// has ended the attempt; an agent must refuse messages of a replaced owner or from
+// before that end.
 func TestDelayedStartOfPausedOwnerIsRefused(t *testing.T) {
 	s := newScript()
 	old := begin(s, "old", 5)
--- a/core/workersession/inherit_test.go
+++ b/core/workersession/inherit_test.go
@@ -60,13 +60,10 @@
 	}
 }
 
-// TestFirstAnswerEndsPredecessors guards against a task that runs in two places,
-// or waits for other daemons without need, after its worker responded to the new
-// owner once and then became silent. An earlier owner renews for five minutes
-// through an outage. Then the worker responds once to the new owner, which may
-// only renew at that time and wants the task stopped. From its first response on,
-// the agent refuses the earlier owner, but a lease that was renewed just before
-// lasts for one Lease from there.
+// TestFirstAnswerEndsPredecessors guards against a task that runs in two places, or
+// waits without need, after its worker answered the new owner once and fell silent.
+// From that answer on the agent refuses the earlier owner, but a lease renewed just
+// before lasts for one Lease.
 func TestFirstAnswerEndsPredecessors(t *testing.T) {
 	s := newScript()
 	old := begin(s, "old", 5)
--- a/core/workersession/property_test.go
+++ b/core/workersession/property_test.go
@@ -93,13 +93,9 @@
 }
 
 // TestOnePlaceAtATime guards against a task that runs on two workers at once and an
-// attempt that starts twice. Owners are paused, replaced and resume, or renew through
-// an outage, including an outage for only a majority of the daemons; daemons lose the
-// store in turn, and each other; messages are lost, duplicated, and delayed for longer
-// than a lease; agents restart and are partitioned; tasks are evicted; the agents'
-// clocks run fast and slow. The fault would be to commit the next attempt before the
-// previous one is certainly over, or an agent that accepts a message that it should
-// have refused.
+// attempt that starts twice: because the next attempt is committed before the
+// previous one is over, or an agent accepts what it should refuse. Owners, daemons,
+// messages, agents and clocks fail at random.
 func TestOnePlaceAtATime(t *testing.T) {
 	result, starts := check(propertyRuns, 1000, worldOptions(), worker.Flaws{}, unchanged, allFaults()...)
 	if !result.Passed() {
@@ -159,13 +155,10 @@
 	return problems
 }
 
-// TestPredecessorRenewsThroughAnOutage guards against a task that runs on two workers
-// at once after a store outage. The owner and two more of five daemons lose the store,
-// so the owner keeps renewing. The store serves the other two daemons. One of them
-// takes over and cannot reach the worker. In one case it releases the shard again; in
-// another the outage ends for all but the old owner, which then reaches no other
-// daemon. The fault would be a new owner that does not wait until its predecessor has
-// certainly stopped, or that releases the shard as clean without knowing that.
+// TestPredecessorRenewsThroughAnOutage guards against a task that runs twice after
+// an outage for a part of the daemons. The old owner goes on renewing, and the new
+// one cannot reach the worker: it must wait until its predecessor has certainly
+// stopped, and must not release the shard as clean before.
 func TestPredecessorRenewsThroughAnOutage(t *testing.T) {
 	outage := []fault{
 		{Kind: outageOwner, Target: 2, At: 10 * time.Second, For: 30 * time.Second},
--- a/core/workersession/renew_test.go
+++ b/core/workersession/renew_test.go
@@ -22,12 +22,10 @@
 	}
 }
 
-// TestNothingEndsForWantOfARenewal guards against tasks whose leases expire
-// although their owner and their worker reach each other. Tasks are evicted, with
-// and without a checkpoint, also while the store is down and the stop has to wait;
-// the shard is released; agents restart. Each of these makes the agent's set differ
-// from the owner's. The fault would be to keep renewing by a hash that does not
-// match.
+// TestNothingEndsForWantOfARenewal guards against tasks whose leases expire although
+// owner and worker reach each other, because the owner keeps renewing by a hash that
+// does not match. Evictions, outages, releases and restarts make the two sets
+// differ.
 func TestNothingEndsForWantOfARenewal(t *testing.T) {
 	kinds := []faultKind{evictTask, dropTask, outageAll, releaseOwner, restartAgent}
 	for _, flaws := range []worker.Flaws{{}, {NoRenewHash: true}} {
@@ -89,12 +87,9 @@
 	return d
 }
 
-// TestMismatchIsAnsweredByFullList guards against a healthy task that ends 30 s
-// after another one could not be stopped, and against a difference between owner
-// and agent that is never repaired. Two tasks are renewed by hash. One is to stop
-// while the store is down, so the stop is pending and the agent's set differs. Then
-// the store returns. The fault would be not to send the full list at once after a
-// mismatch, or not to return to the hash.
+// TestMismatchIsAnsweredByFullList guards against a difference between owner and
+// agent that is never repaired, with which healthy tasks end. After a hash that does
+// not match, the owner must send the full list at once and return to the hash later.
 func TestMismatchIsAnsweredByFullList(t *testing.T) {
 	s := newScript()
 	p := begin(s, "owner", 5)
--- a/daemon/owner_test.go
+++ b/daemon/owner_test.go
@@ -32,12 +32,9 @@
 	return c.owner(shard)
 }
 
-// Symptom: a task is started twice, or never.
-// Events: a start is committed; the owner is killed before the message leaves,
-// or after the worker obeyed and before the owner heard of it; another daemon
-// takes the shard over.
-// Cause: the new owner finds the task assigned and cannot know from the ledger
-// whether it ever began.
+// TestOwnerKilledBetweenCommitAndStart guards against a task that starts twice or
+// never when its owner is killed after the commit of the start, before or after the
+// worker obeyed. The next owner cannot know from the ledger whether it began.
 func TestOwnerKilledBetweenCommitAndStart(t *testing.T) {
 	for name, arrives := range map[string]bool{"start lost": false, "start obeyed": true} {
 		t.Run(name, func(t *testing.T) {
@@ -118,12 +115,9 @@
 	return count
 }
 
-// Symptom: the same, at the worker.
-// Events: an owner is cut off from the store and the other daemons, but not
-// from a worker that the others cannot reach; another daemon takes the shard
-// over and waits for the old leases' end.
-// Cause: the old owner's permission to renew is its own reckoning; the new
-// owner's bound must cover all that it may still renew.
+// TestOwnerCutOffWithItsWorker guards against a task that runs twice when an owner
+// is cut off together with a worker. The new owner's bound must cover all that the
+// old one, by its own reckoning, may still renew.
 func TestOwnerCutOffWithItsWorker(t *testing.T) {
 	c := newCluster(t, 3, 4)
 	c.ready()
--- a/daemon/store_test.go
+++ b/daemon/store_test.go
@@ -204,12 +204,9 @@
 	}
 }
 
-// Symptom: a restarted entry serves an older configuration than its callers
-// have seen.
-// Events: one daemon is paused while revision 2 comes into force and the store
-// goes down; another one, which had it, restarts and hears from that one only,
-// since the third is cut off from both.
-// Cause: any one peer may be behind, and one that is taken for dead may not be.
+// TestRestartInAnOutageNeverGoesBack guards against a restarted entry that serves an
+// older configuration than its callers have seen. In an outage of the store it hears
+// from one daemon only, which was paused while the newer revision came into force.
 func TestRestartInAnOutageNeverGoesBack(t *testing.T) {
 	c := newCluster(t, 3, 4)
 	c.ready()
--- a/jobservice/campaign_test.go
+++ b/jobservice/campaign_test.go
@@ -10,12 +10,10 @@
 	"github.com/guavarill/guavarill/port"
 )
 
-// Guards against followers whose watches are refused. A follower watches the leader's
-// key. It asked for the changes since the key was written, and once that was longer
-// ago than the store keeps its history, each watch was refused at once: the daemon
-// read the key again, paused for 100 ms and asked the same, for as long as the leader
-// led. Half of all calls to the store came from daemons that did not lead. The watch
-// has to start from the store's revision at the time of the read.
+// TestFollowerWatchesFromTheRevisionRead guards against followers whose watches are
+// refused once the leader's key is older than the store's history, so that each of
+// them reads it ten times a second. A watch has to start from the store's revision
+// at the time of the read.
 func TestFollowerWatchesFromTheRevisionRead(t *testing.T) {
 	store := newMemStore()
 	lease, err := store.GrantLease(t.Context(), 0)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -124,15 +124,10 @@
 	}
 }
 
-// TestPlannedWork plays the planned series alone, together and without a pause.
-//
-// Symptom: long-running tasks whose worker had left were not started again for
-// more than nine seconds, though there was room for them. Events: all workers are
-// replaced one after the other, and all daemons are restarted in turn meanwhile,
-// so that another leader takes over every few seconds. Cause: a new leader held
-// all older jobs back until each worker of the stored roster had answered it, or
-// until the leases had ended that an earlier leader may have given. Workers that
-// had left never answered, and each new leader counted that time anew for them.
+// TestPlannedWork guards against long-running tasks that wait while workers are
+// replaced and daemons restarted in turn, without a pause. If each new leader waits
+// anew for workers that have left, older jobs are held back for as long as leaders
+// change.
 func TestPlannedWork(t *testing.T) {
 	t.Parallel()
 	play(t, Options{Seed: plannedSeed, Length: plannedLength, Planned: true})
--- a/soak/takeover_test.go
+++ b/soak/takeover_test.go
@@ -54,13 +54,9 @@
 	},
 }
 
-// TestTakeover measures how long callers wait when the leader is lost, with a
-// store that is well.
-//
-// Symptom: jobs submitted after the leader was killed started two seconds later.
-// Events: its process is gone, its lease in the store is not. Cause: the others
-// waited for the end of the lease, although nothing listened at the leader's
-// address any more.
+// TestTakeover measures how long callers wait when the leader is lost with a healthy
+// store. It guards against daemons that wait for the end of its lease although
+// nothing listens at its address any more.
 func TestTakeover(t *testing.T) {
 	t.Parallel()
 	for _, kind := range takeovers {
--- a/standin/worker/renew_test.go
+++ b/standin/worker/renew_test.go
@@ -69,12 +69,9 @@
 	}
 }
 
-// Symptom: at each end of a task the owner sends all names, and at many ends
-// always.
-// Sequence: a task ends of itself; a renewal by hash arrives that its owner
-// made before it could know; then one made after it was told; then the first
-// one again.
-// Cause: the agent compares with what runs now.
+// TestHashHoldsEndsThatOwnerCannotKnow guards against an owner that must send all
+// names at each end of a task, because the agent compares a hash that was made
+// before the end with what runs now.
 func TestHashHoldsEndsThatOwnerCannotKnow(t *testing.T) {
 	d := newDriver(t, newClock(), worker.Options{})
 	d.expect(done, start("a", 1, small))
