--- a/core/jobsched/tally.go
+++ b/core/jobsched/tally.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/guavarill/guavarill/core/job"
 )
 
 // stopCause is the kind of reason for which an attempt is stopped.
@@ -75,29 +77,40 @@
 // a schedule or long-running tasks, whose occurrences have objectives of their own or
 // none.
 func (m *Machine) describeTally(j *jobState) string {
-	if len(j.occurrences) == 0 && j.tally.starts == 0 || j.record.Spec.Schedule != nil || j.record.Spec.Steps[0].LongRunning {
+	spec, t := &j.record.Spec, &j.tally
+	if len(j.occurrences) == 0 && t.starts == 0 || spec.Schedule != nil || spec.Steps[0].LongRunning {
 		return ""
 	}
-	t := &j.tally
-	tasks, workMs := 0, int64(0)
-	for i := range j.record.Spec.Steps {
-		s := &j.record.Spec.Steps[i]
-		tasks += s.Count
-		workMs += int64(s.Count) * s.Size.MilliCPU * s.EstimateMs
-	}
 	q := m.queue(j)
-	allowance := time.Duration(q.Stretch*float64(j.record.Spec.CriticalPathMs())+float64(q.LatencyTargetMs)) * time.Millisecond
-	since := ""
+	allowed := time.Duration(allowanceMs(q, spec.CriticalPathMs())) * time.Millisecond
+	tasks, work := estimatedWork(spec)
+	return fmt.Sprintf("; queue %s, allowed %s, %d tasks of %.1f core-s; %s; waited %s for workers; %d starts, %d failed, stopped: %s; %.1f core-s lost",
+		q.Name, allowed, tasks, coreSeconds(work), m.describeFirstStart(j), t.waited.Round(time.Millisecond),
+		t.starts, t.failures, t.describeStops(), coreSeconds(t.lostCPUMs))
+}
+
+// describeFirstStart says how long after the job was accepted its first attempt was
+// started, as far as this leader knows.
+func (m *Machine) describeFirstStart(j *jobState) string {
+	text := "no start"
+	if at := j.tally.firstStartAt; !at.IsZero() {
+		text = fmt.Sprintf("first start after %s", max(m.age(j)-m.now.Sub(at), 0).Round(time.Millisecond))
+	}
 	if j.recovered {
-		since = "since the take-over "
+		return "since the take-over " + text
 	}
-	firstStart := "no start"
-	if !t.firstStartAt.IsZero() {
-		accepted := m.age(j) - m.now.Sub(t.firstStartAt)
-		firstStart = fmt.Sprintf("first start after %s", max(accepted, 0).Round(time.Millisecond))
+	return text
+}
+
+// estimatedWork returns the tasks of a job and their estimated work, in thousandths of
+// a core times milliseconds.
+func estimatedWork(spec *job.Spec) (tasks int, work int64) {
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		tasks += s.Count
+		work += int64(s.Count) * s.Size.MilliCPU * s.EstimateMs
 	}
-	return fmt.Sprintf("; queue %s, allowed %s, %d tasks of %.1f core-s; %s%s; waited %s for workers; %d starts, %d failed, stopped: %s; %.1f core-s lost",
-		q.Name, allowance, tasks, coreSeconds(workMs), since, firstStart, t.waited.Round(time.Millisecond), t.starts, t.failures, t.describeStops(), coreSeconds(t.lostCPUMs))
+	return tasks, work
 }
 
 // describeStops lists the stops by cause, in alphabetical order.
--- a/core/jobsched/waitingorder.go
+++ b/core/jobsched/waitingorder.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"strings"
+
+	"github.com/guavarill/guavarill/core/job"
 )
 
 // This file decides in which order ready steps get workers. It answers a backlog of
@@ -90,8 +92,12 @@
 
 // allowanceMs returns how long the occurrence may take after it is due.
 func (m *Machine) allowanceMs(s *step) int64 {
-	q := m.queue(s.job())
-	return int64(q.Stretch*float64(s.occurrence.criticalPathMs)) + q.LatencyTargetMs
+	return allowanceMs(m.queue(s.job()), s.occurrence.criticalPathMs)
+}
+
+// allowanceMs returns how long a job with the given critical path may take.
+func allowanceMs(q *job.Queue, criticalPathMs int64) int64 {
+	return int64(q.Stretch*float64(criticalPathMs)) + q.LatencyTargetMs
 }
 
 // objectiveMs returns the time by which the occurrence should be done.
@@ -113,8 +119,7 @@
 
 // lateness returns whether the step's occurrence can still meet its objective, if
 // what is left of it started now and took as much longer than estimated as other jobs
-// of its queue. Long-running occurrences never end, so they are
-// always in time.
+// of its queue. Long-running occurrences never end, so they are always in time.
 func (m *Machine) lateness(s *step) lateness {
 	rest := int64(m.runTimes.of(m.queue(s.job()).Name) * float64(s.occurrence.pathLeftMs))
 	switch end := m.wall.UnixMilli() + rest; {
--- a/jobservice/cordons.go
+++ b/jobservice/cordons.go
@@ -26,7 +26,6 @@
 // cordonPoller reads the cordons of a term and decides when to give up the lead
 // because they cannot be read.
 type cordonPoller struct {
-	clock Clock
 	// within is how soon a cordon must be in force; 0 if no bound is set.
 	within time.Duration
 	// readAt is when the last successful read was requested, at first when the term
@@ -56,7 +55,7 @@
 		return
 	}
 	defer t.leader.noteCordons(nil)
-	p := cordonPoller{clock: o.Clock, within: o.Machine.CordonWithin, readAt: o.Clock.Now()}
+	p := cordonPoller{within: o.Machine.CordonWithin, readAt: o.Clock.Now()}
 	for ctx.Err() == nil {
 		requestedAt := o.Clock.Now()
 		zones, err := t.readCordons(ctx)
