core/jobsched: never count a job with a long-running step as too late

Cause: whether an occurrence has an end was asked of single steps: of the step that waits when it was ordered, of the first one when its outcome was counted. A short step that precedes long-running tasks was therefore too late after a while, and the job counted as one that its caller was not served with.

Change: an occurrence knows whether its job runs until it is canceled (Spec.UntilCanceled), and lateness, cost and the outcome take the occurrence.

--- a/core/job/spec.go
+++ b/core/job/spec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/guavarill/guavarill/core/model"
@@ -108,6 +109,12 @@
 	return size
 }
 
+// UntilCanceled reports whether the job runs until it is canceled, because a step has
+// long-running tasks.
+func (s *Spec) UntilCanceled() bool {
+	return slices.ContainsFunc(s.Steps, func(step Step) bool { return step.LongRunning })
+}
+
 // Check returns an *InvalidError for the first invalid field of the declaration.
 func (s *Spec) Check() error {
 	if len(s.Payload) > MaxPayloadBytes {
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -151,7 +151,7 @@
 	delete(o.job.occurrences, o.number)
 	o.job.done++
 	m.observeRunTime(o)
-	m.countOutcome(o, m.lateness(o.steps[0]) != tooLate)
+	m.countOutcome(o, m.lateness(o) != tooLate)
 	m.markDirty(o.job)
 }
 
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -56,6 +56,8 @@
 	criticalPathMs int64
 	// pathLeftMs is the same for the steps that are not done.
 	pathLeftMs int64
+	// untilCanceled is set for the occurrence of a job that never ends by itself.
+	untilCanceled bool
 	// work is the estimated work of all tasks, workLeft of those that are not done,
 	// in thousandths of a core times milliseconds.
 	work, workLeft float64
@@ -159,6 +161,7 @@
 		}
 	}
 	o.criticalPathMs = j.record.Spec.CriticalPathMs()
+	o.untilCanceled = j.record.Spec.UntilCanceled()
 	o.pathLeftMs = o.criticalPathMs
 	for _, s := range o.steps {
 		o.work += float64(s.spec.Count) * s.taskWork()
--- a/core/jobsched/sizebalance.go
+++ b/core/jobsched/sizebalance.go
@@ -68,7 +68,7 @@
 // countOutcome counts an occurrence whose outcome for its caller is decided: it is
 // done, or too late to be of use. Each is counted once.
 func (m *Machine) countOutcome(o *occurrence, served bool) {
-	if o.counted || o.steps[0].spec.LongRunning {
+	if o.counted || o.untilCanceled {
 		return
 	}
 	o.counted = true
--- a/core/jobsched/tally.go
+++ b/core/jobsched/tally.go
@@ -74,11 +74,11 @@
 }
 
 // describeTally says what the job has waited for and cost. It is empty for a job with
-// a schedule or long-running tasks, whose occurrences have objectives of their own or
-// none.
+// a schedule, whose occurrences have objectives of their own, and for one that runs
+// until it is canceled, which has none.
 func (m *Machine) describeTally(j *jobState) string {
 	spec, t := &j.record.Spec, &j.tally
-	if len(j.occurrences) == 0 && t.starts == 0 || spec.Schedule != nil || spec.Steps[0].LongRunning {
+	if len(j.occurrences) == 0 && t.starts == 0 || spec.Schedule != nil || spec.UntilCanceled() {
 		return ""
 	}
 	q := m.queue(j)
--- a/core/jobsched/waitingorder.go
+++ b/core/jobsched/waitingorder.go
@@ -32,7 +32,7 @@
 	for s := range m.pending.All() {
 		if s.ready() {
 			p := pendingStep{
-				step: s, priority: m.queue(s.job()).Priority, lateness: m.lateness(s), cost: m.cost(s), objectiveMs: m.objectiveMs(s),
+				step: s, priority: m.queue(s.job()).Priority, lateness: m.lateness(s.occurrence), cost: m.cost(s.occurrence), objectiveMs: m.objectiveMs(s.occurrence),
 			}
 			if p.lateness == tooLate {
 				m.countOutcome(s.occurrence, false)
@@ -81,27 +81,30 @@
 	return 1
 }
 
-// dueMs returns when the step's occurrence was due, or when its job was accepted if
-// it has no schedule.
-func (s *step) dueMs() int64 {
-	if schedule := s.job().record.Spec.Schedule; schedule != nil {
-		return schedule.Due(s.occurrence.number).UnixMilli()
+// dueMs returns when the occurrence was due, or when its job was accepted if it has no
+// schedule, as Unix time in milliseconds.
+func (o *occurrence) dueMs() int64 {
+	if schedule := o.job.record.Spec.Schedule; schedule != nil {
+		return schedule.Due(o.number).UnixMilli()
 	}
-	return s.job().record.AcceptedAtMs
+	return o.job.record.AcceptedAtMs
 }
 
-// allowanceMs returns how long the occurrence may take after it is due.
-func (m *Machine) allowanceMs(s *step) int64 {
-	return allowanceMs(m.queue(s.job()), s.occurrence.criticalPathMs)
+// allowanceMs returns how long the occurrence may take after it is due, in
+// milliseconds.
+func (m *Machine) allowanceMs(o *occurrence) int64 {
+	return allowanceMs(m.queue(o.job), o.criticalPathMs)
 }
 
-// allowanceMs returns how long a job with the given critical path may take.
+// allowanceMs returns how long a job of the queue with the given critical path may
+// take, in milliseconds.
 func allowanceMs(q *job.Queue, criticalPathMs int64) int64 {
 	return int64(q.Stretch*float64(criticalPathMs)) + q.LatencyTargetMs
 }
 
-// objectiveMs returns the time by which the occurrence should be done.
-func (m *Machine) objectiveMs(s *step) int64 { return s.dueMs() + m.allowanceMs(s) }
+// objectiveMs returns the time by which the occurrence should be done, as Unix time in
+// milliseconds.
+func (m *Machine) objectiveMs(o *occurrence) int64 { return o.dueMs() + m.allowanceMs(o) }
 
 // lateFactor is how many times its allowance a job may take before its result is of
 // no use to the caller.
@@ -117,31 +120,30 @@
 	tooLate
 )
 
-// lateness returns whether the step's occurrence can still meet its objective, if
-// what is left of it started now and took as much longer than estimated as other jobs
-// of its queue. Long-running occurrences never end, so they are always in time.
-func (m *Machine) lateness(s *step) lateness {
-	rest := int64(m.runTimes.of(m.queue(s.job()).Name) * float64(s.occurrence.pathLeftMs))
+// lateness returns whether the occurrence can still meet its objective, if what is left
+// of it started now and took as much longer than estimated as other jobs of its queue.
+// An occurrence that runs until it is canceled is always in time.
+func (m *Machine) lateness(o *occurrence) lateness {
+	rest := int64(m.runTimes.of(m.queue(o.job).Name) * float64(o.pathLeftMs))
 	switch end := m.wall.UnixMilli() + rest; {
-	case s.spec.LongRunning:
+	case o.untilCanceled:
 		return inTime
-	case end < m.objectiveMs(s):
+	case end < m.objectiveMs(o):
 		return inTime
-	case end < s.dueMs()+lateFactor*m.allowanceMs(s):
+	case end < o.dueMs()+lateFactor*m.allowanceMs(o):
 		return late
 	}
 	return tooLate
 }
 
-// cost returns what it takes to finish the step's occurrence, in relation to its
-// size: the work that is left, divided by a power of the whole work. Of jobs that have
+// cost returns what it takes to finish the occurrence, in relation to its size: the work that is left, divided by a power of the whole work. Of jobs that have
 // not begun, the small ones come first, so that the room that there is serves many
 // callers, as far as large ones are not starved (sizeBalance); one that has begun comes
 // before new ones that need as much, so that work is not left unfinished. It is 0 for
-// long-running occurrences, which have no work to finish.
-func (m *Machine) cost(s *step) float64 {
-	if s.spec.LongRunning {
+// an occurrence that runs until it is canceled, which has no work to finish.
+func (m *Machine) cost(o *occurrence) float64 {
+	if o.untilCanceled {
 		return 0
 	}
-	return s.occurrence.workLeft / math.Pow(s.occurrence.work, m.sizeExponent(m.queue(s.job()).Name))
+	return o.workLeft / math.Pow(o.work, m.sizeExponent(m.queue(o.job).Name))
 }
