core/jobsched: one formula for the path and the work of a job, plain names

The longest path stood in core/job and, for the steps left, in core/jobsched; the estimated work in the tally and in the occurrence; the first start was recorded by two statements side by side. Each stands once now: Spec.PathMs, Spec.Work, occurrence.noteStart. sizes is now sizeBalances, evacuate (the platform's word for something else) is stopBeforeDeparture, and the end of a wait stands beside its beginning in waitnote.go. Decisions are the same; the package's tests pass.

--- a/core/job/spec.go
+++ b/core/job/spec.go
@@ -164,15 +164,39 @@
 // CriticalPathMs returns the length of the critical path in milliseconds: the
 // largest sum of the estimates of steps that depend on one another.
 func (s *Spec) CriticalPathMs() int64 {
+	return s.PathMs(func(int) bool { return true })
+}
+
+// PathMs is the same as CriticalPathMs if only the steps whose number is included take
+// any time.
+func (s *Spec) PathMs(includes func(step int) bool) int64 {
 	ends := make([]int64, len(s.Steps))
 	longest := int64(0)
 	for i := range s.Steps {
-		begin := int64(0)
 		for _, earlier := range s.Steps[i].After {
-			begin = max(begin, ends[earlier])
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		if includes(i) {
+			ends[i] += s.Steps[i].EstimateMs
 		}
-		ends[i] = begin + s.Steps[i].EstimateMs
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
+
+// TaskWork returns the estimated work of one task, in thousandths of a core times
+// milliseconds. It is never 0, also without an estimate.
+func (s *Step) TaskWork() float64 {
+	return float64(max(s.EstimateMs, 1)) * float64(max(s.Size.MilliCPU, 1))
+}
+
+// Work returns the number of tasks of one repetition, and their estimated work in
+// thousandths of a core times milliseconds.
+func (s *Spec) Work() (tasks int, work float64) {
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		tasks += step.Count
+		work += float64(step.Count) * step.TaskWork()
+	}
+	return tasks, work
+}
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -163,9 +163,7 @@
 	o.criticalPathMs = j.record.Spec.CriticalPathMs()
 	o.untilCanceled = j.record.Spec.UntilCanceled()
 	o.pathLeftMs = o.criticalPathMs
-	for _, s := range o.steps {
-		o.work += float64(s.spec.Count) * s.taskWork()
-	}
+	_, o.work = j.record.Spec.Work()
 	o.workLeft = o.work
 	return o
 }
@@ -188,13 +186,13 @@
 	}
 	t.done = true
 	t.checkpoint = ""
-	o.workLeft -= t.step.taskWork()
+	o.workLeft -= t.step.spec.TaskWork()
 	t.step.left--
 	if t.step.left > 0 {
 		return nil
 	}
 	o.left--
-	o.pathLeftMs = o.longestPathLeft()
+	o.pathLeftMs = o.job.record.Spec.PathMs(func(step int) bool { return o.steps[step].left > 0 })
 	var ready []*step
 	for _, s := range t.step.next {
 		s.blocking--
@@ -205,25 +203,13 @@
 	return ready
 }
 
-// taskWork returns the estimated work of one task, in thousandths of a core times
-// milliseconds. It is never 0, also without an estimate.
-func (s *step) taskWork() float64 {
-	return float64(max(s.spec.EstimateMs, 1)) * float64(max(s.spec.Size.MilliCPU, 1))
-}
-
-// longestPathLeft returns the longest chain of estimated run times through the steps
-// that are not done, in milliseconds.
-func (o *occurrence) longestPathLeft() int64 {
-	ends := make([]int64, len(o.steps))
-	for i, s := range o.steps {
-		for _, earlier := range s.spec.After {
-			ends[i] = max(ends[i], ends[earlier])
-		}
-		if s.left > 0 {
-			ends[i] += s.spec.EstimateMs
-		}
+// noteStart records that an attempt of the occurrence is started now, for the occurrence
+// and in the tally of its job.
+func (o *occurrence) noteStart(now time.Time) {
+	if o.firstStartAt.IsZero() {
+		o.firstStartAt = now
 	}
-	return slices.Max(ends)
+	o.job.tally.noteStart(now)
 }
 
 // restore applies recorded progress to an occurrence. attemptGap is added to the
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -126,9 +126,9 @@
 
 	// runTimes tells how much longer than estimated the jobs of each queue run.
 	runTimes runTimeRatios
-	// sizes holds the balance between small and large jobs by queue.
-	sizes   map[string]*sizeBalance
-	learner *interference.Model
+	// sizeBalances holds the balance between small and large jobs by queue.
+	sizeBalances map[string]*sizeBalance
+	learner      *interference.Model
 	// lastLearnID is the id given last to an attempt in the interference learner.
 	lastLearnID uint64
 	// victims counts the serving tasks by the index of their image.
@@ -171,7 +171,7 @@
 	m := &Machine{
 		options: o, epoch: epoch, config: r.Config, now: now, recoveredAt: now,
 		final: make(map[job.ID]time.Time), incarnations: make(map[model.WorkerID]*workerIncarnations), unreadable: make(map[job.ID]*unreadableJob), learner: interference.New(learnerOptions()),
-		runTimes: make(runTimeRatios), sizes: make(map[string]*sizeBalance),
+		runTimes: make(runTimeRatios), sizeBalances: make(map[string]*sizeBalance),
 	}
 	m.cordonLimits = cordon.LimitsFor(o.CordonWithin)
 	m.options.MaxLease = cmp.Or(o.MaxLease, o.Lease)
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -79,10 +79,7 @@
 		m.now.Sub(w.clockAt).Round(time.Millisecond), m.configVersion(), m.score(t, w))
 	a := m.addAttempt(t, w, number, phaseStarting)
 	t.known = true
-	t.step.job().tally.noteStart(m.now)
-	if o := t.step.occurrence; o.firstStartAt.IsZero() {
-		o.firstStartAt = m.now
-	}
+	t.step.occurrence.noteStart(m.now)
 	m.noteAttempt(joblog.MessageAttemptStarted, a, reason)
 	m.noteResumed(t.step.job())
 	m.emit(Start{
--- a/core/jobsched/preempt.go
+++ b/core/jobsched/preempt.go
@@ -35,9 +35,9 @@
 }
 
 // dropReservations removes reservations that have expired, whose task has started
-// or is to be tried elsewhere, or whose job is over, and all of a worker in a
-// cordoned zone. It runs only between placement
-// rounds, because a round relies on room not increasing.
+// or is to be tried elsewhere, or whose job is over, and all of a worker in a cordoned
+// zone. It runs only between placement rounds, because a round relies on room not
+// increasing.
 func (m *Machine) dropReservations(w *worker) {
 	if len(w.reserved) == 0 {
 		return
--- a/core/jobsched/sizebalance.go
+++ b/core/jobsched/sizebalance.go
@@ -59,7 +59,7 @@
 
 // sizeExponent returns the exponent of a queue.
 func (m *Machine) sizeExponent(queue string) float64 {
-	if b := m.sizes[queue]; b != nil {
+	if b := m.sizeBalances[queue]; b != nil {
 		return b.exponent
 	}
 	return minSizeExponent
@@ -73,10 +73,10 @@
 	}
 	o.counted = true
 	queue := m.queue(o.job).Name
-	b := m.sizes[queue]
+	b := m.sizeBalances[queue]
 	if b == nil {
 		b = &sizeBalance{meanWork: o.work, all: 1, large: 1, exponent: minSizeExponent, noted: minSizeExponent}
-		m.sizes[queue] = b
+		m.sizeBalances[queue] = b
 	}
 	b.observe(o.work, served)
 	if math.Abs(b.exponent-b.noted) >= sizeExponentNote {
--- a/core/jobsched/sizebalance_test.go
+++ b/core/jobsched/sizebalance_test.go
@@ -48,6 +48,6 @@
 		c.run(20 * time.Millisecond)
 	}
 	if !slices.ContainsFunc(c.notes, func(n Note) bool { return n.Decision == joblog.MessageSizeOrderChanged }) {
-		t.Errorf("no note; balance %+v", *c.machine.sizes["urgent"])
+		t.Errorf("no note; balance %+v", *c.machine.sizeBalances["urgent"])
 	}
 }
--- a/core/jobsched/stall.go
+++ b/core/jobsched/stall.go
@@ -21,7 +21,7 @@
 func (m *Machine) checkAttempts() {
 	for _, w := range m.workers.All() {
 		if w.entry.Draining {
-			m.evacuate(w)
+			m.stopBeforeDeparture(w)
 		}
 		m.noteHoldingAttempts(w)
 		for _, a := range w.attempts.All() {
@@ -79,10 +79,10 @@
 	}
 }
 
-// evacuate stops attempts that a draining worker would cut short, so that they run
-// elsewhere. Long-running tasks are stopped at once. Others are stopped only if
+// stopBeforeDeparture stops attempts that a draining worker would cut short, so that
+// they run elsewhere. Long-running tasks are stopped at once. Others are stopped only if
 // they resume from a checkpoint and are unlikely to finish in the remaining time.
-func (m *Machine) evacuate(w *worker) {
+func (m *Machine) stopBeforeDeparture(w *worker) {
 	for _, a := range w.attempts.All() {
 		if a.phase != phaseRunning || a.task == nil || a.step().spec.Gang {
 			continue
--- a/core/jobsched/tally.go
+++ b/core/jobsched/tally.go
@@ -6,8 +6,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/guavarill/guavarill/core/job"
 )
 
 // stopCause is the kind of reason for which an attempt is stopped.
@@ -65,14 +63,6 @@
 	}
 }
 
-// noteFoundWorkers ends the step's wait for workers, if it waits.
-func (m *Machine) noteFoundWorkers(s *step) {
-	if !s.waitingSince.IsZero() {
-		s.job().tally.waited += m.now.Sub(s.waitingSince)
-		s.waitingSince = time.Time{}
-	}
-}
-
 // describeTally says what the job has waited for and cost. It is empty for a job with
 // a schedule, whose occurrences have objectives of their own, and for one that runs
 // until it is canceled, which has none.
@@ -83,10 +73,10 @@
 	}
 	q := m.queue(j)
 	allowed := time.Duration(allowanceMs(q, spec.CriticalPathMs())) * time.Millisecond
-	tasks, work := estimatedWork(spec)
+	tasks, work := spec.Work()
 	return fmt.Sprintf("; queue %s, allowed %s, %d tasks of %.1f core-s; %s; waited %s for workers; %d starts, %d failed, stopped: %s; %.1f core-s lost",
 		q.Name, allowed, tasks, coreSeconds(work), m.describeFirstStart(j), t.waited.Round(time.Millisecond),
-		t.starts, t.failures, t.describeStops(), coreSeconds(t.lostCPUMs))
+		t.starts, t.failures, t.describeStops(), coreSeconds(float64(t.lostCPUMs)))
 }
 
 // describeFirstStart says how long after the job was accepted its first attempt was
@@ -102,17 +92,6 @@
 	return text
 }
 
-// estimatedWork returns the tasks of a job and their estimated work, in thousandths of
-// a core times milliseconds.
-func estimatedWork(spec *job.Spec) (tasks int, work int64) {
-	for i := range spec.Steps {
-		s := &spec.Steps[i]
-		tasks += s.Count
-		work += int64(s.Count) * s.Size.MilliCPU * s.EstimateMs
-	}
-	return tasks, work
-}
-
 // describeStops lists the stops by cause, in alphabetical order.
 func (t *jobTally) describeStops() string {
 	if len(t.stops) == 0 {
@@ -126,4 +105,4 @@
 }
 
 // coreSeconds converts thousandths of a core times milliseconds.
-func coreSeconds(cpuMs int64) float64 { return float64(cpuMs) / 1e6 }
+func coreSeconds(cpuMs float64) float64 { return cpuMs / 1e6 }
--- a/core/jobsched/waitnote.go
+++ b/core/jobsched/waitnote.go
@@ -45,6 +45,14 @@
 	}
 }
 
+// noteFoundWorkers ends the step's wait for workers, if it waits.
+func (m *Machine) noteFoundWorkers(s *step) {
+	if !s.waitingSince.IsZero() {
+		s.job().tally.waited += m.now.Sub(s.waitingSince)
+		s.waitingSince = time.Time{}
+	}
+}
+
 // namedFilter is a placement filter with the reason that it is reported under.
 type namedFilter struct {
 	name   string
