--- a/core/cordon/cordon.go
+++ b/core/cordon/cordon.go
@@ -12,6 +12,14 @@
 // cordoned.
 type Zones map[model.Zone]int64
 
+// Add adds a zone that was cordoned at the given store revision. An empty name is the
+// name of no zone, and is ignored.
+func (z Zones) Add(name string, revision int64) {
+	if name != "" {
+		z[model.Zone(name)] = revision
+	}
+}
+
 // Names returns the cordoned zones in alphabetical order.
 func (z Zones) Names() []model.Zone { return slices.Sorted(maps.Keys(z)) }
 
--- a/daemon/cordons.go
+++ b/daemon/cordons.go
@@ -71,9 +71,7 @@
 func (c *control) zonesOf(kvs []port.KeyValue) cordon.Zones {
 	zones := make(cordon.Zones, len(kvs))
 	for _, kv := range kvs {
-		if zone := strings.TrimPrefix(kv.Key, c.o.cordonsPrefix()); zone != "" {
-			zones[model.Zone(zone)] = kv.ModRevision
-		}
+		zones.Add(strings.TrimPrefix(kv.Key, c.o.cordonsPrefix()), kv.ModRevision)
 	}
 	return zones
 }
--- a/jobservice/cordons.go
+++ b/jobservice/cordons.go
@@ -18,9 +18,9 @@
 	// cordons too old for starts where the bound is five seconds.
 	cordonReadTimeout = 900 * time.Millisecond
 	cordonRetryDelay  = 100 * time.Millisecond
-	// maxCordonBlindness is how long the leader keeps the lead while it cannot read
+	// maxCordonsUnreadable is how long the leader keeps the lead while it cannot read
 	// the cordons and therefore starts nothing: another daemon may be able to.
-	maxCordonBlindness = 5 * time.Second
+	maxCordonsUnreadable = 5 * time.Second
 )
 
 // cordonPoller reads the cordons of a term and decides when to give up the lead
@@ -43,7 +43,7 @@
 
 // givesUp reports whether the cordons have been unreadable for too long to lead.
 func (p *cordonPoller) givesUp(now time.Time) bool {
-	return p.within > 0 && now.Sub(p.readAt) >= maxCordonBlindness
+	return p.within > 0 && now.Sub(p.readAt) >= maxCordonsUnreadable
 }
 
 // pollCordons periodically reads the zones that the operator has cordoned. It polls
@@ -69,8 +69,7 @@
 		t.leader.log.WithError(err).Debug("cordons not read; retrying")
 		if ctx.Err() == nil && p.givesUp(o.Clock.Now()) {
 			t.leader.log.WithError(err).Warn("gives up the lead: the cordons cannot be read, and nothing may be started without them")
-			t.handedOver.Store(true)
-			t.end()
+			t.releaseLead()
 			return
 		}
 		Pause(ctx, cordonRetryDelay)
--- a/jobservice/cordons_test.go
+++ b/jobservice/cordons_test.go
@@ -30,7 +30,7 @@
 	for _, c := range []struct {
 		after time.Duration
 		gives bool
-	}{{0, false}, {maxCordonBlindness - time.Millisecond, false}, {maxCordonBlindness, true}} {
+	}{{0, false}, {maxCordonsUnreadable - time.Millisecond, false}, {maxCordonsUnreadable, true}} {
 		if p.givesUp(begin.Add(c.after)) != c.gives {
 			t.Errorf("after %s: gives up %t, want %t", c.after, !c.gives, c.gives)
 		}
--- a/jobservice/handover.go
+++ b/jobservice/handover.go
@@ -67,6 +67,11 @@
 // over a free leadership sooner; see delayCampaign.
 func (t *term) handOverLead() {
 	t.leader.log.WithFields(logrus.Fields{"epoch": t.epoch, "processors": t.leader.o.Processors}).Info(joblog.MessageLeadershipHandedOver)
+	t.releaseLead()
+}
+
+// releaseLead ends the term so that another daemon can take over at once.
+func (t *term) releaseLead() {
 	t.handedOver.Store(true)
 	t.end()
 }
--- a/jobservice/leader.go
+++ b/jobservice/leader.go
@@ -109,8 +109,8 @@
 	// workerCount is the number of workers in the platform's list when it was last
 	// read.
 	workerCount atomic.Int64
-	// end ends the term. handedOver is set when the term ends to hand leadership over
-	// to another daemon.
+	// end ends the term. handedOver is set when the term ends so that another daemon can
+	// lead.
 	end        context.CancelFunc
 	handedOver atomic.Bool
 }
