--- a/core/jobsched/inherit_test.go
+++ b/core/jobsched/inherit_test.go
@@ -58,13 +58,7 @@
 // the task restarts, and then the silent worker reports the earlier attempt as done:
 // both ends would count.
 func TestAttemptOfAJobSetAsideIsGivenUp(t *testing.T) {
-	c := newCluster(t, 1, 2)
-	c.run(200 * time.Millisecond)
-	id := c.submit(1, "batch", makeStep(1, 1000, 600*time.Millisecond))
-	c.run(300 * time.Millisecond)
-	ran := c.workerRunning(job.TaskKey{Job: id})
-	ran.partitioned = true
-	c.run(time.Second)
+	c, id, ran := newClusterWithLostTask(t)
 	c.damaged[id] = true
 	c.handOver()
 	c.run(25 * time.Second)
--- a/core/jobsched/overload_test.go
+++ b/core/jobsched/overload_test.go
@@ -122,8 +122,8 @@
 
 // TestBacklogLeavesJobsInTime guards against an order by objective alone. In a backlog
 // that never clears, it spends the room on jobs that are about to be late all the
-// same, so that most are late. The jobs in time must be at least three quarters of the share
-// that there is room for.
+// same, so that most are late. The jobs in time must be at least three quarters of the
+// share that there is room for.
 func TestBacklogLeavesJobsInTime(t *testing.T) {
 	for _, c := range []struct{ jobsPerSecond, shortage float64 }{{24, 1.2}, {36, 1.9}} {
 		const seeds = 3
--- a/core/jobsched/restartrecord_test.go
+++ b/core/jobsched/restartrecord_test.go
@@ -45,18 +45,25 @@
 	c.run(3 * time.Second)
 }
 
-// TestEndsThatALostRosterHid guards against a restart that is not stored first after
-// the roster was lost. A task was done on an unreachable worker that no roster
-// names; it is started again once all leases have ended, and both ends would count
-// when the worker answers.
-func TestEndsThatALostRosterHid(t *testing.T) {
+// newClusterWithLostTask returns a cluster of two workers, one of which was partitioned
+// while it ran the only task of the returned job.
+func newClusterWithLostTask(t *testing.T) (*cluster, job.ID, *fakeWorker) {
 	c := newCluster(t, 1, 2)
 	c.run(200 * time.Millisecond)
 	id := c.submit(1, "batch", makeStep(1, 1000, 600*time.Millisecond))
 	c.run(300 * time.Millisecond)
-	ran := c.workerRunning(job.TaskKey{Job: id})
-	ran.partitioned = true
+	w := c.workerRunning(job.TaskKey{Job: id})
+	w.partitioned = true
 	c.run(time.Second)
+	return c, id, w
+}
+
+// TestEndsThatALostRosterHid guards against a restart that is not stored first after
+// the roster was lost. A task was done on an unreachable worker that no roster
+// names; it is started again once all leases have ended, and both ends would count
+// when the worker answers.
+func TestEndsThatALostRosterHid(t *testing.T) {
+	c, _, ran := newClusterWithLostTask(t)
 	c.rosterDamaged = true
 	c.replaceLeader()
 	c.run(12 * time.Second)
--- a/core/scheduler/decide_test.go
+++ b/core/scheduler/decide_test.go
@@ -310,14 +310,19 @@
 			t.Errorf("%s drains: %t", task.Key, drains)
 		}
 	}
+	w.settle()
+	if left := len(w.ledger.OnWorker("w0")); on == 0 || left != 0 || w.ledger.count(ledger.Running) != 4 {
+		t.Errorf("%d tasks before, %d left, %d running", on, left, w.ledger.count(ledger.Running))
+	}
+}
+
+// settle plays enough cycles for all decisions to be carried out.
+func (w *world) settle() {
 	for range 20 {
 		w.run()
 		w.cycle()
 	}
 	w.run()
-	if left := len(w.ledger.OnWorker("w0")); on == 0 || left != 0 || w.ledger.count(ledger.Running) != 4 {
-		t.Errorf("%d tasks before, %d left, %d running", on, left, w.ledger.count(ledger.Running))
-	}
 }
 
 // TestUnstartedTasksLeaveACordonedZone guards against tasks that were assigned in a
@@ -334,11 +339,7 @@
 			t.Errorf("%s is %s", task.Key, task.State)
 		}
 	}
-	for range 20 {
-		w.run()
-		w.cycle()
-	}
-	w.run()
+	w.settle()
 	if left := len(w.ledger.OnWorker("w0")); assigned == 0 || left != 0 || w.ledger.count(ledger.Running) != 4 {
 		t.Errorf("%d tasks assigned, %d left, %d running", assigned, left, w.ledger.count(ledger.Running))
 	}
