--- a/core/jobsched/waitingorder.go
+++ b/core/jobsched/waitingorder.go
@@ -26,7 +26,9 @@
 }
 
 // pendingSteps returns the ready steps, the most urgent first. A step with
-// interrupted tasks appears twice, the first time for those tasks alone.
+// interrupted tasks appears twice, the first time for those tasks alone. Steps without
+// tasks left leave the set of pending ones, and occurrences that have become too late to
+// be of use are counted as not served.
 func (m *Machine) pendingSteps() []pendingStep {
 	steps := make([]pendingStep, 0, m.pending.Len())
 	for s := range m.pending.All() {
