core/jobsched: say which trials a waiting task waits for

What operators saw: a step waits for half a minute with 37 of 48 workers ruled out by nothing, and no line says why it does not start; a crash is noted with a last report 292 years ago. Cause: a task whose trial may not begin, because other trials run, is passed over before any worker is looked at, and the note counts workers only. A leader that never heard a worker has no time of its last report. Change: the decision has a type, trialHold; the note, the view of a step and job explain say how many tasks wait for which trials, and for how long these run at the most; two gauges count trials and tasks that wait for them. A worker that was never heard is noted as that. Decisions are the same. Tests: TestTrialWaitsAreTold, TestCrashOfAWorkerNeverHeardIsNoted.

--- a/cli/jobexplain.go
+++ b/cli/jobexplain.go
@@ -102,6 +102,9 @@
 		row(w, s.Name, s.Done, s.Running, s.Waiting, s.Blocked, s.RuledOut)
 	}
 	for _, s := range e.Now.Steps {
+		if s.TrialWait != "" {
+			fmt.Fprintf(w, "step %s: %s\n", s.Name, s.TrialWait)
+		}
 		if s.HeldBack != "" {
 			fmt.Fprintf(w, "step %s is held back: %s\n", s.Name, s.HeldBack)
 		}
--- a/core/jobsched/budget.go
+++ b/core/jobsched/budget.go
@@ -43,6 +43,8 @@
 	// budget and notes are what is left of the current half round. halfBudget is
 	// the budget of half a round.
 	budget, notes, halfBudget int
+	// heldTrials holds the tasks found waiting for their trial in this pass.
+	heldTrials map[*task]struct{}
 }
 
 // notesPerRound bounds the notes about waiting steps in a round: each checks all
@@ -66,6 +68,7 @@
 	}
 	p.number++
 	p.open = true
+	p.heldTrials = make(map[*task]struct{})
 	return true
 }
 
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -73,13 +73,21 @@
 // noteCrash notes that a worker has ended without announcing it, and which of its
 // attempts was started last.
 func (m *Machine) noteCrash(w *worker, reason string) {
-	text := fmt.Sprintf("%s; last heard %s ago; %d attempts were there", reason, m.now.Sub(w.lastReportAt).Round(time.Millisecond), w.attempts.Len())
+	text := fmt.Sprintf("%s; %s; %d attempts were there", reason, m.describeLastReport(w), w.attempts.Len())
 	if a := w.latestAttempt(); a != nil {
 		text += fmt.Sprintf(", the latest %s, seen to run for %s", a.key.task, a.observedRunTime())
 	}
 	m.emit(Note{Decision: joblog.MessageWorkerCrashed, Worker: w.id, Reason: text})
 }
 
+// describeLastReport tells when the worker was last heard.
+func (m *Machine) describeLastReport(w *worker) string {
+	if w.lastReportAt.IsZero() {
+		return "never heard by this leader"
+	}
+	return "last heard " + m.now.Sub(w.lastReportAt).Round(time.Millisecond).String() + " ago"
+}
+
 // latestAttempt returns the attempt that was started last, or nil. An attempt with
 // an unanswered start counts as later than all others.
 func (w *worker) latestAttempt() *attempt {
--- a/core/jobsched/crash_test.go
+++ b/core/jobsched/crash_test.go
@@ -37,6 +37,24 @@
 	}
 }
 
+// TestCrashOfAWorkerNeverHeardIsNoted guards against a note with a meaningless time
+// when the leader that sees the crash has never heard the worker.
+func TestCrashOfAWorkerNeverHeardIsNoted(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.keepNotes = true
+	c.run(200 * time.Millisecond)
+	id := c.submit(1, "urgent", longRunning(1, 2000))
+	c.run(2 * time.Second)
+	c.restartTime = 4 * time.Second
+	c.restart(c.workers[c.firstWorkerOf(id)])
+	c.run(2500 * time.Millisecond)
+	c.replaceLeader()
+	c.run(3 * time.Second)
+	if !c.hasNote(joblog.MessageWorkerCrashed, "never heard by this leader") {
+		t.Errorf("no note of the crash says that the worker was never heard: %v", c.notes)
+	}
+}
+
 // crashDelays are the times from a task's start to the crash of its worker that are
 // played.
 var crashDelays = []time.Duration{10 * time.Millisecond, 400 * time.Millisecond, 3 * time.Second}
--- a/core/jobsched/inspect.go
+++ b/core/jobsched/inspect.go
@@ -39,6 +39,9 @@
 	// RuledOut counts the workers by the reason that rules them out, for a step
 	// that waits.
 	RuledOut string `json:"ruledOut,omitempty"`
+	// TrialWait is what the step's tasks wait for that may have crashed workers and
+	// are tried after one another; empty if none does.
+	TrialWait string `json:"trialWait,omitempty"`
 	// HeldUntil is when the step may be tried again after a refusal, or the latest
 	// time at which the hold in HeldBack ends. It is zero if the step is not held
 	// back or the time is unknown.
@@ -127,7 +130,7 @@
 		}
 	}
 	if view.Waiting > 0 && view.Blocked == 0 {
-		view.RuledOut = m.ruledOut(s)
+		view.RuledOut, view.TrialWait = m.ruledOut(s), m.describeTrialWait(s)
 	}
 	if s.notBefore.After(m.now) {
 		view.HeldUntil = s.notBefore
--- a/core/jobsched/isolation.go
+++ b/core/jobsched/isolation.go
@@ -113,15 +113,35 @@
 // mayStartAfterCrashes reports whether the task's crashes permit a start now.
 func (m *Machine) mayStartAfterCrashes(t *task) bool {
 	m.resolveInheritedTrial(t)
+	return !t.step.job().state.Final() && m.trialHoldOn(t) == trialHoldNone
+}
+
+// trialHold is what a task's trial waits for.
+type trialHold int
+
+const (
+	// trialHoldNone: its trial may begin.
+	trialHoldNone trialHold = iota
+	// trialHoldIsolated: as many isolated trials run as may at a time.
+	trialHoldIsolated
+	// trialHoldStep: another task of its step is on trial.
+	trialHoldStep
+)
+
+// trialHoldOn returns what the trial of a suspect task waits for.
+func (m *Machine) trialHoldOn(t *task) trialHold {
 	switch {
-	case t.step.job().state.Final():
-		return false
-	case t.needsIsolation() && m.isolatedTrials >= max(m.workers.Len()/workersPerTrial, 1):
-		return false
+	case t.needsIsolation() && m.isolatedTrials >= m.maxIsolatedTrials():
+		return trialHoldIsolated
+	case !t.step.spec.Gang && t.countSuspicious() > 0 && t.step.hasOtherTrial(t):
+		return trialHoldStep
 	}
-	return t.step.spec.Gang || t.countSuspicious() == 0 || !t.step.hasOtherTrial(t)
+	return trialHoldNone
 }
 
+// maxIsolatedTrials returns how many isolated trials may run at a time.
+func (m *Machine) maxIsolatedTrials() int { return max(m.workers.Len()/workersPerTrial, 1) }
+
 // hasOtherTrial reports whether another suspect task of the step is on trial while
 // no task of the step has run for trialTime. If all tasks of a step crash their
 // workers, one of them is enough to find out.
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -100,6 +100,8 @@
 	// that are on trial alone on their workers.
 	trials         ordered.Map[*attempt, struct{}]
 	isolatedTrials int
+	// trialsWaiting counts the tasks that waited for their trial in the last pass.
+	trialsWaiting int
 	// stops holds the attempts whose stop has not been acknowledged.
 	stops ordered.Map[*attempt, struct{}]
 	// sweptAt is when all attempts were last checked.
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -27,6 +27,7 @@
 		}
 	}
 	m.pass.open = false
+	m.trialsWaiting = len(m.pass.heldTrials)
 }
 
 // startMostUrgent processes the most urgent steps, whether or not they had a turn
@@ -117,6 +118,7 @@
 			continue
 		}
 		if !m.mayStartAfterCrashes(t) {
+			m.pass.heldTrials[t] = struct{}{}
 			m.dropTrialOnWorker(t)
 			result = startFoundNoWorker
 			continue
--- /dev/null
+++ b/core/jobsched/trialwait_test.go
@@ -0,0 +1,61 @@
+package jobsched
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/joblog"
+)
+
+// TestTrialWaitsAreTold guards against tasks that wait for other tasks' trials
+// without a reason in the log, the views or the counts.
+func TestTrialWaitsAreTold(t *testing.T) {
+	tests := map[string]struct {
+		crashes []job.Crash
+		want    string
+	}{
+		"alone": {
+			[]job.Crash{{Attempt: 1, ObservedRunMs: 3900}, {Attempt: 2, ObservedRunMs: 3900}},
+			"5 of its tasks wait to be tried alone, while 1 of at most 1 such trials run, the last for ",
+		},
+		"one of the step": {
+			[]job.Crash{{Attempt: 1, ObservedRunMs: 3900}},
+			"5 of its tasks wait while another task of the step is on trial, the last for ",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 1, 4)
+			c.keepNotes = true
+			c.run(200 * time.Millisecond)
+			id := c.submit(1, "batch", makeStep(1, 1000, 50*time.Millisecond), makeStep(6, 1000, 10*time.Second, 0))
+			c.tick()
+			for index := range 6 {
+				c.machine.task(job.TaskKey{Job: id, Step: 1, Index: index}).crashes = test.crashes
+			}
+			c.run(1800 * time.Millisecond)
+			if running, waiting := c.machine.Trials(); running != 1 || waiting != 5 {
+				t.Errorf("%d trials run and %d tasks wait, want 1 and 5", running, waiting)
+			}
+			view, _ := c.machine.Inspect(id)
+			if !strings.HasPrefix(view.Steps[0].TrialWait, test.want) {
+				t.Errorf("the view says %q, want %q", view.Steps[0].TrialWait, test.want)
+			}
+			if !c.hasNote(joblog.MessageStepWaits, test.want) {
+				t.Errorf("no note says %q", test.want)
+			}
+		})
+	}
+}
+
+// hasNote reports whether a kept note of the decision contains the text.
+func (c *cluster) hasNote(decision, text string) bool {
+	for _, n := range c.notes {
+		if n.Decision == decision && strings.Contains(n.Reason, text) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/jobsched/waitnote.go
+++ b/core/jobsched/waitnote.go
@@ -40,11 +40,21 @@
 		s.nextNoteAt = m.now.Add(waitNoteInterval)
 		m.emit(Note{
 			Decision: joblog.MessageStepWaits, Job: s.job().id, Task: s.name(), Routine: !s.spec.LongRunning,
-			Reason: fmt.Sprintf("for %s; workers ruled out: %s", m.now.Sub(s.waitingSince).Round(time.Millisecond), m.ruledOut(s)),
+			Reason: fmt.Sprintf("for %s; %s", m.now.Sub(s.waitingSince).Round(time.Millisecond), m.describeWait(s)),
 		})
 	}
 }
 
+// describeWait returns what keeps the step's tasks from starting: trials of other
+// tasks, and the workers that are ruled out.
+func (m *Machine) describeWait(s *step) string {
+	ruledOut := "workers ruled out: " + m.ruledOut(s)
+	if trials := m.describeTrialWait(s); trials != "" {
+		return trials + "; " + ruledOut
+	}
+	return ruledOut
+}
+
 // noteFoundWorkers ends the step's wait for workers, if it waits.
 func (m *Machine) noteFoundWorkers(s *step) {
 	if !s.waitingSince.IsZero() {
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -69,6 +69,9 @@
 	l.o.Metrics.jobs.Set(float64(jobs))
 	l.o.Metrics.attempts.Set(float64(attempts))
 	l.o.Metrics.unansweredWorkers.Set(float64(t.machine.UnansweredWorkers()))
+	running, waiting := t.machine.Trials()
+	l.o.Metrics.trialsRunning.Set(float64(running))
+	l.o.Metrics.trialsWaiting.Set(float64(waiting))
 	return false, false
 }
 
