core/jobsched: a test for tasks held back after mass crashes around take-overs, known red

The test plays that in virtual time: 15 of 24 workers crash at once, the leader is lost 0.05 or 2.5 s later, the other 9 crash and the next leader is lost. All 100 tasks must run within the time that the earlier leader's leases can last, the 2 s for which tasks on unlisted workers are kept beyond, and 1 s to be stored and started: 9.3 s.

--- /dev/null
+++ b/core/jobsched/masscrash_test.go
@@ -0,0 +1,100 @@
+package jobsched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+)
+
+const (
+	massCrashFleet    = 24
+	massCrashServing  = 4
+	massCrashJobs     = 16
+	massCrashJobTasks = 6
+)
+
+// TestTakeoversAmidMassCrashesHoldNothingBack guards against innocent tasks that a
+// new leader tries one after the other, because it never heard the workers that
+// crashed together under them.
+func TestTakeoversAmidMassCrashesHoldNothingBack(t *testing.T) {
+	// A leader that is lost at once has not stored that the workers are silent.
+	for name, lostAfter := range map[string]time.Duration{"at once": 50 * time.Millisecond, "later": 2500 * time.Millisecond} {
+		for ids, keepIDs := range map[string]bool{"new ids": false, "same ids": true} {
+			t.Run(ids+"/leader lost "+name, func(t *testing.T) {
+				c := newCluster(t, 1, massCrashFleet)
+				c.keepIDs = keepIDs
+				c.keepFinalJobs()
+				jobs := c.submitMassCrashJobs()
+				c.run(time.Second)
+				c.crashTogether(0, 15, 4*time.Second)
+				c.run(lostAfter)
+				c.replaceLeader()
+				c.run(8 * time.Second)
+				c.crashTogether(15, massCrashFleet, time.Minute)
+				c.run(lostAfter)
+				c.replaceLeader()
+				c.checkAllRunWithin(jobs, c.machine.earlierLeasesEnd().Sub(c.now)+unlistedLossGrace+time.Second)
+			})
+		}
+	}
+}
+
+// submitMassCrashJobs submits long-running and long tasks that need a third of the
+// room and returns their jobs.
+func (c *cluster) submitMassCrashJobs() []job.ID {
+	c.run(200 * time.Millisecond)
+	jobs := []job.ID{c.submit(1, "urgent", longRunning(massCrashServing, 1000))}
+	for i := range massCrashJobs {
+		jobs = append(jobs, c.submit(100+i, "batch", makeStep(massCrashJobTasks, 1000, 40*time.Second)))
+	}
+	return jobs
+}
+
+// crashTogether crashes some of the first workers at one moment. Each is back after
+// the given time.
+func (c *cluster) crashTogether(from, to int, back time.Duration) {
+	c.restartTime = back
+	for _, id := range c.workerIDs()[from:to] {
+		if w := c.workers[id]; !w.dead {
+			c.restart(w)
+		}
+	}
+}
+
+// checkAllRunWithin checks that each task of the jobs runs, or is done, at some
+// moment at most limit from now.
+func (c *cluster) checkAllRunWithin(jobs []job.ID, limit time.Duration) {
+	c.t.Helper()
+	began := c.now
+	for c.waitingTasks(jobs) > 0 && c.now.Sub(began) < time.Minute {
+		c.run(50 * time.Millisecond)
+	}
+	for _, id := range jobs {
+		if s := c.state(id); s == job.Failed {
+			c.t.Errorf("job %s has failed, but none of its tasks crashes workers", id)
+		}
+	}
+	if took := c.now.Sub(began); took > limit {
+		c.t.Errorf("all tasks run after %s, want at most %s", took, limit)
+	}
+}
+
+// waitingTasks counts the tasks of the unfinished jobs that neither run nor are done.
+func (c *cluster) waitingTasks(jobs []job.ID) int {
+	n := 0
+	for _, id := range jobs {
+		record := c.accepted[id]
+		if record == nil {
+			continue
+		}
+		for step, s := range record.Spec.Steps {
+			for index := range s.Count {
+				if truth := c.task(job.TaskKey{Job: id, Step: step, Index: index}); !truth.done && len(truth.running) == 0 {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
