core/jobsched: workers lost together are one event to the last of them

What callers saw: after a mass crash some tasks are tried one after another as if they had crashed their workers, though dozens of workers ended in the same second. Cause: whether others ended too was looked for among workers that had come back and workers that are silent with attempts. When the leases of silent workers end, the attempts on one after the other are declared lost, so that the last ones found none silent any more: their tasks were to blame. And a crash was kept for 15 s from the worker's last report, so that workers which are away for longer never explained each other. Class: evidence that is consumed by the very loop that weighs it.

--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -41,14 +41,6 @@
 	// at the same run time. Most tasks are shorter, so that any two of their
 	// crashes are close to each other.
 	minComparableRunTime = time.Second
-	// massCrashWindow is the period in which crashes of several workers count as
-	// one event. massCrashWorkers is the number of other workers that it takes.
-	massCrashWindow  = time.Second
-	massCrashWorkers = 3
-	// crashRetention is how long the crash of a worker is kept for detecting mass
-	// crashes. Crashes are detected when the workers come back, which takes some
-	// seconds.
-	crashRetention = 15 * time.Second
 )
 
 // observedRunTime returns how long the attempt was observed running, up to the last
@@ -109,7 +101,7 @@
 func (m *Machine) loseAttemptsInCrash(w *worker, reason string) {
 	if w.attempts.Len() > 0 && !w.ended {
 		m.noteCrash(w, reason)
-		m.recordWorkerCrash(w)
+		m.recordLostWorker(w)
 	}
 	for _, a := range w.attempts.All() {
 		if a.phase == phaseStarting {
@@ -155,60 +147,6 @@
 	return !a.listed && !a.inherited && len(ended.siblings.all) > 1
 }
 
-// workerCrash is a recorded crash of a worker.
-type workerCrash struct {
-	worker *worker
-	// steps holds the steps with attempts on the worker.
-	steps map[*step]struct{}
-}
-
-// recordWorkerCrash records the crash of a worker with the steps that ran there.
-func (m *Machine) recordWorkerCrash(w *worker) {
-	steps := make(map[*step]struct{})
-	for _, a := range w.attempts.All() {
-		steps[a.step()] = struct{}{}
-	}
-	m.recentCrashes = append(m.recentCrashes, workerCrash{worker: w, steps: steps})
-}
-
-// isMassCrash reports whether several other workers sent their last report at the
-// same time as w and have ended or are unreachable, although no attempt of the step
-// was there: then the step is not the common cause.
-func (m *Machine) isMassCrash(s *step, w *worker) bool {
-	if w.lastReportAt.IsZero() {
-		return false
-	}
-	m.recentCrashes = slices.DeleteFunc(m.recentCrashes, func(c workerCrash) bool {
-		return m.now.Sub(c.worker.lastReportAt) > crashRetention
-	})
-	together := func(other *worker) bool {
-		return other != w && other.lastReportAt.Sub(w.lastReportAt).Abs() <= massCrashWindow
-	}
-	others := 0
-	for _, c := range m.recentCrashes {
-		if _, there := c.steps[s]; together(c.worker) && !there {
-			others++
-		}
-	}
-	for _, other := range m.workers.All() {
-		unreachable := !other.ended && !other.unreachableSince.IsZero() && other.attempts.Len() > 0
-		if unreachable && together(other) && !other.mayRunStep(s) {
-			others++
-		}
-	}
-	return others >= massCrashWorkers
-}
-
-// mayRunStep reports whether an attempt of the step may be running on the worker.
-func (w *worker) mayRunStep(s *step) bool {
-	for _, a := range w.attempts.All() {
-		if a.step() == s {
-			return true
-		}
-	}
-	return false
-}
-
 // countCrash counts a worker crash against a task, once for each attempt, and fails
 // the job if there are too many.
 func (m *Machine) countCrash(t *task, c job.Crash) {
--- a/core/jobsched/lostattempts.go
+++ b/core/jobsched/lostattempts.go
@@ -37,6 +37,9 @@
 // more or lossGrace has passed, else only orphans and long-running ones, which
 // never complete.
 func (m *Machine) loseUnreachable(w *worker) {
+	if w.attempts.Len() > 0 && !w.ended {
+		m.recordLostWorker(w)
+	}
 	all := w.endsWithLease() || !m.now.Before(w.leaseBound.Add(w.lossGrace()))
 	for _, a := range w.attempts.All() {
 		if !all && !a.longRunning && a.task != nil {
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -94,8 +94,8 @@
 	// started attempts that no later leader knows of. It is cleared once every task
 	// that may have run there has been accounted for.
 	unseenCrash bool
-	// recentCrashes holds the workers that crashed within crashRetention.
-	recentCrashes []workerCrash
+	// lostWorkers holds the workers lost within crashRetention.
+	lostWorkers []lostWorker
 	// trials holds the attempts of suspect tasks, requestedTrials the tasks whose
 	// trial is about to begin on a certain worker. isolatedTrials counts the tasks
 	// that are on trial alone on their workers.
--- a/core/jobsched/masscrash_test.go
+++ b/core/jobsched/masscrash_test.go
@@ -1,10 +1,12 @@
 package jobsched
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/joblog"
 )
 
 const (
@@ -98,3 +100,31 @@
 	}
 	return n
 }
+
+// TestWorkersLostTogetherAreOneEventToTheLast guards against the last workers of a mass
+// crash that count as crashed by their tasks, because the attempts on the others were
+// declared lost just before.
+func TestWorkersLostTogetherAreOneEventToTheLast(t *testing.T) {
+	c := newCluster(t, 1, massCrashFleet)
+	c.keepNotes = true
+	jobs := c.submitMassCrashJobs()
+	c.run(time.Second)
+	c.crashTogether(0, 15, 3*time.Second)
+	c.run(5 * time.Second)
+	c.notes = nil
+	c.crashTogether(15, massCrashFleet, time.Minute)
+	c.checkAllRunWithin(jobs, 10*time.Second)
+	counted := 0
+	for _, n := range c.notes {
+		if n.Decision != joblog.MessageCrashCounted {
+			continue
+		}
+		counted++
+		if !strings.HasSuffix(n.Reason, "as other workers ended too") {
+			t.Errorf("%s: %s; want it counted as one of several workers that ended", n.Task, n.Reason)
+		}
+	}
+	if counted == 0 {
+		t.Error("no crash is counted")
+	}
+}
