core/jobsched: a new leader takes workers that fell silent together for one event

Cause: that several workers ended in one event was told by the times of their last reports, and a new leader has none of workers that crashed before it led. So each of the attempts there counted as if its task had crashed the worker; after a second mass crash all of them had to be tried alone, at most one for eight workers at a time. Class: what only the process that is gone had observed, taken for "did not happen". Change: the roster tells how long each silent worker has been silent, written with the entry that closes the worker, so without a write more. Where it tells nothing, workers that have not answered the new leader ended together as far as anybody can say. How many crashes end a job is as before: five at the most, of any kind.

--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -580,7 +580,7 @@
 func asEarlierVersion(roster []RosterEntry) []RosterEntry {
 	var lines []RosterEntry
 	for _, e := range roster {
-		e.StartedMs = 0
+		e.StartedMs, e.SilentFor = 0, 0
 		i := slices.IndexFunc(lines, func(other RosterEntry) bool { return other.ID == e.ID })
 		if i < 0 {
 			lines = append(lines, e)
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -77,7 +77,11 @@
 	if w.lastReportAt.IsZero() {
 		return "never heard by this leader"
 	}
-	return "last heard " + m.now.Sub(w.lastReportAt).Round(time.Millisecond).String() + " ago"
+	text := "last heard " + m.now.Sub(w.lastReportAt).Round(time.Millisecond).String() + " ago"
+	if !w.answered {
+		text += ", by an earlier leader"
+	}
+	return text
 }
 
 // latestAttempt returns the attempt that was started last, or nil. An attempt with
--- a/core/jobsched/crash_test.go
+++ b/core/jobsched/crash_test.go
@@ -41,7 +41,7 @@
 // when the leader that sees the crash has never heard the worker.
 func TestCrashOfAWorkerNeverHeardIsNoted(t *testing.T) {
 	c := newCluster(t, 1, 2)
-	c.keepNotes = true
+	c.keepNotes, c.earlierVersion = true, true
 	c.run(200 * time.Millisecond)
 	id := c.submit(1, "urgent", longRunning(1, 2000))
 	c.run(2 * time.Second)
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -94,6 +94,8 @@
 	// started attempts that no later leader knows of. It is cleared once every task
 	// that may have run there has been accounted for.
 	unseenCrash bool
+	// unseenEnds counts the workers that ended so under this leader.
+	unseenEnds int
 	// lostWorkers holds the workers lost within crashRetention.
 	lostWorkers []lostWorker
 	// trials holds the attempts of suspect tasks, requestedTrials the tasks whose
--- a/core/jobsched/masscrash.go
+++ b/core/jobsched/masscrash.go
@@ -70,10 +70,11 @@
 }
 
 // endedTogether reports whether two workers may have ended in one event: their last
-// reports came at the same time.
+// reports came at the same time. If no leader has told when one of them was last
+// heard, both ended around the take-over if neither has answered since.
 func endedTogether(a, b *worker) bool {
 	if a.lastReportAt.IsZero() || b.lastReportAt.IsZero() {
-		return false
+		return !a.answered && !b.answered
 	}
 	return a.lastReportAt.Sub(b.lastReportAt).Abs() <= massCrashWindow
 }
--- a/core/jobsched/recoverroster.go
+++ b/core/jobsched/recoverroster.go
@@ -12,6 +12,9 @@
 	w := newWorker(e.WorkerEntry)
 	w.full = e.FullCapacity()
 	w.onRoster = true
+	if valid && e.SilentFor > 0 {
+		w.lastReportAt = m.recoveredAt.Add(-e.SilentFor - age)
+	}
 	if valid {
 		w.health = recoveredHealth(e.Health, m.recoveredAt.Add(-age))
 		w.rosterStatus.failures = w.health.failures
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -45,6 +45,10 @@
 	// writing; negative if they have ended. It is nil if leases may be renewed, so
 	// that their end is not bounded.
 	LeaseLeft *time.Duration `json:",omitempty"`
+	// SilentFor is how long ago, from the moment of writing, the worker was last
+	// heard; 0 if it answers, or if no leader has told. It shows the next leader
+	// which workers fell silent together.
+	SilentFor time.Duration `json:",omitempty"`
 }
 
 // FullCapacity returns the largest known capacity of the worker's VM.
@@ -300,6 +304,9 @@
 		if w.full != w.entry.Capacity {
 			l.entry.Full = w.full
 		}
+		if !w.unreachableSince.IsZero() && !w.lastReportAt.IsZero() {
+			l.entry.SilentFor = m.now.Sub(w.lastReportAt)
+		}
 		if l.status.bounded {
 			left := max(w.leaseBound.Sub(m.now), minLeaseLeft)
 			l.entry.LeaseLeft = &left
--- a/core/jobsched/trial.go
+++ b/core/jobsched/trial.go
@@ -91,13 +91,25 @@
 	w := m.trialIncarnation(t.trial.worker)
 	named := t.trial.namesWorker()
 	if named && (w == nil || w.ended) || !named && m.unseenCrash {
-		m.countCrash(t, job.Crash{Attempt: t.trial.number, ObservedRunMs: job.ObservedRunUnknown, Uncertain: !named})
+		m.countCrash(t, job.Crash{
+			Attempt: t.trial.number, ObservedRunMs: job.ObservedRunUnknown, Uncertain: !named,
+			Correlated: m.wasAmidMassCrash(t.step, w, named),
+		})
 		return
 	}
 	t.trial = trial{}
 	m.markDirty(t.step.job())
 }
 
+// wasAmidMassCrash reports whether an unreported trial ended in a mass crash: on worker
+// w, which is nil if it has left, or on any of those that ended unseen.
+func (m *Machine) wasAmidMassCrash(s *step, w *worker, named bool) bool {
+	if named {
+		return w != nil && m.isMassCrash(s, w)
+	}
+	return m.unseenEnds > massCrashWorkers
+}
+
 // trialIncarnation returns the worker that a trial's record names. If the record
 // lacks the incarnation, that is the latest one of the id.
 func (m *Machine) trialIncarnation(id model.Incarnation) *worker {
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -164,6 +164,7 @@
 func (m *Machine) endIncarnation(w *worker) {
 	if w.attemptsUnknown {
 		m.unseenCrash = true
+		m.unseenEnds++
 	}
 	m.loseAttemptsInCrash(w, "another incarnation answers at its address")
 	w.ended = true
