core/jobsched: a step on every lost worker is cleared by one trial

What callers saw: after two mass crashes the tasks of a service with a task on each worker are tried one after the other, alone on their workers; the last of 24 ran again after half a minute, with room for all. Cause: that a crash is one of several counted only where the others had no task of the step, as a step whose tasks all crash their workers looks the same. A step that is spread over all workers which end is then always the suspect, and two such crashes take each of its tasks into isolation, however long the rest of the step has run. Class: a rule of exclusion without a way to be cleared. Change: a crash records whether several other workers ended, whatever ran there. Such a crash is no longer suspicious once a task of the step is done or has run for longer than before the crashes, and does not count as one of three at the same run time if that is long after the start. A step that crashes all its workers never gets there: for it and for single tasks nothing changes.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -144,6 +144,10 @@
 	// task's step ended at about the same time. The task is then not the only
 	// possible cause.
 	Correlated bool `json:"several,omitempty"`
+	// Widespread is whether several other workers ended at about the same time,
+	// whatever ran there. It is set whenever Correlated is. Otherwise the task's step
+	// may be the common cause.
+	Widespread bool `json:"widespread,omitempty"`
 }
 
 // ObservedRunUnknown is the value of Crash.ObservedRunMs if the leader that
--- a/core/jobsched/isolation.go
+++ b/core/jobsched/isolation.go
@@ -30,8 +30,10 @@
 // needsIsolation reports whether the task must run isolated. Members of a gang are
 // never isolated, because they only run together.
 func (t *task) needsIsolation() bool {
-	repeated := t.countSuspicious() >= isolateAfterSuspicious || len(t.crashes) >= isolateAfterCrashes
-	return repeated && !t.step.spec.Gang
+	if t.step.spec.Gang {
+		return false
+	}
+	return t.countSuspicious() >= isolateAfterSuspicious || len(t.crashes) >= isolateAfterCrashes && !t.isCleared()
 }
 
 // isSuspect reports whether attempts of the task are kept apart from each other
@@ -42,13 +44,28 @@
 func (t *task) countSuspicious() int {
 	n := 0
 	for _, c := range t.crashes {
-		if isSuspicious(c) {
+		if isSuspicious(c) && !(c.Widespread && t.isClearedByStep()) {
 			n++
 		}
 	}
 	return n
 }
 
+// isCleared reports whether nothing is left that points to the task: several workers
+// ended in each of its crashes, and its step has been seen to run for longer.
+func (t *task) isCleared() bool {
+	alone := func(c job.Crash) bool { return !c.Widespread && !c.Correlated }
+	return !slices.ContainsFunc(t.crashes, alone) && t.isClearedByStep()
+}
+
+// isClearedByStep reports whether a task of its step has shown that the step does not
+// crash its workers at the run times of the task's crashes. A step with a task on each
+// of the workers that ended together would otherwise look like their common cause.
+func (t *task) isClearedByStep() bool {
+	t.clearedByStep = t.clearedByStep || t.step.hasOutlasted(t.trialTime())
+	return t.clearedByStep
+}
+
 // trialTime returns how long an attempt of the task must be observed running to
 // show that it has passed the point at which the earlier attempts crashed their
 // workers.
@@ -173,20 +190,19 @@
 // no task of the step has run for trialTime. If all tasks of a step crash their
 // workers, one of them is enough to find out.
 func (s *step) hasOtherTrial(t *task) bool {
-	found := false
-	for _, other := range s.tasks {
-		if other.done {
-			return false
-		}
-		for _, a := range other.attempts {
-			if a.observedRunTime() >= t.trialTime() {
-				return false
-			}
-		}
+	onTrial := func(other *task) bool {
 		about := len(other.attempts) > 0 || other.index < t.index && other.trial.isAwaitingRecord()
-		found = found || other != t && about && other.countSuspicious() > 0
+		return other != t && about && other.countSuspicious() > 0
 	}
-	return found
+	return slices.ContainsFunc(s.tasks, onTrial) && !s.hasOutlasted(t.trialTime())
+}
+
+// hasOutlasted reports whether a task of the step is done or has been observed running
+// for d.
+func (s *step) hasOutlasted(d time.Duration) bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool {
+		return t.done || slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.observedRunTime() >= d })
+	})
 }
 
 // mayStartGangAfterCrashes reports whether the crashes of all members of a gang
--- a/core/jobsched/masscrash_test.go
+++ b/core/jobsched/masscrash_test.go
@@ -128,3 +128,26 @@
 		t.Error("no crash is counted")
 	}
 }
+
+// TestStepOnAllLostWorkersIsClearedByOneTrial guards against a step with a task on each
+// of the workers that crash together, all of whose tasks are tried one after the other.
+func TestStepOnAllLostWorkersIsClearedByOneTrial(t *testing.T) {
+	for name, lead := range map[string]func(*cluster){"one leader": func(*cluster) {}, "leader lost": (*cluster).replaceLeader} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 1, massCrashFleet)
+			c.run(200 * time.Millisecond)
+			everywhere := longRunning(massCrashFleet, 1000)
+			everywhere.MaxPerWorker = 2
+			jobs := []job.ID{c.submit(1, "urgent", everywhere)}
+			c.run(time.Second)
+			// The tasks that restart are on the other workers when these end.
+			c.crashTogether(0, 15, 3*time.Second)
+			c.run(5 * time.Second)
+			c.crashTogether(15, massCrashFleet, time.Minute)
+			c.run(2500 * time.Millisecond)
+			lead(c)
+			oneTrial := stableRunTime + reportDelay
+			c.checkAllRunWithin(jobs, c.machine.earlierLeasesEnd().Sub(c.machine.recoveredAt)+oneTrial+time.Second)
+		})
+	}
+}
