core/jobsched: trials that pass permit more of them, on shared workers

Cause: at most one isolated trial for eight workers, on a worker of its own; with up to 15 workers that is one. N innocent tasks take N trials, however many have passed. The worker was always the same one of six idle ones since their scores are equal and the lowest id is taken; the others were ruled out by nothing. Class: a limit that takes nothing from what it has found out; no bound but the count. Up to half of the usable workers are used, and tasks with two crashes share workers. A crash under several on trial is recorded as shared: it does not count for the third crash at the same time, and with three crashes a task shares no more. The limit counts usable workers; ended and silent ones counted before. A task that has no place for its trial preempts nothing. Costs: a crashing task tried beside others is given up after the fourth crash instead of the third. Trials may take half of the usable workers for a round each, an eighth before.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -148,6 +148,9 @@
 	// whatever ran there. It is set whenever Correlated is. Otherwise the task's step
 	// may be the common cause.
 	Widespread bool `json:"widespread,omitempty"`
+	// Shared is whether other tasks under which workers had crashed were tried on
+	// the worker as well, so that any of them may be the cause.
+	Shared bool `json:"shared,omitempty"`
 }
 
 // ObservedRunUnknown is the value of Crash.ObservedRunMs if the leader that
--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -55,7 +55,9 @@
 	adopted bool
 	// listed is set once a report of its worker has listed the attempt.
 	listed bool
-	size   model.Resources
+	// passedTrial is set once the attempt has been counted as a passed isolated trial.
+	passedTrial bool
+	size        model.Resources
 	// bestEffortCPU is the processor use of a best-effort task, in thousandths of a
 	// core. It is not part of the committed size.
 	bestEffortCPU int64
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -142,6 +142,7 @@
 	m.countCrash(a.task, job.Crash{
 		Attempt: a.key.attempt, ObservedRunMs: a.observedRunTimeMs(), Correlated: around.correlated, Widespread: around.widespread,
 		Uncertain: a.startedAt.IsZero() && !a.inherited || leaves || a.mayHaveStartedElsewhere(on),
+		Shared:    a.isIsolatedTrial() && m.hadSharedTrial(on),
 	})
 }
 
@@ -159,6 +160,9 @@
 	if j.state.Final() || len(t.crashes) > 0 && t.crashes[len(t.crashes)-1].Attempt >= c.Attempt {
 		return
 	}
+	if t.needsIsolation() && (isSuspicious(c) || c.Shared) {
+		m.passedTrials = 0
+	}
 	t.crashes = addCrash(t.crashes, c)
 	t.clearedByStep = false
 	t.trial = trial{}
@@ -212,7 +216,7 @@
 	case sure < minCertainCrashes:
 		return false
 	case n >= maxUnexplainedCrashes:
-		return mayMissCrash(crashes) || !slices.ContainsFunc(crashes, hasOtherCause)
+		return mayMissCrash(crashes) || !slices.ContainsFunc(crashes, isCorrelated)
 	case n >= maxSameTimeCrashes:
 		return allAtSameRunTime(crashes[n-maxSameTimeCrashes:], outlasted)
 	}
@@ -227,9 +231,11 @@
 	return crashes[0].Attempt > 1 || slices.ContainsFunc(crashes, unknown)
 }
 
+func isCorrelated(c job.Crash) bool { return c.Correlated }
+
 // hasOtherCause reports whether something other than the task may have caused the
 // crash.
-func hasOtherCause(c job.Crash) bool { return c.Correlated }
+func hasOtherCause(c job.Crash) bool { return c.Correlated || c.Shared }
 
 // isSuspicious reports whether the start of the task may have caused the crash.
 func isSuspicious(c job.Crash) bool {
@@ -294,6 +300,9 @@
 		case c.Widespread:
 			text += " as other workers with tasks of its step ended too"
 		}
+		if c.Shared {
+			text += " beside other trials"
+		}
 	}
 	return text
 }
--- a/core/jobsched/isolation.go
+++ b/core/jobsched/isolation.go
@@ -94,13 +94,21 @@
 // countTrials counts the tasks on trial, per worker and in total: those whose trial
 // runs, and those whose trial is about to begin on a certain worker.
 func (m *Machine) countTrials() {
+	m.usableWorkers = 0
 	for _, w := range m.workers.All() {
-		w.trials, w.isolatedTrials = 0, 0
+		w.trials, w.isolatedTrials, w.unsharedTrial = 0, 0, false
+		if w.isUsable(m.now) {
+			m.usableWorkers++
+		}
 	}
-	m.isolatedTrials = 0
+	m.isolatedTrials, m.trialWorkers = 0, 0
 	for a := range m.trials.All() {
-		if a.task.isSuspect() && a.onTrial() {
+		switch {
+		case !a.task.isSuspect():
+		case a.onTrial():
 			m.countTrial(a.task, a.worker)
+		default:
+			m.notePassedTrial(a)
 		}
 	}
 	for t := range m.requestedTrials.All() {
@@ -118,10 +126,15 @@
 		return
 	}
 	w.trials++
-	if t.needsIsolation() {
-		w.isolatedTrials++
-		m.isolatedTrials++
+	if !t.needsIsolation() {
+		return
 	}
+	if w.isolatedTrials == 0 {
+		m.trialWorkers++
+	}
+	w.isolatedTrials++
+	m.isolatedTrials++
+	w.unsharedTrial = w.unsharedTrial || !t.mayShareTrial()
 }
 
 // hasRequestedTrial reports whether a trial of the task is about to begin on the worker
@@ -145,16 +158,18 @@
 }
 
 // filterTrial keeps other tasks off a worker with an isolated trial, and tasks that
-// need isolation off workers with other trials.
+// need isolation off workers with trials that they may not share.
 func filterTrial(m *Machine, t *task, w *worker) bool {
-	trials, isolated := w.trials, w.isolatedTrials
-	if m.hasRequestedTrial(t) && t.trial.worker == w.id && t.isSuspect() {
-		trials--
-		if t.needsIsolation() {
-			isolated--
-		}
+	switch {
+	case m.hasRequestedTrial(t) && t.trial.worker == w.id && t.isSuspect():
+		// Its place was checked when it was requested.
+		return true
+	case !t.needsIsolation():
+		return w.isolatedTrials == 0
+	case w.trials == 0:
+		return m.trialWorkers < m.maxTrialWorkers()
 	}
-	return isolated <= 0 && (trials <= 0 || !t.needsIsolation())
+	return t.mayShareTrial() && !w.unsharedTrial && w.trials == w.isolatedTrials
 }
 
 // mayStartAfterCrashes reports whether the task's crashes permit a start now.
@@ -178,7 +193,7 @@
 // trialHoldOn returns what the trial of a suspect task waits for.
 func (m *Machine) trialHoldOn(t *task) trialHold {
 	switch {
-	case t.needsIsolation() && m.isolatedTrials >= m.maxIsolatedTrials() && !m.hasRequestedTrial(t):
+	case t.needsIsolation() && !m.hasRequestedTrial(t) && !m.hasTrialPlace(t):
 		return trialHoldIsolated
 	case !t.step.spec.Gang && t.countSuspicious() > 0 && t.step.hasOtherTrial(t):
 		return trialHoldStep
@@ -186,8 +201,56 @@
 	return trialHoldNone
 }
 
-// maxIsolatedTrials returns how many isolated trials may run at a time.
-func (m *Machine) maxIsolatedTrials() int { return max(m.workers.Len()/workersPerTrial, 1) }
+// maxIsolatedTrials returns how many isolated trials may run at a time. Each trial that
+// passes permits one more, since the others are then less likely to crash their workers:
+// the number doubles with each round, until one does.
+func (m *Machine) maxIsolatedTrials() int { return m.fewestIsolatedTrials() + m.passedTrials }
+
+// hasTrialPlace reports whether one more task may be tried in isolation, on a worker of
+// its own unless it may share one.
+func (m *Machine) hasTrialPlace(t *task) bool {
+	return m.isolatedTrials < m.maxIsolatedTrials() && (t.mayShareTrial() || m.trialWorkers < m.maxTrialWorkers())
+}
+
+// fewestIsolatedTrials returns how many isolated trials may run at a time if none has
+// passed.
+func (m *Machine) fewestIsolatedTrials() int { return max(m.usableWorkers/workersPerTrial, 1) }
+
+// maxTrialWorkers returns how many workers may have isolated trials at a time. Nothing
+// else is started on these.
+func (m *Machine) maxTrialWorkers() int {
+	fewest := m.fewestIsolatedTrials()
+	return max(min(m.maxIsolatedTrials(), m.usableWorkers/2), fewest)
+}
+
+// mayShareTrial reports whether an isolated trial of the task may share its worker with
+// others of that kind. A crash of the worker then counts against all of them, so a task
+// shares only while one crash more does not suffice to give it up.
+func (t *task) mayShareTrial() bool { return len(t.crashes) <= isolateAfterSuspicious }
+
+// isIsolatedTrial reports whether the attempt is on trial and its task needs isolation.
+func (a *attempt) isIsolatedTrial() bool {
+	return a.task != nil && a.task.needsIsolation() && a.onTrial()
+}
+
+// countIsolatedTrials counts the isolated trials that run on the worker.
+func (w *worker) countIsolatedTrials() int {
+	n := 0
+	for _, a := range w.attempts.All() {
+		if a.isIsolatedTrial() {
+			n++
+		}
+	}
+	return n
+}
+
+// notePassedTrial counts an isolated trial that the worker has survived, once.
+func (m *Machine) notePassedTrial(a *attempt) {
+	if !a.passedTrial && a.task.needsIsolation() {
+		a.passedTrial = true
+		m.passedTrials++
+	}
+}
 
 // hasOtherTrial reports whether another suspect task of the step is on trial while
 // no task of the step has run for trialTime. If all tasks of a step crash their
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -104,8 +104,15 @@
 	trials          ordered.Map[*attempt, struct{}]
 	requestedTrials ordered.Map[*task, struct{}]
 	isolatedTrials  int
-	// trialsWaiting counts the tasks that waited for their trial in the last pass.
-	trialsWaiting int
+	// passedTrials counts the isolated trials that workers have survived since the last
+	// suspicious crash of a task that needs isolation. usableWorkers counts the workers
+	// that were usable at the start of the round.
+	passedTrials, usableWorkers int
+	// trialWorkers counts the workers with isolated trials.
+	trialWorkers int
+	// trialsWaiting counts the tasks that waited for their trial in the last pass,
+	// unsharedTrialsWaiting those of them whose trials do not share workers.
+	trialsWaiting, unsharedTrialsWaiting int
 	// stops holds the attempts whose stop has not been acknowledged.
 	stops ordered.Map[*attempt, struct{}]
 	// sweptAt is when all attempts were last checked.
--- a/core/jobsched/masscrash.go
+++ b/core/jobsched/masscrash.go
@@ -27,6 +27,8 @@
 	at     time.Time
 	// steps holds the steps with attempts on the worker.
 	steps map[*step]struct{}
+	// sharedTrial is whether several tasks were on isolated trial there.
+	sharedTrial bool
 }
 
 // recordLostWorker records that a worker is lost, with the steps that ran there. It is
@@ -41,6 +43,7 @@
 		m.lostWorkers = append(m.lostWorkers, lostWorker{worker: w, steps: make(map[*step]struct{})})
 	}
 	m.lostWorkers[i].at = m.now
+	m.lostWorkers[i].sharedTrial = m.lostWorkers[i].sharedTrial || w.countIsolatedTrials() > 1
 	for _, a := range w.attempts.All() {
 		m.lostWorkers[i].steps[a.step()] = struct{}{}
 	}
@@ -80,6 +83,11 @@
 	return massCrash{widespread: others >= massCrashWorkers, correlated: withoutStep >= massCrashWorkers}
 }
 
+// hadSharedTrial reports whether a lost worker had several tasks on isolated trial.
+func (m *Machine) hadSharedTrial(w *worker) bool {
+	return slices.ContainsFunc(m.lostWorkers, func(l lostWorker) bool { return l.worker == w && l.sharedTrial })
+}
+
 func (m *Machine) isRecordedLost(w *worker) bool {
 	return slices.ContainsFunc(m.lostWorkers, func(l lostWorker) bool { return l.worker == w })
 }
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -27,7 +27,7 @@
 		}
 	}
 	m.pass.open = false
-	m.trialsWaiting = len(m.pass.heldTrials)
+	m.countWaitingTrials()
 }
 
 // startMostUrgent processes the most urgent steps, whether or not they had a turn
@@ -131,7 +131,9 @@
 			// A suspect task is restricted to fewer workers than the rest of the
 			// step.
 			result = startFoundNoWorker
-			m.preempt(t)
+			if !t.needsIsolation() || m.trialWorkers < m.maxTrialWorkers() {
+				m.preempt(t)
+			}
 		default:
 			result, unplaceable = startFoundNoWorker, true
 			if !m.preempt(t) {
--- a/core/jobsched/trial.go
+++ b/core/jobsched/trial.go
@@ -230,6 +230,9 @@
 // The end is not a crash, or the crash has been counted already.
 func (m *Machine) endTrial(t *task, a *attempt, cause EndCause) {
 	ofTrial := t.trial.number > 0 && a.key.attempt >= t.trial.number
+	if cause == EndDone || cause == EndFailed {
+		m.notePassedTrial(a)
+	}
 	crashesCleared := cause != endLost && len(t.crashes) > 0 && a.observedRunTime() >= stableRunTime
 	if ofTrial {
 		t.trial = trial{}
--- a/core/jobsched/trialbound_test.go
+++ b/core/jobsched/trialbound_test.go
@@ -17,8 +17,6 @@
 	restartGap      = 600 * time.Millisecond
 	restartJobs     = 20
 	restartJobTasks = 4
-	// trialStartTime is how long a trial takes to be stored, started and reported.
-	trialStartTime = time.Second
 )
 
 // TestTakeoversAmidRestartsHoldNothingBack guards against innocent tasks that are tried
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -77,6 +77,8 @@
 	inheritedStalls map[attemptKey]inheritedStall
 	// trials counts the trials there, isolatedTrials those that require isolation.
 	trials, isolatedTrials int
+	// unsharedTrial is set if one of them may not share the worker.
+	unsharedTrial bool
 	// noStartsUntil delays new starts after a refusal.
 	noStartsUntil time.Time
 	// reserved holds the reservations of room on the worker.
