core/jobsched: a task that one more crash gives up shares no trial

What callers saw: nothing yet; a crashing task that was tried beside others would have been given up after the fourth worker instead of the third, as a shared crash does not count as the third at the same run time. Change: tasks whose two crashes came at the same known run time are tried alone, since one crash more ends their job. Where the times differ or are not known four crashes are needed anyway, and a shared one counts among them, so that sharing costs no worker more.

--- a/core/jobsched/isolation.go
+++ b/core/jobsched/isolation.go
@@ -225,8 +225,10 @@
 
 // mayShareTrial reports whether an isolated trial of the task may share its worker with
 // others of that kind. A crash of the worker then counts against all of them, so a task
-// shares only while one crash more does not suffice to give it up.
-func (t *task) mayShareTrial() bool { return len(t.crashes) <= isolateAfterSuspicious }
+// shares only while one crash more, alone on its worker, would not suffice to give it up.
+func (t *task) mayShareTrial() bool {
+	return len(t.crashes) <= isolateAfterSuspicious && !allAtSameRunTime(t.crashes, false)
+}
 
 // isIsolatedTrial reports whether the attempt is on trial and its task needs isolation.
 func (a *attempt) isIsolatedTrial() bool {
