daemon: the test nodes and the view of the cluster in files of their own

harness_test.go had 521 lines: the cluster, its nodes and the readings of its state stood in one. The nodes are now in node_test.go and the readings, with the audit, in clusterview_test.go. The declarations are moved unchanged.

--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -1,22 +1,14 @@
 package daemon
 
 import (
-	"bytes"
-	"context"
 	"fmt"
-	"io"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	peerv1 "github.com/guavarill/guavarill/api/peer/v1"
 	"github.com/guavarill/guavarill/core/config"
-	"github.com/guavarill/guavarill/core/ledger"
 	"github.com/guavarill/guavarill/core/manifest"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/timeline"
-	"github.com/guavarill/guavarill/port"
 	"github.com/guavarill/guavarill/standin/store"
 	standin "github.com/guavarill/guavarill/standin/worker"
 )
@@ -125,18 +117,6 @@
 	return n
 }
 
-func address(id string) string { return id + ":7" }
-
-// node returns the running daemon of a name, nil when there is none.
-func (c *cluster) node(id string) *node {
-	for _, n := range c.nodes {
-		if n.id == id && !n.dead {
-			return n
-		}
-	}
-	return nil
-}
-
 // kill ends a daemon without a word.
 func (c *cluster) kill(id string) {
 	n := c.node(id)
@@ -219,138 +199,6 @@
 	}
 }
 
-// events returns the time line of the whole session so far.
-func (c *cluster) events(more ...[]timeline.Event) []timeline.Event {
-	lists := append(more, c.ended...)
-	for _, n := range c.nodes {
-		if !n.dead {
-			lists = append(lists, n.ring.All())
-		}
-	}
-	return timeline.Merge(lists...)
-}
-
-func (c *cluster) timeline(more ...[]timeline.Event) string {
-	var b bytes.Buffer
-	if err := timeline.Format(&b, c.events(more...)); err != nil {
-		c.t.Fatal(err)
-	}
-	return b.String()
-}
-
-// happened counts the events of a kind about a subject; "" is any.
-func (c *cluster) happened(kind timeline.Kind, subject string) int {
-	count := 0
-	for _, e := range c.events() {
-		if e.Kind == kind && (subject == "" || e.Subject == subject) {
-			count++
-		}
-	}
-	return count
-}
-
-// audit checks the records of all workers.
-func (c *cluster) audit() {
-	c.t.Helper()
-	for _, v := range standin.Audit(c.all...) {
-		c.t.Errorf("%s", v)
-	}
-	if c.t.Failed() {
-		c.t.Log("\n" + c.timeline())
-	}
-}
-
-// owner returns the daemon that owns a shard by its own belief, the latest
-// epoch winning; nil when there is none.
-func (c *cluster) owner(id model.ShardID) *node {
-	var owner *node
-	for _, n := range c.nodes {
-		s := n.control.shards[id]
-		if n.dead || s == nil || !s.loaded {
-			continue
-		}
-		if owner == nil || s.epoch > owner.control.shards[id].epoch {
-			owner = n
-		}
-	}
-	return owner
-}
-
-// tasks returns the committed tasks of a workload, by key.
-func (c *cluster) tasks(workload string) []ledger.Task {
-	var list []ledger.Task
-	seen := make(map[model.TaskKey]bool)
-	for _, n := range c.nodes {
-		for _, id := range n.control.sortedShards() {
-			if c.owner(id) != n {
-				continue
-			}
-			for t := range n.control.shards[id].ledger.Contents().Tasks() {
-				if t.Key.Workload == workload && t.State != ledger.Moved {
-					if seen[t.Key] {
-						c.t.Errorf("%s lives in two ledgers", t.Key)
-					}
-					seen[t.Key] = true
-					list = append(list, t)
-				}
-			}
-		}
-	}
-	return list
-}
-
-// home returns the shard that holds the workload's first task, and its owner.
-func (c *cluster) home(workload string) (model.ShardID, *node) {
-	for _, n := range c.nodes {
-		for _, id := range n.control.sortedShards() {
-			if c.owner(id) != n {
-				continue
-			}
-			for t := range n.control.shards[id].ledger.Contents().Tasks() {
-				if t.Key.Workload == workload && t.Key.Index == 0 && t.State != ledger.Moved {
-					return id, n
-				}
-			}
-		}
-	}
-	c.t.Fatalf("%s has no owner", workload)
-	return 0, nil
-}
-
-// runs returns all runs of a workload's tasks on all workers.
-func (c *cluster) runs(workload string) []standin.Run {
-	var list []standin.Run
-	for _, a := range c.all {
-		for _, r := range a.Runs() {
-			if key, ok := model.ParseTaskKey(r.Task); ok && key.Workload == workload {
-				list = append(list, r)
-			}
-		}
-	}
-	return list
-}
-
-// ranOnce demands that each of n tasks ran exactly once.
-func (c *cluster) ranOnce(workload string, n int) {
-	c.t.Helper()
-	if runs := c.runs(workload); len(runs) != n {
-		c.t.Errorf("%s: %d runs of %d tasks: %+v", workload, len(runs), n, runs)
-	}
-}
-
-// inState reports whether n tasks of the workload are in a state.
-func (c *cluster) inState(workload string, state ledger.State, n int) func() bool {
-	return func() bool {
-		count := 0
-		for _, t := range c.tasks(workload) {
-			if t.State == state {
-				count++
-			}
-		}
-		return count == n
-	}
-}
-
 // apply sends a manifest through a daemon and waits for the result.
 func (c *cluster) apply(id string, request config.ApplyRequest) config.ApplyResult {
 	c.t.Helper()
@@ -409,113 +257,3 @@
 	})
 	c.pass(20 * time.Second)
 }
-
-// node is one daemon, and the executor of its control loop.
-type node struct {
-	c       *cluster
-	id      string
-	o       Options
-	control *control
-	homes   *homes
-	ring    *timeline.Ring
-	follows []*followed
-	paused  bool
-	dead    bool
-	cancel  context.CancelFunc
-	store   *nodeStore
-	workers *nodeWorkers
-}
-
-// followed is one watch that a daemon reads.
-type followed struct {
-	ctx    context.Context
-	events <-chan port.WatchEvent
-	take   func(port.WatchEvent) bool
-	end    event
-}
-
-func newNode(c *cluster, id string, z model.Zone) *node {
-	n := &node{c: c, id: id}
-	n.store = &nodeStore{Local: c.store.Local(), n: n, lists: make(map[string]int)}
-	n.workers = &nodeWorkers{n: n}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	n.o = DefaultOptions(
-		Identity{Cluster: clusterName, ID: model.DaemonID(id), Zone: z, PeerAddress: address(id), Started: c.clock.Now()},
-		Ports{
-			Store: n.store, Workers: n.workers, VMs: &nodeVMs{n}, Peers: &nodePeers{n},
-			Target: c.targets, Clock: c.clock,
-		},
-	)
-	n.o.Logger = log
-	n.o.Seed = uint64(id[len(id)-1])
-	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
-	n.homes = newHomes(n.o.Identity, n.o.Ports, n.o.Dedup)
-	n.ring = timeline.NewRing(id, n.o.TimelineEvents)
-	n.control = newControl(ctx, &n.o, n, newEngine(&n.o, n.homes, n), n.homes, newMetrics(), n.ring)
-	n.control.record(timeline.Event{Kind: timeline.DaemonStarted})
-	return n
-}
-
-// handle has the control loop take an event, unless the daemon is paused.
-func (n *node) handle(ev event) {
-	if !n.paused && !n.dead {
-		n.control.handle(ev)
-	}
-}
-
-func (n *node) start(call func() event) {
-	n.c.jobs = append(n.c.jobs, job{n: n, call: call})
-}
-
-func (n *node) deliver(ev event) { n.c.jobs = append(n.c.jobs, job{n: n, ev: ev}) }
-
-// follow opens the watch in its turn; pollFollows reads it.
-func (n *node) follow(open openWatch, take func(port.WatchEvent) bool, end event) {
-	n.start(func() event {
-		events, err := open()
-		if err != nil {
-			return end
-		}
-		n.follows = append(n.follows, &followed{ctx: n.store.watching, events: events, take: take, end: end})
-		return nil
-	})
-}
-
-// pollFollows takes what the watches report at this moment.
-func (n *node) pollFollows() {
-	if n.paused || n.dead {
-		return
-	}
-	open := n.follows
-	n.follows = nil
-	for _, f := range open {
-		if f.goesOn() {
-			n.follows = append(n.follows, f)
-		} else {
-			n.deliver(f.end)
-		}
-	}
-}
-
-func (f *followed) goesOn() bool {
-	for f.ctx.Err() == nil {
-		select {
-		case ev, more := <-f.events:
-			if !more || !f.take(ev) {
-				return false
-			}
-		default:
-			return true
-		}
-	}
-	return false
-}
-
-// exchange answers another daemon.
-func (n *node) exchange(req *peerv1.ExchangeRequest) *peerv1.ExchangeResponse {
-	reply := make(chan *peerv1.ExchangeResponse, 1)
-	n.control.handle(exchangeRequested{req: req, reply: reply})
-	return <-reply
-}
