--- a/daemon/configuration_test.go
+++ b/daemon/configuration_test.go
@@ -61,9 +61,7 @@
 			c.declare("d1", service("front", 2, 1000))
 			c.pass(time.Minute)
 			c.store.SilenceConnections()
-			for _, pair := range [][2]string{{"d1", "d2"}, {"d2", "d3"}, {"d1", "d3"}} {
-				c.cut[pair] = true
-			}
+			c.cutPeers()
 			c.declare("d1", service("front", 2, 1000), service("back", 1, 1000))
 			h.op.Key = c.node("d1").control.o.manifestHeadKey()
 			if _, err := c.store.Local().Txn(context.Background(), nil, []port.Op{h.op}); err != nil {
--- a/daemon/failure_test.go
+++ b/daemon/failure_test.go
@@ -21,9 +21,7 @@
 	c := newCluster(t, 3, 4)
 	cs := newCallers(c)
 	c.ready()
-	c.declare("d1", service("front", 4, 1000), batch("job", 6, 1000, 20*time.Minute))
-	c.until("job runs", time.Minute, c.inState("job", ledger.Running, 6))
-	c.until("service runs", time.Minute, c.inState("front", ledger.Running, 4))
+	c.runFrontAndJob(4, 20*time.Minute)
 	c.pass(3 * time.Minute)
 	silent := c.tasks("job")[0].Worker
 	there := c.onWorker(silent)
@@ -148,9 +146,7 @@
 	c := newCluster(t, 3, 4)
 	cs := newCallers(c)
 	c.ready()
-	c.declare("d1", service("front", 4, 1000), batch("job", 6, 1000, 10*time.Minute))
-	c.until("job runs", time.Minute, c.inState("job", ledger.Running, 6))
-	c.until("service runs", time.Minute, c.inState("front", ledger.Running, 4))
+	c.runFrontAndJob(4, 10*time.Minute)
 	c.pass(5 * time.Second)
 	c.vms.empty = true
 	c.pass(10 * time.Second)
--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/config"
+	"github.com/guavarill/guavarill/core/ledger"
 	"github.com/guavarill/guavarill/core/manifest"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/timeline"
@@ -136,6 +137,15 @@
 	return nil
 }
 
+// cutPeers cuts the connections between all daemons.
+func (c *cluster) cutPeers() {
+	for i, a := range c.nodes {
+		for _, b := range c.nodes[i+1:] {
+			c.cut[[2]string{a.id, b.id}] = true
+		}
+	}
+}
+
 func (c *cluster) isCut(a, b string) bool { return c.cut[[2]string{a, b}] || c.cut[[2]string{b, a}] }
 
 // step lets one tick pass everywhere.
@@ -217,6 +227,15 @@
 	}
 }
 
+// runFrontAndJob declares the service "front" with a number of tasks and the batch
+// workload "job" with six tasks of a run time, and waits until all of them run.
+func (c *cluster) runFrontAndJob(frontTasks int, jobRunTime time.Duration) {
+	c.t.Helper()
+	c.declare("d1", service("front", frontTasks, 1000), batch("job", 6, 1000, jobRunTime))
+	c.until("job runs", time.Minute, c.inState("job", ledger.Running, 6))
+	c.until("service runs", time.Minute, c.inState("front", ledger.Running, frontTasks))
+}
+
 func manifestOf(writer string, workloads ...manifest.Workload) config.ApplyRequest {
 	m := &manifest.Manifest{Cluster: clusterName, Teams: []manifest.Team{{Name: "team"}}, Workloads: workloads}
 	return config.ApplyRequest{Manifest: m.Normalised(), Writer: writer}
--- a/daemon/outage_test.go
+++ b/daemon/outage_test.go
@@ -14,9 +14,7 @@
 func TestStoreOutageOfAnHour(t *testing.T) {
 	c := newCluster(t, 3, 4)
 	c.ready()
-	c.declare("d1", service("front", 2, 1000), batch("job", 6, 1000, 3*time.Hour))
-	c.until("job runs", time.Minute, c.inState("job", ledger.Running, 6))
-	c.until("service runs", time.Minute, c.inState("front", ledger.Running, 2))
+	c.runFrontAndJob(2, 3*time.Hour)
 	c.pass(5 * time.Second)
 	c.store.Down()
 	c.pass(time.Hour)
--- a/daemon/store_test.go
+++ b/daemon/store_test.go
@@ -30,9 +30,7 @@
 	c := newCluster(t, 3, 4)
 	cs := newCallers(c)
 	c.ready()
-	c.declare("d1", service("front", 2, 1000), batch("job", 6, 1000, 10*time.Minute))
-	c.until("job runs", time.Minute, c.inState("job", ledger.Running, 6))
-	c.until("service runs", time.Minute, c.inState("front", ledger.Running, 2))
+	c.runFrontAndJob(2, 10*time.Minute)
 	c.pass(5 * time.Second)
 	c.store.Down()
 	for range 60 {
@@ -58,9 +56,7 @@
 	c := newCluster(t, 3, 4)
 	cs := newCallers(c)
 	c.ready()
-	c.declare("d1", service("front", 6, 1000), batch("job", 6, 1000, 10*time.Minute))
-	c.until("job runs", time.Minute, c.inState("job", ledger.Running, 6))
-	c.until("service runs", time.Minute, c.inState("front", ledger.Running, 6))
+	c.runFrontAndJob(6, 10*time.Minute)
 	shard, old := c.home("job")
 	c.pass(5 * time.Second)
 	c.store.Down()
@@ -282,9 +278,7 @@
 	c.declare("d1", service("front", 2, 1000))
 	c.pass(time.Minute)
 	c.store.SilenceConnections()
-	for _, pair := range [][2]string{{"d1", "d2"}, {"d2", "d3"}, {"d1", "d3"}} {
-		c.cut[pair] = true
-	}
+	c.cutPeers()
 	c.declare("d1", service("front", 2, 1000), service("back", 1, 1000))
 	c.until("all know the change", 40*time.Second, func() bool {
 		for _, n := range c.nodes {
