--- a/core/ledger/storecalls_test.go
+++ b/core/ledger/storecalls_test.go
@@ -117,10 +117,7 @@
 	if len(w.late) == 0 {
 		return
 	}
-	i := choice % len(w.late)
-	r := w.late[i]
-	w.late = slices.Delete(w.late, i, i+1)
-	w.execute(r)
+	w.execute(takeRequest(&w.late, choice))
 }
 
 // deliverCall executes one of the calls in transit, and loses its response if lose is
@@ -129,13 +126,25 @@
 	if len(w.calls) == 0 {
 		return
 	}
-	i := choice % len(w.calls)
-	r := w.calls[i]
-	w.calls = slices.Delete(w.calls, i, i+1)
+	r := takeRequest(&w.calls, choice)
 	deliver := w.execute(r)
 	if lose && deliver != nil {
 		deliver = w.timeout(r)
 	}
+	r.queueAnswer(deliver)
+}
+
+// takeRequest removes one of the requests, selected by choice, and returns it.
+func takeRequest(requests *[]*request, choice int) *request {
+	i := choice % len(*requests)
+	r := (*requests)[i]
+	*requests = slices.Delete(*requests, i, i+1)
+	return r
+}
+
+// queueAnswer puts a response into the inbox of the daemon that made the call. It does
+// nothing if deliver is nil, which means that there is no response.
+func (r *request) queueAnswer(deliver func(*daemon)) {
 	if deliver != nil {
 		r.from.inbox = append(r.from.inbox, answer{deliver, r.repeatable()})
 	}
@@ -158,13 +167,9 @@
 	if len(w.calls) == 0 {
 		return
 	}
-	i := choice % len(w.calls)
-	r := w.calls[i]
-	w.calls = slices.Delete(w.calls, i, i+1)
+	r := takeRequest(&w.calls, choice)
 	w.late = append(w.late, r)
-	if deliver := w.timeout(r); deliver != nil {
-		r.from.inbox = append(r.from.inbox, answer{deliver, r.repeatable()})
-	}
+	r.queueAnswer(w.timeout(r))
 }
 
 // deliverAnswer delivers a response to a daemon. If duplicate is set and the response is
