--- a/core/workersession/renew_test.go
+++ b/core/workersession/renew_test.go
@@ -143,12 +143,9 @@
 	}
 }
 
-// TestLostAnswerOfRenewalByHashCounts guards against a task that runs in two places
-// after its worker became unreachable. A renewal by hash is executed, and its
-// response is lost; nothing else is answered. The fault would be to extend the
-// bound only for confirmed renewals.
-func TestLostAnswerOfRenewalByHashCounts(t *testing.T) {
-	s := newScript()
+// beginRenewal lets an owner start a task and renew it, and returns the owner and the
+// last renewal, which the agent has not received.
+func beginRenewal(s *script) (*peer, workersession.Send) {
 	p := begin(s, "owner", 5)
 	p.want(long(0, workersession.Start))
 	p.answer()
@@ -156,7 +153,16 @@
 	p.idle(10 * time.Second)
 	s.pass(5 * time.Second)
 	p.tick()
-	sent := p.last()
+	return p, p.last()
+}
+
+// TestLostAnswerOfRenewalByHashCounts guards against a task that runs in two places
+// after its worker became unreachable. A renewal by hash is executed, and its
+// response is lost; nothing else is answered. The fault would be to extend the
+// bound only for confirmed renewals.
+func TestLostAnswerOfRenewalByHashCounts(t *testing.T) {
+	s := newScript()
+	p, sent := beginRenewal(s)
 	if len(sent.Req.GetRenew()) != 0 || sent.Req.GetRenewHash() == 0 {
 		t.Fatal("not renewed by hash", sent.Req)
 	}
@@ -182,14 +188,7 @@
 // a confirmation as a renewal.
 func TestNoConfirmationIsAMismatch(t *testing.T) {
 	s := newScript()
-	p := begin(s, "owner", 5)
-	p.want(long(0, workersession.Start))
-	p.answer()
-	p.want(long(0, workersession.Keep))
-	p.idle(10 * time.Second)
-	s.pass(5 * time.Second)
-	p.tick()
-	sent := p.last()
+	p, sent := beginRenewal(s)
 	resp := s.agent.Apply(sent.Req)
 	resp.RenewMatched = false
 	p.take(sent.ID, resp)
