--- a/core/eviction/simulator_test.go
+++ b/core/eviction/simulator_test.go
@@ -15,8 +15,8 @@
 )
 
 // The simulator of the policy benchmarks simulates one site in steps of a second.
-// Tasks slow services in noisy phases, declared sizes and run
-// times are wrong, and reports arrive ten seconds late.
+// Tasks slow services in noisy phases, declared sizes and run times are wrong, and
+// reports arrive ten seconds late.
 
 const (
 	reportEvery = 3 * time.Second
