core/workersession: actions at hosts are called so in the simulated world

"mail" stood for any action that is due at a host, timeouts included. mail -> hostAction, deliverMail -> runDueActions, post -> scheduleAction. Behaviour is the same.

--- a/core/workersession/hosts_test.go
+++ b/core/workersession/hosts_test.go
@@ -41,9 +41,9 @@
 	awaits      bool
 }
 
-// mail is an action that is due at a given time at a host, such as the receipt of a
+// hostAction is an action that is due at a given time at a host, such as the receipt of a
 // message.
-type mail struct {
+type hostAction struct {
 	at time.Time
 	to *host
 	do func()
@@ -70,7 +70,7 @@
 
 // driveHosts lets each host check the store and exchange with the others.
 func (w *world) driveHosts() {
-	w.deliverMail()
+	w.runDueActions()
 	for _, h := range w.hosts {
 		if w.paused(h) {
 			continue
@@ -102,16 +102,16 @@
 			w.stepHost(from, membership.ExchangeDone{Peer: ask.Peer, Resp: resp, Err: err})
 		}
 	}
-	w.post(ask.Timeout, from, func() { end(nil, &port.PeerError{Kind: port.PeerUnreachable}) })
+	w.scheduleAction(ask.Timeout, from, func() { end(nil, &port.PeerError{Kind: port.PeerUnreachable}) })
 	if !w.arrives(from, to) {
 		return
 	}
-	w.post(w.hostDelay(), to, func() {
+	w.scheduleAction(w.hostDelay(), to, func() {
 		w.stepHost(to, membership.Received{From: self, Members: records})
 		self, records := to.machine.OutgoingTo(from.machine.View().Self.ID)
 		if w.arrives(to, from) {
 			resp := &peerv1.ExchangeResponse{Sender: self, Members: records}
-			w.post(w.hostDelay(), from, func() { end(resp, nil) })
+			w.scheduleAction(w.hostDelay(), from, func() { end(resp, nil) })
 		}
 	})
 }
@@ -127,16 +127,16 @@
 	return 0
 }
 
-func (w *world) post(after time.Duration, to *host, do func()) {
-	w.mail = append(w.mail, mail{w.now.Add(after), to, do})
+func (w *world) scheduleAction(after time.Duration, to *host, do func()) {
+	w.hostActions = append(w.hostActions, hostAction{w.now.Add(after), to, do})
 }
 
-// deliverMail executes the mail that is due. The mail of a paused host is executed
+// runDueActions executes the actions that are due. Those of a paused host are executed
 // when it resumes.
-func (w *world) deliverMail() {
-	for i := 0; i < len(w.mail); i++ {
-		if m := w.mail[i]; !m.at.After(w.now) && !w.paused(m.to) {
-			w.mail = append(w.mail[:i], w.mail[i+1:]...)
+func (w *world) runDueActions() {
+	for i := 0; i < len(w.hostActions); i++ {
+		if m := w.hostActions[i]; !m.at.After(w.now) && !w.paused(m.to) {
+			w.hostActions = append(w.hostActions[:i], w.hostActions[i+1:]...)
 			i--
 			m.do()
 		}
--- a/core/workersession/world_test.go
+++ b/core/workersession/world_test.go
@@ -68,8 +68,8 @@
 	// dropped are the attempts that an owner stopped renewing.
 	dropped map[string]bool
 
-	hosts []*host
-	mail  []mail
+	hosts       []*host
+	hostActions []hostAction
 	// joinAt is when separated hosts reach each other again.
 	joinAt time.Time
 	// storeDown is whether no host reaches the store.
