daemon: the test node's watches are called watches

"followed" and "goesOn" did not say that a watch is read, or until when. followed -> watchReader, follows -> watches, pollFollows -> pollWatches, goesOn -> poll. Behaviour is the same.

--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -157,7 +157,7 @@
 	}
 	for _, n := range c.nodes {
 		n.handle(tick{})
-		n.pollFollows()
+		n.pollWatches()
 		c.drain()
 	}
 }
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -32,7 +32,7 @@
 	control *control
 	homes   *homes
 	ring    *timeline.Ring
-	follows []*followed
+	watches []*watchReader
 	paused  bool
 	dead    bool
 	cancel  context.CancelFunc
@@ -40,8 +40,8 @@
 	workers *nodeWorkers
 }
 
-// followed is one watch that a daemon reads.
-type followed struct {
+// watchReader is one watch that a daemon reads.
+type watchReader struct {
 	ctx    context.Context
 	events <-chan port.WatchEvent
 	take   func(port.WatchEvent) bool
@@ -85,35 +85,36 @@
 
 func (n *node) deliver(ev event) { n.c.jobs = append(n.c.jobs, job{n: n, ev: ev}) }
 
-// follow opens the watch in its turn; pollFollows reads it.
+// follow opens a watch when its turn comes; pollWatches reads it.
 func (n *node) follow(open openWatch, take func(port.WatchEvent) bool, end event) {
 	n.start(func() event {
 		events, err := open()
 		if err != nil {
 			return end
 		}
-		n.follows = append(n.follows, &followed{ctx: n.store.watching, events: events, take: take, end: end})
+		n.watches = append(n.watches, &watchReader{ctx: n.store.watching, events: events, take: take, end: end})
 		return nil
 	})
 }
 
-// pollFollows takes what the watches report at this moment.
-func (n *node) pollFollows() {
+// pollWatches reads the events that the open watches have, and delivers the end of closed ones.
+func (n *node) pollWatches() {
 	if n.paused || n.dead {
 		return
 	}
-	open := n.follows
-	n.follows = nil
+	open := n.watches
+	n.watches = nil
 	for _, f := range open {
-		if f.goesOn() {
-			n.follows = append(n.follows, f)
+		if f.poll() {
+			n.watches = append(n.watches, f)
 		} else {
 			n.deliver(f.end)
 		}
 	}
 }
 
-func (f *followed) goesOn() bool {
+// poll reads the events that are there and reports whether the watch stays open.
+func (f *watchReader) poll() bool {
 	for f.ctx.Err() == nil {
 		select {
 		case ev, more := <-f.events:
