core/ledger, traffic: names of local variables say what they hold

blamed -> conflicting (entries whose conditions failed), sure -> ownerOf, hopeless -> expired (tickets past their last useful time, as the queue calls them). The reasons of the tests' ignored errors say what the call is for. Behaviour is the same.

--- a/core/ledger/inflight.go
+++ b/core/ledger/inflight.go
@@ -215,11 +215,11 @@
 // on the dropped ones.
 func (l *Ledger) conflict(now time.Time, f readBackState) []Command {
 	entries := l.inFlight.batch.entries
-	blamed, reason := staleReceives(entries, f.revisions), DropInboxChanged
-	if len(blamed) == 0 {
-		blamed, reason = handoffs(entries), DropInboxTaken
+	conflicting, reason := staleReceives(entries, f.revisions), DropInboxChanged
+	if len(conflicting) == 0 {
+		conflicting, reason = handoffs(entries), DropInboxTaken
 	}
-	if len(blamed) == 0 {
+	if len(conflicting) == 0 {
 		l.inFlight.refused = false
 		l.inFlight.state = resend
 		l.inFlight.retry.schedule(now)
@@ -228,7 +228,7 @@
 	var kept []entry
 	var out []Change
 	for i, e := range entries {
-		if blamed[i] {
+		if conflicting[i] {
 			out = append(out, e.change)
 		} else {
 			kept = append(kept, e)
--- a/core/ledger/worldchecks_test.go
+++ b/core/ledger/worldchecks_test.go
@@ -124,16 +124,16 @@
 
 // checkOneOwner checks that no two daemons may commit for one shard.
 func (w *world) checkOneOwner() {
-	sure := make(map[model.ShardID]model.DaemonID)
+	ownerOf := make(map[model.ShardID]model.DaemonID)
 	for _, d := range w.daemons {
 		if !d.owner.MayCommit(w.now) {
 			continue
 		}
 		for _, shard := range d.owner.Owned() {
-			if other, ok := sure[shard]; ok {
+			if other, ok := ownerOf[shard]; ok {
 				w.fail("%s and %s both own shard %d", other, d.name, shard)
 			}
-			sure[shard] = d.name
+			ownerOf[shard] = d.name
 		}
 	}
 }
--- a/traffic/engine_test.go
+++ b/traffic/engine_test.go
@@ -65,7 +65,7 @@
 	for c := range 8 {
 		wg.Go(func() {
 			for i := 0; i < 1000 && len(left) == 0; i++ {
-				s.engine.Do(context.Background(), newRequest(fmt.Sprintf("%d-%d", c, i))) //nolint:errcheck // what is heard counts
+				s.engine.Do(context.Background(), newRequest(fmt.Sprintf("%d-%d", c, i))) //nolint:errcheck // only OnLeaving counts
 			}
 		})
 	}
@@ -101,7 +101,7 @@
 			req := newRequest(fmt.Sprintf("silent%d", i))
 			req.Idempotent = true
 			req.Timeout = 300 * time.Millisecond
-			s.engine.Do(context.Background(), req) //nolint:errcheck // only to be silent
+			s.engine.Do(context.Background(), req) //nolint:errcheck // only meets a silent target
 		})
 	}
 	wg.Wait()
--- a/traffic/queue.go
+++ b/traffic/queue.go
@@ -162,9 +162,9 @@
 }
 
 func (s *service) dispatchNextLocked(now time.Time) bool {
-	next, ok, hopeless := s.queue.Next(now)
-	for _, h := range hopeless {
-		s.refuseLocked(h.ID, shedError(admission.ReasonDeadline, s.queue.RetryAfter(now, h)))
+	next, ok, expired := s.queue.Next(now)
+	for _, ticket := range expired {
+		s.refuseLocked(ticket.ID, shedError(admission.ReasonDeadline, s.queue.RetryAfter(now, ticket)))
 	}
 	if !ok {
 		return false
--- a/traffic/queue_test.go
+++ b/traffic/queue_test.go
@@ -61,7 +61,7 @@
 	ctx, release := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for i := range 3 {
-		wg.Go(func() { s.engine.Do(ctx, newRequest(fmt.Sprintf("r%d", i))) }) //nolint:errcheck // only in the way
+		wg.Go(func() { s.engine.Do(ctx, newRequest(fmt.Sprintf("r%d", i))) }) //nolint:errcheck // only occupies the slot or the queue
 		eventually(t, "the request has the slot or is queued", func() bool {
 			d := s.engine.Demand(orders)
 			return d.InFlight == i+1 && d.Queued == i
@@ -84,7 +84,7 @@
 	s.setFault(target.Fault{Kind: target.Hang})
 	ctx, release := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { s.engine.Do(ctx, newRequest("holder")) }) //nolint:errcheck // only in the way
+	wg.Go(func() { s.engine.Do(ctx, newRequest("holder")) }) //nolint:errcheck // only occupies the slot or the queue
 	eventually(t, "the slot is taken", func() bool { return s.instances[0].Runs("holder") == 1 })
 	preempted := make(chan *fate.Error, 1)
 	wg.Go(func() {
@@ -97,7 +97,7 @@
 	wg.Go(func() {
 		req := newRequest("urgent")
 		req.Priority = model.PriorityUrgent
-		s.engine.Do(ctx, req) //nolint:errcheck // only in the way
+		s.engine.Do(ctx, req) //nolint:errcheck // only occupies the slot or the queue
 	})
 	select {
 	case f := <-preempted:
@@ -117,7 +117,7 @@
 	s.setFault(target.Fault{Kind: target.Hang})
 	ctx, release := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { s.engine.Do(ctx, newRequest("holder")) }) //nolint:errcheck // only in the way
+	wg.Go(func() { s.engine.Do(ctx, newRequest("holder")) }) //nolint:errcheck // only occupies the slot or the queue
 	eventually(t, "the slot is taken", func() bool { return s.instances[0].Runs("holder") == 1 })
 	wg.Go(func() {
 		_, err := s.engine.Do(context.Background(), newRequest("waits"))
