standin/worker: comments in plain terms

Comments spoke of requests that are unheard, of answers nobody awaits, of bounds to reckon with and of tasks that run for ever; units and conditions were left out. They now say what is executed, dropped, renewed or recorded, and when. Reasons are kept. The code is unchanged.

--- a/standin/worker/agent.go
+++ b/standin/worker/agent.go
@@ -22,7 +22,7 @@
 	mu        sync.Mutex
 	boot      int
 	bootAt    time.Time
-	now       time.Time // up to which the tasks have advanced
+	now       time.Time // the time to which the tasks have advanced
 	epoch     int64
 	records   map[string]*record
 	forgotten map[string]tombstone
@@ -35,7 +35,7 @@
 	faults faults
 }
 
-// Stats count what an agent was asked.
+// Stats counts the requests to an agent and their outcomes.
 type Stats struct {
 	Requests     int
 	Starts       int
@@ -67,7 +67,7 @@
 	return a
 }
 
-// begin starts a boot.
+// begin starts a new boot, without records and with epoch 0.
 func (a *Agent) begin() {
 	a.boot++
 	a.bootAt = a.opt.Clock.Now()
@@ -83,22 +83,23 @@
 // Capacity returns the worker's size.
 func (a *Agent) Capacity() model.Resources { return a.opt.Capacity }
 
-// Stats returns the counts so far, over all boots.
+// Stats returns the counts over all boots.
 func (a *Agent) Stats() Stats {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.stats
 }
 
-// Advance lets the tasks run up to the clock's present time. Apply does so
-// too; between calls it is what ends tasks and leases in time.
+// Advance advances the tasks to the current time of the clock, and ends those that
+// are done or whose leases have expired. Apply does so too; Advance is for the time
+// between requests.
 func (a *Agent) Advance() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.advance()
 }
 
-// Restart ends the boot and begins the next: all tasks are lost.
+// Restart ends the current boot, which loses all tasks, and starts the next.
 func (a *Agent) Restart() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -107,14 +108,14 @@
 	a.begin()
 }
 
-// SetLeaving says whether the VM is about to be taken away.
+// SetLeaving sets whether responses announce that the VM is about to be removed.
 func (a *Agent) SetLeaving(leaving bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.leaving = leaving
 }
 
-// Running returns the attempts that run, by task in order.
+// Running returns the running attempts, sorted by task.
 func (a *Agent) Running() []*workerv1.TaskAttempt {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -128,7 +129,7 @@
 	return list
 }
 
-// Apply carries out one request, without the faults of the way to the agent.
+// Apply executes one request, without the faults of the connection.
 func (a *Agent) Apply(req *workerv1.ApplyRequest) *workerv1.ApplyResponse {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -155,15 +156,16 @@
 	return resp
 }
 
-// bootID names the present boot.
+// bootID returns the id of the current boot.
 func (a *Agent) bootID() string { return fmt.Sprintf("%s-%d", a.opt.ID, a.boot) }
 
-// millis is the time since the boot.
+// millis returns the milliseconds since the boot.
 func (a *Agent) millis() int64 { return a.now.Sub(a.bootAt).Milliseconds() }
 
-// leaseEnd is when a lease by the request's grant ends, and whether that lies
-// ahead. Counting from the grant, not from receipt, is what keeps a message
-// that was delayed from outliving the bound its sender reckons with.
+// leaseEnd returns when a lease from the request's grant ends, and whether that is in
+// the future. The lease is measured from the grant and not from the receipt of the
+// request: otherwise a delayed request would extend it beyond the bound that its
+// sender computed.
 func (a *Agent) leaseEnd(req *workerv1.ApplyRequest) (time.Time, bool) {
 	lease := time.Duration(req.GetLeaseMillis()) * time.Millisecond
 	if a.opt.Flaws.LeaseFromReceipt {
@@ -177,8 +179,8 @@
 	return end, end.After(a.now)
 }
 
-// advance runs the tasks up to now, one end after the other, since each end
-// changes the speed of the others.
+// advance runs the tasks up to the current time. It processes their ends one by one,
+// because each end changes the speed of the other tasks.
 func (a *Agent) advance() {
 	now := a.opt.Clock.Now()
 	for {
@@ -193,7 +195,8 @@
 	a.sample(now)
 }
 
-// earliestEnd returns the task that ends next.
+// earliestEnd returns the running task that ends next, with when and how it ends. The
+// task is nil if none is running.
 func (a *Agent) earliestEnd() (*record, time.Time, EndKind) {
 	var first *record
 	var firstAt time.Time
@@ -210,7 +213,7 @@
 	return first, firstAt, firstKind
 }
 
-// progress lets all tasks run until at.
+// progress lets all tasks run until the given time.
 func (a *Agent) progress(at time.Time) {
 	if !at.After(a.now) {
 		return
@@ -250,7 +253,7 @@
 	a.reckonSlowdowns()
 }
 
-// loseAll ends all tasks as a restart does.
+// loseAll ends all running tasks as lost.
 func (a *Agent) loseAll() {
 	for _, r := range a.sorted() {
 		if r.running() {
@@ -259,14 +262,14 @@
 	}
 }
 
-// sorted returns the records by task.
+// sorted returns the records, sorted by task.
 func (a *Agent) sorted() []*record {
 	return slices.SortedFunc(maps.Values(a.records), func(x, y *record) int {
 		return cmp.Compare(x.task, y.task)
 	})
 }
 
-// used is what the running tasks hold.
+// used returns the sum of the sizes of the running tasks.
 func (a *Agent) used() model.Resources {
 	var sum model.Resources
 	for _, r := range a.records {
--- a/standin/worker/audit.go
+++ b/standin/worker/audit.go
@@ -10,21 +10,21 @@
 	"github.com/guavarill/guavarill/core/model"
 )
 
-// Rule is one of the promises that Audit checks.
+// Rule is one of the invariants that Audit checks.
 type Rule string
 
 // The rules.
 const (
 	// OnePlace: at most one attempt of a task runs at any moment.
 	OnePlace Rule = "runs in one place at a time"
-	// WithinSize: what runs on a worker fits it in every dimension.
+	// WithinSize: the running tasks fit their worker in every dimension.
 	WithinSize Rule = "committed within the worker's size"
-	// NothingRefused: no start was sent that the worker had no room for.
+	// NothingRefused: no start was sent for which the worker had no room.
 	NothingRefused Rule = "no start beyond the worker's size"
-	// AttemptOnce: an attempt number begins at most once, anywhere.
+	// AttemptOnce: each attempt of a task starts at most once, on any worker.
 	AttemptOnce Rule = "an attempt begins once"
-	// ResumeOnce: after a run whose success, or whose stop with a checkpoint,
-	// was told to an owner and committed, nothing begins from before that.
+	// ResumeOnce: after an owner has committed a run's success, or its stop with a
+	// checkpoint, no run of the task starts from an earlier state.
 	ResumeOnce Rule = "resumes once"
 )
 
@@ -73,7 +73,7 @@
 	return found
 }
 
-// Attempts returns how many runs each task had, over all agents.
+// Attempts returns the number of runs of each task on all agents.
 func Attempts(agents ...*Agent) map[string]int {
 	counts := make(map[string]int)
 	for _, a := range agents {
@@ -84,7 +84,7 @@
 	return counts
 }
 
-// auditSize sums what ran at each start.
+// auditSize checks at each start that the running tasks fit the worker.
 func auditSize(a *Agent, runs []Run) []Violation {
 	var found []Violation
 	for _, at := range runs {
@@ -101,12 +101,12 @@
 	return found
 }
 
-// runsAt reports whether the run covers t; its end is not part of it.
+// runsAt reports whether the run was running at t. The time of its end does not count.
 func (r Run) runsAt(t time.Time) bool {
 	return !r.StartedAt.After(t) && (r.End == "" || r.EndedAt.After(t))
 }
 
-// settled reports whether an owner learnt how the run ended and committed it.
+// settled reports whether an owner received and committed the end of the run.
 func (r Run) settled() bool { return r.Told && r.Forgotten }
 
 // auditTask checks all runs of one task.
@@ -125,7 +125,7 @@
 	return found
 }
 
-// compare returns the rule that second breaks by beginning after first did.
+// compare returns the rule that second breaks by starting after first started.
 func compare(first, second Run) (Rule, bool) {
 	switch {
 	case first.runsAt(second.StartedAt):
--- a/standin/worker/command.go
+++ b/standin/worker/command.go
@@ -10,7 +10,7 @@
 	workerv1 "github.com/guavarill/guavarill/api/worker/v1"
 )
 
-// command carries out one command. A Forget has no result.
+// command executes one command. A Forget has no result.
 func (a *Agent) command(req *workerv1.ApplyRequest, c *workerv1.Command) *workerv1.CommandResult {
 	switch kind := c.GetKind().(type) {
 	case *workerv1.Command_Start:
@@ -25,7 +25,7 @@
 	return nil
 }
 
-// start begins an attempt, or says of one that it knows what became of it.
+// start starts an attempt, or returns the outcome of one that is already known.
 func (a *Agent) start(req *workerv1.ApplyRequest, s *workerv1.Start) *workerv1.CommandResult {
 	result := &workerv1.CommandResult{Task: s.GetTask(), Attempt: s.GetAttempt()}
 	if outcome, known := a.startedBefore(req, s); known {
@@ -39,7 +39,7 @@
 		return result
 	}
 	if old := a.records[s.GetTask()]; old != nil && old.running() {
-		a.finish(old, EndStopped) // an older attempt: two must never run
+		a.finish(old, EndStopped) // two attempts of a task must never run together
 	}
 	if refused, detail := a.refuse(s); refused != workerv1.Outcome_OUTCOME_UNSPECIFIED {
 		a.records[s.GetTask()] = &record{
@@ -57,9 +57,9 @@
 	return result
 }
 
-// startedBefore answers a Start of an attempt that the agent knows or has been
-// told to forget. A repeat is answered like the first copy; a copy that comes
-// after the attempt's end is stale.
+// startedBefore returns the outcome of a Start of an attempt that is known or was
+// forgotten. A duplicate has the outcome of the first copy; one that arrives after
+// the end of the attempt is stale.
 func (a *Agent) startedBefore(req *workerv1.ApplyRequest, s *workerv1.Start) (workerv1.Outcome, bool) {
 	if a.isForgotten(s.GetTask(), s.GetAttempt()) {
 		a.stats.RefusedStale++
@@ -136,8 +136,8 @@
 	return fmt.Sprintf("127.0.0.1:%d", firstServicePort+a.services), nil
 }
 
-// stop ends an attempt. One that the agent does not know is remembered as
-// stopped, so that a Start of it that is still on its way finds it over.
+// stop stops an attempt. An unknown attempt is recorded as stopped, so that a Start
+// of it that is still in transit does not start it.
 func (a *Agent) stop(s *workerv1.Stop) *workerv1.CommandResult {
 	result := &workerv1.CommandResult{
 		Task:    s.GetTask(),
@@ -170,7 +170,7 @@
 	return result
 }
 
-// stopRecord stops a running attempt, after a checkpoint if one is wanted.
+// stopRecord stops a running attempt, after a checkpoint if one is requested.
 func (a *Agent) stopRecord(r *record, checkpoint bool) {
 	if !r.running() || r.saving() {
 		return
@@ -186,8 +186,8 @@
 	}
 }
 
-// throttle sets a running attempt's share. It needs a valid grant, so that a
-// late copy cannot undo a later one for good.
+// throttle sets the throttle of a running attempt. It requires a valid grant, so
+// that a delayed duplicate cannot permanently undo a later throttle.
 func (a *Agent) throttle(req *workerv1.ApplyRequest, t *workerv1.Throttle) *workerv1.CommandResult {
 	result := &workerv1.CommandResult{Task: t.GetTask(), Attempt: t.GetAttempt()}
 	r := a.records[t.GetTask()]
@@ -205,9 +205,9 @@
 	return result
 }
 
-// forget drops the record of an attempt that is over. For one lease more it
-// is kept in mind that the attempt was here: a Start that is still on its way
-// carries a grant of before, which is too old by then.
+// forget removes the record of an ended attempt. A tombstone rejects a Start of the
+// attempt that is still in transit. It is kept for one lease: the grant of such a
+// Start, which was issued before, has expired by then.
 func (a *Agent) forget(req *workerv1.ApplyRequest, t *workerv1.TaskAttempt) {
 	r := a.records[t.GetTask()]
 	if r != nil && r.attempt == t.GetAttempt() {
@@ -246,7 +246,7 @@
 	}
 }
 
-// extend moves the end of r's lease, never back.
+// extend extends r's lease by the request's grant. It never shortens the lease.
 func (a *Agent) extend(req *workerv1.ApplyRequest, r *record) {
 	end, ok := a.leaseEnd(req)
 	if ok && end.After(r.leaseEnd) {
@@ -263,8 +263,7 @@
 	return fmt.Sprintf("%s/%d/%d", checkpointPrefix, r.attempt, r.done.Milliseconds())
 }
 
-// progressOf returns the progress that a checkpoint holds, none if it is not
-// one of an agent's.
+// progressOf returns the progress in a checkpoint, or 0 if no agent made it.
 func progressOf(checkpoint string) time.Duration {
 	var attempt uint32
 	var millis int64
--- a/standin/worker/faults.go
+++ b/standin/worker/faults.go
@@ -12,17 +12,17 @@
 	workerv1 "github.com/guavarill/guavarill/api/worker/v1"
 )
 
-// Faults are what goes wrong on the way to an agent.
+// Faults are the simulated faults of the connection to an agent.
 type Faults struct {
-	// Silent leaves every request unheard and unanswered. Tasks run on until
-	// their leases end.
+	// Silent drops every request, so that it is neither executed nor answered.
+	// Tasks continue to run until their leases end.
 	Silent bool
-	// LoseAnswers is how many of the next requests are carried out without
-	// their answer arriving.
+	// LoseAnswers is how many of the next requests are executed but get no
+	// response.
 	LoseAnswers int
-	// Slow is the time before a request is carried out.
+	// Slow is the delay before a request is executed.
 	Slow time.Duration
-	// Duplicate carries out every request twice.
+	// Duplicate executes every request twice.
 	Duplicate bool
 	// Keep keeps a copy of every request, for Replay.
 	Keep bool
@@ -37,7 +37,7 @@
 	kept []*workerv1.ApplyRequest
 }
 
-// LostError says that a fault swallowed a request or its answer.
+// LostError reports that a simulated fault dropped a request or its response.
 type LostError struct{ Cause error }
 
 // Error implements error.
@@ -53,23 +53,24 @@
 	a.faults.set = f
 }
 
-// SetFailStarts makes the agent fail everything it is told to start.
+// SetFailStarts makes every start on the agent fail.
 func (a *Agent) SetFailStarts(fail bool) { a.faults.failStarts.Store(fail) }
 
-// Kill ends the VM: its tasks are lost and nothing answers, until Revive.
+// Kill simulates the end of the VM: its tasks are lost, and requests get no
+// response until Revive.
 func (a *Agent) Kill() {
 	a.SetFaults(Faults{Silent: true})
 	a.Restart()
 }
 
-// Revive begins a new boot that answers.
+// Revive starts a new boot, and removes all faults.
 func (a *Agent) Revive() {
 	a.Restart()
 	a.SetFaults(Faults{})
 }
 
-// Replay carries out the copies that were kept, as copies that were delayed
-// on their way, and returns the answers, which nobody awaits.
+// Replay executes the kept copies of requests, like duplicates that the network
+// delivers late, and returns the responses.
 func (a *Agent) Replay() []*workerv1.ApplyResponse {
 	a.faults.mu.Lock()
 	kept := a.faults.kept
@@ -82,8 +83,8 @@
 	return answers
 }
 
-// Exchange carries out one request with the faults of the way. Without an
-// answer it returns when ctx ends.
+// Exchange executes one request, subject to the faults of the connection. If a
+// fault drops the request or the response, Exchange returns when ctx ends.
 func (a *Agent) Exchange(ctx context.Context, req *workerv1.ApplyRequest) (*workerv1.ApplyResponse, error) {
 	f, lose := a.takeFaults(req)
 	if f.Silent {
@@ -103,8 +104,8 @@
 	return resp, nil
 }
 
-// takeFaults returns the faults for one request and whether its answer is to
-// be lost.
+// takeFaults returns the faults for one request and whether its response is to
+// be dropped.
 func (a *Agent) takeFaults(req *workerv1.ApplyRequest) (Faults, bool) {
 	a.faults.mu.Lock()
 	defer a.faults.mu.Unlock()
@@ -119,13 +120,13 @@
 	return f, lose
 }
 
-// lost waits for the caller to give up.
+// lost waits until ctx ends and returns a LostError.
 func lost(ctx context.Context) error {
 	<-ctx.Done()
 	return &LostError{Cause: errors.WithStack(ctx.Err())}
 }
 
-// pause lets d pass.
+// pause waits for d. If ctx ends before that, it returns a LostError.
 func pause(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
 		return nil
--- a/standin/worker/options.go
+++ b/standin/worker/options.go
@@ -11,12 +11,12 @@
 // defaultSampleEvery is the time between two measurements of usage.
 const defaultSampleEvery = time.Second
 
-// Options describe a worker. Clock is needed; other zero fields take their
+// Options describe a worker. Clock is required; other zero fields take their
 // defaults.
 type Options struct {
 	ID       model.WorkerID
 	Capacity model.Resources
-	// Clock is the agent's own clock, by which grants and leases count.
+	// Clock is the agent's own clock, on which grants and leases are measured.
 	Clock port.Clock
 	// RecordClock gives the times in the record of runs; nil means Clock. It
 	// matters only when agents' clocks differ.
@@ -27,49 +27,54 @@
 	SampleEvery time.Duration
 	// CheckpointTime is how long a checkpoint takes.
 	CheckpointTime time.Duration
-	// Pairs slow tasks down by what else runs on the worker.
+	// Pairs determines how much tasks on the worker slow each other down.
 	Pairs Pairs
 	// Behave decides how a task runs; nil means DefaultBehaviour.
 	Behave func(*workerv1.Start) Behaviour
-	// StartService starts an instance of a service and returns where it takes
-	// requests and how to end it; stop must return only when the instance
-	// takes none any more. Both are called while the agent is locked. With nil
-	// a service gets an address at which nothing listens.
+	// StartService starts an instance of a service and returns the address at
+	// which it accepts requests and a function that stops it. stop must return
+	// only when the instance accepts no more requests. Both are called while the
+	// agent is locked. If StartService is nil, a service gets an address at which
+	// nothing listens.
 	StartService func(*workerv1.Start) (address string, stop func())
-	// Flaws leave out parts of the protocol, so that a test can show that it
-	// would notice.
+	// Flaws are deviations from the protocol, with which a test can show that it
+	// detects them.
 	Flaws Flaws
 }
 
-// Flaws are parts of the protocol that an agent can be made to neglect.
+// Flaws are the deviations from the protocol that an agent can be given.
 type Flaws struct {
-	// LeaseFromReceipt counts leases from the receipt of a message.
+	// LeaseFromReceipt measures leases from the receipt of a message instead of
+	// from the grant.
 	LeaseFromReceipt bool
-	// IgnoreEpoch obeys every owner.
+	// IgnoreEpoch executes the requests of every owner, also those with a stale
+	// epoch.
 	IgnoreEpoch bool
-	// ForgetStops keeps no memory of attempts that were stopped before they
-	// came, or forgotten.
+	// ForgetStops keeps no record of attempts whose Stop arrived before their
+	// Start, or that were forgotten.
 	ForgetStops bool
-	// RenewOnMismatch renews all that runs when the hash does not match.
+	// RenewOnMismatch renews all attempts of the agent's set although the hash
+	// does not match.
 	RenewOnMismatch bool
-	// NoRenewHash leaves out what was added with renew_hash, as an agent of
-	// before does. Nothing may come of it.
+	// NoRenewHash ignores renew_hash and the fields that belong to it, like an
+	// agent of an earlier version. Owners must be correct with such agents.
 	NoRenewHash bool
 }
 
 // Behaviour is how a task runs.
 type Behaviour struct {
-	// Run is how long the task takes alone on the worker; 0 is for ever.
+	// Run is how long the task takes alone on the worker; 0 means that it never
+	// ends by itself.
 	Run time.Duration
 	// Fail makes it fail at the end of Run.
 	Fail   bool
 	Detail string
-	// Usage is what it is measured to use.
+	// Usage is the usage that measurements of the task show.
 	Usage model.Resources
 }
 
-// DefaultBehaviour runs a batch task for its run_millis, a service for ever,
-// and uses what was committed.
+// DefaultBehaviour returns the behaviour of a task that uses what was committed
+// to it. A batch task runs for its run_millis; a service never ends by itself.
 func DefaultBehaviour(start *workerv1.Start) Behaviour {
 	b := Behaviour{Usage: sizeOf(start)}
 	if !start.GetService() {
@@ -78,12 +83,13 @@
 	return b
 }
 
-// Pair names the class of a task and that of one beside it.
+// Pair is the class of a task and the class of another task on the same worker.
 type Pair struct{ Victim, Noisy string }
 
-// Pairs gives, for a pair of classes, how much longer the victim takes for
-// each task of the noisy class beside it: 0.5 is half as long again. A
-// throttled task slows others by its share of the throttle.
+// Pairs gives, for a pair of classes, by which part of its run time the victim is
+// slowed down for each task of the noisy class on the same worker: 0.5 means 1.5
+// times the run time. The slowdown by a throttled task is proportional to its
+// throttle.
 type Pairs map[Pair]float64
 
 func sizeOf(start *workerv1.Start) model.Resources {
--- a/standin/worker/record.go
+++ b/standin/worker/record.go
@@ -14,13 +14,13 @@
 	task    string
 	attempt uint32
 	state   workerv1.TaskState
-	// refused is the outcome of a start that was refused for good.
+	// refused is the outcome of a start that was refused permanently.
 	refused    workerv1.Outcome
 	checkpoint string
 	detail     string
-	// toldStop is whether an owner told the agent to stop it.
+	// toldStop is whether an owner has requested a stop.
 	toldStop bool
-	// endedMillis is when it ended, on the clock of grants.
+	// endedMillis is when it ended, in milliseconds since the boot, like grants.
 	endedMillis int64
 
 	// For a running task:
@@ -42,10 +42,12 @@
 	return r.state == workerv1.TaskState_TASK_STATE_RUNNING
 }
 
-// saving reports whether it is being saved and runs no further.
+// saving reports whether its final checkpoint is being saved. It makes no progress
+// meanwhile.
 func (r *record) saving() bool { return !r.saveEnd.IsZero() }
 
-// speed is its progress per unit of time, against 1 alone on the worker.
+// speed returns its progress per unit of time, which is 1 for an unthrottled task
+// alone on the worker.
 func (r *record) speed() float64 {
 	if r.saving() {
 		return 0
@@ -53,7 +55,7 @@
 	return float64(r.throttle) / unthrottled / r.slowdown
 }
 
-// nextEnd is when it ends if nothing changes, and how.
+// nextEnd returns when and how it ends if nothing changes.
 func (r *record) nextEnd(now time.Time) (time.Time, EndKind) {
 	at, kind := r.leaseEnd, EndLeaseExpired
 	if r.saving() && r.saveEnd.Before(at) {
@@ -65,7 +67,8 @@
 	return at, kind
 }
 
-// timeLeft is how long it runs on at its present speed; false is for ever.
+// timeLeft returns how long it still runs at its current speed, or false if it does
+// not end by itself.
 func (r *record) timeLeft() (time.Duration, bool) {
 	speed := r.speed()
 	if r.behave.Run <= 0 || speed <= 0 {
@@ -78,7 +81,7 @@
 	return time.Duration(float64(left)/speed) + 1, true
 }
 
-// ownEnd is how it ends when it has run its time.
+// ownEnd returns how it ends after its run time.
 func (r *record) ownEnd() EndKind {
 	if r.behave.Fail {
 		return EndFailed
@@ -86,7 +89,7 @@
 	return EndSucceeded
 }
 
-// progress accounts for d of running.
+// progress adds the progress that it makes in d.
 func (r *record) progress(d time.Duration) {
 	r.done += time.Duration(float64(d) * r.speed())
 	if r.behave.Run > 0 && r.done > r.behave.Run {
@@ -94,7 +97,7 @@
 	}
 }
 
-// tombstone remembers an attempt that the owner told the agent to forget.
+// tombstone marks an attempt that was forgotten at the owner's request.
 type tombstone struct {
 	attempt uint32
 	until   time.Time
--- a/standin/worker/renew.go
+++ b/standin/worker/renew.go
@@ -2,10 +2,10 @@
 
 import workerv1 "github.com/guavarill/guavarill/api/worker/v1"
 
-// renew prolongs the leases that the request lists, or, with no list, those of
-// the set that its hash stands for. A set that differs by one attempt is not
-// renewed at all: which of the attempts its owner meant cannot be known, and
-// one that it gave up would run past the bound that it reckons with.
+// renew extends the leases of the attempts that the request lists or, without a
+// list, of the set that its hash identifies. If the hash does not match, nothing is
+// renewed: it does not show which attempts the owner meant, and an attempt that the
+// owner no longer renews would run beyond the bound that the owner computed.
 func (a *Agent) renew(req *workerv1.ApplyRequest, resp *workerv1.ApplyResponse) {
 	a.renewListed(req, req.GetRenew())
 	if req.GetRenewHash() == 0 || a.opt.Flaws.NoRenewHash {
@@ -39,8 +39,9 @@
 	}
 }
 
-// renewSet returns the attempts that an owner that knows no later answer than
-// the one with grant takes to be held here. False is a grant of another boot.
+// renewSet returns the attempts that an owner expects on this worker if the response
+// with grant is the latest that it has received. It returns false if the grant is
+// from another boot.
 func (a *Agent) renewSet(grant *workerv1.Grant) ([]*workerv1.TaskAttempt, bool) {
 	if grant.GetBootId() != a.bootID() {
 		return nil, false
@@ -54,8 +55,8 @@
 	return set, true
 }
 
-// heldSince reports whether r runs, or ended without an order after the grant
-// that was issued at the given time.
+// heldSince reports whether r is running, or ended without a stop request after the
+// grant that was issued at the given time.
 func (r *record) heldSince(issuedMillis int64) bool {
 	if r.toldStop {
 		return false
--- a/standin/worker/runlog.go
+++ b/standin/worker/runlog.go
@@ -10,7 +10,7 @@
 // EndKind is how a run ended.
 type EndKind string
 
-// The ends of a run; a run that goes on has none.
+// The ends of a run. EndKind is empty for a run that has not ended.
 const (
 	EndSucceeded    EndKind = "succeeded"
 	EndFailed       EndKind = "failed"
@@ -26,14 +26,16 @@
 	Task    string
 	Attempt uint32
 	Size    model.Resources
-	// Resumed is the checkpoint it began from, Saved the one it left.
+	// Resumed is the checkpoint that it started from, Saved the one that it made
+	// at its end.
 	Resumed   string
 	Saved     string
 	StartedAt time.Time
 	EndedAt   time.Time
 	End       EndKind
-	// Told is whether an answer with its end reached an owner, Forgotten
-	// whether an owner that had committed its end said so.
+	// Told is whether a response that reports its end reached an owner.
+	// Forgotten is whether an owner has acknowledged with a Forget that it has
+	// committed the end.
 	Told      bool
 	Forgotten bool
 }
@@ -50,7 +52,7 @@
 	return runs
 }
 
-// Delivered notes that an answer reached the owner.
+// Delivered records that a response reached the owner.
 func (a *Agent) Delivered(resp *workerv1.ApplyResponse) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/standin/worker/server.go
+++ b/standin/worker/server.go
@@ -14,11 +14,11 @@
 	workerv1 "github.com/guavarill/guavarill/api/worker/v1"
 )
 
-// advanceEvery is the time between two looks at what is due on a served
-// agent. Leases end late by at most that.
+// advanceEvery is the interval at which Server advances the agent. Leases end at
+// most that much late.
 const advanceEvery = 20 * time.Millisecond
 
-// minKeepalive is the least time that clients may leave between two probes.
+// minKeepalive is the shortest interval at which clients may send keepalive pings.
 const minKeepalive = time.Second
 
 // Server serves an agent on a gRPC socket and lets its tasks advance.
@@ -31,7 +31,7 @@
 	done    chan struct{}
 }
 
-// Serve begins to serve agent at address, with port 0 on a free one.
+// Serve starts to serve agent at address. Port 0 selects a free port.
 func Serve(agent *Agent, address string) (*Server, error) {
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
@@ -51,14 +51,14 @@
 	return s, nil
 }
 
-// Address returns host:port of the socket.
+// Address returns the host and port at which the agent is served.
 func (s *Server) Address() string { return s.address }
 
 // Agent returns the agent that is served.
 func (s *Server) Agent() *Agent { return s.agent }
 
-// Close ends the server and its connections. The agent's tasks stand still
-// from then on unless something else advances it.
+// Close closes the server and its connections. After that, nothing advances the
+// agent but Apply and Advance.
 func (s *Server) Close() {
 	close(s.stop)
 	s.grpc.Stop()
--- a/standin/worker/usage.go
+++ b/standin/worker/usage.go
@@ -17,7 +17,7 @@
 	progress uint32
 }
 
-// reckonSlowdowns works out how much the running tasks slow each other.
+// reckonSlowdowns computes how much the running tasks slow each other down.
 func (a *Agent) reckonSlowdowns() {
 	for _, victim := range a.records {
 		if victim.running() {
@@ -62,8 +62,7 @@
 	return s
 }
 
-// dropOld drops the samples that are older than the latest one that reports
-// may show.
+// dropOld removes the samples before the latest one taken no later than shown.
 func dropOld(samples []sample, shown time.Time) []sample {
 	for len(samples) > 1 && !samples[1].at.After(shown) {
 		samples = samples[1:]
@@ -71,7 +70,7 @@
 	return samples
 }
 
-// usageOf returns the latest measurement that is as old as the lag, or nil.
+// usageOf returns the latest measurement that is at least UsageLag old, or nil.
 func (a *Agent) usageOf(r *record) *workerv1.Usage {
 	shown := a.now.Add(-a.opt.UsageLag)
 	var u *workerv1.Usage
@@ -90,8 +89,8 @@
 	return u
 }
 
-// reports returns what an answer says of tasks: all of them, or those that the
-// request's commands named and those that are over.
+// reports returns the task reports of a response: for all tasks, or only for those
+// that the request's commands named and those that have ended.
 func (a *Agent) reports(all bool, named map[string]bool) []*workerv1.TaskReport {
 	var list []*workerv1.TaskReport
 	for _, r := range a.sorted() {
