--- a/standin/worker/agent.go
+++ b/standin/worker/agent.go
@@ -250,7 +250,7 @@
 	r.run.EndedAt = a.opt.RecordClock.Now()
 	r.run.Saved = r.checkpoint
 	r.address = ""
-	a.reckonSlowdowns()
+	a.updateSlowdowns()
 }
 
 // loseAll ends all running tasks as lost.
--- a/standin/worker/command.go
+++ b/standin/worker/command.go
@@ -52,7 +52,7 @@
 		result.Outcome, result.Detail = refused, detail
 		return result
 	}
-	a.begun(s, end)
+	a.startModel(s, end)
 	result.Outcome = workerv1.Outcome_OUTCOME_DONE
 	return result
 }
@@ -95,8 +95,8 @@
 	return workerv1.Outcome_OUTCOME_UNSPECIFIED, ""
 }
 
-// begun starts the model of a task.
-func (a *Agent) begun(s *workerv1.Start, leaseEnd time.Time) {
+// startModel starts the model of a task.
+func (a *Agent) startModel(s *workerv1.Start, leaseEnd time.Time) {
 	s = proto.CloneOf(s)
 	r := &record{
 		task:     s.GetTask(),
@@ -125,7 +125,7 @@
 	a.runs = append(a.runs, r.run)
 	a.records[r.task] = r
 	a.stats.Starts++
-	a.reckonSlowdowns()
+	a.updateSlowdowns()
 }
 
 func (a *Agent) startService(s *workerv1.Start) (string, func()) {
@@ -146,7 +146,7 @@
 	}
 	r := a.records[s.GetTask()]
 	if r != nil && r.attempt == s.GetAttempt() {
-		r.toldStop = true
+		r.stopRequested = true
 	}
 	switch {
 	case r != nil && r.attempt > s.GetAttempt() || a.isForgotten(s.GetTask(), s.GetAttempt()):
@@ -164,7 +164,7 @@
 			attempt: s.GetAttempt(),
 			state:   workerv1.TaskState_TASK_STATE_STOPPED,
 
-			toldStop: true,
+			stopRequested: true,
 		}
 	}
 	return result
@@ -200,7 +200,7 @@
 	default:
 		r.throttle = min(t.GetPercent(), unthrottled)
 		result.Outcome = workerv1.Outcome_OUTCOME_DONE
-		a.reckonSlowdowns()
+		a.updateSlowdowns()
 	}
 	return result
 }
--- a/standin/worker/record.go
+++ b/standin/worker/record.go
@@ -18,8 +18,8 @@
 	refused    workerv1.Outcome
 	checkpoint string
 	detail     string
-	// toldStop is whether an owner has requested a stop.
-	toldStop bool
+	// stopRequested is whether an owner has requested a stop.
+	stopRequested bool
 	// endedMillis is when it ended, in milliseconds since the boot, like grants.
 	endedMillis int64
 
--- a/standin/worker/renew.go
+++ b/standin/worker/renew.go
@@ -58,7 +58,7 @@
 // heldSince reports whether r is running, or ended without a stop request after the
 // grant that was issued at the given time.
 func (r *record) heldSince(issuedMillis int64) bool {
-	if r.toldStop {
+	if r.stopRequested {
 		return false
 	}
 	return r.running() || r.endedMillis > issuedMillis
--- a/standin/worker/usage.go
+++ b/standin/worker/usage.go
@@ -17,8 +17,8 @@
 	progress uint32
 }
 
-// reckonSlowdowns computes how much the running tasks slow each other down.
-func (a *Agent) reckonSlowdowns() {
+// updateSlowdowns computes how much the running tasks slow each other down.
+func (a *Agent) updateSlowdowns() {
 	for _, victim := range a.records {
 		if victim.running() {
 			victim.slowdown = a.slowdownOf(victim)
