standin/store: comments in plain terms

Comments told of failures to come, of watches that are told things and of leases whose time is over. They now use the terms of the key-value service: fault, drop, expire, compacted, position in the history. The conditions and reasons are kept. The code is unchanged.

--- a/standin/store/clock.go
+++ b/standin/store/clock.go
@@ -12,7 +12,7 @@
 	now time.Time
 }
 
-// NewManualClock makes a clock that stands at a moment.
+// NewManualClock returns a clock that shows the given time.
 func NewManualClock(now time.Time) *ManualClock { return &ManualClock{now: now} }
 
 // Now implements port.Clock.
@@ -22,7 +22,7 @@
 	return c.now
 }
 
-// Advance moves the clock.
+// Advance moves the clock forward.
 func (c *ManualClock) Advance(d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/standin/store/faults.go
+++ b/standin/store/faults.go
@@ -6,17 +6,17 @@
 	"time"
 )
 
-// Loss is how a caller finds that no answer comes.
+// Loss is how the absence of a response appears to the caller.
 type Loss int
 
 const (
 	// LossBreak breaks the connection that carried the call.
 	LossBreak Loss = iota
-	// LossHang leaves the call without an answer on a working connection.
+	// LossHang never answers the call, and keeps the connection working.
 	LossHang
 )
 
-// faults are the failures to come.
+// faults holds the simulated faults that are in force or that wait for their calls.
 type faults struct {
 	mu     sync.Mutex
 	down   bool
@@ -26,7 +26,7 @@
 	drop   []armed
 }
 
-// armed is a failure of the next calls of some methods.
+// armed is a fault of the next calls of some methods.
 type armed struct {
 	left    int
 	how     Loss
@@ -40,11 +40,11 @@
 	return slices.Contains(a.methods, m)
 }
 
-// plan is what is to happen to one call.
+// plan is the set of faults of one call.
 type plan struct {
 	slow time.Duration
-	// dropped calls have no effect, lost ones have theirs; neither is
-	// answered.
+	// dropped is whether the call has no effect, lost whether it has its effect.
+	// Neither gets a response.
 	dropped bool
 	lost    bool
 	how     Loss
@@ -123,22 +123,22 @@
 	s.listener.refuse(false)
 }
 
-// Slow makes each call wait for d before it has its effect, also when its
-// caller has given up meanwhile; 0 ends it.
+// Slow delays the effect of each call by d, even if its caller no longer waits.
+// 0 ends the delay.
 func (s *Server) Slow(d time.Duration) {
 	s.faults.mu.Lock()
 	defer s.faults.mu.Unlock()
 	s.faults.slow = d
 }
 
-// LoseAnswer lets the next n mutating calls, or calls of the given methods,
-// have their effect without an answer.
+// LoseAnswer executes the next n mutating calls, or calls of the given methods,
+// without responding to them.
 func (s *Server) LoseAnswer(n int, how Loss, methods ...Method) {
 	s.faults.arm(&s.faults.lose, n, how, methods)
 }
 
-// DropBefore leaves the next n mutating calls, or calls of the given methods,
-// without effect and without answer.
+// DropBefore drops the next n mutating calls, or calls of the given methods: they
+// have no effect and get no response.
 func (s *Server) DropBefore(n int, how Loss, methods ...Method) {
 	s.faults.arm(&s.faults.drop, n, how, methods)
 }
@@ -152,21 +152,21 @@
 	*list = append(*list, armed{left: n, how: how, methods: methods})
 }
 
-// ClearFaults ends Slow and takes back failures that have not happened yet.
+// ClearFaults ends Slow and removes the faults that no call has met yet.
 func (s *Server) ClearFaults() {
 	s.faults.mu.Lock()
 	defer s.faults.mu.Unlock()
 	s.faults.slow, s.faults.lose, s.faults.drop = 0, nil, nil
 }
 
-// BreakConnections breaks all connections and watches; new ones work.
+// BreakConnections breaks all open connections and watches. New ones work.
 func (s *Server) BreakConnections() {
 	s.listener.breakAll()
 	s.breakLocalWatches()
 }
 
-// SilenceConnections makes all present connections accept bytes for good
-// without an answer and without an end; new ones work.
+// SilenceConnections makes all open connections permanently silent: they accept
+// bytes, but send none and are not closed. New connections work.
 func (s *Server) SilenceConnections() {
 	s.listener.silenceAll()
 	s.silenceLocals()
@@ -181,10 +181,10 @@
 	s.state.wakeWatches()
 }
 
-// LapseLease ends a lease as if its time were over, and tells whether there
-// was one.
+// LapseLease ends a lease as if it had expired, and reports whether the lease
+// existed.
 func (s *Server) LapseLease(id int64) bool { return s.state.lapse(id) }
 
-// LapseLeaseOf ends the lease that key is attached to, and tells whether
-// there was one.
+// LapseLeaseOf ends the lease that key is attached to, and reports whether there
+// was one.
 func (s *Server) LapseLeaseOf(key string) bool { return s.state.lapseOf(key) }
--- a/standin/store/history.go
+++ b/standin/store/history.go
@@ -4,13 +4,13 @@
 	etcdv3 "github.com/guavarill/guavarill/api/etcd/v3"
 )
 
-// history keeps the changes of the latest revisions for watches.
+// history holds the changes of the latest revisions for watches.
 type history struct {
 	keep int64
-	// compacted is the latest revision whose changes are gone.
+	// compacted is the latest compacted revision.
 	compacted int64
 	entries   []entry
-	// changed is closed and replaced when there is something to look at.
+	// changed is closed and replaced when watches have something to read.
 	changed chan struct{}
 }
 
@@ -43,8 +43,8 @@
 	h.entries = h.entries[first:]
 }
 
-// since gives the changes from revision on within a key range, and false when
-// some of them were compacted.
+// since returns the changes in a key range from the revision on, or false if some of
+// them were compacted.
 func (h *history) since(revision int64, key, end []byte) ([]*etcdv3.Event, bool) {
 	if revision <= h.compacted {
 		return nil, false
--- a/standin/store/kv.go
+++ b/standin/store/kv.go
@@ -99,7 +99,8 @@
 	return resp, nil
 }
 
-// checkTxn refuses what the service refuses before it looks at the contents.
+// checkTxn refuses the transactions that the service refuses regardless of its
+// contents.
 func (s *state) checkTxn(req *etcdv3.TxnRequest) error {
 	limit := s.o.MaxTxnOps
 	if len(req.Compare) > limit || len(req.Success) > limit || len(req.Failure) > limit {
@@ -139,7 +140,7 @@
 	return nil
 }
 
-// overlaps is whether another change than number i touches its key.
+// overlaps reports whether a change other than number i affects its key.
 func overlaps(ops []*etcdv3.RequestOp, i int, key []byte) bool {
 	for j, other := range ops {
 		if j == i || other.GetRequestRange() != nil {
--- a/standin/store/lease.go
+++ b/standin/store/lease.go
@@ -10,7 +10,7 @@
 	etcdv3 "github.com/guavarill/guavarill/api/etcd/v3"
 )
 
-// firstLeaseID keeps lease ids apart from revisions in tests' output.
+// firstLeaseID is large, so that lease ids differ from revisions in tests' output.
 const firstLeaseID = 1_000_000
 
 type lease struct {
@@ -34,7 +34,7 @@
 	return &etcdv3.LeaseGrantResponse{Header: s.header(), ID: l.id, TTL: req.TTL}
 }
 
-// renew answers with a time of 0 when the lease is gone.
+// renew renews a lease. The returned time to live is 0 if the lease has ended.
 func (s *state) renew(id int64) *etcdv3.LeaseKeepAliveResponse {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -58,7 +58,7 @@
 	return &etcdv3.LeaseRevokeResponse{Header: s.header()}, nil
 }
 
-// timeToLive answers with a time of -1 when the lease is gone.
+// timeToLive returns the remaining time of a lease, which is -1 if it has ended.
 func (s *state) timeToLive(req *etcdv3.LeaseTimeToLiveRequest) *etcdv3.LeaseTimeToLiveResponse {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -87,8 +87,8 @@
 	return keys
 }
 
-// moveLease takes a key from the lease of its former value to that of its new
-// one.
+// moveLease detaches a key from the lease of its old value and attaches it to the
+// lease of its new value.
 func (s *state) moveLease(prev, next *etcdv3.KeyValue) {
 	if l := s.leases[prev.GetLease()]; prev != nil && l != nil {
 		delete(l.keys, string(prev.Key))
@@ -112,7 +112,7 @@
 	c.commit()
 }
 
-// expire ends the leases whose time is over, in order of their ids.
+// expire ends the expired leases, in the order of their ids.
 func (s *state) expire() {
 	if s.leasesHeld {
 		return
@@ -139,7 +139,7 @@
 	}
 }
 
-// holdLeases keeps leases from ending while held.
+// holdLeases sets whether leases are kept from expiring.
 func (s *state) holdLeases(held bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/store/listener.go
+++ b/standin/store/listener.go
@@ -14,7 +14,7 @@
 	inner    net.Listener
 	refusing bool
 	conns    map[string]*conn
-	// swallowed counts the bytes that silent connections threw away.
+	// swallowed counts the bytes that silent connections discarded.
 	swallowed atomic.Int64
 }
 
@@ -108,9 +108,9 @@
 	}
 }
 
-// conn is a connection that can go silent: then what it receives is thrown
-// away, what is sent on it goes nowhere, and the server cannot close it, as if
-// something between the two ends had lost track of it.
+// conn is a connection that can be silenced: it then discards what it receives and
+// what is sent on it, and the server cannot close it. This is how a connection
+// behaves after a middlebox between the two ends has dropped its state.
 type conn struct {
 	net.Conn
 	owner  *listener
@@ -140,8 +140,8 @@
 	return c.Conn.Write(b)
 }
 
-// Close implements net.Conn. The reader of a silent connection goes on
-// throwing bytes away until the client closes it.
+// Close implements net.Conn. It does not close a silent connection, whose reader
+// discards bytes until the client closes it.
 func (c *conn) Close() error {
 	if c.silent.Load() {
 		return nil
--- a/standin/store/local.go
+++ b/standin/store/local.go
@@ -12,7 +12,7 @@
 	"github.com/guavarill/guavarill/port"
 )
 
-// FaultError is the cause of a failure that was asked for.
+// FaultError is the cause of a failure that a simulated fault produced.
 type FaultError struct {
 	Fault string
 }
@@ -20,18 +20,17 @@
 // Error implements error.
 func (e *FaultError) Error() string { return fmt.Sprintf("fault: %s", e.Fault) }
 
-// Local is a client's view of the stand-in without sockets. Its calls return
-// at once and need no goroutine, so that what a test sees depends only on the
-// order of its own calls. Faults have the outcomes that they have over a
-// socket:
+// Local is a client of the stand-in without sockets. Its calls return at once and
+// need no goroutine, so that the results in a test depend only on the order of the
+// test's own calls. Faults have the same outcomes as over a socket:
 //
 //   - Down: StoreUnavailable, not done; watches break.
 //   - LoseAnswer, DropBefore: StoreUnavailable or, with LossHang,
 //     StoreTimeout; unknown.
 //   - Slow at or above Options.LocalTimeout: StoreTimeout, unknown, with
 //     effect.
-//   - SilenceConnections: the next call of each Local runs into a timeout
-//     without effect, and present watches never tell anything again.
+//   - SilenceConnections: the next call of each Local times out without effect,
+//     and open watches deliver no more events.
 type Local struct {
 	s      *Server
 	silent atomic.Bool
@@ -41,7 +40,7 @@
 
 var _ port.Store = (*Local)(nil)
 
-// Local makes an in-process client of the stand-in. It needs no Start.
+// Local returns an in-process client of the stand-in, which works without Start.
 func (s *Server) Local() *Local {
 	l := &Local{s: s}
 	s.localsMu.Lock()
@@ -50,7 +49,7 @@
 	return l
 }
 
-// localCall names one call.
+// localCall is the name and the method of one call.
 type localCall struct {
 	name   string
 	method Method
@@ -70,7 +69,7 @@
 	return &port.StoreError{Call: c.name, Kind: kind, Outcome: outcome, Cause: cause}
 }
 
-// lost is the failure of a call whose answer does not come.
+// lost returns the error of a call that gets no response.
 func (c localCall) lost(kind port.StoreErrorKind, fault string) *port.StoreError {
 	outcome := port.OutcomeNotDone
 	if c.method.Mutates() {
@@ -99,8 +98,8 @@
 	return c.fail(kind, outcome, refusal)
 }
 
-// callLocal gives one call its effect, unless a fault takes that or the
-// answer.
+// callLocal executes one call, unless a fault drops the call. It returns an error if
+// a fault drops the call or its response.
 func callLocal[T any](ctx context.Context, l *Local, c localCall, effect func() (T, error)) (T, error) {
 	var none T
 	if err := ctx.Err(); err != nil {
--- a/standin/store/localwatch.go
+++ b/standin/store/localwatch.go
@@ -8,8 +8,8 @@
 	"github.com/guavarill/guavarill/port"
 )
 
-// localWatchBuffer is how many events a watch holds for a test that does not
-// read them; one more ends the watch.
+// localWatchBuffer is the number of unread events that a watch holds. One more ends
+// the watch.
 const localWatchBuffer = 4096
 
 // localWatch is one watch of a Local. Its fields are guarded by the state's
@@ -17,7 +17,7 @@
 type localWatch struct {
 	cursor *cursor
 	events chan port.WatchEvent
-	// deaf watches sit on a silenced connection.
+	// deaf is whether the watch is on a silenced connection.
 	deaf bool
 }
 
@@ -55,8 +55,8 @@
 	}
 }
 
-// deliver gives every watch what it has not been told yet, and keeps those
-// that go on. The state's mutex is held.
+// deliver sends each watch the events that it has not received yet, and removes the
+// watches that have ended. The state's mutex must be held.
 func (l *Local) deliver(frozen bool) {
 	kept := l.watches[:0]
 	for _, w := range l.watches {
@@ -68,7 +68,7 @@
 	l.watches = kept
 }
 
-// tell is false when it ended the watch.
+// tell sends a watch its new events. It returns false if it ended the watch.
 func (l *Local) tell(w *localWatch, frozen bool) bool {
 	b := l.s.state.readLocked(w.cursor, frozen)
 	if b.compacted > 0 {
@@ -91,7 +91,7 @@
 	close(w.events)
 }
 
-// deliverLocal runs with the state's mutex held.
+// deliverLocal sends new events to all local watches. The state's mutex must be held.
 func (s *Server) deliverLocal() {
 	frozen := s.faults.isFrozen()
 	for _, l := range s.allLocals() {
@@ -107,7 +107,8 @@
 	}
 }
 
-// breakWatches ends all watches but the deaf ones, whose end nobody hears.
+// breakWatches ends all watches except those on silenced connections, which report
+// nothing, not even their end.
 func (l *Local) breakWatches() {
 	kept := l.watches[:0]
 	for _, w := range l.watches {
--- a/standin/store/method.go
+++ b/standin/store/method.go
@@ -28,7 +28,7 @@
 	MethodWatch           Method = "Watch"
 )
 
-// Mutates is whether a call of the method changes something.
+// Mutates reports whether a call of the method changes the store.
 func (m Method) Mutates() bool {
 	switch m {
 	case MethodRange, MethodWatch, MethodLeaseTimeToLive:
@@ -38,7 +38,7 @@
 	}
 }
 
-// meter counts the calls and refuses those above the rates.
+// meter counts the calls and refuses those that exceed the configured rates.
 type meter struct {
 	clock  port.Clock
 	reads  *rate.Limiter
@@ -64,7 +64,7 @@
 	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
 }
 
-// count counts one call, and refuses it when it is above the rate.
+// count counts one call, and refuses it if it exceeds the rate.
 func (m *meter) count(method Method) error {
 	m.mu.Lock()
 	m.counts[method]++
--- a/standin/store/options.go
+++ b/standin/store/options.go
@@ -7,23 +7,23 @@
 	"github.com/guavarill/guavarill/port"
 )
 
-// Options sets up a stand-in. Zero fields take their defaults.
+// Options configures a stand-in. Zero fields take their defaults.
 type Options struct {
 	// Clock drives leases and rate limits. With an injected clock, call Tick
 	// after moving it: leases are also checked at every call.
 	Clock port.Clock
-	// History is how many revisions watches can look back on.
+	// History is the number of latest revisions from which watches can start.
 	History int64
 	// MaxValueBytes, MaxRequestBytes and MaxTxnOps are the service's limits.
 	MaxValueBytes   int
 	MaxRequestBytes int
 	MaxTxnOps       int
-	// ReadsPerSecond and WritesPerSecond, when not 0, are the rates above
-	// which calls are refused.
+	// ReadsPerSecond and WritesPerSecond are the rates above which calls are
+	// refused; 0 means no limit.
 	ReadsPerSecond  float64
 	WritesPerSecond float64
-	// ExtendLeasesOnUp gives every lease its full time again when the store
-	// comes back from being down. Otherwise leases run on while it is down.
+	// ExtendLeasesOnUp makes Up give every lease its full time again. Otherwise
+	// leases also expire while the store is down.
 	ExtendLeasesOnUp bool
 	// LocalTimeout is the call timeout of the in-process store: with Slow at
 	// or above it, calls time out.
--- a/standin/store/server.go
+++ b/standin/store/server.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	// expiryPeriod is how often a started server looks for leases whose time
-	// is over.
+	// expiryPeriod is the interval at which a started server checks for expired
+	// leases.
 	expiryPeriod = 50 * time.Millisecond
-	// recvOverhead is what a message may be larger than a request.
+	// recvOverhead is by how much a message may be larger than its request.
 	recvOverhead = 512 << 10
 	// minPingTime is the service's limit on clients' pings.
 	minPingTime = 5 * time.Second
@@ -45,7 +45,7 @@
 	locals   []*Local
 }
 
-// New makes a stand-in that serves nothing over a socket before Start.
+// New returns a stand-in. It serves its socket only after Start.
 func New(o Options) *Server {
 	o = o.withDefaults()
 	s := &Server{
@@ -110,39 +110,39 @@
 	}
 }
 
-// Tick ends the leases whose time is over.
+// Tick ends the expired leases.
 func (s *Server) Tick() {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
 	s.state.expire()
 }
 
-// Revision is the store's revision.
+// Revision returns the store's revision.
 func (s *Server) Revision() int64 {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
 	return s.state.revision
 }
 
-// Compact drops the changes up to and including a revision from the history
-// that watches can look back on.
+// Compact removes the changes up to and including a revision from the history, so
+// that watches can no longer start there.
 func (s *Server) Compact(revision int64) {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
 	s.state.history.compact(revision)
 }
 
-// Calls is how many calls of a method arrived.
+// Calls returns the number of calls of a method that arrived.
 func (s *Server) Calls(m Method) int { return s.meter.snapshot()[m] }
 
-// Counts is how many calls of each method arrived.
+// Counts returns the number of calls of each method that arrived.
 func (s *Server) Counts() map[Method]int { return s.meter.snapshot() }
 
-// Withheld is how many calls over sockets a fault has left without an answer:
-// their effect, if any, is there.
+// Withheld returns the number of calls over sockets whose response was withheld by
+// a fault so far. The effect of such a call, if any, has taken place.
 func (s *Server) Withheld() int { return int(s.withheld.Load()) }
 
-// Swallowed is how many bytes silenced connections have thrown away.
+// Swallowed returns the number of bytes that silenced connections have discarded.
 func (s *Server) Swallowed() int { return int(s.listener.swallowed.Load()) }
 
 // ResetCounts sets all counts to 0.
@@ -152,13 +152,14 @@
 	s.listener.swallowed.Store(0)
 }
 
-// intercept counts each plain call and gives it its failure.
+// intercept counts each unary call and applies the faults to it.
 func (s *Server) intercept(ctx context.Context, req any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
 	method := Method(path.Base(info.FullMethod))
 	return s.call(ctx, method, func() (any, error) { return handler(ctx, req) })
 }
 
-// call gives one call its effect, unless a fault takes that or the answer.
+// call executes one call, unless a fault drops it. A fault may also drop the
+// response.
 func (s *Server) call(ctx context.Context, m Method, effect func() (any, error)) (any, error) {
 	p := s.faults.plan(m)
 	if err := s.meter.count(m); err != nil {
@@ -187,7 +188,7 @@
 	}
 }
 
-// loseCall makes sure that no answer reaches the caller.
+// loseCall ends a call without a response to the caller.
 func (s *Server) loseCall(ctx context.Context, how Loss) error {
 	s.withheld.Add(1)
 	if how == LossBreak {
@@ -205,7 +206,7 @@
 	}
 }
 
-// statusOf turns a refusal into the status that carries it.
+// statusOf converts a refusal into a gRPC status.
 func statusOf(err error) error {
 	var refusal *etcdwire.Refusal
 	if errors.As(err, &refusal) {
--- a/standin/store/state.go
+++ b/standin/store/state.go
@@ -24,10 +24,10 @@
 	keys     *btree.BTreeG[*etcdv3.KeyValue]
 	leases   map[int64]*lease
 	nextID   int64
-	// leasesHeld keeps leases from ending.
+	// leasesHeld is whether leases are kept from expiring.
 	leasesHeld bool
 	history    history
-	// observers are told, with the lock held, that the history has grown.
+	// observers are called, with the lock held, when the history has grown.
 	observers []func()
 }
 
@@ -52,7 +52,7 @@
 	return kv
 }
 
-// between gives the keys in [key, end) in order; without an end only key.
+// between returns the keys in [key, end) in order, or only key if end is empty.
 func (s *state) between(key, end []byte) []*etcdv3.KeyValue {
 	if len(end) == 0 {
 		if kv := s.lookup(key); kv != nil {
@@ -71,8 +71,8 @@
 	return found
 }
 
-// inRange is whether k lies in [key, end). A single zero byte as end has no
-// upper bound; no end is the one key.
+// inRange reports whether k is in [key, end). An end of a single zero byte means no
+// upper bound, an empty end only key itself.
 func inRange(k, key, end []byte) bool {
 	if len(end) == 0 {
 		return bytes.Equal(k, key)
@@ -84,7 +84,7 @@
 	return unbounded || bytes.Compare(k, end) < 0
 }
 
-// change collects what one revision changes.
+// change collects the changes of one revision.
 type change struct {
 	s        *state
 	revision int64
@@ -120,7 +120,7 @@
 	return gone
 }
 
-// commit makes the revision, unless nothing was changed.
+// commit creates the revision, unless nothing was changed.
 func (c *change) commit() {
 	if len(c.events) == 0 {
 		return
--- a/standin/store/watch.go
+++ b/standin/store/watch.go
@@ -34,8 +34,8 @@
 	return w.follow(ctx, stream, cursor)
 }
 
-// follow sends what the cursor finds until the stream ends or the cursor
-// points at compacted changes.
+// follow sends the changes that the cursor reads until the stream ends or the
+// cursor is at a compacted revision.
 func (w *watchService) follow(ctx context.Context, stream watchServerStream, c *cursor) error {
 	for {
 		batch := w.server.state.read(c, w.server.faults.isFrozen())
@@ -59,18 +59,18 @@
 	}
 }
 
-// cursor is how far a watch has got.
+// cursor is the position of a watch in the history.
 type cursor struct {
 	key, end []byte
 	next     int64
 	header   *etcdv3.ResponseHeader
 }
 
-// batch is what a watch has to tell.
+// batch is the result of one read of a cursor.
 type batch struct {
 	header *etcdv3.ResponseHeader
 	events []*etcdv3.Event
-	// compacted, when not 0, is the first revision that is still there.
+	// compacted, when not 0, is the first revision that is not compacted.
 	compacted int64
 	// changed is closed when there is more to read.
 	changed <-chan struct{}
@@ -86,7 +86,8 @@
 	return c
 }
 
-// read moves a cursor to the present, unless frozen.
+// read reads all changes from the cursor's position on, and moves the cursor behind
+// them, unless watches are frozen.
 func (s *state) read(c *cursor, frozen bool) batch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,7 +109,7 @@
 	return b
 }
 
-// wakeWatches makes every watch look for changes.
+// wakeWatches makes every watch read changes.
 func (s *state) wakeWatches() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
