--- a/standin/store/localwatch.go
+++ b/standin/store/localwatch.go
@@ -17,8 +17,8 @@
 type localWatch struct {
 	cursor *cursor
 	events chan port.WatchEvent
-	// deaf is whether the watch is on a silenced connection.
-	deaf bool
+	// silenced is whether the watch is on a silenced connection.
+	silenced bool
 }
 
 // Watch implements port.Store. Events are in the channel when the call that
@@ -60,7 +60,7 @@
 func (l *Local) deliver(frozen bool) {
 	kept := l.watches[:0]
 	for _, w := range l.watches {
-		if w.deaf || l.tell(w, frozen) {
+		if w.silenced || l.send(w, frozen) {
 			kept = append(kept, w)
 		}
 	}
@@ -68,8 +68,8 @@
 	l.watches = kept
 }
 
-// tell sends a watch its new events. It returns false if it ended the watch.
-func (l *Local) tell(w *localWatch, frozen bool) bool {
+// send sends a watch its new events. It returns false if it ended the watch.
+func (l *Local) send(w *localWatch, frozen bool) bool {
 	b := l.s.state.readLocked(w.cursor, frozen)
 	if b.compacted > 0 {
 		w.end(port.StoreCompacted, "compacted")
@@ -112,7 +112,7 @@
 func (l *Local) breakWatches() {
 	kept := l.watches[:0]
 	for _, w := range l.watches {
-		if w.deaf {
+		if w.silenced {
 			kept = append(kept, w)
 			continue
 		}
@@ -128,7 +128,7 @@
 	for _, l := range s.allLocals() {
 		l.silent.Store(true)
 		for _, w := range l.watches {
-			w.deaf = true
+			w.silenced = true
 		}
 	}
 }
--- a/standin/store/state.go
+++ b/standin/store/state.go
@@ -131,7 +131,7 @@
 }
 
 func (s *state) tellObservers() {
-	for _, tell := range s.observers {
-		tell()
+	for _, observe := range s.observers {
+		observe()
 	}
 }
