core/jobsched: a test for holds that new leaders lost at once begin anew, known red

What callers saw: long-running tasks whose workers left are not started again for 10.6 and 12.9 s, with room, while daemons are restarted in turn and workers replaced. The test plays one way to that: the lead is handed over five times to a leader that is lost 0.1 s later, while a worker that leaves or is silent ends in between.

--- a/core/jobsched/handover_test.go
+++ b/core/jobsched/handover_test.go
@@ -200,6 +200,57 @@
 	}
 }
 
+// TestTasksGoOnWhileNewLeadersAreLostAtOnce guards against new leaders that end what
+// the roster says of workers that leave or are silent, and are lost before they say it
+// themselves: each holds all older jobs back for such a worker.
+func TestTasksGoOnWhileNewLeadersAreLostAtOnce(t *testing.T) {
+	gone := map[string]func(*fakeWorker){
+		"drained workers": func(w *fakeWorker) { w.entry.Draining = true },
+		"silent workers":  func(w *fakeWorker) { w.partitioned = true },
+	}
+	for name, beginToLeave := range gone {
+		t.Run(name, func(t *testing.T) { loseNewLeadersAtOnce(t, beginToLeave) })
+	}
+}
+
+// loseNewLeadersAtOnce replaces workers and hands the lead over several times, each
+// time to a leader that is lost 100 ms later, just after a worker of which the roster
+// tells has ended. It checks how long a long-running task has no running attempt.
+func loseNewLeadersAtOnce(t *testing.T, beginToLeave func(*fakeWorker)) {
+	t.Helper()
+	const tasks, first, rounds = 12, 12, 5
+	c := newCluster(t, 1, first)
+	c.run(200 * time.Millisecond)
+	id := c.submit(1, "urgent", longRunning(tasks, 2000))
+	c.run(time.Second)
+	absent := make(absences)
+	longest := time.Duration(0)
+	run := func(d time.Duration) {
+		for end := c.now.Add(d); c.now.Before(end); {
+			c.tick()
+			longest = max(longest, absent.update(c, id, tasks))
+		}
+	}
+	for i := range rounds {
+		leaving, replaced := c.workers[c.workerIDs()[i]], c.workers[c.workerIDs()[first-1-i]]
+		c.addWorker(first + 2*i)
+		c.addWorker(first + 2*i + 1)
+		beginToLeave(leaving)
+		run(2 * time.Second)
+		c.handOver()
+		run(95 * time.Millisecond)
+		c.depart(leaving)
+		c.replaceLeader()
+		run(200 * time.Millisecond)
+		c.drain(replaced)
+		run(time.Second)
+	}
+	run(10 * time.Second)
+	if longest > maxAbsence {
+		t.Errorf("a task had no running attempt for %s, want at most %s", longest, maxAbsence)
+	}
+}
+
 // TestLostRosterOverPlannedChanges guards against jobs that are not started until
 // leaders stop changing. The stored roster cannot be read, and planned changes of
 // the leader follow each other: each new leader counted the possible duration of
