core/jobsched: a new leader's first commit tells of workers that leave or are silent

What callers saw: long-running tasks whose workers left are not started again for many seconds, with room, while daemons are restarted in turn and workers replaced (LOST). Cause: the first commit of a leader ends what the roster of the one before says, and its own roster followed 0.5 s later, to give workers time to answer. A leader lost in between left nothing: for each worker that had left or was silent all older jobs waited 6.3 s (in the tests' options) from the next take-over, although earlier leaders had known what may run there. Each such leader began it anew. Class: a statement that is ended before the one which replaces it is stored. Change: only for workers that may still answer does the roster wait. One that drains, is not listed or was silent before the take-over is closed, with the attempts known there and the bound of its leases, by the first commit already. If it answers after all, the next roster says so, as for any that answers late.

--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -112,7 +112,7 @@
 	// roster closes it: after a lost answer the next one arrives within 0.5 s.
 	rosterUnreachableAfter = time.Second
 	// firstAnswerTime is how long after a takeover the roster makes no statement
-	// about workers that have not answered; healthy ones answer within 0.5 s. If
+	// about workers that may still answer; healthy ones answer within 0.5 s. If
 	// the leader is lost in the meantime, after its first commit, its successor
 	// must assume that anything may be running there.
 	firstAnswerTime = 500 * time.Millisecond
@@ -149,7 +149,7 @@
 // worker.
 func (m *Machine) startStatusOf(w *worker) rosterStatus {
 	switch {
-	case !w.answered && w.onRoster && m.now.Before(m.recoveredAt.Add(firstAnswerTime)):
+	case !w.answered && w.onRoster && m.mayStillAnswer(w):
 		return w.rosterStatus
 	case w.attemptsUnknown:
 		return rosterStatus{bounded: true}
@@ -161,6 +161,16 @@
 	return rosterStatus{closed: true, bounded: !w.answered, attempts: w.outstanding()}
 }
 
+// mayStillAnswer reports whether a worker that has not answered yet is expected to do
+// so soon. A worker that leaves or was silent before the takeover is not: what is
+// known of it goes into the first commit, since that ends what the earlier roster
+// says, and the next leader may follow at any moment.
+func (m *Machine) mayStillAnswer(w *worker) bool {
+	leaves := w.entry.Draining || m.listed && !w.listed
+	silent := !w.lastReportAt.IsZero()
+	return !leaves && !silent && m.now.Before(m.recoveredAt.Add(firstAnswerTime))
+}
+
 // acceptsTasks reports whether tasks may be started on the worker, now or as soon
 // as it answers.
 func (w *worker) acceptsTasks(now time.Time) bool {
