core/jobsched: tests for the end of shared trials and the bound that is told

A crash under a trial, and a pass without such tasks, must end that many run at a time; the view of a step must tell within which time all are tried.

--- a/core/jobsched/sharedtrial_test.go
+++ b/core/jobsched/sharedtrial_test.go
@@ -88,3 +88,26 @@
 		}
 	}
 }
+
+// TestCrashUnderATrialEndsSharing guards against many trials at a time after a worker
+// crashed under one, or long after others passed.
+func TestCrashUnderATrialEndsSharing(t *testing.T) {
+	c := newCluster(t, 1, 8)
+	c.keepFinalJobs()
+	id := c.submit(1, "batch", makeStep(8, 1000, 8*time.Second))
+	c.tick()
+	c.addEarlierCrashes([]job.ID{id}, 0)
+	c.run(3 * time.Second)
+	if n := c.machine.maxIsolatedTrials(); n < 3 {
+		t.Fatalf("%d isolated trials are permitted after some passed, want 3 or more", n)
+	}
+	task := c.machine.task(job.TaskKey{Job: id, Index: 7})
+	c.machine.countCrash(task, job.Crash{Attempt: 3, Shared: true})
+	if n := c.machine.maxIsolatedTrials(); n != 1 {
+		t.Errorf("%d isolated trials are permitted after a worker crashed under one, want 1", n)
+	}
+	c.run(30 * time.Second)
+	if n := c.machine.maxIsolatedTrials(); n != 1 {
+		t.Errorf("%d isolated trials are permitted after all have ended, want 1", n)
+	}
+}
--- a/core/jobsched/trialwait_test.go
+++ b/core/jobsched/trialwait_test.go
@@ -15,14 +15,18 @@
 	tests := map[string]struct {
 		crashes []job.Crash
 		want    string
+		bound   string
 	}{
 		"alone": {
 			[]job.Crash{{Attempt: 1, ObservedRunMs: 3900}, {Attempt: 2, ObservedRunMs: 3900}},
 			"5 of its tasks wait to be tried alone, while 1 of at most 1 such trials run, the last for ",
+			// One round for the first of the step and rounds of 1, 2 and 4, 5.6 s each.
+			"; where there is room, all are tried within 22.4s if none of them crashes its worker",
 		},
 		"one of the step": {
 			[]job.Crash{{Attempt: 1, ObservedRunMs: 3900}},
 			"5 of its tasks wait while another task of the step is on trial, the last for ",
+			" more at the most",
 		},
 	}
 	for name, test := range tests {
@@ -40,8 +44,8 @@
 				t.Errorf("%d trials run and %d tasks wait, want 1 and 5", running, waiting)
 			}
 			view, _ := c.machine.Inspect(id)
-			if !strings.HasPrefix(view.Steps[0].TrialWait, test.want) {
-				t.Errorf("the view says %q, want %q", view.Steps[0].TrialWait, test.want)
+			if !strings.HasPrefix(view.Steps[0].TrialWait, test.want) || !strings.HasSuffix(view.Steps[0].TrialWait, test.bound) {
+				t.Errorf("the view says %q, want %q ... %q", view.Steps[0].TrialWait, test.want, test.bound)
 			}
 			if !c.hasNote(joblog.MessageStepWaits, test.want) {
 				t.Errorf("no note says %q", test.want)
