core/jobsched: a test for the place of a trial whose job has ended, known red

What callers would see: a job is canceled, or fails, between the request of an isolated trial and its start. From then on this leader starts nothing on the worker that the trial names, and one place for isolated trials fewer is left; with 8 workers none, so that other tasks under which workers crashed are never started. The test fails: of 8 workers 7 get a task, and the trial of another job never begins.

--- a/core/jobsched/isolation_test.go
+++ b/core/jobsched/isolation_test.go
@@ -29,3 +29,38 @@
 		t.Errorf("%d of %d tasks run after their trials", n, tasks)
 	}
 }
+
+// TestEndedJobGivesUpItsTrial guards against a worker that is never used again, and a
+// place for trials that is never given back, after a job ended before its trial began.
+func TestEndedJobGivesUpItsTrial(t *testing.T) {
+	const workers = 8
+	c := newCluster(t, 1, workers)
+	c.run(200 * time.Millisecond)
+	c.storeDelay = 100 * time.Millisecond
+	id := c.submitSuspect(1)
+	for i := 0; i < 200 && c.machine.requestedTrials.Len() == 0; i++ {
+		c.tick()
+	}
+	c.cancel(id)
+	c.run(time.Second)
+	other := c.submitSuspect(2)
+	everywhere := c.submit(3, "urgent", longRunning(workers, 15000))
+	c.run(5 * time.Second)
+	if n := c.runningOf(other); n != 1 {
+		t.Errorf("%d tasks of the other job that needs a trial run, want 1", n)
+	}
+	if n := c.runningOf(everywhere); n != workers {
+		t.Errorf("tasks run on %d of %d workers", n, workers)
+	}
+}
+
+// submitSuspect submits a job with a task that must be tried alone.
+func (c *cluster) submitSuspect(number int) job.ID {
+	id := c.submit(number, "urgent", makeStep(1, 1000, 50*time.Millisecond), longRunning(1, 1000))
+	c.accepted[id].Spec.Steps[1].After = []int{0}
+	c.tick()
+	task := c.machine.task(job.TaskKey{Job: id, Step: 1})
+	task.last = 2
+	task.crashes = []job.Crash{{Attempt: 1, ObservedRunMs: job.ObservedRunUnknown}, {Attempt: 2, ObservedRunMs: job.ObservedRunUnknown}}
+	return id
+}
