core/jobsched: a trial whose job has ended gives up its place

What callers would see: after a job was canceled, or failed, between the request of an isolated trial and its start, this leader starts nothing more on the worker that the trial names, and tries one task fewer at a time; in a small fleet none. Cause: a requested trial is kept while its task has no attempt. The tasks of a job that has ended have none for good, and no turn any more in which the trial would be dropped. Class: a place that is held on behalf of somebody who can't come any more. Evidence: TestEndedJobGivesUpItsTrial, known red until now, 7 of 8 workers used. Change: the trial of an ended job is not about to begin, so that the next round deletes it. Measured: the test passes: all 8 workers are used and the other job's trial begins.

--- a/core/jobsched/isolation.go
+++ b/core/jobsched/isolation.go
@@ -125,7 +125,8 @@
 // that its record names. It keeps its place among the trials until then: if it had to
 // ask for one again, all places could be taken by trials none of which begins.
 func (m *Machine) hasRequestedTrial(t *task) bool {
-	return m.requestedTrials.Has(t) && t.idle() && t.trial.namesWorker() && !t.trial.inherited
+	waits := t.idle() && !t.step.job().state.Final()
+	return m.requestedTrials.Has(t) && waits && t.trial.namesWorker() && !t.trial.inherited
 }
 
 // beginTrial tracks an attempt of a suspect task.
