--- a/core/jobsched/trialwait_test.go
+++ b/core/jobsched/trialwait_test.go
@@ -17,12 +17,18 @@
 		want    string
 		bound   string
 	}{
-		"alone": {
-			[]job.Crash{{Attempt: 1, ObservedRunMs: 3900}, {Attempt: 2, ObservedRunMs: 3900}},
+		"alone, on shared workers": {
+			[]job.Crash{{Attempt: 1, ObservedRunMs: 3900}, {Attempt: 2, ObservedRunMs: 2900}},
 			"5 of its tasks wait to be tried alone, while 1 of at most 1 such trials run, the last for ",
 			// One round for the first of the step and rounds of 1, 2 and 4, 5.6 s each.
 			"; where there is room, all are tried within 22.4s if none of them crashes its worker",
 		},
+		"alone, on workers of their own": {
+			[]job.Crash{{Attempt: 1, ObservedRunMs: 3900}, {Attempt: 2, ObservedRunMs: 3900}},
+			"5 of its tasks wait to be tried alone, while 1 of at most 1 such trials run, the last for ",
+			// As above, and a round for each two that share no worker.
+			"; where there is room, all are tried within 39.2s if none of them crashes its worker",
+		},
 		"one of the step": {
 			[]job.Crash{{Attempt: 1, ObservedRunMs: 3900}},
 			"5 of its tasks wait while another task of the step is on trial, the last for ",
