--- a/standin/platform/caller.go
+++ b/standin/platform/caller.go
@@ -13,10 +13,10 @@
 	"github.com/guavarill/guavarill/core/job"
 )
 
-// TaskCPU is what a caller's task takes of a worker, in thousandths of a core.
+// TaskCPU is the size of a caller's task, in thousandths of a core.
 const TaskCPU = 1000
 
-// StateError is an answer that tells no state.
+// StateError reports a response with status 200 that contains no state.
 type StateError struct {
 	Text  string
 	Cause error
@@ -28,17 +28,17 @@
 // Unwrap returns the cause.
 func (e *StateError) Unwrap() error { return e.Cause }
 
-// Caller calls daemons as the users' callers do.
+// Caller calls daemons like the users' callers.
 type Caller struct {
 	Client *http.Client
-	// Queue is the one that its jobs are for.
+	// Queue is the queue of its jobs.
 	Queue Queue
-	// Timeout bounds a call; daemons are told.
+	// Timeout bounds a call. It is sent to the daemon with the call.
 	Timeout time.Duration
 }
 
-// Submit submits a job with so many tasks in each step, each of which follows
-// the one before, and returns the status of the answer.
+// Submit submits a job with the given number of tasks in each step and returns the
+// status of the response. Each step follows the previous one.
 func (c *Caller) Submit(address, id string, steps []int) (int, error) {
 	var list []step
 	for i, count := range steps {
@@ -51,24 +51,24 @@
 	return c.submit(address, id, "text", list)
 }
 
-// SubmitLongRunning submits a job with so many long-running tasks, and returns
-// the status of the answer.
+// SubmitLongRunning submits a job with the given number of long-running tasks and
+// returns the status of the response.
 func (c *Caller) SubmitLongRunning(address, id string, count int) (int, error) {
 	s := newStep(count)
 	s.LongRunning = true
 	return c.submit(address, id, LongRunning, []step{s})
 }
 
-// SubmitCrashing submits a job with one task that crashes each worker that starts
-// it, and returns the status of the answer.
+// SubmitCrashing submits a job with one task that crashes each worker that starts it,
+// and returns the status of the response.
 func (c *Caller) SubmitCrashing(address, id string) (int, error) {
 	return c.submit(address, id, crashing, []step{newStep(1)})
 }
 
-// crashing is the specification by which a worker knows tasks that crash it.
+// crashing is the specification by which workers recognize tasks that crash them.
 const crashing = "crashing"
 
-// LongRunning is the specification by which a worker knows long-running tasks.
+// LongRunning is the specification by which workers recognize long-running tasks.
 const LongRunning = "long-running"
 
 // step is a step of a job on the wire.
@@ -94,18 +94,18 @@
 	return status, err
 }
 
-// Cancel cancels a job and returns the status of the answer.
+// Cancel cancels a job and returns the status of the response.
 func (c *Caller) Cancel(address, id string) (int, error) {
 	status, _, err := c.call(http.MethodDelete, address, id, nil)
 	return status, err
 }
 
-// callersStates are the states as callers are told them, where they differ from
-// the product's.
+// callersStates maps the names of states in the callers' interface to the states, where
+// the names differ.
 var callersStates = map[job.State]job.State{"cancelled": job.Canceled}
 
-// State asks for a job's state and returns the status of the answer with it. The
-// state is empty unless the status is 200; an answer with that status and no state
+// State returns the status of the response to a query of a job's state, and the state.
+// The state is empty unless the status is 200. A response with status 200 and no state
 // is a *StateError.
 func (c *Caller) State(address, id string) (int, job.State, error) {
 	status, text, err := c.call(http.MethodGet, address, id, nil)
--- a/standin/platform/link.go
+++ b/standin/platform/link.go
@@ -8,16 +8,15 @@
 )
 
 const (
-	// linkPiece is how much a Link passes on at a time.
+	// linkPiece is the number of bytes that a Link forwards at a time.
 	linkPiece = 4 << 10
-	// linkQueue is how many pieces are on their way at most for each connection: what
-	// 10 Mbit/s carry in 0.3 s.
+	// linkQueue is the maximum number of pieces in transit for each connection: the
+	// amount that 10 Mbit/s transfer in 0.3 s.
 	linkQueue = 96
 )
 
-// Link is a VM's link to one address: what comes from there to the VM goes at the
-// link's rate, all connections together, and with a delay. What the VM sends is
-// passed on at once.
+// Link is a VM's network link to one address. All connections share the link's rate for
+// the data to the VM, which is also delayed. Data from the VM is forwarded at once.
 type Link struct {
 	target string
 	// rate is in bytes a second.
@@ -28,18 +27,18 @@
 	silent   atomic.Bool
 
 	mu sync.Mutex
-	// free is when the last piece has been sent.
+	// free is when the link has sent the pieces so far.
 	free  time.Time
 	conns map[*linkConn]struct{}
 }
 
-// linkConn is a connection over a link, in its two halves.
+// linkConn is a connection over a link: its connections to the VM and to the target.
 type linkConn struct {
 	vm, target net.Conn
 	frozen     atomic.Bool
 }
 
-// NewLink starts a link on loopback.
+// NewLink starts a link on the loopback interface.
 func NewLink(target string, bytesPerSecond int, delay time.Duration) (*Link, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -52,20 +51,20 @@
 	return l, nil
 }
 
-// Address is where the VM reaches the target.
+// Address returns the address at which the VM reaches the target.
 func (l *Link) Address() string { return l.listener.Addr().String() }
 
-// Passed returns how many bytes have come to the VM.
+// Passed returns the number of bytes that have arrived at the VM.
 func (l *Link) Passed() int64 { return l.passed.Load() }
 
-// Cut makes all connections pass nothing more, without an end, new ones too.
+// Cut stops the traffic of all connections, including new ones, without closing them.
 func (l *Link) Cut() {
 	l.silent.Store(true)
 	l.Freeze()
 }
 
-// Freeze makes the connections that are open pass nothing more, without an end.
-// New ones work.
+// Freeze stops the traffic of the open connections without closing them. New ones
+// work.
 func (l *Link) Freeze() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -74,7 +73,7 @@
 	}
 }
 
-// Close ends the link and its connections.
+// Close closes the link and its connections.
 func (l *Link) Close() {
 	_ = l.listener.Close()
 	l.mu.Lock()
@@ -109,7 +108,7 @@
 	}
 }
 
-// connect passes both directions on until one ends.
+// connect forwards both directions until one of them ends.
 func (l *Link) connect(c *linkConn) {
 	pieces := make(chan linkPacket, linkQueue)
 	var all sync.WaitGroup
@@ -122,13 +121,13 @@
 	l.mu.Unlock()
 }
 
-// linkPacket is a piece with the time at which it comes to the VM.
+// linkPacket is a piece with the time at which it arrives at the VM.
 type linkPacket struct {
 	data  []byte
 	comes time.Time
 }
 
-// up passes on what the VM sends.
+// up forwards the data from the VM.
 func (c *linkConn) up() {
 	defer c.close()
 	buffer := make([]byte, linkPiece)
@@ -145,7 +144,7 @@
 	}
 }
 
-// read reads what the target sends and gives it its turn on the link.
+// read reads the data from the target and assigns each piece its time on the link.
 func (l *Link) read(c *linkConn, pieces chan<- linkPacket) {
 	defer close(pieces)
 	for {
@@ -160,7 +159,7 @@
 	}
 }
 
-// down passes on to the VM what the target sent.
+// down forwards the data from the target to the VM.
 func (l *Link) down(c *linkConn, pieces <-chan linkPacket) {
 	defer c.close()
 	lost := false
@@ -170,7 +169,7 @@
 		}
 		time.Sleep(time.Until(p.comes))
 		if _, err := c.vm.Write(p.data); err != nil {
-			// What is left is read and dropped, so that the reader ends.
+			// The remaining pieces are discarded, so that the reader ends.
 			lost = true
 			c.close()
 			continue
@@ -179,7 +178,7 @@
 	}
 }
 
-// turn returns when a piece that the target sends now comes to the VM.
+// turn returns when a piece that the target sends now arrives at the VM.
 func (l *Link) turn(bytes int) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
