soak: comments in plain terms

Comments spoke of promises that are broken, of what a run plays, of accusing and of daemons at peace. They now say what is injected, polled, checked and reported. Conditions and reasons are kept, and so are all messages. The code is unchanged.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -15,26 +15,26 @@
 )
 
 const (
-	// callTimeout bounds a call; callers tell it to the daemon too.
+	// callTimeout bounds a call. Callers send it to the daemon with the call.
 	callTimeout = 2 * time.Second
-	// submitTries is how often a caller tries before it gives a job up.
+	// submitTries is how often a caller tries to submit a job.
 	submitTries = 6
-	// lookEvery is the time between two looks at a job.
+	// lookEvery is the interval at which a caller polls the state of a job.
 	lookEvery = 150 * time.Millisecond
 )
 
-// fate is what a caller knows of a job that it submitted.
+// fate is the outcome of a submission as its caller knows it.
 type fate int
 
 const (
-	// refused: every answer said that it was not carried out.
+	// refused: every response said that the request was not executed.
 	refused fate = iota
-	// unknown: some try had no answer, or one that says nothing.
+	// unknown: an attempt got no response, or one that leaves the outcome open.
 	unknown
 	accepted
 )
 
-// submitted is a job as its caller sees it.
+// submitted is a job and its state as its caller knows it.
 type submitted struct {
 	id string
 	// steps holds the number of tasks of each step.
@@ -48,12 +48,12 @@
 	fate       fate
 	acceptedAt time.Time
 	canceledAt time.Time
-	// cancelSentAt is when the first cancel was sent, whatever came of it.
+	// cancelSentAt is when the first cancel was sent, whatever its outcome.
 	cancelSentAt time.Time
 	final        job.State
 }
 
-// caller submits jobs and follows them over connections that it keeps.
+// caller submits jobs and polls their states over persistent connections.
 type caller struct {
 	d      *deployment
 	rnd    *rand.Rand
@@ -72,7 +72,7 @@
 	}
 }
 
-// run submits jobs until ctx ends, and follows them until calling does.
+// run submits jobs until ctx ends, and polls their states until calling ends.
 func (c *caller) run(ctx, calling context.Context) {
 	var following sync.WaitGroup
 	for ctx.Err() == nil {
@@ -88,7 +88,7 @@
 // nextID returns the id of the caller's next job.
 func (c *caller) nextID() string { return fmt.Sprintf("%04x%012x", c.prefix, len(c.jobs)+1) }
 
-// draw returns a job of one to three steps.
+// draw returns a random job of one to three steps.
 func (c *caller) draw() *submitted {
 	j := &submitted{id: c.nextID()}
 	for range 1 + c.rnd.IntN(3) {
@@ -97,7 +97,7 @@
 	return j
 }
 
-// submit submits a job, and returns whether it was accepted.
+// submit submits a job, with retries, and reports whether it was accepted.
 func (c *caller) submit(ctx context.Context, j *submitted, rnd *rand.Rand) bool {
 	for range submitTries {
 		j.settle(c.submitOnce(rnd, j))
@@ -119,7 +119,8 @@
 	return c.client.Submit(c.anyone(rnd), j.id, j.steps)
 }
 
-// follow submits a job, looks at it now and then, and cancels some.
+// follow submits a job and polls its state until it is final. It cancels one job in
+// six.
 func (c *caller) follow(ctx context.Context, j *submitted, rnd *rand.Rand) {
 	if !c.submit(ctx, j, rnd) {
 		return
@@ -138,7 +139,7 @@
 	}
 }
 
-// settle takes in the outcome of one try to submit.
+// settle records the outcome of one attempt to submit.
 func (j *submitted) settle(status int, err error) {
 	switch {
 	case err == nil && status == http.StatusOK:
@@ -164,7 +165,7 @@
 	}
 }
 
-// look asks for a job's state and checks the answer against earlier ones.
+// look polls a job's state and checks it against earlier ones.
 func (c *caller) look(rnd *rand.Rand, j *submitted) {
 	status, state, err := c.client.State(c.anyone(rnd), j.id)
 	var garbled *standin.StateError
@@ -185,7 +186,7 @@
 	}
 }
 
-// sees takes in a state that was told.
+// sees checks and records a reported state.
 func (j *submitted) sees(r *report, state job.State) {
 	if j.final != "" && state != j.final {
 		r.add("job %s was told as %s and then as %s", j.id, j.final, state)
@@ -204,5 +205,5 @@
 	}
 }
 
-// anyone returns the address of some daemon.
+// anyone returns the address of a random daemon.
 func (c *caller) anyone(rnd *rand.Rand) string { return pick(rnd, c.d.daemons).front() }
--- a/soak/check.go
+++ b/soak/check.go
@@ -13,13 +13,14 @@
 	standin "github.com/guavarill/guavarill/standin/platform"
 )
 
-// report holds the promises that were broken.
+// report collects the violations that a run found.
 type report struct {
 	mu     sync.Mutex
 	broken []string
 }
 
-// mostReported bounds a report: the first findings tell the cause.
+// mostReported is the maximum number of reported violations. The first ones show the
+// cause.
 const mostReported = 20
 
 func (r *report) add(format string, args ...any) {
@@ -36,11 +37,12 @@
 	return slices.Clone(r.broken)
 }
 
-// cancelGrace is how long a canceled job's tasks may run on: until the lease of
-// the worker that was told last, and the time that a take-over takes.
+// cancelGrace is how long after a cancel tasks of the job may still start or run: until
+// the lease of the last worker to be told has ended, and the length of a take-over.
 const cancelGrace = 9 * time.Second
 
-// check checks the whole run by what the workers saw and the callers know.
+// check checks the whole run against the events at the workers and the callers' view
+// of their jobs.
 func check(r *report, events []standin.AuditEvent, twice []string, jobs []*submitted) {
 	for _, t := range twice {
 		r.add("ran twice at a time: %s", t)
@@ -61,14 +63,14 @@
 	}
 }
 
-// history goes through what happened at the workers.
+// history checks the events at the workers in order.
 type history struct {
 	report  *report
 	jobs    map[string]*submitted
 	done    map[string]bool
 	settled map[string]bool
-	// crashes counts the workers that a task has crashed, further its starts since
-	// that were as many as may be.
+	// crashes counts the workers that each task has crashed, further its starts after
+	// crashesMost of them.
 	crashes, further map[string]int
 }
 
@@ -86,8 +88,9 @@
 	}
 }
 
-// started checks a start: of a job that may have been accepted, of a task that
-// is not done, after the step before it, and not long after a cancel.
+// started checks that a start is of a job that may have been accepted and of a task
+// that is not done, that the previous step is done, and that the job was not canceled
+// more than cancelGrace before.
 func (h *history) started(e standin.AuditEvent) {
 	id, step, ok := parseTask(e.Task)
 	j := h.jobs[id]
@@ -114,13 +117,14 @@
 }
 
 const (
-	// crashesMost is how many workers a task may have crashed before its further
-	// starts count, furtherMost how many of these there may be, by the users' rule.
+	// crashesMost is the number of workers that a task may crash before its further
+	// starts are limited; furtherMost is that limit. Both are the users' rule.
 	crashesMost = 3
 	furtherMost = 2
 )
 
-// startedAgain checks a start against the workers that the task has crashed.
+// startedAgain checks that a task is not started too often after it has crashed
+// workers.
 func (h *history) startedAgain(e standin.AuditEvent) {
 	if h.crashes[e.Task] < crashesMost {
 		return
@@ -131,7 +135,7 @@
 	}
 }
 
-// end checks what has become of a job.
+// end checks the final state of a job.
 func (h *history) end(j *submitted) {
 	switch {
 	case j.fate != accepted:
@@ -150,7 +154,7 @@
 	}
 }
 
-// parseTask reads a task's name, job.occurrence.step.index.
+// parseTask parses a task's name, which is job.occurrence.step.index.
 func parseTask(name string) (id string, step int, ok bool) {
 	parts := strings.Split(name, ".")
 	if len(parts) != 4 {
@@ -160,7 +164,7 @@
 	return parts[0], step, err == nil
 }
 
-// stillRunning returns the tasks that run, in order.
+// stillRunning returns the running tasks, sorted.
 func stillRunning(audit *standin.Audit) []string {
 	return slices.Sorted(maps.Keys(audit.Running()))
 }
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -13,13 +13,13 @@
 	// crashingLeast and crashingMost bound the time between two jobs that crash their workers, in
 	// milliseconds.
 	crashingLeast, crashingMost = 1500, 4000
-	// returnLeast and returnMost bound the time that a worker takes to come back from
-	// a crash, in milliseconds.
+	// returnLeast and returnMost bound the time that a worker takes to restart after a
+	// crash, in milliseconds.
 	returnLeast, returnMost = 500, 2500
 )
 
-// crash submits jobs that crash their workers until ctx ends, and follows them
-// until calling does.
+// crash submits jobs that crash their workers until ctx ends, and polls their states
+// until calling ends.
 func (c *caller) crash(ctx, calling context.Context) {
 	var following sync.WaitGroup
 	for ctx.Err() == nil {
@@ -43,8 +43,8 @@
 // workersKept is how many workers stay: with fewer a crashed one is back at once.
 const workersKept = 2
 
-// crashed ends a worker that a task has crashed, and has another incarnation of it
-// come back unless it was on its way out.
+// crashed ends a worker that a task has crashed, and starts another incarnation of it
+// unless the worker was already leaving.
 func (d *deployment) crashed(id string) {
 	s := beginSpan()
 	d.mu.Lock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -7,28 +7,28 @@
 	"time"
 )
 
-// mode is what a proxy does to what passes through it.
+// mode is how a proxy treats the data that passes through it.
 type mode int
 
 const (
 	pass mode = iota
-	// slow holds each piece back.
+	// slow delays each piece of data.
 	slow
-	// silent passes nothing either way, and keeps connections open.
+	// silent forwards nothing in either direction, and keeps connections open.
 	silent
-	// answersCut passes calls and no answers: calls are carried out, and their
-	// callers do not hear of it.
+	// answersCut forwards calls but no responses: calls are executed, and their
+	// callers do not learn of it.
 	answersCut
-	// reset ends connections at once.
+	// reset closes connections at once.
 	reset
 	modeCount
 )
 
-// slowDelay is how long a slow proxy holds a piece back: within all time-outs,
-// and long beside a call's usual milliseconds.
+// slowDelay is the delay of each piece by a slow proxy: shorter than all timeouts, and
+// long compared with the few milliseconds that a call usually takes.
 const slowDelay = 120 * time.Millisecond
 
-// proxy passes connections on to one address.
+// proxy forwards connections to one address.
 type proxy struct {
 	target   string
 	listener net.Listener
@@ -38,7 +38,7 @@
 	conns map[net.Conn]struct{}
 }
 
-// newProxy starts a proxy on loopback.
+// newProxy starts a proxy on the loopback interface.
 func newProxy(target string) (*proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -116,8 +116,8 @@
 	p.mu.Unlock()
 }
 
-// copy passes one direction on, except in the modes in which it is cut: what is
-// sent then is lost for good, and the connection is useless after it.
+// copy forwards one direction, except in the modes cut1 and cut2. Data sent in these
+// modes is lost permanently, and the connection is unusable afterwards.
 func (p *proxy) copy(to, from net.Conn, cut1, cut2 mode) {
 	defer to.Close()
 	buffer := make([]byte, 32<<10)
--- a/soak/run.go
+++ b/soak/run.go
@@ -9,24 +9,24 @@
 	"github.com/guavarill/guavarill/core/job"
 )
 
-// Options is what a run plays.
+// Options configures a run.
 type Options struct {
 	Seed uint64
 	// Binary is the daemon's program, Dir holds the files of the run.
 	Binary, Dir string
-	// Length is how long faults come, Settle how long everything has after the
-	// last one to be done.
+	// Length is how long faults are injected, Settle how long all jobs have to end
+	// after that.
 	Length, Settle time.Duration
-	// Planned leaves all faults out but the series of planned work, which then
-	// follow each other without a pause.
+	// Planned injects no faults but runs the series of planned work, without pauses
+	// between them.
 	Planned bool
 	// Crashing adds a caller whose jobs crash their workers.
 	Crashing bool
-	// Restarting has workers start again under their ids.
+	// Restarting makes workers restart under the same ids.
 	Restarting bool
-	// Cordoning has zones cordoned and reopened in series.
+	// Cordoning adds the series that cordon zones and lift the cordons.
 	Cordoning bool
-	// Large has every other daemon reach the store over a slow link, and the
+	// Large puts every other daemon behind a slow link to the store, and makes the
 	// configuration grow and shrink by thousands of queues.
 	Large bool
 }
@@ -44,25 +44,26 @@
 const (
 	// callerCount is how many callers submit jobs: together about 15 a second.
 	callerCount = 4
-	// faultLines is how many series of faults go on beside each other.
+	// faultLines is the number of concurrent sequences of faults.
 	faultLines = 3
-	// plannedStream is where the streams of random numbers of the planned series
-	// begin: beyond those of the faults and of the callers.
+	// plannedStream is the number of the first stream of random numbers of the planned
+	// series. Faults and callers use lower numbers.
 	plannedStream = 200
-	// readyTimeout bounds the start of the deployment.
+	// readyTimeout bounds the wait for a leader at the start.
 	readyTimeout = 15 * time.Second
 )
 
-// Result is what a run came to.
+// Result is the result of a run.
 type Result struct {
-	// Broken lists the promises that were broken.
+	// Broken lists the violations that were found.
 	Broken []string
-	// Jobs counts the jobs submitted and Accepted those that were; Starts the
-	// attempts that workers began; Faults by name.
+	// Jobs counts the submitted jobs, Accepted and Completed those of them that were
+	// accepted and completed. Starts counts the attempts that workers started, Faults
+	// the injected faults by name.
 	Jobs, Accepted, Completed, Starts int
 	Faults                            map[string]int
-	// LongestWithout is the longest time for which a long-running task had no run
-	// though nothing excused it, and LongestTask the task.
+	// LongestWithout is the longest time for which a long-running task did not run
+	// although nothing excused it, LongestTask that task.
 	LongestWithout time.Duration
 	LongestTask    string
 	// LatestCordonedStart is the longest time after a zone was cordoned at which a
@@ -70,7 +71,8 @@
 	LatestCordonedStart time.Duration
 }
 
-// Run plays a seed. An error is one of the soak itself.
+// Run runs the soak with a seed. It returns an error if the soak itself failed, not if
+// it found violations.
 func Run(o Options) (*Result, error) {
 	r := new(report)
 	d, err := newDeployment(o, r)
@@ -91,7 +93,7 @@
 	return result, nil
 }
 
-// awaitLeader waits until a daemon leads.
+// awaitLeader waits until a daemon leads, and reports a violation after readyTimeout.
 func (d *deployment) awaitLeader() {
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(lookEvery) {
 		if d.leader() != nil {
@@ -101,7 +103,7 @@
 	d.report.add("no daemon led %s after the start", readyTimeout)
 }
 
-// play plays callers and faults, and returns the jobs.
+// play runs callers and faults, and returns the jobs.
 func (d *deployment) play(ctx, calling context.Context, o Options, result *Result) []*submitted {
 	var faulty, callers sync.WaitGroup
 	count := counter{result: result}
@@ -144,7 +146,7 @@
 	c.result.Faults[name]++
 }
 
-// playFaults begins the lines of drawn faults.
+// playFaults starts the sequences of random faults.
 func (d *deployment) playFaults(ctx context.Context, faulty *sync.WaitGroup, o Options, count *counter) {
 	if o.Planned {
 		return
@@ -162,8 +164,8 @@
 	}
 }
 
-// playSeries begins a line of each planned series, with random numbers of its
-// own: the draws of the other lines are those that a seed was kept for.
+// playSeries starts a sequence of each planned series. Each has its own stream of
+// random numbers, so that a seed gives the same random faults with and without it.
 func (d *deployment) playSeries(ctx context.Context, faulty *sync.WaitGroup, o Options, count *counter) {
 	for line, s := range o.series() {
 		rnd := rand.New(rand.NewPCG(o.Seed, uint64(plannedStream+line)))
@@ -179,7 +181,7 @@
 	}
 }
 
-// pause waits, or until ctx ends.
+// pause waits for the given time or until ctx ends.
 func pause(ctx context.Context, length time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -187,7 +189,7 @@
 	}
 }
 
-// finish checks what is left, and fills the result in.
+// finish makes the checks at the end of the run, and fills in the result.
 func (d *deployment) finish(o Options, jobs []*submitted, result *Result) {
 	d.checkEnd(jobs)
 	events := d.site.Audit.Events()
@@ -213,8 +215,8 @@
 	}
 }
 
-// checkEnd checks that the daemons are at peace in the end: one leads, and
-// nothing runs of a job that is over.
+// checkEnd checks the state after the run: one daemon leads, and no task of an ended
+// job is running.
 func (d *deployment) checkEnd(jobs []*submitted) {
 	over := make(map[string]bool)
 	for _, j := range jobs {
--- a/soak/series.go
+++ b/soak/series.go
@@ -8,20 +8,20 @@
 	"time"
 )
 
-// series is planned work that goes on for several seconds, beside the faults and
-// the other series. It ends early with its context.
+// series is planned work that takes several seconds, concurrently with the faults and
+// the other series. It ends early if its context ends.
 type series struct {
 	name string
 	play func(ctx context.Context, d *deployment, rnd *rand.Rand)
 }
 
-// plannedSeries are the ones that are played, at the same time.
+// plannedSeries are the series of every run. They run concurrently.
 var plannedSeries = []series{
 	{"workers replaced in turn", replaceWorkers},
 	{"daemons restarted in turn", restartDaemons},
 }
 
-// series returns those that a run plays.
+// series returns the series of a run.
 func (o Options) series() []series {
 	list := slices.Clone(plannedSeries)
 	if o.Large {
@@ -36,13 +36,13 @@
 	return list
 }
 
-// rolls is how often a series replaces all workers: with twice it goes on for
-// longer than the leases of the first ones to leave.
+// rolls is how often a series replaces all workers: two rounds take longer than the
+// leases of the first workers to leave.
 const rolls = 2
 
-// replaceWorkers replaces all workers one after the other, the one that has been
-// there longest first, as when a new version is rolled out. Several leave at a
-// time, since each stays a moment after it has said so.
+// replaceWorkers replaces all workers one after the other, the oldest first, like the
+// rollout of a new version. Several leave at a time, because each keeps running for a
+// moment after it has announced its end.
 func replaceWorkers(ctx context.Context, d *deployment, rnd *rand.Rand) {
 	var leaving sync.WaitGroup
 	defer leaving.Wait()
@@ -60,8 +60,8 @@
 	}
 }
 
-// replaceOldest says that the worker leaves which has been there longest, once
-// another one is there, and returns its id.
+// replaceOldest adds a worker, then announces the end of the oldest one and returns its
+// id.
 func (d *deployment) replaceOldest() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -70,10 +70,10 @@
 	return id
 }
 
-// restartDaemons restarts all daemons in turn, and after each one the leader, so
-// that the lead changes more often than the leases end that a leader gave. The
-// next restart begins before the last daemon is back, since a daemon takes longer
-// to stop than the shortest terms are to be.
+// restartDaemons restarts all daemons in turn, and the leader after each one, so that
+// the leader changes more often than the leases of an earlier leader end. The next
+// restart begins before the previous daemon is ready again, because a daemon takes
+// longer to stop than the shortest terms of a leader should last.
 func restartDaemons(ctx context.Context, d *deployment, rnd *rand.Rand) {
 	var restarting sync.WaitGroup
 	defer restarting.Wait()
@@ -87,8 +87,8 @@
 	}
 }
 
-// beginRestart begins to restart a daemon in the planned way, unless it is being
-// restarted so or ctx has ended.
+// beginRestart begins the planned restart of a daemon, unless one is in progress or ctx
+// has ended.
 func (d *deployment) beginRestart(ctx context.Context, restarting *sync.WaitGroup, p *process) {
 	if ctx.Err() != nil || !p.restarting.TryLock() {
 		return
