core/jobsched: the time of a trial goes on over a planned change of the leader

What callers saw: long-running tasks that are not started again for many seconds, with room, after one worker crashed while daemons are restarted in turn. Cause: workers do not tell for how long an attempt has run, and a leader counts it from when it adopts it. While leaders change faster than a trial takes (2.1 s where the time of the crash is not known), no trial ends, and the other tasks of its step wait. Class: a bound that each leader counts from its own take-over anew. Change: the roster tells for how long an attempt has been seen running, up to 4 s, where a task of its step has crashes; the next leader adds it. What nobody has seen, as the time between two leaders, does not count. TestTrialsEndOverPlannedChanges still fails, with 6.71 s and want 6 s: its bound is left, and it stays known red. It looks at each tick now, not only each 1.4 s; the bound and the events are the same. All other tests of core/jobsched pass.

--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -61,6 +61,8 @@
 	bestEffortCPU int64
 	longRunning   bool
 	startedAt     time.Time
+	// seenBefore is how long earlier leaders have seen the attempt running.
+	seenBefore time.Duration
 	// stopAckedAt is when the worker acknowledged the last stop. A report requested
 	// after it that does not list the attempt proves that the attempt is over.
 	stopAckedAt time.Time
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -43,13 +43,14 @@
 	minComparableRunTime = time.Second
 )
 
-// observedRunTime returns how long the attempt was observed running, up to the last
-// report of its worker; 0 if the worker has not listed it yet.
+// observedRunTime returns how long the attempt was observed running, by this leader
+// and earlier ones, up to the last report of its worker; 0 if the worker has not
+// listed it yet.
 func (a *attempt) observedRunTime() time.Duration {
 	if a.startedAt.IsZero() {
 		return 0
 	}
-	return max(a.worker.lastReportAt.Sub(a.startedAt), 0).Round(time.Millisecond)
+	return (a.seenBefore + max(a.worker.lastReportAt.Sub(a.startedAt), 0)).Round(time.Millisecond)
 }
 
 // observedRunTimeMs returns observedRunTime in milliseconds, or a constant if the
--- a/core/jobsched/incarnation.go
+++ b/core/jobsched/incarnation.go
@@ -184,6 +184,7 @@
 func (m *Machine) identifyIncarnation(w, next *worker) {
 	maps.Copy(next.lost, w.lost)
 	maps.Copy(next.inheritedStalls, w.inheritedStalls)
+	maps.Copy(next.inheritedRunTimes, w.inheritedRunTimes)
 	if next.answered {
 		m.dropInherited(w)
 	}
--- a/core/jobsched/recoverroster.go
+++ b/core/jobsched/recoverroster.go
@@ -49,6 +49,9 @@
 			}
 		case t != nil && !t.done:
 			m.addAttempt(t, w, r.Attempt, phaseDoubtful).inherited = true
+			if r.SeenFor > 0 {
+				w.inheritedRunTimes[key] = r.SeenFor
+			}
 			if r.StalledFor > 0 {
 				w.inheritedStalls[key] = inheritedStall{percent: r.Percent, since: m.recoveredAt.Add(-r.StalledFor)}
 			}
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -290,6 +290,7 @@
 	a := m.addAttempt(t, w, r.Attempt, phaseRunning)
 	a.startedAt = m.now
 	a.adopted = true
+	a.applyInheritedRunTime()
 	a.applyInheritedStall(r.Percent)
 	m.adoptTrial(t, r.Attempt, w.id)
 	if !alone {
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -65,6 +65,9 @@
 	// it is not stalled or only briefly.
 	StalledFor time.Duration `json:"still,omitempty"`
 	Percent    int           `json:"percent,omitempty"`
+	// SeenFor is how long the attempt has been seen running, up to stableRunTime; 0
+	// if no task of its step has crashed a worker.
+	SeenFor time.Duration `json:"seen,omitempty"`
 }
 
 // rosterStatus is a short form of what the roster should state about a worker. A
@@ -306,6 +309,7 @@
 func (m *Machine) rosterLines(statusOf func(*worker) rosterStatus) []rosterLine {
 	lines := make([]rosterLine, 0, m.workers.Len())
 	room := maxRosterAttempts
+	crashed := make(map[*step]bool)
 	for _, w := range m.rosterOrder() {
 		if w.ended && w.attempts.Len() == 0 {
 			continue
@@ -323,7 +327,7 @@
 		}
 		if l.status.closed && w.outstanding() <= room {
 			room -= w.outstanding()
-			l.entry.Closed, l.entry.Attempts = true, w.rosterAttempts(m.now)
+			l.entry.Closed, l.entry.Attempts = true, w.rosterAttempts(m.now, crashed)
 		}
 		lines = append(lines, l)
 	}
@@ -345,15 +349,17 @@
 }
 
 // rosterAttempts lists the attempts that may be running on the worker, and those
-// whose ends it may still report.
-func (w *worker) rosterAttempts(now time.Time) []RosterAttempt {
+// whose ends it may still report. crashed is the cache of seenRunTimeOf.
+func (w *worker) rosterAttempts(now time.Time, crashed map[*step]bool) []RosterAttempt {
 	var list []RosterAttempt
 	for key, a := range w.attempts.All() {
 		stalled, percent := a.stalledFor(now), 0
 		if stalled > 0 {
 			percent = a.percent
 		}
-		list = append(list, RosterAttempt{Task: key.task, Attempt: key.attempt, StalledFor: stalled, Percent: percent})
+		list = append(list, RosterAttempt{
+			Task: key.task, Attempt: key.attempt, StalledFor: stalled, Percent: percent, SeenFor: w.seenRunTimeOf(a, crashed),
+		})
 	}
 	if w.ended {
 		return list
--- a/core/jobsched/stall.go
+++ b/core/jobsched/stall.go
@@ -76,6 +76,8 @@
 	delete(a.worker.inheritedStalls, a.key)
 	if ok && stall.percent == percent {
 		a.startedAt, a.advancedAt, a.percent = stall.since, stall.since, percent
+		// The time since then is part of what was seen before.
+		a.seenBefore = 0
 	}
 }
 
--- a/core/jobsched/trialhandover_test.go
+++ b/core/jobsched/trialhandover_test.go
@@ -21,9 +21,12 @@
 	c.run(time.Second)
 	c.restart(c.workers["w000"])
 	crashed, began := c.now, c.runningOf(id)
-	for c.runningOf(id) < tasks && c.now.Sub(crashed) < 30*time.Second {
-		c.run(1400 * time.Millisecond)
-		c.handOver()
+	for handedOver := c.now; c.runningOf(id) < tasks && c.now.Sub(crashed) < 30*time.Second; {
+		c.tick()
+		if c.now.Sub(handedOver) >= 1400*time.Millisecond {
+			c.handOver()
+			handedOver = c.now
+		}
 	}
 	if took := c.now.Sub(crashed); took > maxAbsence {
 		t.Errorf("%d of %d tasks run on after a crash, all again after %s, want at most %s", began, tasks, took, maxAbsence)
