core/jobsched: a test for a trial that lost its room while its record was stored, known red

What callers would see: a task under which workers crashed never starts, and a worker with room gets no task, while another trial that has no room holds both; LOST at the end. The test fails: the other job's trial never begins, and 7 of 8 workers get a task.

--- a/core/jobsched/isolation_test.go
+++ b/core/jobsched/isolation_test.go
@@ -37,13 +37,13 @@
 	c := newCluster(t, 1, workers)
 	c.run(200 * time.Millisecond)
 	c.storeDelay = 100 * time.Millisecond
-	id := c.submitSuspect(1)
+	id := c.submitSuspect(1, longRunning(1, 1000))
 	for i := 0; i < 200 && c.machine.requestedTrials.Len() == 0; i++ {
 		c.tick()
 	}
 	c.cancel(id)
 	c.run(time.Second)
-	other := c.submitSuspect(2)
+	other := c.submitSuspect(2, longRunning(1, 1000))
 	everywhere := c.submit(3, "urgent", longRunning(workers, 15000))
 	c.run(5 * time.Second)
 	if n := c.runningOf(other); n != 1 {
@@ -54,9 +54,37 @@
 	}
 }
 
+// TestTrialWithoutRoomGivesUpItsPlace guards against a trial that lost its room while its
+// record was being stored, and keeps its worker and its place from all other tasks.
+func TestTrialWithoutRoomGivesUpItsPlace(t *testing.T) {
+	const workers = 8
+	c := newCluster(t, 1, workers)
+	c.run(200 * time.Millisecond)
+	c.submit(1, "urgent", longRunning(workers, 10000))
+	c.run(time.Second)
+	c.storeDelay = 3 * trialReservationTime
+	c.submitSuspect(9, makeStep(1, 6000, 20*time.Second))
+	for i := 0; i < 1000 && c.machine.requestedTrials.Len() == 0; i++ {
+		c.tick()
+	}
+	c.run(trialReservationTime + 100*time.Millisecond)
+	everywhere := c.submit(2, "urgent", longRunning(workers, 5000))
+	c.submit(3, "batch", makeStep(1, 6000, 20*time.Second))
+	c.run(2 * time.Second)
+	c.storeDelay = 0
+	other := c.submitSuspect(10, makeStep(1, 500, 20*time.Second))
+	c.run(5 * time.Second)
+	if n := c.runningOf(other); n != 1 {
+		t.Errorf("%d tasks of the other job that needs a trial run, want 1", n)
+	}
+	if n := c.runningOf(everywhere); n != workers {
+		t.Errorf("tasks run on %d of %d workers", n, workers)
+	}
+}
+
 // submitSuspect submits a job with a task that must be tried alone.
-func (c *cluster) submitSuspect(number int) job.ID {
-	id := c.submit(number, "urgent", makeStep(1, 1000, 50*time.Millisecond), longRunning(1, 1000))
+func (c *cluster) submitSuspect(number int, s job.Step) job.ID {
+	id := c.submit(number, "batch", makeStep(1, 1000, 50*time.Millisecond), s)
 	c.accepted[id].Spec.Steps[1].After = []int{0}
 	c.tick()
 	task := c.machine.task(job.TaskKey{Job: id, Step: 1})
