core/jobsched: a requested trial has its turn also when its size fits nowhere

What callers would see: a task under which workers crashed never starts, and a worker with room gets no task, while another trial that has no room holds both; LOST at the end. Cause: a requested trial keeps its place until it begins or is dropped, and both happen in its step's turn only. If another step of the same size found no worker in the round, the turn ends before the trial is looked at, in this round and all that follow. Class: a place that is held on behalf of somebody who never gets a turn. Evidence: TestTrialWithoutRoomGivesUpItsPlace, known red until now; it passes on. Change: a task with a requested trial is looked at although its size fits nowhere: the trial begins on the worker that its record names, or is dropped. Open: a task that is passed over because an earlier one of its own step found no worker and no room could be made for it.

--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		switch {
-		case !unplaceable && m.startOnBest(t, &places):
+		case (!unplaceable || m.hasRequestedTrial(t)) && m.startOnBest(t, &places):
 		case t.trial.isAwaitingRecord():
 			result = max(result, startAwaitsRecord)
 		case t.isSuspect():
