core/jobsched: a test for services given up after mass crashes far apart, known red

What callers would see: `failed` for jobs none of whose tasks crashes workers, after four or five mass crashes 42.5 s apart, each with the leader lost 2.5 s later. Cause, as far as read: a new leader does not know for how long an inherited attempt had run, so its crash never ends the count of those before it; the fourth crash ends the job if the time of one is not known, also where each is one of several workers that ended. Class: what only the process that is gone had observed, taken for "did not happen".

--- a/core/jobsched/masscrash_test.go
+++ b/core/jobsched/masscrash_test.go
@@ -151,3 +151,24 @@
 		})
 	}
 }
+
+// TestServicesOutliveMassCrashesFarApart guards against services that are given up after
+// some mass crashes, though they ran for long before each, because the leader that saw
+// them run was lost.
+func TestServicesOutliveMassCrashesFarApart(t *testing.T) {
+	c := newCluster(t, 1, massCrashFleet)
+	c.keepFinalJobs()
+	jobs := c.submitMassCrashJobs()
+	for range 5 {
+		c.run(30 * time.Second)
+		c.crashTogether(0, len(c.workers), 4*time.Second)
+		c.run(2500 * time.Millisecond)
+		c.replaceLeader()
+		c.run(10 * time.Second)
+	}
+	for _, id := range jobs {
+		if s := c.state(id); s == job.Failed {
+			t.Errorf("job %s has failed, but none of its tasks crashes workers", id)
+		}
+	}
+}
