core/jobsched: take back that a step is cleared by one trial

What callers would see: innocent jobs given up as crashing their workers. Cause: tasks that a task of their step had cleared were no longer tried alone, so that they met the crashes of other tasks, which then counted as their own.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -144,10 +144,6 @@
 	// task's step ended at about the same time. The task is then not the only
 	// possible cause.
 	Correlated bool `json:"several,omitempty"`
-	// Widespread is whether several other workers ended at about the same time,
-	// whatever ran there. It is set whenever Correlated is. Otherwise the task's step
-	// may be the common cause.
-	Widespread bool `json:"widespread,omitempty"`
 	// Shared is whether other tasks under which workers had crashed were tried on
 	// the worker as well, so that any of them may be the cause.
 	Shared bool `json:"shared,omitempty"`
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -139,9 +139,8 @@
 	if a.task == nil || a.task.done || leaves && a.task.trial.number == 0 {
 		return
 	}
-	around := m.massCrashAround(a.step(), on)
 	m.countCrash(a.task, job.Crash{
-		Attempt: a.key.attempt, ObservedRunMs: a.observedRunTimeMs(), Correlated: around.correlated, Widespread: around.widespread,
+		Attempt: a.key.attempt, ObservedRunMs: a.observedRunTimeMs(), Correlated: m.isMassCrash(a.step(), on),
 		Uncertain: a.startedAt.IsZero() && !a.inherited || leaves || a.mayHaveStartedElsewhere(on),
 		Shared:    a.isIsolatedTrial() && m.hadSharedTrial(on),
 	})
@@ -165,14 +164,13 @@
 		m.passedTrials = 0
 	}
 	t.crashes = addCrash(t.crashes, c)
-	t.clearedByStep = false
 	t.trial = trial{}
 	m.markDirty(j)
 	m.emit(Note{
 		Decision: joblog.MessageCrashCounted, Job: j.id, Task: t.key().String(), Attempt: c.Attempt, Routine: true,
 		Reason: "its worker ended with it; crashes since its last long run: " + describeCrashes(t.crashes),
 	})
-	if tooManyCrashes(t.crashes, t.step.hasOutlasted(longestRun(t.crashes)+reportDelay)) {
+	if tooManyCrashes(t.crashes) {
 		m.conclude(j, job.Failed, fmt.Sprintf("task %s crashes its workers: %s", t.key(), describeCrashes(t.crashes)), 0)
 	}
 }
@@ -192,18 +190,8 @@
 	return append(slices.Clone(crashes), c)
 }
 
-// longestRun returns the longest run time at which one of the crashes was observed.
-func longestRun(crashes []job.Crash) time.Duration {
-	longest := int64(0)
-	for _, c := range crashes {
-		longest = max(longest, c.ObservedRunMs)
-	}
-	return time.Duration(longest) * time.Millisecond
-}
-
-// tooManyCrashes reports whether a task with these crashes must be given up. outlasted
-// is whether a task of its step has run for longer than it before each of them.
-func tooManyCrashes(crashes []job.Crash, outlasted bool) bool {
+// tooManyCrashes reports whether a task with these crashes must be given up.
+func tooManyCrashes(crashes []job.Crash) bool {
 	n := len(crashes)
 	sure := 0
 	for _, c := range crashes {
@@ -219,7 +207,7 @@
 	case n >= maxUnexplainedCrashes:
 		return mayMissCrash(crashes) || !slices.ContainsFunc(crashes, isCorrelated)
 	case n >= maxSameTimeCrashes:
-		return allAtSameRunTime(crashes[n-maxSameTimeCrashes:], outlasted)
+		return allAtSameRunTime(crashes[n-maxSameTimeCrashes:])
 	}
 	return false
 }
@@ -248,18 +236,11 @@
 func isVague(c job.Crash) bool { return c.Uncertain && c.ObservedRunMs == job.ObservedRunUnknown }
 
 // allAtSameRunTime reports whether all crashes came at the same run time and none
-// has another possible cause. Long after its start, that is also the end of several
-// workers, whatever ran there, if the task's step has outlasted that run time: workers
-// that end together at regular intervals would otherwise look like a task that crashes
-// them at that run time.
-func allAtSameRunTime(crashes []job.Crash, outlasted bool) bool {
+// has another possible cause.
+func allAtSameRunTime(crashes []job.Crash) bool {
 	for _, c := range crashes {
-		long := c.ObservedRunMs >= stableRunTime.Milliseconds()
-		if hasOtherCause(c) || c.Widespread && long && outlasted {
-			return false
-		}
 		for _, other := range crashes {
-			if !atSameRunTime(c, other) {
+			if hasOtherCause(c) || !atSameRunTime(c, other) {
 				return false
 			}
 		}
@@ -295,11 +276,8 @@
 		if c.Uncertain {
 			text += ", perhaps not there"
 		}
-		switch {
-		case c.Correlated:
+		if c.Correlated {
 			text += " as other workers ended too"
-		case c.Widespread:
-			text += " as other workers with tasks of its step ended too"
 		}
 		if c.Shared {
 			text += " beside other trials"
--- a/core/jobsched/isolation.go
+++ b/core/jobsched/isolation.go
@@ -30,10 +30,8 @@
 // needsIsolation reports whether the task must run isolated. Members of a gang are
 // never isolated, because they only run together.
 func (t *task) needsIsolation() bool {
-	if t.step.spec.Gang {
-		return false
-	}
-	return t.countSuspicious() >= isolateAfterSuspicious || len(t.crashes) >= isolateAfterCrashes && !t.isCleared()
+	repeated := t.countSuspicious() >= isolateAfterSuspicious || len(t.crashes) >= isolateAfterCrashes
+	return repeated && !t.step.spec.Gang
 }
 
 // isSuspect reports whether attempts of the task are kept apart from each other
@@ -44,28 +42,13 @@
 func (t *task) countSuspicious() int {
 	n := 0
 	for _, c := range t.crashes {
-		if isSuspicious(c) && !(c.Widespread && t.isClearedByStep()) {
+		if isSuspicious(c) {
 			n++
 		}
 	}
 	return n
 }
 
-// isCleared reports whether nothing is left that points to the task: several workers
-// ended in each of its crashes, and its step has been seen to run for longer.
-func (t *task) isCleared() bool {
-	alone := func(c job.Crash) bool { return !c.Widespread && !c.Correlated }
-	return !slices.ContainsFunc(t.crashes, alone) && t.isClearedByStep()
-}
-
-// isClearedByStep reports whether a task of its step has shown that the step does not
-// crash its workers at the run times of the task's crashes. A step with a task on each
-// of the workers that ended together would otherwise look like their common cause.
-func (t *task) isClearedByStep() bool {
-	t.clearedByStep = t.clearedByStep || t.step.hasOutlasted(t.trialTime())
-	return t.clearedByStep
-}
-
 // trialTime returns how long an attempt of the task must be observed running to
 // show that it has passed the point at which the earlier attempts crashed their
 // workers.
@@ -228,7 +211,7 @@
 // others of that kind. A crash of the worker then counts against all of them, so a task
 // shares only while one crash more, alone on its worker, would not suffice to give it up.
 func (t *task) mayShareTrial() bool {
-	return len(t.crashes) <= isolateAfterSuspicious && !allAtSameRunTime(t.crashes, false)
+	return len(t.crashes) <= isolateAfterSuspicious && !allAtSameRunTime(t.crashes)
 }
 
 // isIsolatedTrial reports whether the attempt is on trial and its task needs isolation.
@@ -259,19 +242,20 @@
 // no task of the step has run for trialTime. If all tasks of a step crash their
 // workers, one of them is enough to find out.
 func (s *step) hasOtherTrial(t *task) bool {
-	onTrial := func(other *task) bool {
+	found := false
+	for _, other := range s.tasks {
+		if other.done {
+			return false
+		}
+		for _, a := range other.attempts {
+			if a.observedRunTime() >= t.trialTime() {
+				return false
+			}
+		}
 		about := len(other.attempts) > 0 || other.index < t.index && other.trial.isAwaitingRecord()
-		return other != t && about && other.countSuspicious() > 0
+		found = found || other != t && about && other.countSuspicious() > 0
 	}
-	return slices.ContainsFunc(s.tasks, onTrial) && !s.hasOutlasted(t.trialTime())
-}
-
-// hasOutlasted reports whether a task of the step is done or has been observed running
-// for d.
-func (s *step) hasOutlasted(d time.Duration) bool {
-	return slices.ContainsFunc(s.tasks, func(t *task) bool {
-		return t.done || slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.observedRunTime() >= d })
-	})
+	return found
 }
 
 // mayStartGangAfterCrashes reports whether the crashes of all members of a gang
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -121,10 +121,7 @@
 	// crashes lists the attempts that ended with their worker, since the last one
 	// that ran for stableRunTime.
 	crashes []job.Crash
-	// clearedByStep is set once a task of its step has shown that the step does not
-	// crash its workers at the run times of these crashes.
-	clearedByStep bool
-	trial         trial
+	trial   trial
 	// known is set once this machine itself has started or adopted an attempt.
 	known bool
 	// failedOn is the worker on which the task last failed.
--- a/core/jobsched/masscrash.go
+++ b/core/jobsched/masscrash.go
@@ -49,38 +49,23 @@
 	}
 }
 
-// massCrash tells whether a worker ended together with several others.
-type massCrash struct {
-	// widespread is whether several other workers ended at the same time, correlated
-	// whether several of these ran no attempt of the step.
-	widespread, correlated bool
-}
-
-// massCrashAround returns whether several other workers sent their last report at the
-// same time as w and have ended or are unreachable. If no attempt of the step was on
-// several of them, the step is not the common cause.
-func (m *Machine) massCrashAround(s *step, w *worker) massCrash {
-	others, withoutStep := 0, 0
-	count := func(other *worker, ranStep bool) {
-		if other == w || !endedTogether(w, other) {
-			return
-		}
-		others++
-		if !ranStep {
-			withoutStep++
-		}
-	}
+// isMassCrash reports whether several other workers sent their last report at the
+// same time as w and have ended or are unreachable, although no attempt of the step
+// was there: then the step is not the common cause.
+func (m *Machine) isMassCrash(s *step, w *worker) bool {
+	others := 0
 	for _, l := range m.lostWorkers {
-		_, ranStep := l.steps[s]
-		count(l.worker, ranStep)
+		if _, there := l.steps[s]; l.worker != w && !there && endedTogether(w, l.worker) {
+			others++
+		}
 	}
 	for _, other := range m.workers.All() {
 		silent := !other.ended && !other.unreachableSince.IsZero() && other.attempts.Len() > 0
-		if silent && !m.isRecordedLost(other) {
-			count(other, other.mayRunStep(s))
+		if silent && other != w && !m.isRecordedLost(other) && !other.mayRunStep(s) && endedTogether(w, other) {
+			others++
 		}
 	}
-	return massCrash{widespread: others >= massCrashWorkers, correlated: withoutStep >= massCrashWorkers}
+	return others >= massCrashWorkers
 }
 
 // hadSharedTrial reports whether a lost worker had several tasks on isolated trial.
--- a/core/jobsched/trial.go
+++ b/core/jobsched/trial.go
@@ -96,10 +96,9 @@
 	w := m.trialIncarnation(t.trial.worker)
 	named := t.trial.namesWorker()
 	if named && (w == nil || w.ended) || !named && m.unseenCrash {
-		around := m.massCrashAroundTrial(t)
 		m.countCrash(t, job.Crash{
 			Attempt: t.trial.number, ObservedRunMs: job.ObservedRunUnknown, Uncertain: !named,
-			Correlated: around.correlated, Widespread: around.widespread,
+			Correlated: m.wasAmidMassCrash(t.step, w, named),
 		})
 		return
 	}
@@ -107,17 +106,13 @@
 	m.markDirty(t.step.job())
 }
 
-// massCrashAroundTrial returns whether an unreported trial ended in a mass crash: on its
-// worker or, if it names none, on any of those that ended unseen.
-func (m *Machine) massCrashAroundTrial(t *task) massCrash {
-	if !t.trial.namesWorker() {
-		several := m.unseenEnds > massCrashWorkers
-		return massCrash{widespread: several, correlated: several}
+// wasAmidMassCrash reports whether an unreported trial ended in a mass crash: on worker
+// w, which is nil if it has left, or on any of those that ended unseen.
+func (m *Machine) wasAmidMassCrash(s *step, w *worker, named bool) bool {
+	if named {
+		return w != nil && m.isMassCrash(s, w)
 	}
-	if w := m.trialIncarnation(t.trial.worker); w != nil {
-		return m.massCrashAround(t.step, w)
-	}
-	return massCrash{}
+	return m.unseenEnds > massCrashWorkers
 }
 
 // trialIncarnation returns the worker that a trial's record names. If the record
