--- a/core/jobsched/trial.go
+++ b/core/jobsched/trial.go
@@ -126,7 +126,8 @@
 
 // ensureTrialStored reports whether the task may be started on the worker as far as
 // its trial record is concerned. If not, it requests that the record be stored. For
-// a task whose trials are bound the record names the worker, and room is reserved there meanwhile.
+// a task whose trials are bound the record names the worker, and room is reserved there
+// meanwhile.
 func (m *Machine) ensureTrialStored(t *task, w *worker) bool {
 	switch {
 	case !m.needsTrial(t):
--- a/core/jobsched/trialwait.go
+++ b/core/jobsched/trialwait.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// trialStartTime is how long a trial takes at the most to be stored, started and
-// reported.
-const trialStartTime = time.Second
-
 // A task that waits for its trial is ruled out by no worker: without a reason of its
 // own it looks in the log like one for which there is room and which is not started
 // all the same.
 
+// trialStartTime is how long a trial takes at the most to be stored, started and
+// reported.
+const trialStartTime = time.Second
+
 // Trials returns how many attempts are on trial, and how many tasks waited for their
 // trial in the last pass.
 func (m *Machine) Trials() (running, waiting int) {
