core/jobsched: no restart is recorded while starts are held back

Cause: a leader starts attempt 18 of a task whose attempt 1 crashed with its worker, and is lost before its next roster is stored. The roster still lists attempt 1. The next leader hears that this worker has crashed before it hears the worker of attempt 18, declares attempt 1 lost, finds the task without an attempt and at once requests the record of a restart, number 50. Attempt 18 is adopted a moment later and runs on, but its end then looks like that of an attempt that was given up for a restart: it is withheld, the task counts as missing on its worker, and 50 is started. Class: a decision that rests on all workers having answered, made before they have. Change: the records are requested with a loss only when the task might be started then; otherwise the first round after the hold requests them. Why it works: while starts are held back, some worker may run a later attempt; afterwards each attempt that may run is known, so a task without one has none. A leader that is lost meanwhile leaves no record of a restart that nobody sent.

--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -134,14 +134,20 @@
 			c.restartUnderSameID(w)
 			return
 		}
-		next := c.addWorker(firstRestart + c.restarts)
-		c.restarts++
-		next.entry.Address, next.entry.Machine, next.entry.Capacity = w.entry.Address, w.entry.Machine, w.entry.Capacity
-		next.entry.Labels, next.entry.Zone, next.entry.Rack = w.entry.Labels, w.entry.Zone, w.entry.Rack
-		w.successor = next
+		c.startSuccessor(w)
 	})
 }
 
+// startSuccessor starts another incarnation at the address of a crashed worker, under
+// another id.
+func (c *cluster) startSuccessor(w *fakeWorker) {
+	next := c.addWorker(firstRestart + c.restarts)
+	c.restarts++
+	next.entry.Address, next.entry.Machine, next.entry.Capacity = w.entry.Address, w.entry.Machine, w.entry.Capacity
+	next.entry.Labels, next.entry.Zone, next.entry.Rack = w.entry.Labels, w.entry.Zone, w.entry.Rack
+	w.successor = next
+}
+
 const (
 	// entryDelay is how long a restarted worker takes to replace the entry of the
 	// previous incarnation.
--- a/core/jobsched/trial.go
+++ b/core/jobsched/trial.go
@@ -154,9 +154,10 @@
 
 // prepareRestart requests the records that must be stored before a task that has
 // just lost an attempt is started again, so that they are stored together with the
-// loss.
+// loss. It requests none while starts of the job are held back: a worker that has not
+// answered yet may run a later attempt of the task.
 func (m *Machine) prepareRestart(t *task) {
-	if t == nil || !t.idle() || t.step.job().state.Final() {
+	if t == nil || !t.idle() || t.step.job().state.Final() || m.startsHeld(t.step.job()) {
 		return
 	}
 	m.ensureRestartStored(t)
