core/jobsched: a restart that was not sent gives way to the end of the earlier attempt

What callers saw: a task that is done on a worker which was silent for long is done a second time, and its job ends that much later. Cause: the end of an attempt that had been given up was withheld as soon as a restart of its task had been requested, though the restart still waited for its record, for room or for its trial. The task then had no end and no attempt, and was started again. Class: an intention that counts as done. Evidence: TestRestartThatWasNotSentIsDropped failed before: the worker answers again while the restart waits for room, three starts instead of two, and the end is never acknowledged. Change: what may have been sent is kept beside what was requested: what this leader has started, and what an earlier one had recorded, since records do not tell. Only that withholds an end. The line `end not acknowledged` names the attempt it gives way to, which no line told. Why it works: a restart that nobody sent can end nowhere, so the one end counts once.

--- a/core/jobsched/lostattempts.go
+++ b/core/jobsched/lostattempts.go
@@ -1,8 +1,8 @@
 package jobsched
 
 import (
+	"fmt"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/guavarill/guavarill/core/job"
@@ -80,23 +80,29 @@
 	}
 }
 
-// restartedAfter reports whether the task of an end was started again after the
-// ended attempt had been declared lost.
-func (m *Machine) restartedAfter(e *EndedAttempt) bool {
-	if m.restarts.requested[e.Key.Job][e.Key] > e.Attempt {
-		return true
+// sentRestart returns the number of a later attempt of an end's task that may have been
+// started after the ended one had been declared lost, or 0 if there is none. A restart
+// that was only requested does not count: the end makes it needless.
+func (m *Machine) sentRestart(e *EndedAttempt) int {
+	number := m.restarts.sent[e.Key.Job][e.Key]
+	if t := m.task(e.Key); t != nil {
+		for _, a := range t.attempts {
+			number = max(number, a.key.attempt)
+		}
+	}
+	if number <= e.Attempt {
+		return 0
 	}
-	t := m.task(e.Key)
-	return t != nil && slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.key.attempt > e.Attempt })
+	return number
 }
 
 // withholdEnd withholds the acknowledgement of the end that was just processed, and
-// thereby of those after it.
-func (m *Machine) withholdEnd(w *worker, e *EndedAttempt) {
+// thereby of those after it, because the given attempt may have been started since.
+func (m *Machine) withholdEnd(w *worker, e *EndedAttempt, restart int) {
 	w.unackedEnds[len(w.unackedEnds)-1].withheld = true
 	m.emit(Note{
 		Decision: joblog.MessageEndNotAcknowledged, Job: e.Key.Job, Task: e.Key.String(), Attempt: e.Attempt, Worker: w.id,
-		Reason: "the attempt was declared lost and its task has been started again; the end is not acknowledged",
+		Reason: fmt.Sprintf("the attempt was declared lost and its task may have been started again as attempt %d; the end is not acknowledged", restart),
 	})
 }
 
@@ -110,8 +116,9 @@
 	// of an earlier leader's attempts there had ended.
 	leaseExpiredUnanswered bool
 	// requested holds the attempt number of the last such start of each task;
-	// stored holds those that have been stored.
-	requested, stored map[job.ID]job.Restarts
+	// stored holds those that have been stored, and sent those that may have been
+	// sent: by this leader, or by an earlier one, whose records do not tell.
+	requested, stored, sent map[job.ID]job.Restarts
 }
 
 // mayBeDone reports whether an attempt of the task may have completed without the
@@ -158,6 +165,15 @@
 func (m *Machine) recordAdopted(t *task, number int) {
 	if number > 1 && !t.step.spec.LongRunning {
 		m.requestRestart(t, number)
+		m.noteSentRestart(t, number)
+	}
+}
+
+// noteSentRestart records the start of a task that has a restart record.
+func (m *Machine) noteSentRestart(t *task, number int) {
+	id := t.step.job().id
+	if m.restarts.requested[id][t.key()] > 0 && m.restarts.sent[id][t.key()] < number {
+		mergeRestarts(&m.restarts.sent, id, job.Restarts{t.key(): number})
 	}
 }
 
@@ -174,6 +190,7 @@
 func (m *Machine) loadRestarts(id job.ID, stored job.Restarts) {
 	mergeRestarts(&m.restarts.requested, id, stored)
 	mergeRestarts(&m.restarts.stored, id, stored)
+	mergeRestarts(&m.restarts.sent, id, stored)
 }
 
 // mergeRestarts adds restarts of a job to the map, which it creates if needed.
@@ -194,4 +211,5 @@
 func (r *restarts) forget(id job.ID) {
 	delete(r.requested, id)
 	delete(r.stored, id)
+	delete(r.sent, id)
 }
--- a/core/jobsched/lostattempts_test.go
+++ b/core/jobsched/lostattempts_test.go
@@ -86,3 +86,29 @@
 		t.Errorf("%d ends are not acknowledged, want 0", n)
 	}
 }
+
+// TestRestartThatWasNotSentIsDropped guards against a task that is done on a worker
+// that answers again, and is started once more because it had been declared lost and
+// waited for room.
+func TestRestartThatWasNotSentIsDropped(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.run(200 * time.Millisecond)
+	id := c.submit(1, "batch", makeStep(1, 16000, time.Second))
+	c.run(300 * time.Millisecond)
+	w := c.workerRunning(job.TaskKey{Job: id})
+	c.submit(2, "urgent", longRunning(1, 16000))
+	c.run(300 * time.Millisecond)
+	w.partitioned = true
+	c.run(25 * time.Second)
+	if n := c.machine.restarts.stored[id][job.TaskKey{Job: id}]; n == 0 || c.starts != 2 {
+		t.Fatalf("restart %d is stored and %d starts are made, want a stored restart and 2 starts", n, c.starts)
+	}
+	w.partitioned = false
+	c.run(3 * time.Second)
+	if s := c.state(id); s != job.Completed || c.starts != 2 {
+		t.Errorf("state %s after %d starts, want completed after 2", s, c.starts)
+	}
+	if n := len(w.ended); n > 0 {
+		t.Errorf("%d ends are not acknowledged, want 0", n)
+	}
+}
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -79,6 +79,7 @@
 		m.now.Sub(w.clockAt).Round(time.Millisecond), m.configVersion(), m.score(t, w))
 	a := m.addAttempt(t, w, number, phaseStarting)
 	t.known = true
+	m.noteSentRestart(t, number)
 	t.step.occurrence.noteStart(m.now)
 	m.noteAttempt(joblog.MessageAttemptStarted, a, reason)
 	m.noteResumed(t.step.job())
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -184,8 +184,8 @@
 	key := attemptKey{task: e.Key, attempt: e.Attempt}
 	_, declared := w.lost[key]
 	delete(w.lost, key)
-	if e.Cause == EndDone && m.restartedAfter(e) {
-		m.withholdEnd(w, e)
+	if restart := m.sentRestart(e); e.Cause == EndDone && restart > 0 {
+		m.withholdEnd(w, e, restart)
 		return
 	}
 	if declared && e.Cause != EndDone {
