core/jobsched: a waiting step tells what is short

A step that waits said "no room" for memory, committed processors and the processors that best-effort work takes alike, so that the hypotheses of docs/incidents/best-effort-waits.md could not be told apart. The reasons are separate now, a best-effort step adds what best-effort work asks for against what it may use at its present shares, and guavarill_longest_wait_seconds gives the longest wait by reason. job explain shows the same reasons.

Nothing is decided otherwise.

--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -39,12 +39,25 @@
 // filterRoom keeps a worker within its capacity. Attempts that are being stopped,
 // attempts whose start got no answer, and room reserved for other tasks all count
 // as used.
-func filterRoom(_ *Machine, t *task, w *worker) bool {
-	s := t.step
-	if !s.spec.Committed().Fits(w.roomFor(t)) {
-		return false
-	}
-	return !s.spec.BestEffort || s.spec.Size.MilliCPU <= w.freeCPU()
+func filterRoom(m *Machine, t *task, w *worker) bool {
+	return filterCommitted(m, t, w) && filterBestEffortCPU(m, t, w)
+}
+
+// filterCommitted keeps what is committed on a worker within its capacity.
+func filterCommitted(_ *Machine, t *task, w *worker) bool {
+	return t.step.spec.Committed().Fits(w.roomFor(t))
+}
+
+// filterMemory keeps the committed memory of a worker within its capacity.
+func filterMemory(_ *Machine, t *task, w *worker) bool {
+	return t.step.spec.Committed().MemoryMB <= w.roomFor(t).MemoryMB
+}
+
+// filterBestEffortCPU keeps best-effort work within the processor time that the
+// other tasks of a worker are expected to leave.
+func filterBestEffortCPU(_ *Machine, t *task, w *worker) bool {
+	spec := t.step.spec
+	return !spec.BestEffort || spec.Size.MilliCPU <= w.freeCPU()
 }
 
 func filterLabel(_ *Machine, t *task, w *worker) bool {
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -90,7 +90,9 @@
 	// waitingSince is since when no worker is found for the step. nextNoteAt is
 	// when the next note may report that it waits or is held back.
 	waitingSince, nextNoteAt time.Time
-	advice                   advice
+	// waitReason is what ruled out the most workers when the wait was last noted.
+	waitReason WaitReason
+	advice     advice
 	// baseline is the step's baseline reading, computed at baselineAt.
 	baseline   float64
 	baselineAt time.Time
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -133,6 +133,8 @@
 	pass        pass
 	saturated   bool
 	unplaceable unplaceable
+	// longestWaits holds the longest waits of steps at the end of the last pass.
+	longestWaits map[WaitReason]time.Duration
 	// lowUtilization is set while so much capacity is free that best-effort work
 	// need not wait for better workers.
 	lowUtilization bool
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -28,6 +28,7 @@
 	}
 	m.pass.open = false
 	m.countWaitingTrials()
+	m.measureWaits()
 }
 
 // startMostUrgent processes the most urgent steps, whether or not they had a turn
--- a/core/jobsched/slowleader_test.go
+++ b/core/jobsched/slowleader_test.go
@@ -33,11 +33,11 @@
 		l.checks++
 		return true
 	}
-	fit, room, names := fitFilters, roomFilters, filterNames
-	t.Cleanup(func() { fitFilters, roomFilters, filterNames = fit, room, names })
+	fit, room, names := fitFilters, roomFilters, namedFilters
+	t.Cleanup(func() { fitFilters, roomFilters, namedFilters = fit, room, names })
 	fitFilters = append([]placementFilter{count}, fit...)
 	roomFilters = append([]placementFilter{count}, room...)
-	filterNames = append([]namedFilter{{"", count}}, names...)
+	namedFilters = append([]namedFilter{{"", count}}, names...)
 	return l
 }
 
--- a/core/jobsched/waitnote.go
+++ b/core/jobsched/waitnote.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/guavarill/guavarill/core/joblog"
@@ -38,62 +37,32 @@
 		s.occurrence.waited = true
 	case m.now.Sub(s.waitingSince) >= waitNoteDelay && !m.now.Before(s.nextNoteAt) && m.pass.takeNote():
 		s.nextNoteAt = m.now.Add(waitNoteInterval)
+		counts := m.countRuledOut(s)
+		s.waitReason = mostFrequentReason(counts)
 		m.emit(Note{
 			Decision: joblog.MessageStepWaits, Job: s.job().id, Task: s.name(), Routine: !s.spec.LongRunning,
-			Reason: fmt.Sprintf("for %s; %s", m.now.Sub(s.waitingSince).Round(time.Millisecond), m.describeWait(s)),
+			Reason: fmt.Sprintf("for %s; %s", m.now.Sub(s.waitingSince).Round(time.Millisecond), m.describeWait(s, counts)),
 		})
 	}
 }
 
 // describeWait returns what keeps the step's tasks from starting: trials of other
-// tasks, and the workers that are ruled out.
-func (m *Machine) describeWait(s *step) string {
-	ruledOut := "workers ruled out: " + m.ruledOut(s)
+// tasks, the workers that are ruled out, and what best-effort work takes.
+func (m *Machine) describeWait(s *step, ruledOut []int) string {
+	text := "workers ruled out: " + describeRuledOut(ruledOut)
+	if s.spec.BestEffort {
+		text += "; " + m.describeBestEffortUse()
+	}
 	if trials := m.describeTrialWait(s); trials != "" {
-		return trials + "; " + ruledOut
+		return trials + "; " + text
 	}
-	return ruledOut
+	return text
 }
 
 // noteFoundWorkers ends the step's wait for workers, if it waits.
 func (m *Machine) noteFoundWorkers(s *step) {
 	if !s.waitingSince.IsZero() {
 		s.job().tally.waited += m.now.Sub(s.waitingSince)
-		s.waitingSince = time.Time{}
-	}
-}
-
-// namedFilter is a placement filter with the reason that it is reported under.
-type namedFilter struct {
-	name   string
-	filter placementFilter
-}
-
-// filterNames lists the filters in the order in which ruledOut applies them.
-var filterNames = []namedFilter{
-	{"not usable", filterUsable}, {"zone cordoned", filterCordon}, {"other service", filterService}, {"label", filterLabel},
-	{"on probation", filterProbation}, {"no ticket", filterTicket}, {"no room", filterRoom},
-	{"spread", filterSpread}, {"on trial", filterTrial}, {"would disturb", filterInterference},
-}
-
-// ruledOut counts the workers that cannot take the step's first task, by the first
-// filter that rejects each of them.
-func (m *Machine) ruledOut(s *step) string {
-	m.pass.spend(m.workers.Len())
-	counts := make([]int, len(filterNames))
-	for _, w := range m.workers.All() {
-		for i, f := range filterNames {
-			if !f.filter(m, s.tasks[0], w) {
-				counts[i]++
-				break
-			}
-		}
-	}
-	var parts []string
-	for i, count := range counts {
-		if count > 0 {
-			parts = append(parts, fmt.Sprintf("%s %d", filterNames[i].name, count))
-		}
+		s.waitingSince, s.waitReason = time.Time{}, ""
 	}
-	return strings.Join(parts, ", ")
 }
--- a/jobservice/follow.go
+++ b/jobservice/follow.go
@@ -94,6 +94,7 @@
 // pollWorkers periodically reads the platform's list of workers.
 func (t *term) pollWorkers(ctx context.Context) {
 	defer t.leader.o.Metrics.setEntries(jobsched.EntryCounts{})
+	defer t.leader.o.Metrics.setLongestWaits(nil)
 	interval := max(listInterval, t.leader.o.DrainTime/listsPerDrain)
 	for ctx.Err() == nil {
 		began := time.Now()
--- a/jobservice/metrics.go
+++ b/jobservice/metrics.go
@@ -28,7 +28,9 @@
 	// those whose trial runs, and those that wait for it.
 	trialsRunning prometheus.Gauge
 	trialsWaiting prometheus.Gauge
-	storeLost     prometheus.Counter
+	// longestWait is the longest present wait of a step for a worker, by the reason.
+	longestWait *prometheus.GaugeVec
+	storeLost   prometheus.Counter
 	// cordonedZones is how many zones the leader starts nothing in.
 	cordonedZones prometheus.Gauge
 	// stepTime and eventsWaiting describe the control goroutine, lag is the time from
@@ -99,6 +101,9 @@
 			Namespace: namespace, Name: "store_lost_total", Help: "Times that callers' requests lost the store.",
 		}),
 	}
+	m.longestWait = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "longest_wait_seconds", Help: "Longest present wait of a step for a worker at the leader, by what rules out the most workers.",
+	}, []string{"reason"})
 	m.cordonedZones = gauge("cordoned_zones", "Availability zones in which nothing is started, at the leader.")
 	m.configVersion = gauge("configuration_version", "Version of the configuration in force, 0 before the first.")
 	m.configFailures = counter("configuration_read_failures_total", "Reads of the configuration that failed, by whether a part of the answer had come.", "part")
@@ -117,7 +122,7 @@
 	})
 	m.unreadable = newUnreadableRecords(counter("unreadable_records_total", "Changes of stored records that left them unreadable, by kind.", "kind"))
 	r.MustRegister(m.requests, m.requestTime, m.orders, m.orderTime, m.decisions, m.commitTime, m.terms,
-		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.trialsRunning, m.trialsWaiting, m.storeLost, m.cordonedZones, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
+		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.trialsRunning, m.trialsWaiting, m.longestWait, m.storeLost, m.cordonedZones, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
 		m.entriesUnusable, m.entryChanges, m.configVersion, m.configFailures, m.configWastedBytes, configAge)
 	m.setEntries(jobsched.EntryCounts{})
 	return m
@@ -142,3 +147,10 @@
 	m.configFailures.WithLabelValues(part).Inc()
 	m.configWastedBytes.Add(float64(bytes))
 }
+
+// setLongestWaits updates the longest waits of steps from those that the leader tells.
+func (m *Metrics) setLongestWaits(waits map[jobsched.WaitReason]time.Duration) {
+	for _, reason := range jobsched.WaitReasons() {
+		m.longestWait.WithLabelValues(string(reason)).Set(waits[reason].Seconds())
+	}
+}
