core/jobsched: a new leader tells throttled attempts their share

Callers saw best-effort jobs that stand still after a take-over and are begun again elsewhere, and workers that are well and get no tasks. A leader throttles best-effort attempts beside serving tasks, down to a share of 0. Workers do not report shares, and a new leader took each attempt that it adopted for one at full speed: as that is what it wants of an undisturbed worker too, no order was sent. The attempt stayed at the old share for good; at 0 it was stopped as stalled after 5 s, its work lost, and the failure counted against its worker.

Class: what only the process that is gone knew, taken for the default.

TestThrottledAttemptRunsOnAfterATakeover failed before: stopped, "stands still at 2%".

--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -84,6 +84,9 @@
 	throttle        int
 	throttledAt     time.Time
 	throttlePending bool
+	// throttleUnknown is set for an attempt that an earlier leader may have throttled,
+	// until its worker has acknowledged a share of this leader.
+	throttleUnknown bool
 	// nextNoteAt is when the next note may report that its worker is unreachable.
 	nextNoteAt time.Time
 	// nextMoveAt is when the next search for another worker may be made.
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -289,7 +289,7 @@
 	m.recordAdopted(t, r.Attempt)
 	a := m.addAttempt(t, w, r.Attempt, phaseRunning)
 	a.startedAt = m.now
-	a.adopted = true
+	a.adopted, a.throttleUnknown = true, a.bestEffortCPU > 0
 	a.applyInheritedRunTime()
 	a.applyInheritedStall(r.Percent)
 	m.adoptTrial(t, r.Attempt, w.id)
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -154,7 +154,7 @@
 // sendThrottles sends the shares that have changed, and moves work that has been
 // held at a share of 0 for too long.
 func (m *Machine) sendThrottles() {
-	searches := moveSearchesPerSweep
+	searches, unknown := moveSearchesPerSweep, unknownSharesPerSweep
 	for _, w := range m.workers.All() {
 		if w.bestEffortCPU == 0 {
 			continue
@@ -163,7 +163,10 @@
 			if a.bestEffortCPU == 0 || a.phase != phaseRunning || a.task == nil || a.throttlePending {
 				continue
 			}
-			if share := m.wantedShare(a); share != a.throttle {
+			if a.throttleUnknown {
+				unknown--
+			}
+			if share := m.wantedShare(a); share != a.throttle || a.throttleUnknown && unknown >= 0 {
 				a.throttlePending = true
 				m.emit(Throttle{Order: m.order(w), Key: a.key.task, Attempt: a.key.attempt, Percent: share})
 			} else if share == 0 && m.now.Sub(a.throttledAt) > moveAfter && m.movable(a, &searches) {
@@ -177,6 +180,11 @@
 // attempt: each checks all workers.
 const moveRetry = 500 * time.Millisecond
 
+// unknownSharesPerSweep is how many attempts a sweep tells their share that an earlier
+// leader may have throttled. A takeover adopts hundreds at once, when starts and
+// renewals are due as well.
+const unknownSharesPerSweep = 16
+
 // moveSearchesPerSweep is how many such searches a sweep makes.
 const moveSearchesPerSweep = 64
 
@@ -210,7 +218,7 @@
 		if a.throttle != 0 || ev.Percent != 0 {
 			a.throttledAt = m.now
 		}
-		a.throttle = ev.Percent
+		a.throttle, a.throttleUnknown = ev.Percent, false
 		w.tails.stale = true
 		if a.learnKey.Generation != 0 {
 			m.learner.TaskThrottled(m.now, w.learnID(), a.learnKey, a.presentWeight())
--- a/core/jobsched/throttle_test.go
+++ b/core/jobsched/throttle_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/guavarill/guavarill/core/joblog"
 )
 
 // TestBestEffortWorkIsThrottledAboveTheLatencyTarget checks when best-effort work is
@@ -47,3 +49,41 @@
 		})
 	}
 }
+
+// TestThrottledAttemptRunsOnAfterATakeover guards against a new leader that takes an
+// attempt which an earlier one has throttled for one at full speed: it stays throttled
+// for good, and at a share of 0 it is stopped as stalled and its worker blamed.
+func TestThrottledAttemptRunsOnAfterATakeover(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.keepNotes = true
+	c.run(200 * time.Millisecond)
+	serving := longRunning(1, 3000)
+	serving.LatencyTargetMs, serving.Image = 1000, "serving"
+	c.submit(1, "urgent", serving)
+	filling := makeStep(1, 2000, 20*time.Second)
+	filling.BestEffort, filling.Image = true, "filling"
+	c.submit(2, "batch", filling)
+	c.run(2 * time.Second)
+	share := func() int {
+		for _, a := range c.workers["w000"].sortedAttempts() {
+			if a.step.BestEffort {
+				return a.share
+			}
+		}
+		t.Fatal("the best-effort attempt does not run")
+		return 0
+	}
+	c.tail = 200
+	for share() > 0 {
+		c.run(50 * time.Millisecond)
+	}
+	c.tail = 33
+	c.replaceLeader()
+	c.run(bestEffortStallTimeout + 3*time.Second)
+	if share() != fullSpeed {
+		t.Errorf("the attempt runs at %d%% under the new leader, beside a calm serving task", share())
+	}
+	if stops := c.notesOf(joblog.MessageAttemptStopped); len(stops) > 0 {
+		t.Errorf("stopped: %q", stops)
+	}
+}
