adapter/httptarget: tests of pooled connections wait until they are pooled

TestSilenceWithoutRepeat failed once in the tests with the race detector: "got <nil>, want an ExchangeError".

Cause, in the test: a response is delivered when it is whole, its connection returns to the pool only when its reader waits at the empty socket, which may be later (doc.go). If the test's second request came in between, it got a new connection, which the stand-in does not silence, and a response.

Evidence: 23 of 1,500 plays with the race detector failed before. With a trace of which connection delivered the response (scratch copy), 61 of 1,500 failed, and each of the 61 was on a connection that had not come from the pool, with two open. With a delay of 2 ms before the reader records that it waits, 50 of 50 failed. A request on a silenced connection got a response in none.

The test now waits until all open connections are idle in the pool before it silences them. TestSilentConnectionsAreDropped has the same order and waits as well; TestBrokenPooledConnectionIsNotRetried waited until the connection was open, which it is before it is pooled, so that its request could miss the pooled connection that the test is about. What the three assert is unchanged. Target.Idle exists in test files only.

After: 4,500 plays with the race detector (1,500 of each test) pass at load averages up to 26 on 8 processors, and 150 with the delay of 2 ms.

--- a/adapter/httptarget/conn_test.go
+++ b/adapter/httptarget/conn_test.go
@@ -44,6 +44,17 @@
 	return &testConn{t: t, c: c, peer: peer}
 }
 
+// Idle returns how many connections to address are in the pool, unused.
+func (t *Target) Idle(address string) int {
+	p, ok := t.pool(address)
+	if !ok {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle)
+}
+
 func (w *testConn) exchange(answer string) {
 	w.t.Helper()
 	w.c.arm(time.Time{})
--- a/adapter/httptarget/connection_test.go
+++ b/adapter/httptarget/connection_test.go
@@ -30,6 +30,17 @@
 	}
 }
 
+// awaitPooled waits until every open connection to address is in the pool. A
+// response may be delivered before its connection is pooled, and the next request
+// then gets a new connection.
+func awaitPooled(t *testing.T, client *httptarget.Target, address string) {
+	t.Helper()
+	eventually(t, "the connections are pooled", func() bool {
+		open := client.Open(address)
+		return open > 0 && client.Idle(address) == open
+	})
+}
+
 // Guards against a caller receiving the response to another caller's request. A
 // target sends more bytes than its response declares, in the same segment, and
 // the next request uses the same connection: the rest of the buffer was read as
@@ -95,7 +106,7 @@
 	call.Method = http.MethodGet
 	resp, err := client.Do(testContext(t), instance.Address(), call)
 	checkResponse(t, resp, err, call)
-	eventually(t, "the connection is pooled", func() bool { return client.Open(instance.Address()) == 1 })
+	awaitPooled(t, client, instance.Address())
 	instance.SetFault(target.Fault{Kind: target.ResetBeforeHead})
 	call = newCall("r", "")
 	call.Method = http.MethodGet
@@ -170,6 +181,7 @@
 		})
 	}
 	wg.Wait()
+	awaitPooled(t, client, instance.Address())
 	instance.Silence()
 
 	call := newCall("r", "x")
@@ -204,6 +216,7 @@
 	warm := newCall("warm", "x")
 	resp, err := client.Do(testContext(t), instance.Address(), warm)
 	checkResponse(t, resp, err, warm)
+	awaitPooled(t, client, instance.Address())
 	instance.Silence()
 	ctx, cancel := context.WithCancel(testContext(t))
 	defer cancel()
