standin/platform: answer the store's calls without holding its lock

The stand-in's store encoded and sent its answers while it held the lock on its keys. A caller that takes its answer slowly, or not at all, then held up all others, lease renewals among them, which the platform's store does not do.

Evidence, from traces in a scratch copy of the soak with the race detector, on four processors of a machine at a load average of 18 to 35: the lock was held for up to 2,982 ms by one call, and calls waited for it for up to 10,693 ms, longer than any daemon waits for its answer (0.8 s for a read).

The calls now take what they need under the lock and answer after it. Stored items are replaced and never changed, so they may be read without it.

--- a/standin/platform/storecalls.go
+++ b/standin/platform/storecalls.go
@@ -38,18 +38,26 @@
 	}
 }
 
+// The calls below answer without holding the lock: a caller that takes its answer
+// slowly, or not at all, holds up nobody else. Stored items are never changed.
+
 func (s *Store) serveKey(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	item := s.items[r.URL.Query().Get("key")]
+	item, revision := s.item(r.URL.Query().Get("key"))
 	if item == nil {
-		answer(w, http.StatusNotFound, revisionBody{StoreRevision: s.revision})
+		answer(w, http.StatusNotFound, revisionBody{StoreRevision: revision})
 		return
 	}
 	answer(w, http.StatusOK, struct {
 		*Item
 		StoreRevision int64 `json:"storeRevision"`
-	}{item, s.revision})
+	}{item, revision})
+}
+
+// item returns the item of a key, nil if there is none, and the store's revision.
+func (s *Store) item(key string) (*Item, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key], s.revision
 }
 
 type revisionBody struct {
@@ -59,17 +67,25 @@
 // pageItems is how many items a page has.
 const pageItems = 500
 
+// rangeBody is a page of a list.
+type rangeBody struct {
+	Items         []*Item `json:"items"`
+	MorePages     bool    `json:"morePages"`
+	StoreRevision int64   `json:"storeRevision"`
+}
+
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	answer(w, http.StatusOK, s.page(query.Get("prefix"), query.Get("after")))
+}
+
+// page returns the first page of the keys that begin with prefix and come after a key.
+func (s *Store) page(prefix, after string) rangeBody {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var body struct {
-		Items         []*Item `json:"items"`
-		MorePages     bool    `json:"morePages"`
-		StoreRevision int64   `json:"storeRevision"`
-	}
-	body.StoreRevision = s.revision
-	for _, key := range s.keys(r.URL.Query().Get("prefix")) {
-		if key <= r.URL.Query().Get("after") {
+	body := rangeBody{StoreRevision: s.revision}
+	for _, key := range s.keys(prefix) {
+		if key <= after {
 			continue
 		}
 		if len(body.Items) == pageItems {
@@ -78,7 +94,7 @@
 		}
 		body.Items = append(body.Items, s.items[key])
 	}
-	answer(w, http.StatusOK, body)
+	return body
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -133,16 +149,26 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if refused := s.check(&txn); refused != 0 {
+	revision, refused := s.commit(&txn)
+	if refused != 0 {
 		w.WriteHeader(refused)
 		return
 	}
-	s.apply(&txn)
 	answer(w, http.StatusOK, struct {
 		Revision int64 `json:"revision"`
-	}{s.revision})
+	}{revision})
+}
+
+// commit makes the changes of a transaction and returns their revision, or the status
+// with which it is refused.
+func (s *Store) commit(txn *transaction) (revision int64, refused int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if refused := s.check(txn); refused != 0 {
+		return 0, refused
+	}
+	s.apply(txn)
+	return s.revision, 0
 }
 
 // check returns the status with which a transaction is refused, 0 when it is
@@ -188,25 +214,38 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	answer(w, http.StatusOK, leaseBody{Lease: s.grant(time.Duration(body.TTLMs) * time.Millisecond), TTLMs: body.TTLMs})
+}
+
+// grant makes a lease.
+func (s *Store) grant(ttl time.Duration) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextID++
 	id := s.nextID
-	ttl := time.Duration(body.TTLMs) * time.Millisecond
 	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.endLease(id) })}
-	answer(w, http.StatusOK, leaseBody{Lease: id, TTLMs: body.TTLMs})
+	return id
 }
 
 func (s *Store) serveKeep(w http.ResponseWriter, id string) {
+	ttl, found := s.keep(number(id))
+	if !found {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, leaseBody{TTLMs: ttl.Milliseconds()})
+}
+
+// keep renews a lease and returns its length, and whether there is one.
+func (s *Store) keep(id int64) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.leases[number(id)]
+	l := s.leases[id]
 	if l == nil {
-		w.WriteHeader(http.StatusNotFound)
-		return
+		return 0, false
 	}
 	l.timer.Reset(l.ttl)
-	answer(w, http.StatusOK, leaseBody{TTLMs: l.ttl.Milliseconds()})
+	return l.ttl, true
 }
 
 func (s *Store) serveEnd(w http.ResponseWriter, id string) {
