core/jobsched: the time of a trial goes on between two leaders' reports

After one worker crashed, while the lead was handed over each 1.4 s, the tasks of a long-running step ran again after 6.71 s, want 6 s:

trialhandover_test.go:32: 2 of 4 tasks run on after a crash, all again after 6.71s, want at most 6s

The step's second task waits until the first has been seen running for 2.6 s; it waited for 3.86 s. A leader handed on for how long it had seen an attempt up to its last report, and the next one counted on from its own first report, so that each change lost the time between the two reports, up to half a second.

The roster now says as well how long ago the attempt was last seen. An attempt has one start only, so one that both reports list has been running in between, and that time counts. The new field is optional: an older build ignores it, and a newer one that does not find it counts from the writing of the roster, which is later than the report. The time is no longer cut off at 4 s: what reads it compares it with that bound itself.

--- a/core/jobsched/recoverroster.go
+++ b/core/jobsched/recoverroster.go
@@ -26,7 +26,7 @@
 		w.leaseBound = m.recoveredAt.Add(*e.LeaseLeft - age)
 	}
 	if valid && e.Closed {
-		m.inherit(w, e.Attempts)
+		m.inherit(w, e.Attempts, age)
 		return
 	}
 	w.attemptsUnknown = true
@@ -35,8 +35,9 @@
 
 // inherit adds the attempts that an earlier leader left on a worker. Until the
 // worker has answered, they count like unanswered starts: their tasks are not
-// started elsewhere before the leases there have ended.
-func (m *Machine) inherit(w *worker, attempts []RosterAttempt) {
+// started elsewhere before the leases there have ended. age is the minimum time since
+// the roster was written.
+func (m *Machine) inherit(w *worker, attempts []RosterAttempt, age time.Duration) {
 	for _, r := range attempts {
 		key := attemptKey{task: r.Task, attempt: r.Attempt}
 		t := m.task(r.Task)
@@ -50,7 +51,7 @@
 		case t != nil && !t.done:
 			m.addAttempt(t, w, r.Attempt, phaseDoubtful).inherited = true
 			if r.SeenFor > 0 {
-				w.inheritedRunTimes[key] = r.SeenFor
+				w.inheritedRunTimes[key] = inheritedRunTime{seen: r.SeenFor, at: m.recoveredAt.Add(-r.SeenAgo - age)}
 			}
 			if r.StalledFor > 0 {
 				w.inheritedStalls[key] = inheritedStall{percent: r.Percent, since: m.recoveredAt.Add(-r.StalledFor)}
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -65,9 +65,11 @@
 	// it is not stalled or only briefly.
 	StalledFor time.Duration `json:"still,omitempty"`
 	Percent    int           `json:"percent,omitempty"`
-	// SeenFor is how long the attempt has been seen running, up to stableRunTime; 0
-	// if no task of its step has crashed a worker.
+	// SeenFor is how long the attempt has been seen running, and SeenAgo how long
+	// before the moment of writing its worker last reported it; both 0 if the next
+	// leader does not need them.
 	SeenFor time.Duration `json:"seen,omitempty"`
+	SeenAgo time.Duration `json:"seenAgo,omitempty"`
 }
 
 // rosterStatus is a short form of what the roster should state about a worker. A
@@ -349,7 +351,7 @@
 }
 
 // rosterAttempts lists the attempts that may be running on the worker, and those
-// whose ends it may still report. crashed is the cache of seenRunTimeOf.
+// whose ends it may still report. crashed is the cache of needsRunTime.
 func (w *worker) rosterAttempts(now time.Time, crashed map[*step]bool) []RosterAttempt {
 	var list []RosterAttempt
 	for key, a := range w.attempts.All() {
@@ -357,9 +359,11 @@
 		if stalled > 0 {
 			percent = a.percent
 		}
-		list = append(list, RosterAttempt{
-			Task: key.task, Attempt: key.attempt, StalledFor: stalled, Percent: percent, SeenFor: w.seenRunTimeOf(a, crashed),
-		})
+		r := RosterAttempt{Task: key.task, Attempt: key.attempt, StalledFor: stalled, Percent: percent}
+		if a.needsRunTime(crashed) {
+			r.SeenFor, r.SeenAgo = a.handoverRunTime(now)
+		}
+		list = append(list, r)
 	}
 	if w.ended {
 		return list
--- a/core/jobsched/runtimeseen.go
+++ b/core/jobsched/runtimeseen.go
@@ -10,12 +10,19 @@
 // anew with each leader, and while leaders change faster than a trial takes, the other
 // tasks of the step would never be started.
 
-// seenRunTimeOf returns for how long an attempt has been seen running, by this leader
-// or earlier ones, if the step's starts depend on that; else 0. crashed caches which
+// inheritedRunTime is how long earlier leaders have seen an attempt running, up to the
+// report that arrived at the given time.
+type inheritedRunTime struct {
+	seen time.Duration
+	at   time.Time
+}
+
+// needsRunTime reports whether the next leader needs to know how long the attempt has
+// been seen running, because the step's starts depend on that. crashed caches which
 // steps have tasks with crashes.
-func (w *worker) seenRunTimeOf(a *attempt, crashed map[*step]bool) time.Duration {
+func (a *attempt) needsRunTime(crashed map[*step]bool) bool {
 	if a.task == nil {
-		return 0
+		return false
 	}
 	s := a.step()
 	has, known := crashed[s]
@@ -23,15 +30,29 @@
 		has = slices.ContainsFunc(s.tasks, func(t *task) bool { return len(t.crashes) > 0 })
 		crashed[s] = has
 	}
-	if !has {
-		return 0
+	return has
+}
+
+// handoverRunTime returns for how long the attempt has been seen running, by this
+// leader or earlier ones, and how long ago that was last seen.
+func (a *attempt) handoverRunTime(now time.Time) (seen, ago time.Duration) {
+	if earlier, ok := a.worker.inheritedRunTimes[a.key]; ok {
+		return earlier.seen, now.Sub(earlier.at)
+	}
+	if seen = a.observedRunTime(); seen == 0 {
+		return 0, 0
 	}
-	return min(max(a.observedRunTime(), w.inheritedRunTimes[a.key]), stableRunTime)
+	return seen, now.Sub(a.worker.lastReportAt).Round(time.Millisecond)
 }
 
-// applyInheritedRunTime adds the time for which earlier leaders have seen the attempt
-// running. The time between their last report and now does not count.
+// applyInheritedRunTime adds the time for which the attempt has been running under
+// earlier leaders. It is called when a report lists the attempt, which has thus been
+// running since their last report as well.
 func (a *attempt) applyInheritedRunTime() {
-	a.seenBefore = a.worker.inheritedRunTimes[a.key]
+	earlier, ok := a.worker.inheritedRunTimes[a.key]
+	if !ok {
+		return
+	}
+	a.seenBefore = earlier.seen + max(a.startedAt.Sub(earlier.at), 0)
 	delete(a.worker.inheritedRunTimes, a.key)
 }
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -76,7 +76,7 @@
 	// inheritedStalls holds the stalled attempts that an earlier leader recorded.
 	inheritedStalls map[attemptKey]inheritedStall
 	// inheritedRunTimes holds how long earlier leaders have seen attempts running.
-	inheritedRunTimes map[attemptKey]time.Duration
+	inheritedRunTimes map[attemptKey]inheritedRunTime
 	// trials counts the trials there, isolatedTrials those that require isolation.
 	trials, isolatedTrials int
 	// unsharedTrial is set if one of them may not share the worker.
@@ -92,7 +92,7 @@
 
 func newWorker(e WorkerEntry) *worker {
 	return &worker{
-		id: e.Incarnation, entry: e, full: e.Capacity, lost: make(map[attemptKey]struct{}), pendingStarts: make(map[attemptKey]struct{}), inheritedStalls: make(map[attemptKey]inheritedStall), inheritedRunTimes: make(map[attemptKey]time.Duration), throttle: throttleState{disturbingPercent: fullSpeed, otherPercent: fullSpeed},
+		id: e.Incarnation, entry: e, full: e.Capacity, lost: make(map[attemptKey]struct{}), pendingStarts: make(map[attemptKey]struct{}), inheritedStalls: make(map[attemptKey]inheritedStall), inheritedRunTimes: make(map[attemptKey]inheritedRunTime), throttle: throttleState{disturbingPercent: fullSpeed, otherPercent: fullSpeed},
 	}
 }
 
