jobservice: a cancel that finds no job keeps it from being accepted late

Cause: the acceptance is a write on condition that the job's two keys do not exist. The cancel read them, found none and left them so; the store carries out a write without a response as long as its conditions hold. Class: an answer "there is none" that leaves the way open for a write still under way.

Change: such a cancel stores a tombstone under the conditions of the acceptance, where acceptances of this version and the ones before require no key, and answers 410 only once it is stored; without the store it answers 504. A submission that comes later stays the canceled job. The leader removes tombstones after the time for which final states are kept, counted over take-overs; it finds them among the progress records and by a copy under a prefix of their own. A daemon stores 4 a second after a burst of 40, and answers 503 beyond. A state that finds no job stores nothing: its caller may submit again.

--- a/jobservice/campaign.go
+++ b/jobservice/campaign.go
@@ -249,7 +249,7 @@
 	}
 	t := &term{
 		leader: l, lease: lease, epoch: model.Epoch(revision), ledger: revision,
-		unreadableJobs: newUnreadableJobs(), events: make(chan jobsched.Event, eventBuffer), storeEvents: make(chan jobsched.Event, eventBuffer),
+		unreadableJobs: newUnreadableJobs(), tombstones: newTombstones(), events: make(chan jobsched.Event, eventBuffer), storeEvents: make(chan jobsched.Event, eventBuffer),
 	}
 	renewing, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/jobsched"
@@ -50,12 +51,14 @@
 	store RecordStore
 	clock Clock
 	fleet *fleetView
+	// tombstones limits the cancels of unknown jobs, each of which writes.
+	tombstones *rate.Limiter
 }
 
 // NewIntake returns an Intake.
 func NewIntake(store RecordStore, clock Clock, log *logrus.Logger, metrics *Metrics) *Intake {
 	fleet := &fleetView{log: log.WithField("component", "intake"), metrics: metrics}
-	return &Intake{store: store, clock: clock, fleet: fleet}
+	return &Intake{store: store, clock: clock, fleet: fleet, tombstones: newTombstoneLimiter()}
 }
 
 const (
@@ -120,14 +123,10 @@
 // An attempt whose response was lost may still take effect, but not in addition to
 // another one, because all of them require the id to be free.
 func (in *Intake) Accept(ctx context.Context, id job.ID, record *job.Accepted) error {
-	conditions := []port.Condition{
-		{Key: acceptedKey(id), Kind: port.CompareModRevision},
-		{Key: progressKey(id), Kind: port.CompareModRevision},
-	}
 	changes := []port.Op{{Key: acceptedKey(id), Value: record.Encode()}}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	result, err := in.store.Txn(ctx, conditions, changes)
+	result, err := in.store.Txn(ctx, unknownJob(id), changes)
 	switch {
 	case err == nil && result.Succeeded:
 		return nil
@@ -140,16 +139,20 @@
 }
 
 // checkAccepted returns nil for a job whose id is taken, whether by this attempt, by
-// another one, or by a job that has ended since. It returns an *UncertainError if a
-// record under the id cannot be decoded, because it is then unknown whether the job
-// will run, and a caller who is told that it was accepted would not submit it again.
+// another one, by a job that has ended since, or by a cancel that came before. It
+// returns an *UncertainError if a record under the id cannot be decoded, because it is
+// then unknown whether the job will run, and a caller who is told that it was accepted
+// would not submit it again.
 func (in *Intake) checkAccepted(ctx context.Context, id job.ID) error {
 	progress, err := in.progress(ctx, id)
 	if err != nil || progress != nil && progress.State.Final() {
 		return err
 	}
-	_, _, err = in.accepted(ctx, id)
-	return err
+	accepted, _, err := in.accepted(ctx, id)
+	if err != nil || accepted != nil {
+		return err
+	}
+	return in.markSubmitted(ctx, id)
 }
 
 // State returns the state of a job. The error is an *UnknownJobError or an
@@ -184,7 +187,8 @@
 }
 
 // Cancel marks a job as canceled. The error is an *UnknownJobError if there is no
-// such job or it has ended, or an *UncertainError.
+// such job or it has ended, an *UncertainError or an *UnavailableError. After an
+// *UnknownJobError no acceptance of the job that is under way succeeds any more.
 func (in *Intake) Cancel(ctx context.Context, id job.ID) error {
 	for {
 		accepted, revision, err := in.accepted(ctx, id)
@@ -192,7 +196,14 @@
 		case err != nil:
 			return err
 		case accepted == nil:
-			return &UnknownJobError{ID: id}
+			refused, err := in.refuseAcceptance(ctx, id)
+			if err != nil {
+				return err
+			}
+			if refused {
+				return &UnknownJobError{ID: id}
+			}
+			continue
 		case accepted.Canceled:
 			return nil
 		}
@@ -226,8 +237,8 @@
 	return ledger.Summary.Waiting[queue], nil
 }
 
-// progress returns the progress record of a job, nil if there is none. The error is
-// an *UncertainError.
+// progress returns the progress record of a job, nil if there is none or if it is the
+// tombstone of a job that was never submitted. The error is an *UncertainError.
 func (in *Intake) progress(ctx context.Context, id job.ID) (*job.Progress, error) {
 	kv, err := in.store.Get(ctx, progressKey(id))
 	if err != nil {
@@ -240,6 +251,11 @@
 	if err != nil {
 		return nil, &UncertainError{Cause: err}
 	}
+	if p.State == job.Canceled {
+		if s := decodeTombstone(kv.Value); s != nil && !s.Submitted {
+			return nil, nil
+		}
+	}
 	return p, nil
 }
 
--- a/jobservice/keys.go
+++ b/jobservice/keys.go
@@ -25,12 +25,16 @@
 	acceptedPrefix = "guavarill/jobs/"
 	// progressPrefix precedes the id of each job that has started.
 	progressPrefix = "guavarill/progress/"
+	// tombstonePrefix precedes the id of each job that has a tombstone.
+	tombstonePrefix = "guavarill/tombstones/"
 )
 
 func acceptedKey(id job.ID) string { return acceptedPrefix + string(id) }
 
 func progressKey(id job.ID) string { return progressPrefix + string(id) }
 
+func tombstoneKey(id job.ID) string { return tombstonePrefix + string(id) }
+
 // jobIDFromKey returns the id of the job that a key with the prefix belongs to.
 func jobIDFromKey(key, prefix string) (job.ID, error) {
 	return job.ParseID(strings.TrimPrefix(key, prefix))
--- a/jobservice/leader.go
+++ b/jobservice/leader.go
@@ -103,6 +103,8 @@
 	pending *jobsched.Commit
 	// unreadableJobs holds the jobs whose records cannot be read.
 	unreadableJobs *unreadableJobs
+	// tombstones holds the known tombstones of jobs.
+	tombstones *tombstones
 	// jobsRevision is the store revision up to which the machine knows the accepted
 	// jobs.
 	jobsRevision int64
@@ -123,6 +125,7 @@
 	go l.renewLease(run, t.lease, cancel)
 	go t.followJobs(run)
 	go t.recheckUnreadableJobs(run)
+	go t.removeTombstones(run)
 	go t.pollWorkers(run)
 	go t.pollCordons(run)
 	go t.followConfig(run)
--- a/jobservice/recover.go
+++ b/jobservice/recover.go
@@ -113,6 +113,7 @@
 	if err != nil {
 		return err
 	}
+	t.takeTombstones(accepted, progress)
 	t.jobsRevision, r.Accepted, r.Progress, r.Unreadable = revision, accepted.byID, progress.byID, make(map[job.ID]*job.Accepted)
 	acceptedErrs, progressErrs := l.reportDamaged(kindAccepted, accepted), l.reportDamaged(kindProgress, progress)
 	for _, ids := range []iter.Seq[job.ID]{maps.Keys(acceptedErrs), maps.Keys(progressErrs), maps.Keys(r.Accepted)} {
--- /dev/null
+++ b/jobservice/tombstone.go
@@ -0,0 +1,142 @@
+package jobservice
+
+import (
+	"context"
+	"fmt"
+
+	"golang.org/x/time/rate"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/port"
+)
+
+// A tombstone is stored under the progress key of a job that was not known when it was
+// canceled. Each write that accepts a job requires that key to be absent, so none that
+// is still under way can succeed once the caller has been told that there is no such
+// job. An entry under tombstonePrefix, written in the same transaction, tells the
+// leader to remove both after some time.
+//
+// A daemon without tombstones reads one as the progress of a canceled job.
+type tombstone struct {
+	// State is always job.Canceled.
+	State job.State `json:"state"`
+	// FinalAtMs is when the job was canceled or, if it was submitted after that, when
+	// that was, by the clock of the daemon that received the request, as Unix time in
+	// milliseconds.
+	FinalAtMs int64 `json:"overAtMs"`
+	// Tombstone distinguishes the record from the progress of a job that was accepted.
+	Tombstone bool `json:"tombstone"`
+	// Submitted is set once the job has been submitted. It is shown as canceled from
+	// then on, and as unknown before.
+	Submitted bool `json:"submitted,omitempty"`
+}
+
+func newTombstone(canceledAtMs int64) *tombstone {
+	return &tombstone{State: job.Canceled, FinalAtMs: canceledAtMs, Tombstone: true}
+}
+
+// decodeTombstone returns the tombstone in a record, or nil if the record is the
+// progress of an accepted job or cannot be decoded.
+func decodeTombstone(value []byte) *tombstone {
+	var s tombstone
+	if err := job.DecodeRecord(kindTombstone, value, &s); err != nil || !s.Tombstone {
+		return nil
+	}
+	return &s
+}
+
+// changes returns the writes that store the tombstone of a job.
+func (s *tombstone) changes(id job.ID) []port.Op {
+	value := encodeRecord(s)
+	return []port.Op{{Key: progressKey(id), Value: value}, {Key: tombstoneKey(id), Value: value}}
+}
+
+const (
+	// tombstonesPerSecond and tombstoneBurst bound the tombstones that a daemon stores,
+	// so that cancels of random ids neither fill the store nor use up its writes: nine
+	// daemons store 36 a second, a tenth of the small sites' writes.
+	tombstonesPerSecond = 4
+	tombstoneBurst      = 40
+)
+
+func newTombstoneLimiter() *rate.Limiter { return rate.NewLimiter(tombstonesPerSecond, tombstoneBurst) }
+
+// TooManyUnknownJobsError reports a cancel that was not carried out because the daemon
+// has received too many cancels of unknown jobs.
+type TooManyUnknownJobsError struct{ ID job.ID }
+
+// Error implements error.
+func (e *TooManyUnknownJobsError) Error() string {
+	return fmt.Sprintf("job %s is not known, and too many unknown jobs are being canceled", e.ID)
+}
+
+// refuseAcceptance makes every acceptance of an unknown job that is under way fail. It
+// reports whether that is certain; otherwise the job's records have to be read again.
+// The error is an *UncertainError or an *UnavailableError.
+func (in *Intake) refuseAcceptance(ctx context.Context, id job.ID) (refused bool, err error) {
+	kv, err := in.store.Get(ctx, progressKey(id))
+	if err != nil {
+		return false, &UncertainError{Cause: err}
+	}
+	if kv.ModRevision != 0 {
+		// The job has ended or has a tombstone, unless it was accepted and begun since
+		// its accepted record was read.
+		accepted, _, err := in.accepted(ctx, id)
+		return err == nil && accepted == nil, err
+	}
+	if !in.tombstones.Allow() {
+		return false, &UnavailableError{Cause: &TooManyUnknownJobsError{ID: id}}
+	}
+	changes := newTombstone(in.clock.Wall().UnixMilli()).changes(id)
+	for {
+		result, err := in.store.Txn(ctx, unknownJob(id), changes)
+		switch {
+		case err == nil:
+			return result.Succeeded, nil
+		case !Pause(ctx, retryPause):
+			return false, &UncertainError{Cause: err}
+		}
+	}
+}
+
+// unknownJob returns the conditions that a job is not known.
+func unknownJob(id job.ID) []port.Condition {
+	return []port.Condition{
+		{Key: acceptedKey(id), Kind: port.CompareModRevision},
+		{Key: progressKey(id), Kind: port.CompareModRevision},
+	}
+}
+
+// RecordsChangedError reports that the records of a job changed while they were read.
+type RecordsChangedError struct{ ID job.ID }
+
+// Error implements error.
+func (e *RecordsChangedError) Error() string {
+	return fmt.Sprintf("the records of job %s changed while they were read", e.ID)
+}
+
+// markSubmitted records that a job was submitted after it was canceled, so that its
+// caller sees it as canceled. The error is an *UncertainError.
+func (in *Intake) markSubmitted(ctx context.Context, id job.ID) error {
+	kv, err := in.store.Get(ctx, progressKey(id))
+	if err != nil {
+		return &UncertainError{Cause: err}
+	}
+	s := decodeTombstone(kv.Value)
+	switch {
+	case kv.ModRevision == 0:
+		return &UncertainError{Cause: &RecordsChangedError{ID: id}}
+	case s == nil || s.Submitted:
+		return nil
+	}
+	s.Submitted, s.FinalAtMs = true, in.clock.Wall().UnixMilli()
+	condition := []port.Condition{{Key: progressKey(id), Kind: port.CompareModRevision, Revision: kv.ModRevision}}
+	result, err := in.store.Txn(ctx, condition, s.changes(id))
+	switch {
+	case err != nil:
+		return &UncertainError{Cause: err}
+	case !result.Succeeded:
+		return &UncertainError{Cause: &RecordsChangedError{ID: id}}
+	}
+	return nil
+}
--- /dev/null
+++ b/jobservice/tombstone_test.go
@@ -0,0 +1,196 @@
+package jobservice
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/port"
+)
+
+// lateStore makes no transaction and gives no response to it, but remembers it, so
+// that it can be carried out late.
+type lateStore struct {
+	*memStore
+	held []func() port.TxnResult
+}
+
+func (s *lateStore) Txn(_ context.Context, conditions []port.Condition, changes []port.Op) (port.TxnResult, error) {
+	s.held = append(s.held, func() port.TxnResult {
+		result, err := s.memStore.Txn(context.Background(), conditions, changes)
+		if err != nil {
+			panic(err)
+		}
+		return result
+	})
+	return port.TxnResult{}, &port.StoreError{Call: "Txn", Kind: port.StoreTimeout, Outcome: port.OutcomeUnknown, Cause: context.DeadlineExceeded}
+}
+
+const lateJob = job.ID("00000000000000cc")
+
+func submitTo(t *testing.T, in *Intake, id job.ID) error {
+	t.Helper()
+	q := testQueue()
+	return in.Submit(t.Context(), id, testSpec(), &q, 1)
+}
+
+// submitLate submits a job with writes that are carried out late.
+func submitLate(t *testing.T, store *memStore, id job.ID) *lateStore {
+	t.Helper()
+	late := &lateStore{memStore: store}
+	in := NewIntake(late, BootClock{}, logrus.New(), NewMetrics(prometheus.NewRegistry()))
+	var uncertain *UncertainError
+	if err := submitTo(t, in, id); !errors.As(err, &uncertain) {
+		t.Fatalf("a submission without a response: %v, want an UncertainError", err)
+	}
+	return late
+}
+
+func wantUnknown(t *testing.T, what string, err error) {
+	t.Helper()
+	var unknown *UnknownJobError
+	if !errors.As(err, &unknown) {
+		t.Errorf("%s: %v, want an UnknownJobError", what, err)
+	}
+}
+
+// Guards against a job that runs although its cancel was answered with "no such job":
+// the write that accepts it got no response, was carried out after the cancel at another
+// daemon, and still met its conditions.
+func TestLateAcceptanceOfACanceledJobFails(t *testing.T) {
+	d := newDeployment(t)
+	late := submitLate(t, d.store, lateJob)
+	wantUnknown(t, "cancel", d.intake.Cancel(t.Context(), lateJob))
+	wantUnknown(t, "cancel again", d.intake.Cancel(t.Context(), lateJob))
+	for _, carryOut := range late.held {
+		if carryOut().Succeeded {
+			t.Error("the late acceptance succeeded")
+		}
+	}
+	_, err := d.intake.State(t.Context(), lateJob)
+	wantUnknown(t, "state", err)
+	d.lead()
+	d.awaitCompleted(intactJob)
+	if n := d.worker.startsOf(lateJob); n != 0 {
+		t.Errorf("%d tasks of the canceled job were started", n)
+	}
+}
+
+// Guards against the same over a take-over: the leader that reads the tombstone must not
+// lose it, and must not show the job.
+func TestLateAcceptanceAfterATakeOverFails(t *testing.T) {
+	d := newDeployment(t)
+	late := submitLate(t, d.store, lateJob)
+	wantUnknown(t, "cancel", d.intake.Cancel(t.Context(), lateJob))
+	d.lead()
+	d.awaitCompleted(intactJob)
+	for _, carryOut := range late.held {
+		if carryOut().Succeeded {
+			t.Error("the late acceptance succeeded")
+		}
+	}
+	_, err := d.intake.State(t.Context(), lateJob)
+	wantUnknown(t, "state", err)
+}
+
+// A job that is submitted again after a cancel that found nothing stays canceled.
+func TestSubmissionAfterACancelThatFoundNothing(t *testing.T) {
+	d := newDeployment(t)
+	d.lead()
+	wantUnknown(t, "cancel", d.intake.Cancel(t.Context(), lateJob))
+	for range 2 {
+		if err := submitTo(t, d.intake, lateJob); err != nil {
+			t.Fatal(err)
+		}
+		if state, err := d.intake.State(t.Context(), lateJob); err != nil || state != job.Canceled {
+			t.Errorf("state %q, %v, want %q", state, err, job.Canceled)
+		}
+	}
+	wantUnknown(t, "cancel again", d.intake.Cancel(t.Context(), lateJob))
+	d.awaitCompleted(intactJob)
+	if n := d.worker.startsOf(lateJob); n != 0 {
+		t.Errorf("%d tasks of the canceled job were started", n)
+	}
+}
+
+// A caller that is told that a job does not exist may submit it, unless it has canceled
+// it.
+func TestSubmissionAfterAStateThatFoundNothing(t *testing.T) {
+	d := newDeployment(t)
+	_, err := d.intake.State(t.Context(), lateJob)
+	wantUnknown(t, "state", err)
+	d.submit(lateJob)
+	d.lead()
+	d.awaitCompleted(lateJob)
+}
+
+// refusingStore can be read, and refuses all transactions.
+type refusingStore struct{ *memStore }
+
+func (refusingStore) Txn(context.Context, []port.Condition, []port.Op) (port.TxnResult, error) {
+	return port.TxnResult{}, &port.StoreError{Call: "Txn", Kind: port.StoreUnavailable, Outcome: port.OutcomeNotDone}
+}
+
+// Guards against a cancel that is answered with "no such job" without a tombstone.
+func TestCancelWithoutTheStoreIsNotAnswered(t *testing.T) {
+	unreadable := newMemStore()
+	unreadable.failing = map[string]int{acceptedKey(lateJob): 1 << 20}
+	for name, store := range map[string]RecordStore{
+		"no writes": refusingStore{newMemStore()}, "no reads": unreadable, "no responses": &lateStore{memStore: newMemStore()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in := NewIntake(store, BootClock{}, logrus.New(), NewMetrics(prometheus.NewRegistry()))
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			err := in.Cancel(ctx, lateJob)
+			var unknown *UnknownJobError
+			if err == nil || errors.As(err, &unknown) {
+				t.Errorf("cancel: %v, want an error that leaves the outcome open", err)
+			}
+		})
+	}
+}
+
+// Guards against callers that fill the store by canceling random ids.
+func TestCancelsOfUnknownJobsAreLimited(t *testing.T) {
+	d := newDeployment(t)
+	refused := 0
+	for n := range 20 * tombstoneBurst {
+		var busy *TooManyUnknownJobsError
+		if err := d.intake.Cancel(t.Context(), numberedJob(n)); errors.As(err, &busy) {
+			refused++
+		} else {
+			wantUnknown(t, "cancel", err)
+		}
+	}
+	if refused == 0 {
+		t.Errorf("no cancel of %d was refused", 20*tombstoneBurst)
+	}
+	// A job that was accepted can be canceled all the same.
+	if err := d.intake.Cancel(t.Context(), intactJob); err != nil {
+		t.Errorf("cancel of an accepted job: %v", err)
+	}
+}
+
+// A daemon of a version without tombstones reads one as the record of a canceled job.
+func TestTombstoneIsReadAsACanceledJob(t *testing.T) {
+	for _, submitted := range []bool{false, true} {
+		s := newTombstone(1_700_000_000_000)
+		s.Submitted = submitted
+		p, err := job.DecodeProgress(encodeRecord(s))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.State != job.Canceled || p.FinalAtMs != s.FinalAtMs {
+			t.Errorf("read as %+v", p)
+		}
+	}
+}
+
+func numberedJob(n int) job.ID { return job.ID(fmt.Sprintf("%016x", 1000+n)) }
--- a/jobservice/unreadablerecords.go
+++ b/jobservice/unreadablerecords.go
@@ -19,6 +19,7 @@
 	kindInterference  = "interference"
 	kindAccepted      = "job"
 	kindProgress      = "progress"
+	kindTombstone     = "tombstone"
 	kindMember        = "member"
 	KindConfiguration = "configuration"
 )
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -50,7 +50,9 @@
 	canceledAt time.Time
 	// cancelSentAt is when the first cancel was sent, whatever its outcome.
 	cancelSentAt time.Time
-	final        job.State
+	// goneAt is when a cancel was told that there is no such job.
+	goneAt time.Time
+	final  job.State
 }
 
 // caller submits jobs and polls their states over persistent connections.
--- a/soak/check.go
+++ b/soak/check.go
@@ -84,6 +84,7 @@
 		h.crashes[e.Task]++
 	case standin.AuditStarted:
 		h.started(e)
+		h.startedWhenGone(e)
 		h.startedAgain(e)
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -26,6 +26,9 @@
 	Restarting bool
 	// Cordoning adds the series that cordon zones and lift the cordons.
 	Cordoning bool
+	// Late carries out some acceptances of jobs late and without a response, and adds a
+	// caller who cancels such jobs.
+	Late bool
 	// Large puts every other daemon behind a slow link to the store, and makes the
 	// configuration grow and shrink by thousands of queues.
 	Large bool
@@ -120,6 +123,10 @@
 	if o.Crashing {
 		callers.Go(func() { crasher.crash(ctx, calling) })
 	}
+	regretter := newCaller(d, o.Seed, callerCount+2)
+	if o.Late {
+		callers.Go(func() { regretter.regret(ctx, calling) })
+	}
 	faulty.Wait()
 	d.calm()
 	if o.Large {
@@ -128,6 +135,7 @@
 	d.checkConfigured()
 	callers.Wait()
 	jobs := append(keeper.jobs, crasher.jobs...)
+	jobs = append(jobs, regretter.jobs...)
 	for _, c := range list {
 		jobs = append(jobs, c.jobs...)
 	}
--- a/soak/series.go
+++ b/soak/series.go
@@ -33,6 +33,9 @@
 	if o.Cordoning {
 		list = append(list, series{"zones cordoned", cordonZones})
 	}
+	if o.Late {
+		list = append(list, series{"acceptances late", lateAcceptances})
+	}
 	return list
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,7 @@
 	large      = flag.Bool("large", false, "have large configurations in them, and slow links to the store")
 	restarting = flag.Bool("restarting", false, "have workers in them start again under their ids")
 	cordoning  = flag.Bool("cordoning", false, "have zones in them cordoned and reopened")
+	late       = flag.Bool("late", false, "have acceptances in them carried out late, and canceled before")
 	length     = flag.Duration("length", 20*time.Second, "how long faults come in each of them")
 	keep       = flag.String("keep", "", "folder that keeps the daemons' logs of seeds that failed")
 )
@@ -171,13 +172,22 @@
 	play(t, Options{Seed: 1, Length: ciLength, Cordoning: true})
 }
 
+// TestLateAcceptances has acceptances of jobs carried out late and without a response,
+// with cancels at other daemons before, beside all other faults.
+//
+// It guards against jobs that run after a cancel was told that they do not exist.
+func TestLateAcceptances(t *testing.T) {
+	t.Parallel()
+	play(t, Options{Seed: 1, Length: ciLength, Late: true})
+}
+
 // TestFresh plays seeds by hand.
 func TestFresh(t *testing.T) {
 	for i := range *freshSeeds {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, Options{Seed: seed, Length: *length, Planned: *planned, Crashing: *crashes, Large: *large, Restarting: *restarting, Cordoning: *cordoning})
+			play(t, Options{Seed: seed, Length: *length, Planned: *planned, Crashing: *crashes, Large: *large, Restarting: *restarting, Cordoning: *cordoning, Late: *late})
 		})
 	}
 }
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -21,6 +21,10 @@
 	// refuse, when not 0, is the status that every call is answered with.
 	refuse int
 	calls  int
+	// lateness, when not nil, returns how late a transaction that sets the keys is
+	// carried out, without a response; lateResults are the statuses of those that were.
+	lateness    func(keys []string) time.Duration
+	lateResults []int
 }
 
 // Item is a stored key.
--- a/standin/platform/storecalls.go
+++ b/standin/platform/storecalls.go
@@ -133,13 +133,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if delay := s.delay(&txn); delay > 0 {
+		s.loseResponse(r, &txn, delay)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if refused := s.check(&txn); refused != 0 {
-		w.WriteHeader(refused)
+	if status := s.commit(&txn); status != http.StatusOK {
+		w.WriteHeader(status)
 		return
 	}
-	s.apply(&txn)
 	answer(w, http.StatusOK, struct {
 		Revision int64 `json:"revision"`
 	}{s.revision})
