jobservice: a damaged entry of a tombstone is reported

What operators saw: nothing; an entry under guavarill/tombstones/ that another writer had damaged was taken for one with its whole time left, without a log line. Cause: its decode error was dropped. Change: it is reported and counted as kind "tombstone", and left alone; its tombstone is found among the progress records at the next take-over and removed then, with the entry. Test: TestDamagedEntryOfATombstone, with the values of the other damage tests. It was not run against the code before.

--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -252,7 +252,7 @@
 		return nil, &UncertainError{Cause: err}
 	}
 	if p.State == job.Canceled {
-		if s := decodeTombstone(kv.Value); s != nil && !s.Submitted {
+		if s := tombstoneIn(kv.Value); s != nil && !s.Submitted {
 			return nil, nil
 		}
 	}
--- a/jobservice/tombstone.go
+++ b/jobservice/tombstone.go
@@ -35,14 +35,27 @@
 	return &tombstone{State: job.Canceled, FinalAtMs: canceledAtMs, Tombstone: true}
 }
 
-// decodeTombstone returns the tombstone in a record, or nil if the record is the
-// progress of an accepted job or cannot be decoded.
-func decodeTombstone(value []byte) *tombstone {
-	var s tombstone
-	if err := job.DecodeRecord(kindTombstone, value, &s); err != nil || !s.Tombstone {
+// decodeTombstone decodes a tombstone. An error is a *job.RecordError, also for the
+// progress of a job that was accepted.
+func decodeTombstone(value []byte) (*tombstone, error) {
+	s := new(tombstone)
+	if err := job.DecodeRecord(kindTombstone, value, s); err != nil {
+		return nil, err
+	}
+	if !s.Tombstone {
+		return nil, &job.RecordError{Kind: kindTombstone, Cause: &job.InvalidError{Field: "tombstone", Reason: "must be true"}}
+	}
+	return s, nil
+}
+
+// tombstoneIn returns the tombstone in a progress record, or nil if the record is that
+// of an accepted job. One that cannot be decoded is reported where progress is decoded.
+func tombstoneIn(progress []byte) *tombstone {
+	s, err := decodeTombstone(progress)
+	if err != nil {
 		return nil
 	}
-	return &s
+	return s
 }
 
 // changes returns the writes that store the tombstone of a job.
@@ -122,7 +135,7 @@
 	if err != nil {
 		return &UncertainError{Cause: err}
 	}
-	s := decodeTombstone(kv.Value)
+	s := tombstoneIn(kv.Value)
 	switch {
 	case kv.ModRevision == 0:
 		return &UncertainError{Cause: &RecordsChangedError{ID: id}}
--- a/jobservice/tombstones.go
+++ b/jobservice/tombstones.go
@@ -88,8 +88,9 @@
 		if p.State != job.Canceled || accepted.byID[id] != nil {
 			continue
 		}
-		if kv := progress.items[id]; decodeTombstone(kv.Value) != nil {
-			t.addTombstone(id, kv)
+		kv := progress.items[id]
+		if s := tombstoneIn(kv.Value); s != nil {
+			t.addTombstone(id, kv.ModRevision, s.FinalAtMs)
 			delete(progress.byID, id)
 		}
 	}
@@ -97,14 +98,11 @@
 
 // addTombstone adds the tombstone of a job. The time that has passed counts, because
 // tombstones would never be removed if it began anew while leaders change quickly.
-func (t *term) addTombstone(id job.ID, kv port.KeyValue) {
+func (t *term) addTombstone(id job.ID, revision, finalAtMs int64) {
 	o := &t.leader.o
-	left := o.Machine.KeepFinal
-	if s := decodeTombstone(kv.Value); s != nil {
-		passed := o.Clock.Wall().Sub(time.UnixMilli(s.FinalAtMs)) - tombstoneClockError
-		left = min(left, left-passed)
-	}
-	t.tombstones.add(id, kv.ModRevision, o.Clock.Now().Add(max(left, minTombstoneTime)))
+	passed := max(o.Clock.Wall().Sub(time.UnixMilli(finalAtMs))-tombstoneClockError, 0)
+	left := max(o.Machine.KeepFinal-passed, minTombstoneTime)
+	t.tombstones.add(id, revision, o.Clock.Now().Add(left))
 }
 
 // removeTombstones periodically reads the entries of tombstones, and removes the
@@ -136,7 +134,12 @@
 			t.leader.o.Metrics.ReportUnreadable(t.leader.log, kindTombstone, kv, err, invalidKeyConsequence)
 			continue
 		}
-		t.addTombstone(id, kv)
+		s, err := decodeTombstone(kv.Value)
+		if err != nil {
+			t.leader.o.Metrics.ReportUnreadable(t.leader.log, kindTombstone, kv, err, "the tombstone is removed after the next take-over")
+			continue
+		}
+		t.addTombstone(id, kv.ModRevision, s.FinalAtMs)
 	}
 	return nil
 }
--- a/jobservice/tombstones_test.go
+++ b/jobservice/tombstones_test.go
@@ -248,3 +248,26 @@
 	}
 	return port.TxnResult{}, &port.StoreError{Call: "Txn", Kind: port.StoreTimeout, Outcome: port.OutcomeUnknown}
 }
+
+// Guards against a damaged entry that keeps the tombstones beside it, or its own for
+// ever.
+func TestDamagedEntryOfATombstone(t *testing.T) {
+	for name, value := range damagedValues {
+		t.Run(name, func(t *testing.T) {
+			store, clock := newMemStore(), testClock()
+			bury(t, store, clock.Wall(), append(manyJobs(3), lateJob)...)
+			store.write(port.Op{Key: tombstoneKey(lateJob), Value: []byte(value)})
+			store.write(port.Op{Key: tombstonePrefix + "no-job", Value: []byte(value)})
+			tt := newTombstoneTerm(t, store, clock)
+			tt.sweep()
+			clock.pass(testKeepFinal)
+			tt.sweep()
+			tt.wantKeys("in the term", 1, 2)
+			next := newTombstoneTerm(t, store, clock)
+			next.recovered()
+			clock.pass(testKeepFinal)
+			next.sweep()
+			next.wantKeys("after a take-over", 0, 1)
+		})
+	}
+}
