--- a/standin/platform/storecalls.go
+++ b/standin/platform/storecalls.go
@@ -149,6 +149,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if delay := s.delay(&txn); delay > 0 {
+		s.loseResponse(r, &txn, delay)
+	}
 	revision, refused := s.commit(&txn)
 	if refused != 0 {
 		w.WriteHeader(refused)
