core/jobsched: a best-effort job that has waited too long starts without free processors

Cause: best-effort work is started only where what it asks for fits into the processors that are expected to be free. The contract commits only its memory; the limit is ours, so that what runs ends soon, and nothing bounded the wait under it. Each processor that became free went to the first small task that fit. Class: a limit of our own, beyond the contract, without a bound on how long it holds work back. A step that has waited while utilization is low already went beside serving tasks that it disturbs; that did not lift the other limit, and a new leader counted the wait anew.

Now a job that was due 10 s ago, of which nothing runs and whose step has waited for 1.5 s while utilization is low, starts its next task without free processors, one at a time, at a quarter of its speed; it gets its full share when its worker has the processors. A job that waited under an earlier leader counts as having waited. Utilization is counted for each service.

TestLargeBestEffortJobsRunInACrowdOfSmallOnes failed before in all four cases: no large job ran for 58 s, over planned and lost leaders too.

--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -61,6 +61,9 @@
 	// bestEffortCPU is the processor use of a best-effort task, in thousandths of a
 	// core. It is not part of the committed size.
 	bestEffortCPU int64
+	// overcommitted is set for a best-effort task on a worker without free processors
+	// for it. It runs at overcommittedShare until there are.
+	overcommitted bool
 	longRunning   bool
 	startedAt     time.Time
 	// seenBefore is how long earlier leaders have seen the attempt running.
--- a/core/jobsched/candidates.go
+++ b/core/jobsched/candidates.go
@@ -81,7 +81,7 @@
 // for any other task of its step, with the same scores, whatever happens to the
 // others. That does not hold for a task that has failed on a worker, is suspect or
 // has room reserved, nor if the step wants a single rack, where each start changes
-// the scores of other workers.
+// the scores of other workers, or may overcommit, which only its first task may.
 func (m *Machine) isInterchangeable(t *task) bool {
-	return t.failedOn == nil && !t.isSuspect() && !t.step.spec.SameRack && !m.isReserved(t)
+	return t.failedOn == nil && !t.isSuspect() && !t.step.spec.SameRack && !m.isReserved(t) && !m.mayOvercommit(t.step)
 }
--- a/core/jobsched/clusterchecks_test.go
+++ b/core/jobsched/clusterchecks_test.go
@@ -130,12 +130,17 @@
 // checkSums checks the sums that a worker keeps over its attempts.
 func (c *cluster) checkSums(w *worker) {
 	var committed, reclaimable model.Resources
+	var expected int64
 	for _, a := range w.attempts.All() {
 		committed = committed.Add(a.size)
+		expected += a.expectedCPU()
 		if a.isReclaimable() {
 			reclaimable = reclaimable.Add(a.size)
 		}
 	}
+	if expected != w.expectedCPU {
+		c.t.Errorf("%s: %s expects its best-effort attempts to use %dm, but they add up to %dm", c.now.Sub(testEpoch), w.id, w.expectedCPU, expected)
+	}
 	if committed != w.committed || reclaimable != w.reclaimable {
 		c.t.Errorf("%s: %s has sums of %s committed and %s reclaimable, but its attempts have %s and %s",
 			c.now.Sub(testEpoch), w.id, w.committed, w.reclaimable, committed, reclaimable)
--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -54,10 +54,10 @@
 }
 
 // filterBestEffortCPU keeps best-effort work within the processor time that the
-// other tasks of a worker are expected to leave.
-func filterBestEffortCPU(_ *Machine, t *task, w *worker) bool {
+// other tasks of a worker are expected to leave, unless it may overcommit.
+func filterBestEffortCPU(m *Machine, t *task, w *worker) bool {
 	spec := t.step.spec
-	return !spec.BestEffort || spec.Size.MilliCPU <= w.freeCPU()
+	return !spec.BestEffort || spec.Size.MilliCPU <= w.freeCPU() || m.mayOvercommit(t.step)
 }
 
 func filterLabel(_ *Machine, t *task, w *worker) bool {
@@ -100,38 +100,6 @@
 	return !spec.BestEffort || m.withinHeadroom(w, spec.Image, spec.Size.MilliCPU) || m.starving(t.step)
 }
 
-const (
-	// bestEffortMaxWait is how long a best-effort step avoids serving tasks that it
-	// is known to disturb while lowUtilization holds.
-	bestEffortMaxWait = 1500 * time.Millisecond
-	// lowUtilizationLimit is the fraction of committed processors below which
-	// utilization is low. Above it, workers without such serving tasks become free
-	// over time anyway.
-	lowUtilizationLimit = 0.6
-)
-
-// starving reports whether a best-effort step has waited too long although much
-// capacity is free. If serving tasks of an image that it disturbs run on every
-// worker, it would otherwise wait until they end; this shows as steps that wait for
-// half a minute with "would disturb" for all workers. A starving step starts where
-// it disturbs least and is throttled for the tasks beside it.
-func (m *Machine) starving(s *step) bool {
-	return m.lowUtilization && !s.waitingSince.IsZero() && m.now.Sub(s.waitingSince) >= bestEffortMaxWait
-}
-
-// hasLowUtilization reports whether less than lowUtilizationLimit of the processors
-// of the workers that may be given tasks is committed.
-func (m *Machine) hasLowUtilization() bool {
-	var committed, capacity int64
-	for _, w := range m.workers.All() {
-		if w.isUsable(m.now) && !m.isCordoned(w) {
-			committed += w.committed.MilliCPU
-			capacity += w.entry.Capacity.MilliCPU
-		}
-	}
-	return float64(committed) < lowUtilizationLimit*float64(capacity)
-}
-
 // filterTicket restricts tasks of advised queues to workers with a valid ticket.
 func filterTicket(m *Machine, t *task, w *worker) bool {
 	return !m.queue(t.step.job()).Advised || t.step.advice.valid(w.id, m.now)
--- a/core/jobsched/gang.go
+++ b/core/jobsched/gang.go
@@ -104,7 +104,7 @@
 	left := len(s.tasks)
 	for _, w := range workers {
 		if m.isFeasible(t, w) {
-			left -= min(w.countFitting(t), left)
+			left -= min(m.countFitting(t, w), left)
 		}
 		if left <= 0 {
 			return true
@@ -114,10 +114,10 @@
 }
 
 // countFitting returns how many tasks like t the worker has room for.
-func (w *worker) countFitting(t *task) int {
+func (m *Machine) countFitting(t *task, w *worker) int {
 	spec := t.step.spec
 	n := spec.Committed().FitCount(w.roomFor(t))
-	if spec.BestEffort {
+	if spec.BestEffort && !m.mayOvercommit(t.step) {
 		n = min(n, model.Resources{MilliCPU: spec.Size.MilliCPU}.FitCount(model.Resources{MilliCPU: w.freeCPU()}))
 	}
 	if spec.MaxPerWorker > 0 {
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -80,6 +80,7 @@
 // as used for all of its tasks.
 func (m *Machine) beginOccurrence(j *jobState, gap int) *occurrence {
 	o := newOccurrence(j, j.next)
+	o.begunAt = m.now
 	j.occurrences[j.next] = o
 	j.next++
 	for _, s := range o.steps {
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -61,6 +61,8 @@
 	// work is the estimated work of all tasks, workLeft of those that are not done,
 	// in thousandths of a core times milliseconds.
 	work, workLeft float64
+	// begunAt is when this machine took the occurrence in.
+	begunAt time.Time
 	// firstStartAt is when this machine started its first attempt; zero if it has
 	// not. waited is set once no worker was found for a part of it.
 	firstStartAt time.Time
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -135,9 +135,9 @@
 	unplaceable unplaceable
 	// longestWaits holds the longest waits of steps at the end of the last pass.
 	longestWaits map[WaitReason]time.Duration
-	// lowUtilization is set while so much capacity is free that best-effort work
-	// need not wait for better workers.
-	lowUtilization bool
+	// lowUtilization holds, by service, whether so much capacity is free that
+	// best-effort work need not wait for better workers.
+	lowUtilization map[string]bool
 
 	// runTimes tells how much longer than estimated the jobs of each queue run.
 	runTimes runTimeRatios
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -32,6 +32,7 @@
 	}
 	if spec.BestEffort {
 		a.bestEffortCPU = spec.Size.MilliCPU
+		a.overcommitted = a.bestEffortCPU > w.freeCPU()
 	}
 	t.attempts = append(t.attempts, a)
 	t.last = max(t.last, number)
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -14,7 +14,7 @@
 		m.saturated = false
 	}
 	m.unplaceable.reset()
-	m.lowUtilization = m.hasLowUtilization()
+	m.measureUtilization()
 	steps := m.pendingSteps()
 	started := m.startMostUrgent(steps)
 	m.pass.beginSecondHalf()
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -145,10 +145,14 @@
 
 // wantedShare returns the share, in percent, at which an attempt should run.
 func (m *Machine) wantedShare(a *attempt) int {
+	share := a.worker.throttle.otherPercent
 	if m.disturbs(a) {
-		return a.worker.throttle.disturbingPercent
+		share = a.worker.throttle.disturbingPercent
 	}
-	return a.worker.throttle.otherPercent
+	if a.overcommitted {
+		share = min(share, overcommittedShare)
+	}
+	return share
 }
 
 // sendThrottles sends the shares that have changed, and moves work that has been
@@ -163,6 +167,7 @@
 			if a.bestEffortCPU == 0 || a.phase != phaseRunning || a.task == nil || a.throttlePending {
 				continue
 			}
+			a.endOvercommit()
 			if a.throttleUnknown {
 				unknown--
 			}
--- a/core/jobsched/unplaceable.go
+++ b/core/jobsched/unplaceable.go
@@ -21,8 +21,8 @@
 	bestEffort     bool
 	// image is set for best-effort work only, which is kept away from tasks that it
 	// would disturb, unless it is starving.
-	image    string
-	starving bool
+	image                 string
+	starving, overcommits bool
 }
 
 // preemptionDemand is what determines, besides its size, whether room can be made
@@ -64,7 +64,7 @@
 func (m *Machine) placementDemand(s *step) placementDemand {
 	d := placementDemand{service: m.queue(s.job()).Service, label: s.spec.Label, bestEffort: s.spec.BestEffort}
 	if d.bestEffort {
-		d.image, d.starving = s.spec.Image, m.starving(s)
+		d.image, d.starving, d.overcommits = s.spec.Image, m.starving(s), m.mayOvercommit(s)
 	}
 	return d
 }
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -64,6 +64,9 @@
 	// bestEffortCPU and longRunningCPU are sums over its attempts, in thousandths
 	// of a core. Only the second is part of committed.
 	bestEffortCPU, longRunningCPU int64
+	// expectedCPU sums what its best-effort attempts are expected to use, in
+	// thousandths of a core.
+	expectedCPU int64
 	// victims counts its serving tasks by the index of their image.
 	victims      []int
 	servingTasks int
@@ -106,7 +109,7 @@
 // thousandths of a core.
 func (w *worker) freeCPU() int64 {
 	used := w.committed.MilliCPU - int64(float64(w.longRunningCPU)*(1-longRunningUse))
-	return w.entry.Capacity.MilliCPU - used - w.bestEffortCPU
+	return w.entry.Capacity.MilliCPU - used - w.expectedCPU
 }
 
 // longRunningUse is the fraction of their committed processor time that
@@ -122,6 +125,7 @@
 	w.tails.stale = true
 	w.committed = w.committed.Add(a.size)
 	w.bestEffortCPU += a.bestEffortCPU
+	w.expectedCPU += a.expectedCPU()
 	if a.longRunning {
 		w.longRunningCPU += a.size.MilliCPU
 	}
@@ -136,6 +140,7 @@
 	w.tails.stale = true
 	w.committed = w.committed.Sub(a.size)
 	w.bestEffortCPU -= a.bestEffortCPU
+	w.expectedCPU -= a.expectedCPU()
 	if a.longRunning {
 		w.longRunningCPU -= a.size.MilliCPU
 	}
