jobservice: tests of what a cancel costs in calls to the store

The figures of docs/design/tombstones.md had no test: a cancel of an accepted job takes 1 read and 1 write, of one that has ended 3 reads, of an unknown one 2 reads and 1 write. TestCallsOfACancel holds them; TestCancelsOfUnknownJobsAreLimited also bounds the tombstones that are stored.

--- a/jobservice/tombstone_test.go
+++ b/jobservice/tombstone_test.go
@@ -160,7 +160,7 @@
 // Guards against callers that fill the store by canceling random ids.
 func TestCancelsOfUnknownJobsAreLimited(t *testing.T) {
 	d := newDeployment(t)
-	refused := 0
+	began, refused := time.Now(), 0
 	for n := range 20 * tombstoneBurst {
 		var busy *TooManyUnknownJobsError
 		if err := d.intake.Cancel(t.Context(), numberedJob(n)); errors.As(err, &busy) {
@@ -172,6 +172,13 @@
 	if refused == 0 {
 		t.Errorf("no cancel of %d was refused", 20*tombstoneBurst)
 	}
+	stored, _, err := d.store.List(t.Context(), tombstonePrefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if most := tombstoneBurst + int(tombstonesPerSecond*time.Since(began).Seconds()) + 1; len(stored) > most {
+		t.Errorf("%d tombstones are stored, want at most %d", len(stored), most)
+	}
 	// A job that was accepted can be canceled all the same.
 	if err := d.intake.Cancel(t.Context(), intactJob); err != nil {
 		t.Errorf("cancel of an accepted job: %v", err)
@@ -194,3 +201,51 @@
 }
 
 func numberedJob(n int) job.ID { return job.ID(fmt.Sprintf("%016x", 1000+n)) }
+
+// countingStore counts the calls of an Intake.
+type countingStore struct {
+	*memStore
+	reads, writes int
+}
+
+func (s *countingStore) Get(ctx context.Context, key string) (port.KeyValue, error) {
+	s.reads++
+	return s.memStore.Get(ctx, key)
+}
+
+func (s *countingStore) Txn(ctx context.Context, conditions []port.Condition, changes []port.Op) (port.TxnResult, error) {
+	s.writes++
+	return s.memStore.Txn(ctx, conditions, changes)
+}
+
+// Guards against cancels that use up the calls to the store that a site has.
+func TestCallsOfACancel(t *testing.T) {
+	ended := port.Op{Key: progressKey(lateJob), Value: (&job.Progress{State: job.Completed}).Encode()}
+	accepted := &job.Accepted{Spec: *testSpec(), Queue: testQueue(), ConfigVersion: 1}
+	for name, c := range map[string]struct {
+		stored        []port.Op
+		reads, writes int
+	}{
+		"accepted":  {[]port.Op{{Key: acceptedKey(lateJob), Value: accepted.Encode()}}, 1, 1},
+		"ended":     {[]port.Op{ended}, 3, 0},
+		"unknown":   {nil, 2, 1},
+		"tombstone": {newTombstone(0).changes(lateJob), 3, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := &countingStore{memStore: newMemStore()}
+			for _, op := range c.stored {
+				store.write(op)
+			}
+			in := NewIntake(store, BootClock{}, logrus.New(), NewMetrics(prometheus.NewRegistry()))
+			err := in.Cancel(t.Context(), lateJob)
+			if name != "accepted" {
+				wantUnknown(t, "cancel", err)
+			} else if err != nil {
+				t.Error(err)
+			}
+			if store.reads != c.reads || store.writes != c.writes {
+				t.Errorf("%d reads and %d writes, want %d and %d", store.reads, store.writes, c.reads, c.writes)
+			}
+		})
+	}
+}
