jobsched: judge whether an attempt stands still by what a percent of it should take

Cause: an attempt stood still if it had not risen by a whole percent for a constant 1.5 s (5 s for best-effort work), whatever its length; nothing kept that the attempt before had been stopped for the same reason; and each such stop counted against the worker, though the job's tasks stood everywhere. Throttled attempts were not judged at all, and once the throttle ended by all the time that had passed.

The time for which an attempt may make no progress is now that of ten percents, by its own pace, else by that of its step or image, else a quarter of the estimate; never less than before. It is counted in working time, so that a throttle stretches it, and is longer on a worker that is slow with other tasks. It doubles with each attempt that was stopped so; the count is stored with the task, so that it grows over take-overs too, and tasks of any length end. A restored checkpoint is no pace. A worker is blamed only if another attempt of the step advanced elsewhere meanwhile, so fast that this one should have, or does so within 4 s. An attempt ends its worker's probation only once it has advanced.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -106,6 +106,9 @@
 	// Crashes lists the attempts that ended when their worker crashed, in the
 	// order of their numbers. Crashes before the last long run are dropped.
 	Crashes []Crash `json:"crashes,omitempty"`
+	// Stalls is how often the time has doubled for which an attempt may make no
+	// progress.
+	Stalls int `json:"stalls,omitempty"`
 	// Trial is set while an attempt may have been started after a crash and its
 	// end is not stored yet.
 	Trial *Trial `json:"trial,omitempty"`
@@ -247,7 +250,7 @@
 		return &InvalidError{Field: "done", Reason: "must consist of the digits 0 and 1"}
 	}
 	for index, t := range s.Tasks {
-		if index < 0 || t.Attempts < 0 || t.Trial != nil && t.Trial.Attempt < 1 {
+		if index < 0 || t.Attempts < 0 || t.Stalls < 0 || t.Trial != nil && t.Trial.Attempt < 1 {
 			return &InvalidError{Field: "tasks", Reason: "must have no negative numbers"}
 		}
 	}
--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -70,8 +70,9 @@
 	stopAckedAt time.Time
 	stopSentAt  time.Time
 	percent     int
-	// advancedAt is when percent last grew.
+	// advancedAt is when percent last changed.
 	advancedAt time.Time
+	pace       attemptPace
 	// reading is the last reading, received at readAt.
 	reading int64
 	readAt  time.Time
--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -80,6 +80,12 @@
 	earlierVersion bool
 	machineTime    time.Duration
 	allSpecs       map[job.ID]*job.Spec
+	// lengths holds, by job, how many times as long as estimated its tasks take; 1
+	// without an entry. lengthening draws them on a day; nil for none.
+	lengths     map[job.ID]int
+	lengthening *rand.Rand
+	// saves makes checkpointing tasks report checkpoints and resume from them.
+	saves bool
 	// planned draws the planned changes on a day; nil for none.
 	planned *rand.Rand
 	// tail is the tail latency of serving tasks, in percent of their target.
@@ -159,7 +165,7 @@
 	c := &cluster{
 		t: t, tail: 33, rnd: rand.New(rand.NewPCG(seed, 1)), now: testEpoch, wall: testEpoch, options: testOptions(), epoch: 1,
 		workers: make(map[model.WorkerID]*fakeWorker), accepted: make(map[job.ID]*job.Accepted),
-		progress: make(map[job.ID]*job.Progress), damaged: make(map[job.ID]bool), crashers: make(map[job.ID]crasher), truth: make(map[job.TaskKey]*taskTruth),
+		progress: make(map[job.ID]*job.Progress), damaged: make(map[job.ID]bool), crashers: make(map[job.ID]crasher), lengths: make(map[job.ID]int), truth: make(map[job.TaskKey]*taskTruth),
 		config: &job.Config{
 			Version: 1,
 			Queues: map[string]*job.Queue{
--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -235,7 +235,7 @@
 	}
 	w.checkStart(s, step)
 	w.attempts[key] = &fakeAttempt{
-		key: key, step: step, begun: w.c.now, need: time.Duration(step.EstimateMs) * time.Millisecond, share: 100,
+		key: key, step: step, begun: w.c.now, need: w.c.runTimeOf(step, s.Key.Job), worked: w.c.savedWork(s.Checkpoint), share: 100,
 	}
 	w.c.task(s.Key).running[w.entry.ID] = s.Attempt
 	return VerdictDone
@@ -329,7 +329,7 @@
 			reading = a.step.LatencyTargetMs * w.c.tail / 100
 		}
 		report.Running = append(report.Running, RunningAttempt{
-			Key: a.key.task, Attempt: a.key.attempt, Percent: min(percent, 100), Reading: reading,
+			Key: a.key.task, Attempt: a.key.attempt, Percent: min(percent, 100), Reading: reading, Checkpoint: w.c.checkpointOf(a),
 		})
 	}
 	return report
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -91,6 +91,7 @@
 	// when the next note may report that it waits or is held back.
 	waitingSince, nextNoteAt time.Time
 	advice                   advice
+	pace                     stepPace
 	// baseline is the step's baseline reading, computed at baselineAt.
 	baseline   float64
 	baselineAt time.Time
@@ -124,6 +125,9 @@
 	trial   trial
 	// known is set once this machine itself has started or adopted an attempt.
 	known bool
+	// stalls is how often attempts were stopped because they made no progress, or
+	// more if patience with the step had grown before.
+	stalls int
 	// failedOn is the worker on which the task last failed.
 	failedOn *worker
 	// reservedOn is the worker on which room was last reserved for the task.
@@ -241,6 +245,8 @@
 	t.step.blamed = t.step.blamed || len(p.Failed) > 0
 	t.checkpoint = p.Checkpoint
 	t.crashes = p.Crashes
+	t.stalls = p.Stalls
+	t.step.pace.doublings = max(t.step.pace.doublings, p.Stalls)
 	if p.Trial != nil {
 		t.trial = trial{number: p.Trial.Attempt, worker: p.Trial.Incarnation(), inherited: true}
 	}
@@ -310,12 +316,12 @@
 // first attempt. That need not be stored: a leader that takes over skips the
 // numbers that may have been used.
 func (t *task) needsRecord() bool {
-	return t.last > 1 || len(t.failed) > 0 || t.checkpoint != "" || len(t.crashes) > 0 || t.trial.number > 0
+	return t.last > 1 || len(t.failed) > 0 || t.checkpoint != "" || len(t.crashes) > 0 || t.trial.number > 0 || t.stalls > 0
 }
 
 func (t *task) progress() job.TaskProgress {
 	return job.TaskProgress{
 		Attempts: t.last, Failed: slices.Clone(t.failed), Checkpoint: t.checkpoint,
-		Crashes: slices.Clone(t.crashes), Trial: t.trial.record(),
+		Crashes: slices.Clone(t.crashes), Trial: t.trial.record(), Stalls: t.stalls,
 	}
 }
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -139,6 +139,8 @@
 
 	// runTimes tells how much longer than estimated the jobs of each queue run.
 	runTimes runTimeRatios
+	// imagePaces tells how much longer than estimated the tasks of each image run.
+	imagePaces imagePaces
 	// sizeBalances holds the balance between small and large jobs by queue.
 	sizeBalances map[string]*sizeBalance
 	learner      *interference.Model
@@ -184,7 +186,7 @@
 	m := &Machine{
 		options: o, epoch: epoch, config: r.Config, now: now, recoveredAt: now,
 		final: make(map[job.ID]time.Time), incarnations: make(map[model.WorkerID]*workerIncarnations), unreadable: make(map[job.ID]*unreadableJob), learner: interference.New(learnerOptions()),
-		runTimes: make(runTimeRatios), sizeBalances: make(map[string]*sizeBalance),
+		runTimes: make(runTimeRatios), imagePaces: make(imagePaces), sizeBalances: make(map[string]*sizeBalance),
 	}
 	m.cordonLimits = cordon.LimitsFor(o.CordonWithin)
 	m.options.MaxLease = cmp.Or(o.MaxLease, o.Lease)
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -33,6 +33,10 @@
 	if spec.BestEffort {
 		a.bestEffortCPU = spec.Size.MilliCPU
 	}
+	a.pace.doublings = t.step.pace.doublings
+	if t.startCheckpoint() != "" {
+		a.pace.untimed = untimedOnResume
+	}
 	t.attempts = append(t.attempts, a)
 	t.last = max(t.last, number)
 	t.step.job().attempts++
@@ -157,6 +161,7 @@
 func (m *Machine) markRunning(a *attempt) {
 	doubtful := a.phase == phaseDoubtful
 	a.startedAt = m.now
+	a.resetPace(m.now)
 	m.setPhase(a, phaseRunning)
 	if a.task == nil {
 		return
@@ -285,6 +290,7 @@
 	switch cause {
 	case EndDone:
 		a.worker.health.recordSuccess()
+		m.observeWholeRun(a)
 		m.taskEndedDone(t)
 	case EndFailed:
 		m.blame(t.step, a.worker)
--- /dev/null
+++ b/core/jobsched/pace.go
@@ -0,0 +1,183 @@
+package jobsched
+
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+)
+
+// A percent of a task's run is the smallest progress that a worker reports. How long
+// one takes differs by orders of magnitude between tasks, and the estimates of callers
+// are rough. So whether an attempt stands still is judged by what is known of its pace:
+// its own, that of its step, that of its image, else the estimate.
+
+const (
+	// untimedOnAdoption: the percent in which an attempt is adopted began before.
+	untimedOnAdoption = 1
+	// untimedOnResume: an attempt restores its checkpoint, and then goes on within a
+	// percent.
+	untimedOnResume = 2
+)
+
+// attemptPace is how an attempt advances. Its times are working times at full speed: at
+// a tenth of its speed an attempt takes ten seconds for one of them.
+type attemptPace struct {
+	// stood is the working time since the last advance, as of stoodAt.
+	stood   time.Duration
+	stoodAt time.Time
+	// untimed is how many of the next advances do not show how long a percent takes:
+	// one restores a checkpoint, or is of a percent whose beginning was not seen.
+	untimed int
+	// advanced is set once a later percent was reported than the first.
+	advanced bool
+	// own sums the advances that were timed; slowest is the longest time that one of
+	// them took for a percent.
+	own     paceSum
+	slowest time.Duration
+	// doublings is how often the patience with the attempt is doubled.
+	doublings int
+}
+
+// paceSum sums the percents that were seen to pass and the working time that they
+// took.
+type paceSum struct {
+	percents int
+	took     time.Duration
+}
+
+func (s *paceSum) add(percents int, took time.Duration) {
+	s.percents += percents
+	s.took += took
+}
+
+// perPercent returns the mean time of a percent, 0 if unknown.
+func (s paceSum) perPercent() time.Duration {
+	if s.percents == 0 {
+		return 0
+	}
+	return s.took / time.Duration(s.percents)
+}
+
+// work adds the time until now, at the attempt's share, to the time that it stands.
+func (a *attempt) work(now time.Time) {
+	if passed := now.Sub(a.pace.stoodAt); passed > 0 {
+		a.pace.stood += passed * time.Duration(a.throttle) / fullSpeed
+	}
+	a.pace.stoodAt = now
+}
+
+// resetPace begins to count the time that the attempt stands.
+func (a *attempt) resetPace(now time.Time) { a.pace.stood, a.pace.stoodAt = 0, now }
+
+// observePercent takes in the percent that a report has of the attempt.
+func (m *Machine) observePercent(a *attempt, percent int) {
+	if percent == a.percent {
+		return
+	}
+	a.work(m.now)
+	rise, stood := percent-a.percent, a.pace.stood
+	a.percent, a.advancedAt = percent, m.now
+	a.resetPace(m.now)
+	if rise < 0 || a.task == nil || a.step().spec.Gang {
+		return
+	}
+	a.pace.advanced = true
+	if a.pace.untimed > 0 {
+		a.pace.untimed--
+		a.step().pace.note(a.worker, m.now)
+		return
+	}
+	a.pace.own.add(rise, stood)
+	a.pace.slowest = max(a.pace.slowest, stood/time.Duration(rise))
+	m.notePace(a, rise, stood)
+}
+
+// observeWholeRun takes in that the attempt is done, if no part of it was timed.
+func (m *Machine) observeWholeRun(a *attempt) {
+	if a.task == nil || a.step().spec.Gang {
+		return
+	}
+	seenWhole := a.pace.untimed == 0 && a.pace.own.percents == 0 && !a.startedAt.IsZero()
+	if !seenWhole || a.throttle < fullSpeed {
+		a.step().pace.note(a.worker, m.now)
+		return
+	}
+	m.notePace(a, fullPercent, m.now.Sub(a.startedAt))
+}
+
+// fullPercent is the percent of a whole run.
+const fullPercent = 100
+
+// notePace takes in that the attempt has passed some percents of its run in the given
+// working time.
+func (m *Machine) notePace(a *attempt, percents int, took time.Duration) {
+	s := a.step()
+	s.pace.sum.add(percents, took)
+	s.pace.note(a.worker, m.now)
+	m.imagePaces.observe(s.spec, took/time.Duration(percents))
+	m.judgeSuspects(s, a.worker, took/time.Duration(percents))
+}
+
+// stepPace is how the attempts of a step advance.
+type stepPace struct {
+	sum paceSum
+	// last and lastBeside are the last advances on two different workers.
+	last, lastBeside advance
+	// doublings is the greatest number of doublings of any of the tasks.
+	doublings int
+	suspects  []suspectWorker
+}
+
+// advance is that an attempt has advanced.
+type advance struct {
+	worker *worker
+	at     time.Time
+}
+
+// note records that an attempt on the worker has advanced.
+func (p *stepPace) note(w *worker, now time.Time) {
+	if p.last.worker != w {
+		p.lastBeside = p.last
+	}
+	p.last = advance{worker: w, at: now}
+}
+
+// lastOutside returns when an attempt on another worker has last advanced; zero if
+// none has.
+func (p *stepPace) lastOutside(w *worker) time.Time {
+	if p.last.worker != w {
+		return p.last.at
+	}
+	return p.lastBeside.at
+}
+
+// imagePaces holds, by image, how many times their estimate runs take.
+type imagePaces map[string]float64
+
+const (
+	// imagePaceWeight is the weight of one more observation.
+	imagePaceWeight = 0.1
+	// maxImagePaces bounds the images, whose names are the callers' choice.
+	maxImagePaces = 1000
+)
+
+// observe takes in how long a percent took.
+func (p imagePaces) observe(spec *job.Step, perPercent time.Duration) {
+	if spec.Image == "" || spec.EstimateMs <= 0 {
+		return
+	}
+	ratio := float64(perPercent) / float64(estimatedPercent(spec))
+	old, known := p[spec.Image]
+	switch {
+	case known:
+		p[spec.Image] = old + imagePaceWeight*(ratio-old)
+	case len(p) < maxImagePaces:
+		p[spec.Image] = ratio
+	}
+}
+
+// estimatedPercent returns how long a percent takes by the step's estimate, 0 without
+// one.
+func estimatedPercent(spec *job.Step) time.Duration {
+	return time.Duration(spec.EstimateMs) * time.Millisecond / fullPercent
+}
--- a/core/jobsched/property_test.go
+++ b/core/jobsched/property_test.go
@@ -212,6 +212,9 @@
 	next := 8
 	for i := range 60 {
 		ids = append(ids, c.randomJob(rnd, i+1))
+		if c.lengthening != nil {
+			c.lengthenAtRandom(ids[i])
+		}
 		c.run(time.Duration(rnd.IntN(500)) * time.Millisecond)
 		w := c.workers[c.workerIDs()[rnd.IntN(len(c.workers))]]
 		switch rnd.IntN(16) {
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -290,6 +290,9 @@
 	a := m.addAttempt(t, w, r.Attempt, phaseRunning)
 	a.startedAt = m.now
 	a.adopted = true
+	a.percent = r.Percent
+	a.resetPace(m.now)
+	a.pace.untimed = max(a.pace.untimed, untimedOnAdoption)
 	a.applyInheritedRunTime()
 	a.applyInheritedStall(r.Percent)
 	m.adoptTrial(t, r.Attempt, w.id)
@@ -308,11 +311,9 @@
 	a.listed = true
 	if a.phase == phaseStarting || a.phase == phaseDoubtful {
 		m.markRunning(a)
+		a.pace.untimed = max(a.pace.untimed, untimedOnAdoption)
 	}
-	if r.Percent != a.percent {
-		a.percent = r.Percent
-		a.advancedAt = m.now
-	}
+	m.observePercent(a, r.Percent)
 	a.reading = r.Reading
 	a.readAt = m.now
 	if a.task == nil || r.Checkpoint == "" || r.Checkpoint == a.task.checkpoint {
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -61,7 +61,8 @@
 	Attempt int         `json:"n"`
 	// Lost is set if the attempt was declared lost.
 	Lost bool `json:"givenUp,omitempty"`
-	// StalledFor is how long the attempt has made no progress beyond Percent; 0 if
+	// StalledFor is the working time, at full speed, in which the attempt has made no
+	// progress beyond Percent; 0 if
 	// it is not stalled or only briefly.
 	StalledFor time.Duration `json:"still,omitempty"`
 	Percent    int           `json:"percent,omitempty"`
@@ -338,14 +339,17 @@
 // reports are half a second apart, and most attempts advance with each.
 const minReportedStall = 750 * time.Millisecond
 
-// stalledFor returns how long an attempt has made no progress; 0 if less than
-// minReportedStall.
+// stalledFor returns for how much working time an attempt has made no progress; 0 if
+// less than minReportedStall.
 func (a *attempt) stalledFor(now time.Time) time.Duration {
-	stalled := now.Sub(a.lastAdvance())
-	if a.phase != phaseRunning || a.percent >= 100 || a.throttle < fullSpeed || stalled < minReportedStall {
+	if a.phase != phaseRunning || a.percent >= fullPercent {
 		return 0
 	}
-	return stalled
+	a.work(now)
+	if a.pace.stood < minReportedStall {
+		return 0
+	}
+	return a.pace.stood
 }
 
 // rosterAttempts lists the attempts that may be running on the worker, and those
--- a/core/jobsched/stall.go
+++ b/core/jobsched/stall.go
@@ -6,9 +6,8 @@
 )
 
 const (
-	// stallTimeout is how long an attempt may report no progress before it is
-	// stopped and started elsewhere. Progress is reported in whole percent, and the
-	// longest tasks of the users take a few seconds for all hundred.
+	// stallTimeout is the shortest time for which an attempt reports no progress
+	// before it is stopped and started elsewhere.
 	stallTimeout = 1500 * time.Millisecond
 	// bestEffortStallTimeout is the same for best-effort work, which may find no
 	// processor free.
@@ -25,32 +24,44 @@
 		}
 		m.noteHoldingAttempts(w)
 		for _, a := range w.attempts.All() {
-			if a.phase == phaseRunning && w.unreachableSince.IsZero() {
+			if a.phase == phaseRunning && w.unreachableSince.IsZero() && a.showsLife() {
 				w.health.recordSurvival(a.startedAt, m.now)
 			}
-			if a.isStalled(m.now) {
-				w.health.recordFailure(m.now)
-				a.task.failedOn = w
-				m.requestStop(a, stopStalled, fmt.Sprintf("stands still at %d%%", a.percent))
+			if m.isStalled(a) {
+				m.stopStalledAttempt(a)
 			}
 		}
 	}
 }
 
+// showsLife reports whether the attempt has made progress under this leader, as far as
+// its reports can tell.
+func (a *attempt) showsLife() bool {
+	return a.pace.advanced || a.percent >= fullPercent || a.task == nil || a.step().spec.Gang
+}
+
 // isStalled reports whether the attempt has made no progress for too long although
 // its worker is reachable.
-func (a *attempt) isStalled(now time.Time) bool {
-	if a.phase != phaseRunning || a.task == nil || !a.worker.unreachableSince.IsZero() {
+func (m *Machine) isStalled(a *attempt) bool {
+	if a.phase != phaseRunning || a.task == nil || a.percent >= fullPercent || a.step().spec.Gang {
 		return false
 	}
-	if a.percent >= 100 || a.throttle < fullSpeed || a.step().spec.Gang {
+	a.work(m.now)
+	if a.pace.stood <= leastPatience(a) || !a.worker.unreachableSince.IsZero() {
 		return false
 	}
-	limit := stallTimeout
-	if a.bestEffortCPU > 0 {
-		limit = bestEffortStallTimeout
-	}
-	return now.Sub(a.lastAdvance()) > limit
+	return a.pace.stood > m.patience(a)
+}
+
+// stopStalledAttempt stops an attempt that makes no progress, so that its task is
+// started elsewhere.
+func (m *Machine) stopStalledAttempt(a *attempt) {
+	t := a.task
+	t.stalls = a.doublings() + 1
+	t.step.pace.doublings = max(t.step.pace.doublings, t.stalls)
+	t.failedOn = a.worker
+	m.suspectWorker(a)
+	m.requestStop(a, stopStalled, fmt.Sprintf("stands still at %d%% for %s", a.percent, a.pace.stood.Round(time.Millisecond)))
 }
 
 // lastAdvance returns the later of the attempt's start and its last progress, as
@@ -75,7 +86,8 @@
 	stall, ok := a.worker.inheritedStalls[a.key]
 	delete(a.worker.inheritedStalls, a.key)
 	if ok && stall.percent == percent {
-		a.startedAt, a.advancedAt, a.percent = stall.since, stall.since, percent
+		a.startedAt, a.advancedAt = stall.since, stall.since
+		a.pace.stood = a.pace.stoodAt.Sub(stall.since)
 		// The time since then is part of what was seen before.
 		a.seenBefore = 0
 	}
