core/jobsched: the next leader knows how long attempts on silent workers had run

Five mass crashes 42.5 s apart, with a leader lost 2.5 s after each, and jobs whose tasks had run for 38 s before each crash are told as failed:

masscrash_test.go:171: job has failed, but none of its tasks crashes workers (and 16 further jobs, 17 of 17; 1 of 17 with one leader that stays)

The roster handed run times on in steps with crashes only, and the leader that counted the crash of an attempt which it knew from the roster did not look at them: such a crash was "at a time not known", which ends no count. And four crashes suffice if one before them may have been missed; only attempt 1 was taken to have none before it, though a count that began anew after a long run follows crashes that were counted and dropped.

The roster now tells the run time of each attempt on a silent worker, and whether it is the time since the start: a time since a take-over is not taken for the whole. A crash record says whether counted crashes were dropped before it; from a counted crash on all starts are trials, so none is missed after it. The bound of five is as before.

New tests, before:

runtimeseen_test.go:17: the crash is counted as "... attempt 1 at a time not known", want one after more than 9 s runtimeseen_test.go:74: one counted and dropped: given up after 4 crashes at the same run time, want 5

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -147,6 +147,9 @@
 	// Shared is whether other tasks under which workers had crashed were tried on
 	// the worker as well, so that any of them may be the cause.
 	Shared bool `json:"shared,omitempty"`
+	// CountsAnew is whether crashes before it were counted and dropped, so that none
+	// that was not counted precedes it.
+	CountsAnew bool `json:"anew,omitempty"`
 }
 
 // ObservedRunUnknown is the value of Crash.ObservedRunMs if the leader that
--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -65,6 +65,8 @@
 	startedAt     time.Time
 	// seenBefore is how long earlier leaders have seen the attempt running.
 	seenBefore time.Duration
+	// seenFromStart is set if an adopted attempt has been seen since its start.
+	seenFromStart bool
 	// stopAckedAt is when the worker acknowledged the last stop. A report requested
 	// after it that does not list the attempt proves that the attempt is over.
 	stopAckedAt time.Time
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -53,11 +53,16 @@
 	return (a.seenBefore + max(a.worker.lastReportAt.Sub(a.startedAt), 0)).Round(time.Millisecond)
 }
 
-// observedRunTimeMs returns observedRunTime in milliseconds, or a constant if the
-// start time of the attempt is unknown.
+// observedRunTimeMs returns in milliseconds how long the attempt was observed running,
+// by this leader and earlier ones, or a constant if the start time of the attempt is
+// unknown.
 func (a *attempt) observedRunTimeMs() int64 {
-	seen := a.observedRunTime()
-	if a.inherited || a.adopted && seen < stableRunTime {
+	seen, fromStart := a.observedRunTime(), !a.adopted || a.seenFromStart
+	if a.inherited {
+		earlier := a.worker.inheritedRunTimes[a.key]
+		seen, fromStart = earlier.seen, earlier.fromStart
+	}
+	if !fromStart && (a.inherited || seen < stableRunTime) {
 		return job.ObservedRunUnknown
 	}
 	return seen.Milliseconds()
@@ -185,6 +190,7 @@
 	last := crashes[len(crashes)-1]
 	long := max(last.ObservedRunMs, c.ObservedRunMs) >= stableRunTime.Milliseconds()
 	if long && !atSameRunTime(last, c) {
+		c.CountsAnew = true
 		return []job.Crash{c}
 	}
 	return append(slices.Clone(crashes), c)
@@ -214,10 +220,11 @@
 
 // mayMissCrash reports whether a crash of the task may not have been counted: only
 // a first attempt has none before it, and a crash that a later leader learned of
-// may have followed others.
+// may have followed others. After a counted crash all starts are trials, of which
+// none is missed, also if that crash has been dropped.
 func mayMissCrash(crashes []job.Crash) bool {
 	unknown := func(c job.Crash) bool { return c.ObservedRunMs == job.ObservedRunUnknown }
-	return crashes[0].Attempt > 1 || slices.ContainsFunc(crashes, unknown)
+	return crashes[0].Attempt > 1 && !crashes[0].CountsAnew || slices.ContainsFunc(crashes, unknown)
 }
 
 func isCorrelated(c job.Crash) bool { return c.Correlated }
--- a/core/jobsched/recoverroster.go
+++ b/core/jobsched/recoverroster.go
@@ -51,7 +51,7 @@
 		case t != nil && !t.done:
 			m.addAttempt(t, w, r.Attempt, phaseDoubtful).inherited = true
 			if r.SeenFor > 0 {
-				w.inheritedRunTimes[key] = inheritedRunTime{seen: r.SeenFor, at: m.recoveredAt.Add(-r.SeenAgo - age)}
+				w.inheritedRunTimes[key] = inheritedRunTime{seen: r.SeenFor, at: m.recoveredAt.Add(-r.SeenAgo - age), fromStart: r.SeenFromStart}
 			}
 			if r.StalledFor > 0 {
 				w.inheritedStalls[key] = inheritedStall{percent: r.Percent, since: m.recoveredAt.Add(-r.StalledFor)}
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -70,6 +70,9 @@
 	// leader does not need them.
 	SeenFor time.Duration `json:"seen,omitempty"`
 	SeenAgo time.Duration `json:"seenAgo,omitempty"`
+	// SeenFromStart is whether SeenFor is the time since its start; otherwise it may
+	// have been running for longer.
+	SeenFromStart bool `json:"seenFromStart,omitempty"`
 }
 
 // rosterStatus is a short form of what the roster should state about a worker. A
@@ -361,7 +364,7 @@
 		}
 		r := RosterAttempt{Task: key.task, Attempt: key.attempt, StalledFor: stalled, Percent: percent}
 		if a.needsRunTime(crashed) {
-			r.SeenFor, r.SeenAgo = a.handoverRunTime(now)
+			a.addRunTime(&r, now)
 		}
 		list = append(list, r)
 	}
--- /dev/null
+++ b/core/jobsched/runtimeseen_test.go
@@ -0,0 +1,77 @@
+package jobsched
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/joblog"
+)
+
+// TestRunTimeOnSilentWorkersIsTakenOver guards against a leader that does not know for
+// how long the attempts ran on workers that ended before it had heard them, although
+// the leader before had seen it.
+func TestRunTimeOnSilentWorkersIsTakenOver(t *testing.T) {
+	if reason := crashAfterTakeover(t, func(*cluster) {}); !strings.Contains(reason, "attempt 1 seen for 9.") {
+		t.Errorf("the crash is counted as %q, want one after more than 9 s", reason)
+	}
+}
+
+// TestRunTimeFromAnUnknownStartIsNotTakenOver guards against the time since a takeover
+// that is taken for the time since the start.
+func TestRunTimeFromAnUnknownStartIsNotTakenOver(t *testing.T) {
+	reason := crashAfterTakeover(t, func(c *cluster) { c.replaceLeader(); c.run(2 * time.Second) })
+	if !strings.Contains(reason, "attempt 1 at a time not known") {
+		t.Errorf("the crash is counted as %q, want one at a time not known", reason)
+	}
+}
+
+// crashAfterTakeover runs a task for 10 s, calls disturb, crashes the worker, replaces
+// the leader that has noticed its silence, and returns how the crash is counted.
+func crashAfterTakeover(t *testing.T, disturb func(*cluster)) string {
+	t.Helper()
+	c := newCluster(t, 1, 2)
+	c.keepNotes = true
+	c.run(200 * time.Millisecond)
+	id := c.submit(1, "urgent", longRunning(1, 2000))
+	c.run(10 * time.Second)
+	disturb(c)
+	c.restartTime = 4 * time.Second
+	c.restart(c.workers[c.firstWorkerOf(id)])
+	c.run(2500 * time.Millisecond)
+	c.replaceLeader()
+	c.run(3 * time.Second)
+	for _, n := range c.notes {
+		if n.Decision == joblog.MessageCrashCounted {
+			return n.Reason
+		}
+	}
+	t.Fatal("no crash is counted")
+	return ""
+}
+
+// TestCountThatBeganAnewMissesNoCrash guards against services that are given up after
+// four mass crashes at the same time of their runs, because crashes before the first of
+// them, which were counted and dropped, are taken for crashes that may be missing.
+func TestCountThatBeganAnewMissesNoCrash(t *testing.T) {
+	crash := func(attempt int, ran time.Duration) job.Crash {
+		return job.Crash{Attempt: attempt, ObservedRunMs: ran.Milliseconds(), Correlated: true}
+	}
+	for name, test := range map[string]struct {
+		crashes []job.Crash
+		tooMany int
+	}{
+		"no crash counted before": {nil, maxUnexplainedCrashes},
+		"one counted and dropped": {[]job.Crash{crash(1, 30*time.Second)}, maxCrashes},
+	} {
+		crashes, n := test.crashes, 0
+		for !tooManyCrashes(crashes) && n < 2*maxCrashes {
+			n++
+			crashes = addCrash(crashes, crash(1+16*n, 40*time.Second))
+		}
+		if n != test.tooMany {
+			t.Errorf("%s: given up after %d crashes at the same run time, want %d", name, n, test.tooMany)
+		}
+	}
+}
