daemon: a lift that is late does not undo a later cordon

Found by looking for the class of late acceptances elsewhere; not seen in use.

Cause: cordons and lifts were written without a condition, and a write without a response may be made later, after newer ones. Change: the key is read, and written on condition that it is as it was read; if it has changed in between it is read again. A cordon is written also where there is one, so that no earlier lift meets its condition. One read more for each change of a cordon. Left: a late cordon after a lift that found none closes the zone, which is shown.

The tests of daemon, adapter/adminapi, cli and server pass.

--- a/daemon/cordons.go
+++ b/daemon/cordons.go
@@ -84,25 +84,51 @@
 }
 
 func (ev cordonRequested) apply(c *control) {
-	key := c.o.cordonsPrefix() + string(ev.zone)
-	op := port.Op{Key: key, Value: []byte("{}")}
-	if ev.lift {
-		op = port.Op{Key: key, Delete: true}
+	c.get(storebudget.ClassCommit, c.o.cordonsPrefix()+string(ev.zone), func(kv port.KeyValue, err error) event {
+		return cordonKeyRead{request: ev, kv: kv, err: err}
+	})
+}
+
+// cordonKeyRead is the key of the zone before such a change.
+type cordonKeyRead struct {
+	request cordonRequested
+	kv      port.KeyValue
+	err     error
+}
+
+// apply makes the change on condition that the key is as it was read. A change without
+// a response may be made late, and must not undo one that was acknowledged since. A
+// cordon is written also where there is one, so that no earlier lift meets its condition.
+func (ev cordonKeyRead) apply(c *control) {
+	if ev.err != nil {
+		ev.request.reply <- ev.err
+		return
+	}
+	op := port.Op{Key: ev.kv.Key, Value: []byte("{}")}
+	if ev.request.lift {
+		op = port.Op{Key: ev.kv.Key, Delete: true}
 	}
-	c.txn(storebudget.ClassCommit, nil, []port.Op{op}, func(_ port.TxnResult, err error) event {
-		return cordonWritten{err: err, reply: ev.reply}
+	unchanged := port.Condition{Key: ev.kv.Key, Kind: port.CompareModRevision, Revision: ev.kv.ModRevision}
+	c.txn(storebudget.ClassCommit, []port.Condition{unchanged}, []port.Op{op}, func(result port.TxnResult, err error) event {
+		return cordonWritten{request: ev.request, changed: err == nil && !result.Succeeded, err: err}
 	})
 }
 
-// cordonWritten is the store's answer to such a change.
+// cordonWritten is the store's answer to such a change. changed is whether another
+// change was made since the key was read.
 type cordonWritten struct {
-	err   error
-	reply chan<- error
+	request cordonRequested
+	changed bool
+	err     error
 }
 
 func (ev cordonWritten) apply(c *control) {
+	if ev.changed {
+		ev.request.apply(c)
+		return
+	}
 	c.periods.cordons = c.clock.Now()
-	ev.reply <- ev.err
+	ev.request.reply <- ev.err
 }
 
 // SetCordon cordons an availability zone or, with lift, opens it again. It returns
--- a/daemon/cordons_test.go
+++ b/daemon/cordons_test.go
@@ -1,12 +1,14 @@
 package daemon
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/guavarill/guavarill/core/ledger"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/timeline"
+	"github.com/guavarill/guavarill/port"
 )
 
 // setCordon changes the cordon of a zone through a daemon, and waits for the answer.
@@ -74,3 +76,34 @@
 	}
 	c.audit()
 }
+
+// TestLateLiftLeavesALaterCordon guards against tasks that start in a zone after its
+// cordon was acknowledged: a lift got no answer from the store, an operator cordoned the
+// zone again, and the lift was carried out after that.
+func TestLateLiftLeavesALaterCordon(t *testing.T) {
+	c := newCluster(t, 3, 6)
+	c.ready()
+	c.setCordon("d1", "z2", false)
+	store := c.node("d1").store
+	store.late = func(ops []port.Op) bool { return strings.HasPrefix(ops[0].Key, c.node("d1").o.cordonsPrefix()) }
+	reply := make(chan error, 1)
+	c.node("d1").deliver(cordonRequested{zone: "z2", lift: true, reply: reply})
+	c.until("lift without an answer", time.Minute, func() bool { return len(reply) > 0 })
+	if err := <-reply; err == nil || CordonNotMade(err) {
+		t.Fatalf("the lift: %v, want an unknown outcome", err)
+	}
+	store.late = nil
+	c.setCordon("d2", "z2", false)
+	for _, carryOut := range store.held {
+		if _, err := carryOut(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.pass(DefaultTiming().CordonMaxAge)
+	c.declare("d2", batch("during", 12, 1000, time.Hour))
+	c.until("all run", time.Minute, c.inState("during", ledger.Running, 12))
+	if n := c.runsIn("during", "z2"); n != 0 {
+		t.Errorf("%d tasks were started in the cordoned zone", n)
+	}
+	c.audit()
+}
--- a/daemon/ports_test.go
+++ b/daemon/ports_test.go
@@ -32,6 +32,10 @@
 	// dropBefore and loseAnswer, when set and true, leave a transaction without
 	// an answer, before its effect and after it.
 	dropBefore, loseAnswer func(ops []port.Op) bool
+	// late, when set and true, leaves a transaction without an answer and adds it to
+	// held, by which it is carried out late.
+	late func(ops []port.Op) bool
+	held []func() (port.TxnResult, error)
 	// commits counts the transactions that took effect, refused those whose
 	// conditions did not hold.
 	commits, refused int
@@ -69,6 +73,10 @@
 	if s.dropBefore != nil && s.dropBefore(ops) {
 		return port.TxnResult{}, s.noAnswer()
 	}
+	if s.late != nil && s.late(ops) {
+		s.held = append(s.held, func() (port.TxnResult, error) { return s.Local.Txn(context.Background(), conditions, ops) })
+		return port.TxnResult{}, s.noAnswer()
+	}
 	result, err := s.Local.Txn(ctx, conditions, ops)
 	switch {
 	case err == nil && result.Succeeded:
