--- a/core/jobsched/longtasks_test.go
+++ b/core/jobsched/longtasks_test.go
@@ -253,7 +253,7 @@
 }
 
 // lengthDays is the number of days that TestNothingRunsTwiceWithLongTasks plays.
-const lengthDays = 3
+const lengthDays = 8
 
 // lengthStream is the stream of random numbers for tasks' lengths.
 const lengthStream = 9
@@ -264,6 +264,7 @@
 	for seed := range uint64(lengthDays) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			c := newCluster(t, seed, 8)
+			c.keepFinalJobs()
 			c.lengthening = rand.New(rand.NewPCG(seed, lengthStream))
 			c.saves = seed%2 == 1
 			c.loseAnswers, c.delayOrders = 0.03, 0.03
