A job's progress record is bounded by what is open

Cause: the record listed each occurrence that had ever begun, and nothing bounded those that begin at once.

Now a record holds the open occurrences and how many have begun. At most 500 of a job are open at once, fewer of large ones; a done one makes room when that is stored. Only so many attempts, restarts, crashes and bytes of a checkpoint are stored that job.Spec.LargestRecord states the largest record; a job for which it exceeds the store's limit is turned away at hand-in with the reason (503), unless it was accepted before. Restarts are no longer stored for occurrences that no earlier leader can have begun: with them the record of a long schedule grew after each take-over.

The stand-ins of the cluster check the size of each record that is stored.

--- a/adapter/jobapi/messages.go
+++ b/adapter/jobapi/messages.go
@@ -94,8 +94,8 @@
 	// It is short because outages of the store last seconds, and because other daemons
 	// may serve the request at once.
 	defaultRetryAfter = "1"
-	// infeasibleRetryAfter is the same for a job that no worker can run, because larger
-	// workers are not added within seconds.
+	// infeasibleRetryAfter is the same for a job that cannot be stored, or that no worker
+	// can run, because larger workers are not added within seconds.
 	infeasibleRetryAfter = "60"
 )
 
@@ -103,7 +103,8 @@
 // that the request was not carried out.
 func RetryAfterSeconds(err error) string {
 	var infeasible *job.InfeasibleError
-	if errors.As(err, &infeasible) {
+	var unstorable *job.UnstorableError
+	if errors.As(err, &infeasible) || errors.As(err, &unstorable) {
 		return infeasibleRetryAfter
 	}
 	return defaultRetryAfter
@@ -118,6 +119,7 @@
 	var unknown *jobservice.UnknownJobError
 	var unavailable *jobservice.UnavailableError
 	var infeasible *job.InfeasibleError
+	var unstorable *job.UnstorableError
 	var stale *jobservice.StaleSummaryError
 	var follower *jobservice.NotLeadingError
 	var routing *echo.HTTPError
@@ -132,7 +134,7 @@
 		return http.StatusNotFound, ProblemUnknownJob
 	case errors.As(err, &follower):
 		return http.StatusConflict, ProblemNotLeading
-	case errors.As(err, &infeasible):
+	case errors.As(err, &infeasible), errors.As(err, &unstorable):
 		return http.StatusServiceUnavailable, ProblemUnservable
 	case errors.As(err, &unavailable), errors.As(err, &stale):
 		return http.StatusServiceUnavailable, ProblemNotDone
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -64,8 +64,11 @@
 	// as Unix time in milliseconds; 0 if the state is not final or the time is
 	// unknown.
 	FinalAtMs int64 `json:"overAtMs,omitempty"`
-	// Occurrences holds the repetitions that have begun, by number; it is empty
-	// in a final state.
+	// Begun is how many repetitions have begun, and 0 if all of them are in
+	// Occurrences. Those below it that are not in Occurrences are done.
+	Begun int `json:"begun,omitempty"`
+	// Occurrences holds the repetitions that have begun and are not done, and, as long
+	// as there are few, those that are done, by number; it is empty in a final state.
 	Occurrences map[int]OccurrenceProgress `json:"occurrences,omitempty"`
 	Restarts    Restarts                   `json:"restarts,omitempty"`
 }
@@ -229,10 +232,10 @@
 	default:
 		return &InvalidError{Field: "state", Reason: fmt.Sprintf("must not be %q", p.State)}
 	}
-	for number, o := range p.Occurrences {
-		if number < 0 {
-			return &InvalidError{Field: "occurrences", Reason: "must be numbered from 0"}
-		}
+	if err := p.checkOccurrences(); err != nil {
+		return err
+	}
+	for _, o := range p.Occurrences {
 		for i := range o.Steps {
 			if err := o.Steps[i].check(); err != nil {
 				return err
@@ -265,7 +268,15 @@
 	if spec.Schedule != nil {
 		repetitions = spec.Schedule.Repetitions
 	}
+	if p.Begun > repetitions {
+		return &RecordError{Kind: kindProgress, Cause: &InvalidError{
+			Field: "begun", Reason: fmt.Sprintf("must be at most %d, the job's repetitions", repetitions),
+		}}
+	}
 	for number, o := range p.Occurrences {
+		if p.isPlaceholder(number) {
+			continue
+		}
 		if number >= repetitions || !o.Done && !o.matches(spec) {
 			return &RecordError{Kind: kindProgress, Cause: &InvalidError{
 				Field: fmt.Sprintf("occurrence %d", number), Reason: "must have the job's steps and tasks",
--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -82,6 +82,9 @@
 	allSpecs       map[job.ID]*job.Spec
 	// planned draws the planned changes on a day; nil for none.
 	planned *rand.Rand
+	// schedules draws the schedules that are handed in on a day, most of them overdue;
+	// nil for none.
+	schedules *rand.Rand
 	// tail is the tail latency of serving tasks, in percent of their target.
 	tail int64
 	// slow makes the leader's steps take time; nil for a leader whose steps take
@@ -296,11 +299,15 @@
 	}
 }
 
-func (c *cluster) tick() {
-	c.now = c.now.Add(clusterTick)
-	c.wall = c.wall.Add(clusterTick)
+func (c *cluster) tick() { c.tickBy(clusterTick) }
+
+// tickBy advances the virtual time by d in one step, in which the leader's machine
+// advances once.
+func (c *cluster) tickBy(d time.Duration) {
+	c.now = c.now.Add(d)
+	c.wall = c.wall.Add(d)
 	for _, id := range c.workerIDs() {
-		c.workers[id].advance(clusterTick)
+		c.workers[id].advance(d)
 	}
 	for len(c.queue) > 0 && !c.queue[0].at.After(c.now) {
 		d := c.queue[0]
--- a/core/jobsched/clusterstore_test.go
+++ b/core/jobsched/clusterstore_test.go
@@ -41,6 +41,7 @@
 		if old != nil && old.State.Final() && p.Progress.State != old.State {
 			c.t.Errorf("job %s was %s and is %s", p.ID, old.State, p.Progress.State)
 		}
+		c.checkSize(p)
 		c.progress[p.ID] = reencodeProgress(c.t, p.Progress)
 		switch p.Progress.State {
 		case job.Completed:
--- a/core/jobsched/commit.go
+++ b/core/jobsched/commit.go
@@ -40,6 +40,9 @@
 	restarts map[job.ID]job.Restarts
 	// trials holds the trials in the records of the commit.
 	trials map[job.TaskKey]job.Trial
+	// done holds how many occurrences of each job are done in the records of the
+	// commit.
+	done map[job.ID]int
 	// learnedAt is when the interference estimates were last committed.
 	learnedAt time.Time
 }
@@ -84,6 +87,7 @@
 	}
 	c.restarts = restartsIn(commit.Puts)
 	c.trials = trialsIn(commit.Puts)
+	c.done = m.doneIn(commit.Puts)
 	c.ends = m.ackableEnds()
 	c.number++
 	c.inFlight = true
@@ -190,11 +194,12 @@
 	}
 	m.applyStoredRoster()
 	m.markTrialsStored(c.trials)
+	m.markDoneStored(c.done)
 	for id, stored := range c.restarts {
 		mergeRestarts(&m.restarts.stored, id, stored)
 		m.changed = true
 	}
-	c.ends, c.jobs, c.restarts, c.trials = nil, nil, nil, nil
+	c.ends, c.jobs, c.restarts, c.trials, c.done = nil, nil, nil, nil, nil
 }
 
 // restartsIn returns the restarts in the given records.
--- a/core/jobsched/inspect.go
+++ b/core/jobsched/inspect.go
@@ -77,11 +77,7 @@
 		return JobView{}, false
 	}
 	view := m.viewWithoutSteps(j)
-	for number := range j.next {
-		o := j.occurrences[number]
-		if o == nil {
-			continue
-		}
+	for _, o := range j.openOccurrences() {
 		for _, s := range o.steps {
 			if s.left > 0 {
 				view.Steps = append(view.Steps, m.stepView(s))
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -34,6 +34,7 @@
 
 func (m *Machine) addJob(id job.ID, record *job.Accepted) *jobState {
 	j := &jobState{id: id, record: record, state: job.Queued, occurrences: make(map[int]*occurrence)}
+	j.openLimit = record.Spec.OpenOccurrences(record.Queue.MaxAttempts)
 	m.jobs.Set(id, j)
 	return j
 }
@@ -48,6 +49,7 @@
 		j.begun = progress.State == job.Running
 		m.recoverOccurrences(j, progress)
 	}
+	j.recoveredEnd = m.recoveredEnd(j)
 	if record.Canceled {
 		m.cancel(j, record)
 		return
@@ -60,20 +62,16 @@
 }
 
 func (m *Machine) recoverOccurrences(j *jobState, progress *job.Progress) {
-	for number := range j.total() {
-		recorded, ok := progress.Occurrences[number]
-		if !ok {
-			break
-		}
-		if recorded.Done {
-			j.next++
-			j.done++
-			continue
-		}
+	begun, open := progress.Open()
+	j.done = begun - len(open)
+	j.storedDone = j.done
+	for _, number := range open {
+		j.next = number
 		o := m.beginOccurrence(j, 0)
-		o.restore(recorded, attemptGap)
+		o.restore(progress.Occurrences[number], attemptGap)
 		m.finishOccurrence(o)
 	}
+	j.next = begun
 }
 
 // beginOccurrence begins the next occurrence. gap is the attempt number that counts
@@ -123,11 +121,11 @@
 // beginDueOccurrences begins the occurrences that have become due.
 func (m *Machine) beginDueOccurrences() {
 	for _, j := range m.jobs.All() {
-		for !j.state.Final() && j.next < j.total() && m.due(j) {
+		for !j.state.Final() && j.next < j.total() && j.mayOpen() && m.due(j) {
 			// An earlier leader may have begun the next repetition of a recovered
 			// job without recording that.
 			gap := 0
-			if j.recovered {
+			if j.next < j.recoveredEnd {
 				gap = attemptGap
 			}
 			m.beginOccurrence(j, gap)
@@ -180,11 +178,7 @@
 	}
 	m.emit(Note{Decision: joblog.JobFinalMessage(state), Job: j.id, Lag: lag, Reason: fmt.Sprintf("%s; accepted %s ago%s",
 		reason, m.age(j), m.describeTally(j))})
-	for number := range j.next {
-		o := j.occurrences[number]
-		if o == nil {
-			continue
-		}
+	for _, o := range j.openOccurrences() {
 		for _, s := range o.steps {
 			m.pending.Delete(s)
 			for _, t := range s.tasks {
@@ -216,7 +210,7 @@
 	if j == nil || j.state.Final() {
 		return nil
 	}
-	for j.recovered && key.Occurrence >= j.next && key.Occurrence < j.total() {
+	for j.recovered && key.Occurrence >= j.next && j.mayHaveBegun(key.Occurrence) {
 		// An earlier leader began this occurrence, and those before it, without
 		// recording that.
 		m.beginOccurrence(j, attemptGap)
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -20,6 +20,9 @@
 	begun bool
 	// recovered is set for a job that an earlier leader may have begun.
 	recovered bool
+	// recoveredEnd is the number of the first occurrence that no earlier leader can have
+	// begun.
+	recoveredEnd int
 	// wasUnreadable is set for a job that was unreadable until its records could be
 	// read again. Its tasks have no record of attempts that were lost meanwhile.
 	wasUnreadable bool
@@ -28,8 +31,11 @@
 	occurrences map[int]*occurrence
 	// next is the number of the first occurrence that has not begun.
 	next int
-	// done counts the occurrences whose tasks are all done.
-	done int
+	// done counts the occurrences whose tasks are all done, storedDone those of which
+	// that is stored.
+	done, storedDone int
+	// openLimit is how many occurrences may have begun without being stored as done.
+	openLimit int
 	// attempts counts the attempts of all its tasks that may be running.
 	attempts int
 	// tally is what the job has waited for and cost.
@@ -252,6 +258,7 @@
 // progressOf returns the progress record of a job.
 func (m *Machine) progressOf(j *jobState) *job.Progress {
 	p := j.progress()
+	m.dropDoneRestarts(j)
 	p.Restarts = maps.Clone(m.restarts.requested[j.id])
 	return p
 }
@@ -264,13 +271,10 @@
 		return p
 	}
 	p.Occurrences = make(map[int]job.OccurrenceProgress, len(j.occurrences))
-	for number := range j.next {
-		if o := j.occurrences[number]; o == nil {
-			p.Occurrences[number] = job.OccurrenceProgress{Done: true}
-		} else {
-			p.Occurrences[number] = o.progress()
-		}
+	for number, o := range j.occurrences {
+		p.Occurrences[number] = o.progress()
 	}
+	p.SetBegun(j.next)
 	return p
 }
 
@@ -315,7 +319,7 @@
 
 func (t *task) progress() job.TaskProgress {
 	return job.TaskProgress{
-		Attempts: t.last, Failed: slices.Clone(t.failed), Checkpoint: t.checkpoint,
+		Attempts: t.last, Failed: slices.Clone(t.failed), Checkpoint: job.StorableCheckpoint(t.checkpoint),
 		Crashes: slices.Clone(t.crashes), Trial: t.trial.record(),
 	}
 }
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -69,6 +69,8 @@
 	pending ordered.Map[*step, struct{}]
 	// recoveredAt is when this machine took over.
 	recoveredAt time.Time
+	// recoveredWall is the time of day then; zero if it was unknown.
+	recoveredWall time.Time
 	// unresolved maps each worker that may run attempts unknown to this machine,
 	// started by an earlier leader, to the time at which the leases of such
 	// attempts have ended.
@@ -182,7 +184,7 @@
 // New returns the machine of a leader that has just taken over.
 func New(now time.Time, epoch model.Epoch, o Options, r Recovered) *Machine {
 	m := &Machine{
-		options: o, epoch: epoch, config: r.Config, now: now, recoveredAt: now,
+		options: o, epoch: epoch, config: r.Config, now: now, recoveredAt: now, recoveredWall: r.Wall,
 		final: make(map[job.ID]time.Time), incarnations: make(map[model.WorkerID]*workerIncarnations), unreadable: make(map[job.ID]*unreadableJob), learner: interference.New(learnerOptions()),
 		runTimes: make(runTimeRatios), sizeBalances: make(map[string]*sizeBalance),
 	}
--- a/core/jobsched/property_test.go
+++ b/core/jobsched/property_test.go
@@ -243,6 +243,9 @@
 		if c.planned != nil {
 			c.plannedWork(1000 + i)
 		}
+		if c.schedules != nil {
+			ids = append(ids, c.scheduleAtRandom(2000+i)...)
+		}
 		if c.crashing != nil {
 			c.crashAtRandom(ids[len(ids)-1])
 		}
--- a/core/jobsched/restartrecord.go
+++ b/core/jobsched/restartrecord.go
@@ -24,8 +24,8 @@
 // mayBeDone reports whether an attempt of the task may have completed without the
 // leader receiving its end. Long-running tasks never complete.
 func (m *Machine) mayBeDone(t *task) bool {
-	j := t.step.job()
-	return !t.step.spec.LongRunning && (t.attemptLost || j.wasUnreadable || m.restarts.leaseExpiredUnanswered && j.recovered)
+	j, number := t.step.job(), t.step.occurrence.number
+	return !t.step.spec.LongRunning && (t.attemptLost || number < j.recoveredEnd && (j.wasUnreadable || m.restarts.leaseExpiredUnanswered))
 }
 
 // needsRestartRecord reports whether the next start of the task has to be stored
--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -75,12 +75,13 @@
 
 // Submit validates a job and stores it for a queue, as the queue is defined in a
 // version of the configuration. The error is a *job.InvalidError, a
-// *job.InfeasibleError for a job that no worker could ever run, or one of Accept's.
+// *job.UnstorableError for a job whose progress could not be stored, a
+// *job.InfeasibleError for one that no worker could ever run, or one of Accept's.
 func (in *Intake) Submit(ctx context.Context, id job.ID, spec *job.Spec, q *job.Queue, configVersion uint64) error {
 	if err := spec.Check(); err != nil {
 		return err
 	}
-	if err := in.checkFleet(ctx, id, spec, q); err != nil {
+	if err := in.checkServable(ctx, id, spec, q); err != nil {
 		return err
 	}
 	return in.Accept(ctx, id, &job.Accepted{
@@ -88,11 +89,15 @@
 	})
 }
 
-// checkFleet rejects a job that no worker could ever run, unless the job was accepted
-// before: then the caller has to learn that it was.
-func (in *Intake) checkFleet(ctx context.Context, id job.ID, spec *job.Spec, q *job.Queue) error {
-	infeasible := in.fleet.check(ctx, in.store, in.clock.Now(), q.Service, spec)
-	if infeasible == nil {
+// checkServable rejects a job whose progress could not be stored or that no worker
+// could ever run, unless the job was accepted before: then the caller has to learn that
+// it was.
+func (in *Intake) checkServable(ctx context.Context, id job.ID, spec *job.Spec, q *job.Queue) error {
+	refusal := spec.CheckRecord(q.MaxAttempts)
+	if refusal == nil {
+		refusal = in.fleet.check(ctx, in.store, in.clock.Now(), q.Service, spec)
+	}
+	if refusal == nil {
 		return nil
 	}
 	known, _, err := in.accepted(ctx, id)
@@ -103,7 +108,7 @@
 	if err != nil || progress != nil {
 		return err
 	}
-	return infeasible
+	return refusal
 }
 
 // AcceptedFields returns the fields of the log line about an accepted job.
