An entry that the store refuses no longer blocks its commit

Cause: storeCommit repeated a commit until it was stored, whatever the store answered. A commit is all or nothing. Before, on the parent commit:

Now 413, 400, 403 and 422 are refusals for good, told from a lost answer and an outage, and an entry that is larger than the store accepts is known before it is sent. What the commit held is due again. The entry at fault is named by its size, or found by halving: a record is at fault when it is refused alone and a commit without it is stored, so that a store which refuses everything for a while ends no job. That job is set aside and ended with the reason, in the log, in decisions_total and in job explain; commits_refused_total counts the commits. The last commit of a leader is tried without the records of jobs, then without the roster.

A final job stays known until its record is stored, also while that is in flight: a refused commit has to return it.

--- a/core/joblog/explain_attempts.go
+++ b/core/joblog/explain_attempts.go
@@ -22,7 +22,7 @@
 }
 
 // explainSetAside reports each time that a leader set the job aside because its
-// records could not be read.
+// records could not be read or stored.
 func (e *explainer) explainSetAside() {
 	for _, l := range e.withMessage(MessageJobSetAside) {
 		e.addFinding("%s set it aside at %s: %s", l.Daemon, FormatTime(l.Time), l.Reason)
--- a/core/joblog/joblog_test.go
+++ b/core/joblog/joblog_test.go
@@ -115,6 +115,21 @@
 	}
 }
 
+// TestExplainReportsRefusedRecord checks that the explanation of a job whose record the
+// store refuses names that, and not only that the job failed.
+func TestExplainReportsRefusedRecord(t *testing.T) {
+	at := time.Unix(0, 0)
+	const reason = "its record cannot be stored: it has 1976147 bytes"
+	e := Explain([]Line{
+		{Time: at, Message: MessageJobAccepted, Job: failedJob, Daemon: "a"},
+		{Time: at.Add(time.Second), Message: MessageJobSetAside, Job: failedJob, Daemon: "b", Reason: reason},
+		{Time: at.Add(time.Second), Message: JobFinalMessage(job.Failed), Job: failedJob, Daemon: "b", Reason: reason},
+	}, failedJob)
+	if found := strings.Join(e.Findings, "; "); e.Outcome != string(job.Failed) || strings.Count(found, reason) != 2 {
+		t.Errorf("%s; findings: %s", e.Outcome, found)
+	}
+}
+
 // TestExplainReportsHeldStarts checks that the explanation of a step whose start
 // is held back after a takeover names the worker that it waits for. Such a step
 // does not wait for capacity.
--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -11,6 +11,7 @@
 	MessageCancelRequested      = "job canceled by its caller"
 	MessageJobTakenIn           = "job taken in"
 	MessageJobSetAside          = "job set aside"
+	MessageEntryRefused         = "entry refused by the store"
 	MessageRosterLost           = "roster lost"
 	MessageAttemptStarted       = "attempt started"
 	MessageStartRefused         = "start refused"
--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -50,6 +50,13 @@
 	storeDelay time.Duration
 	held       []Commit
 
+	// refuse returns how the store refuses a commit for good, nil if it does not; it is
+	// nil for a store that refuses none.
+	refuse func(Commit) *CommitRefused
+	// setAside reports whether a job may fail because the store refuses its record; nil
+	// for none.
+	setAside func(job.ID) bool
+
 	// truth is what has happened to each task.
 	truth map[job.TaskKey]*taskTruth
 	// loseAnswers is the fraction of orders whose responses are lost, delayOrders
--- a/core/jobsched/clusterstore_test.go
+++ b/core/jobsched/clusterstore_test.go
@@ -14,6 +14,13 @@
 		return
 	}
 	m := c.machine
+	if c.refuse != nil {
+		if refused := c.refuse(e); refused != nil {
+			refused.Number = e.Number
+			c.sendEvent(m, 2*orderDelay+c.storeDelay, func() Event { return *refused })
+			return
+		}
+	}
 	c.after(orderDelay+c.storeDelay, func() {
 		if m == c.machine {
 			c.store(e)
--- a/core/jobsched/commit.go
+++ b/core/jobsched/commit.go
@@ -43,6 +43,11 @@
 	// done holds how many occurrences of each job are done in the records of the
 	// commit.
 	done map[job.ID]int
+	// sent is the commit in flight. search is the search for the entry at fault after
+	// the store has refused one; no commit is sent before retryAt then.
+	sent    Commit
+	search  commitSearch
+	retryAt time.Time
 	// learnedAt is when the interference estimates were last committed.
 	learnedAt time.Time
 }
@@ -66,7 +71,13 @@
 func (m *Machine) sendCommit() {
 	c := &m.commit
 	m.expireFinal()
-	if c.inFlight || m.now.Sub(c.sentAt) < commitInterval {
+	if c.inFlight || m.now.Sub(c.sentAt) < commitInterval || m.now.Before(c.retryAt) {
+		return
+	}
+	if c.search.isOn() {
+		commit := m.newCommit()
+		m.addRosterAge(&commit)
+		m.dispatchCommit(commit)
 		return
 	}
 	rosterDue := m.rosterDue()
@@ -85,6 +96,13 @@
 		commit.Learned = m.learner.Export()
 		c.learnedAt = m.now
 	}
+	m.dispatchCommit(commit)
+}
+
+// dispatchCommit sends a commit.
+func (m *Machine) dispatchCommit(commit Commit) {
+	c := &m.commit
+	c.sent = commit
 	c.restarts = restartsIn(commit.Puts)
 	c.trials = trialsIn(commit.Puts)
 	c.done = m.doneIn(commit.Puts)
@@ -115,6 +133,9 @@
 // fillCommit moves records from the dirty set into the commit, those of final jobs
 // first because their callers are waiting for them. It returns the ids of the jobs.
 func (m *Machine) fillCommit(commit *Commit) []job.ID {
+	if m.commit.search.isOn() {
+		return m.fillSuspects(commit)
+	}
 	room := maxCommitEntries
 	ids := m.fillRecords(commit, true, &room)
 	ids = append(ids, m.fillRecords(commit, false, &room)...)
@@ -141,16 +162,22 @@
 			continue
 		}
 		*room -= entries
-		commit.Puts = append(commit.Puts, ProgressRecord{ID: id, Progress: m.progressOf(j)})
-		if final {
-			commit.RemoveAccepted = append(commit.RemoveAccepted, id)
-		}
+		m.fillRecord(commit, id)
 		ids = append(ids, id)
-		m.dirty.Delete(id)
 	}
 	return ids
 }
 
+// fillRecord moves the record of a job from the dirty set into the commit.
+func (m *Machine) fillRecord(commit *Commit, id job.ID) {
+	j := m.jobs.Get(id)
+	commit.Puts = append(commit.Puts, ProgressRecord{ID: id, Progress: m.progressOf(j)})
+	if j.state.Final() {
+		commit.RemoveAccepted = append(commit.RemoveAccepted, id)
+	}
+	m.dirty.Delete(id)
+}
+
 // ackableEnds returns, for each worker, the last end that can be acknowledged: the
 // one before the first end that is withheld, deferred, or whose job has a record
 // waiting to be stored.
@@ -199,7 +226,8 @@
 		mergeRestarts(&m.restarts.stored, id, stored)
 		m.changed = true
 	}
-	c.ends, c.jobs, c.restarts, c.trials, c.done = nil, nil, nil, nil, nil
+	m.searchCommitStored()
+	c.clearSent()
 }
 
 // restartsIn returns the restarts in the given records.
--- a/core/jobsched/event.go
+++ b/core/jobsched/event.go
@@ -194,6 +194,18 @@
 // Committed reports that a Commit has certainly been stored.
 type Committed struct{ Number uint64 }
 
+// CommitRefused reports that the store refuses a Commit for good, so that it was not
+// and never will be stored.
+type CommitRefused struct {
+	Number uint64
+	// Jobs, Roster and Learned name the entries that are larger than the store accepts.
+	// If they name none, it is unknown which entry is at fault.
+	Jobs            []job.ID
+	Roster, Learned bool
+	// Reason is why the store refuses it.
+	Reason string
+}
+
 func (ConfigChanged) event() {}
 func (WorkersListed) event() {}
 func (JobAccepted) event()   {}
@@ -204,3 +216,4 @@
 func (Stopped) event()       {}
 func (Throttled) event()     {}
 func (Committed) event()     {}
+func (CommitRefused) event() {}
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -195,8 +195,8 @@
 
 // dropIfFinal removes a job that is final, stored and without attempts.
 func (m *Machine) dropIfFinal(j *jobState) {
-	dirty := m.dirty.Has(j.id)
-	if j.state.Final() && j.attempts == 0 && !dirty {
+	unstored := m.dirty.Has(j.id) || m.commit.inFlight && slices.Contains(m.commit.jobs, j.id)
+	if j.state.Final() && j.attempts == 0 && !unstored {
 		m.jobs.Delete(j.id)
 	}
 }
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -255,6 +255,8 @@
 		m.throttled(ev)
 	case Committed:
 		m.committed(ev)
+	case CommitRefused:
+		m.commitRefused(ev)
 	case Advised:
 		m.advised(ev)
 	}
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -97,6 +97,9 @@
 	valid bool
 	// sentAt is when the last sent roster was written.
 	sentAt time.Time
+	// storedAt is when the roster that is stored was written, and refusedUntil when the
+	// next one may be sent after the store has refused one.
+	storedAt, refusedUntil time.Time
 	// inFlight is the roster that is being stored.
 	inFlight []rosterLine
 }
@@ -195,7 +198,7 @@
 func (m *Machine) rosterDue() bool {
 	r := &m.roster
 	interval := rosterInterval + time.Duration(m.workers.Len())*rosterIntervalPerWorker
-	if m.now.Sub(r.checkedAt) < interval {
+	if m.now.Sub(r.checkedAt) < interval || m.now.Before(r.refusedUntil) {
 		return false
 	}
 	r.checkedAt = m.now
@@ -247,6 +250,7 @@
 		w.rosterStatus, w.closed, w.bounded = l.status, l.entry.Closed, l.entry.LeaseLeft != nil
 	}
 	r.inFlight = nil
+	r.storedAt = r.sentAt
 	r.valid = true
 	m.changed = true
 }
@@ -259,6 +263,7 @@
 func (m *Machine) HandOver(now, wall time.Time) (Commit, []Note) {
 	m.now, m.wall = now, wall
 	m.dropTrials()
+	m.commit.search = commitSearch{}
 	commit := m.newCommit()
 	commit.Learned = m.learner.Export()
 	for _, l := range m.rosterLines(m.handoverStatusOf) {
--- a/jobservice/metrics.go
+++ b/jobservice/metrics.go
@@ -18,9 +18,11 @@
 	decisions   *prometheus.CounterVec
 	commitTime  prometheus.Histogram
 	terms       *prometheus.CounterVec
-	leading     prometheus.Gauge
-	jobs        prometheus.Gauge
-	attempts    prometheus.Gauge
+	// refusedCommits counts the commits that the store refused for good.
+	refusedCommits prometheus.Counter
+	leading        prometheus.Gauge
+	jobs           prometheus.Gauge
+	attempts       prometheus.Gauge
 	// unansweredWorkers is how many workers have not answered the new leader and
 	// therefore hold starts back.
 	unansweredWorkers prometheus.Gauge
@@ -99,6 +101,10 @@
 			Namespace: namespace, Name: "store_lost_total", Help: "Times that callers' requests lost the store.",
 		}),
 	}
+	m.refusedCommits = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "commits_refused_total",
+		Help: "Commits that the store refused for good. The entry at fault is set aside.",
+	})
 	m.cordonedZones = gauge("cordoned_zones", "Availability zones in which nothing is started, at the leader.")
 	m.configVersion = gauge("configuration_version", "Version of the configuration in force, 0 before the first.")
 	m.configFailures = counter("configuration_read_failures_total", "Reads of the configuration that failed, by whether a part of the answer had come.", "part")
@@ -116,7 +122,7 @@
 		return 0
 	})
 	m.unreadable = newUnreadableRecords(counter("unreadable_records_total", "Changes of stored records that left them unreadable, by kind.", "kind"))
-	r.MustRegister(m.requests, m.requestTime, m.orders, m.orderTime, m.decisions, m.commitTime, m.terms,
+	r.MustRegister(m.refusedCommits, m.requests, m.requestTime, m.orders, m.orderTime, m.decisions, m.commitTime, m.terms,
 		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.trialsRunning, m.trialsWaiting, m.storeLost, m.cordonedZones, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
 		m.entriesUnusable, m.entryChanges, m.configVersion, m.configFailures, m.configWastedBytes, configAge)
 	m.setEntries(jobsched.EntryCounts{})
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -108,6 +108,9 @@
 		t.ledger = ev.revision
 		t.pending = nil
 		t.machine.Handle(t.leader.o.Clock.Now(), ev.Committed)
+	case jobsched.CommitRefused:
+		t.pending = nil
+		t.machine.Handle(t.leader.o.Clock.Now(), ev)
 	default:
 		t.machine.Handle(t.leader.o.Clock.Now(), ev)
 	}
@@ -186,17 +189,25 @@
 	}
 }
 
-// storeCommit retries a commit until it is certainly stored, another leader has
-// written the ledger, or ctx ends. It returns the event of the outcome, nil if ctx
-// ended.
+// storeCommit retries a commit until it is certainly stored, the store refuses it for
+// good, another leader has written the ledger, or ctx ends. It returns the event of the
+// outcome, nil if ctx ended.
 func (t *term) storeCommit(ctx context.Context, c jobsched.Commit, ledger int64) jobsched.Event {
 	began := time.Now()
 	defer func() { t.leader.o.Metrics.commitTime.Observe(time.Since(began).Seconds()) }()
 	changes := t.changes(c)
+	if refused := oversized(c.Number, changes); refused != nil {
+		t.reportRefused(*refused)
+		return *refused
+	}
 	condition := []port.Condition{{Key: ledgerKey, Kind: port.CompareModRevision, Revision: ledger}}
 	for ctx.Err() == nil {
 		result, err := t.leader.o.Store.Txn(ctx, condition, changes)
 		switch {
+		case isRefusal(err):
+			refused := jobsched.CommitRefused{Number: c.Number, Reason: err.Error()}
+			t.reportRefused(refused)
+			return refused
 		case err != nil:
 			t.leader.log.WithError(err).WithField("commit", c.Number).Debug("commit failed; retrying")
 			Pause(ctx, commitPause)
@@ -274,8 +285,16 @@
 	for _, n := range notes {
 		t.note(n)
 	}
-	_, stored := t.storeCommit(ctx, last, t.ledger).(committedAt)
-	return stored
+	for range finalCommitTries {
+		ev := t.storeCommit(ctx, last, t.ledger)
+		refused, isRefused := ev.(jobsched.CommitRefused)
+		if !isRefused {
+			_, stored := ev.(committedAt)
+			return stored
+		}
+		last = last.Without(refused)
+	}
+	return false
 }
 
 // resolvePending completes the commit in flight. It reports whether no commit is in
--- a/port/errors.go
+++ b/port/errors.go
@@ -30,11 +30,13 @@
 type StoreErrorKind string
 
 // The kinds of store failure. StoreThrottled and StoreCallCanceled arise in the
-// daemon itself and say nothing about the state of the store.
+// daemon itself and say nothing about the state of the store. The same call fails with
+// StoreTooLarge or StoreInvalidCall again.
 const (
 	StoreUnavailable       StoreErrorKind = "unavailable"
 	StoreTimeout           StoreErrorKind = "timeout"
 	StoreTooLarge          StoreErrorKind = "value too large"
+	StoreInvalidCall       StoreErrorKind = "call not valid"
 	StoreLeaseNotFound     StoreErrorKind = "lease not found"
 	StoreThrottled         StoreErrorKind = "over the daemon's own call budget"
 	StoreCompacted         StoreErrorKind = "watch revision compacted"
