--- a/core/jobsched/openoccurrences_test.go
+++ b/core/jobsched/openoccurrences_test.go
@@ -133,10 +133,16 @@
 }
 
 // scheduleAtRandom, at random, submits a schedule and returns its id, or does nothing.
+// One in four is a day late and is canceled after some seconds.
 func (c *cluster) scheduleAtRandom(number int) []job.ID {
 	if c.schedules.IntN(8) > 0 {
 		return nil
 	}
+	if c.schedules.IntN(4) == 0 {
+		id := c.submitSchedule(number, 100_000, time.Second, 24*time.Hour, makeStep(1, 1000, 200*time.Millisecond))
+		c.after(time.Duration(1+c.schedules.IntN(8))*time.Second, func() { c.cancel(id) })
+		return []job.ID{id}
+	}
 	interval := time.Duration(10+c.schedules.IntN(90)) * time.Millisecond
 	overdue := time.Duration(c.schedules.IntN(60)) * time.Second
 	repetitions := 1 + c.schedules.IntN(200)
