--- a/jobservice/refusedcommit_test.go
+++ b/jobservice/refusedcommit_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/joblog"
 	"github.com/guavarill/guavarill/core/jobsched"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/port"
@@ -111,3 +112,36 @@
 		t.Errorf("a value of the largest size: %+v", got)
 	}
 }
+
+// closedRosterRefused is a store that refuses a roster with a closed worker, as in a
+// leader's last commit.
+type closedRosterRefused struct{ *memStore }
+
+func (s closedRosterRefused) Txn(ctx context.Context, conditions []port.Condition, changes []port.Op) (port.TxnResult, error) {
+	for _, c := range changes {
+		if c.Key == rosterKey && strings.Contains(string(c.Value), `"Closed":true`) {
+			return port.TxnResult{}, &port.StoreError{Call: "Txn", Kind: port.StoreTooLarge, Outcome: port.OutcomeNotDone}
+		}
+	}
+	return s.memStore.Txn(ctx, conditions, changes)
+}
+
+// TestLastCommitWithARefusedRoster checks that a leader whose last roster the store
+// refuses stores the rest, and that the next leader doesn't rely on the roster.
+func TestLastCommitWithARefusedRoster(t *testing.T) {
+	d := newDeployment(t)
+	d.lead(func(o *Options) { o.Store = closedRosterRefused{d.store} })
+	d.awaitCompleted(intactJob)
+	d.store.write(port.Op{Key: membersPrefix + "large", Value: encodeRecord(Relay{Address: "large", Weight: 4})})
+	d.eventually("leadership released with the last commit stored", func() bool {
+		return d.log.contains("complete=true") && d.log.contains(joblog.MessageLeadershipReleased)
+	})
+	if n := d.refusedCommits(); n < finalCommitTries-1 {
+		t.Errorf("%d refused commits were counted", n)
+	}
+	d.submit(damagedJob)
+	d.awaitCompleted(damagedJob)
+	if d.log.contains("rosterStands=true") {
+		t.Error("the next leader relies on a roster that was not stored")
+	}
+}
