--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -50,6 +50,13 @@
 	storeDelay time.Duration
 	held       []Commit
 
+	// refuse returns how the store refuses a commit for good, nil if it does not; it is
+	// nil for a store that refuses none.
+	refuse func(Commit) *CommitRefused
+	// setAside reports whether a job may fail because the store refuses its record; nil
+	// for none.
+	setAside func(job.ID) bool
+
 	// truth is what has happened to each task.
 	truth map[job.TaskKey]*taskTruth
 	// loseAnswers is the fraction of orders whose responses are lost, delayOrders
@@ -88,6 +95,9 @@
 	saves bool
 	// planned draws the planned changes on a day; nil for none.
 	planned *rand.Rand
+	// schedules draws the schedules that are handed in on a day, most of them overdue;
+	// nil for none.
+	schedules *rand.Rand
 	// tail is the tail latency of serving tasks, in percent of their target.
 	tail int64
 	// slow makes the leader's steps take time; nil for a leader whose steps take
@@ -302,11 +312,15 @@
 	}
 }
 
-func (c *cluster) tick() {
-	c.now = c.now.Add(clusterTick)
-	c.wall = c.wall.Add(clusterTick)
+func (c *cluster) tick() { c.tickBy(clusterTick) }
+
+// tickBy advances the virtual time by d in one step, in which the leader's machine
+// advances once.
+func (c *cluster) tickBy(d time.Duration) {
+	c.now = c.now.Add(d)
+	c.wall = c.wall.Add(d)
 	for _, id := range c.workerIDs() {
-		c.workers[id].advance(clusterTick)
+		c.workers[id].advance(d)
 	}
 	for len(c.queue) > 0 && !c.queue[0].at.After(c.now) {
 		d := c.queue[0]
--- a/core/jobsched/clusterstore_test.go
+++ b/core/jobsched/clusterstore_test.go
@@ -14,6 +14,13 @@
 		return
 	}
 	m := c.machine
+	if c.refuse != nil {
+		if refused := c.refuse(e); refused != nil {
+			refused.Number = e.Number
+			c.sendEvent(m, 2*orderDelay+c.storeDelay, func() Event { return *refused })
+			return
+		}
+	}
 	c.after(orderDelay+c.storeDelay, func() {
 		if m == c.machine {
 			c.store(e)
@@ -41,6 +48,7 @@
 		if old != nil && old.State.Final() && p.Progress.State != old.State {
 			c.t.Errorf("job %s was %s and is %s", p.ID, old.State, p.Progress.State)
 		}
+		c.checkSize(p)
 		c.progress[p.ID] = reencodeProgress(c.t, p.Progress)
 		switch p.Progress.State {
 		case job.Completed:
--- a/jobservice/tombstone_test.go
+++ b/jobservice/tombstone_test.go
@@ -130,10 +130,10 @@
 	d.awaitCompleted(lateJob)
 }
 
-// refusingStore can be read, and refuses all transactions.
-type refusingStore struct{ *memStore }
+// readOnlyStore can be read, and is unavailable for transactions.
+type readOnlyStore struct{ *memStore }
 
-func (refusingStore) Txn(context.Context, []port.Condition, []port.Op) (port.TxnResult, error) {
+func (readOnlyStore) Txn(context.Context, []port.Condition, []port.Op) (port.TxnResult, error) {
 	return port.TxnResult{}, &port.StoreError{Call: "Txn", Kind: port.StoreUnavailable, Outcome: port.OutcomeNotDone}
 }
 
@@ -142,7 +142,7 @@
 	unreadable := newMemStore()
 	unreadable.failing = map[string]int{acceptedKey(lateJob): 1 << 20}
 	for name, store := range map[string]RecordStore{
-		"no writes": refusingStore{newMemStore()}, "no reads": unreadable, "no responses": &lateStore{memStore: newMemStore()},
+		"no writes": readOnlyStore{newMemStore()}, "no reads": unreadable, "no responses": &lateStore{memStore: newMemStore()},
 	} {
 		t.Run(name, func(t *testing.T) {
 			in := NewIntake(store, BootClock{}, logrus.New(), NewMetrics(prometheus.NewRegistry()))
