--- a/core/jobsched/commitrefused_test.go
+++ b/core/jobsched/commitrefused_test.go
@@ -26,15 +26,15 @@
 			c.keepNotes = true
 			c.run(time.Second)
 			steps := []job.Step{makeStep(2, 500, 200*time.Millisecond), makeStep(2, 500, 200*time.Millisecond, 0)}
-			poisoned := c.submit(1, "batch", steps...)
-			c.setAside = func(id job.ID) bool { return id == poisoned }
+			refusedJob := c.submit(1, "batch", steps...)
+			c.setAside = func(id job.ID) bool { return id == refusedJob }
 			c.refuse = func(commit Commit) *CommitRefused {
-				if !holds(commit, poisoned) {
+				if !holds(commit, refusedJob) {
 					return nil
 				}
 				refused := &CommitRefused{Reason: "too large"}
 				if named {
-					refused.Jobs = []job.ID{poisoned}
+					refused.Jobs = []job.ID{refusedJob}
 				}
 				return refused
 			}
@@ -48,7 +48,7 @@
 					t.Errorf("job %s is %s", id, s)
 				}
 			}
-			c.checkSetAside(poisoned)
+			c.checkSetAside(refusedJob)
 		})
 	}
 }
