jobsched: keep what the pace of a step requires over leaders

A new leader knows no pace of any step. An attempt whose patience came from its step's other tasks, or from its image, and not from stops of its own, got the patience that follows from the estimate, was stopped far into its run and lost all its work; likewise once the tasks that had been stopped were done, since only tasks that are not done have records.

The number of doublings that the pace of a step requires is now stored with the step, when the least patience is not enough for it.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -91,6 +91,9 @@
 	// Tasks holds the progress of tasks that are not done, by index. Tasks
 	// without an entry have nothing to record beyond a first attempt.
 	Tasks map[int]TaskProgress `json:"tasks,omitempty"`
+	// Stalls is how often the time has doubled for which an attempt of any task, done
+	// or not, may make no progress.
+	Stalls int `json:"stalls,omitempty"`
 }
 
 // TaskProgress is the progress of one task that is not done.
@@ -249,6 +252,9 @@
 	if strings.Trim(s.Done, "01") != "" {
 		return &InvalidError{Field: "done", Reason: "must consist of the digits 0 and 1"}
 	}
+	if s.Stalls < 0 {
+		return &InvalidError{Field: "stalls", Reason: "must not be negative"}
+	}
 	for index, t := range s.Tasks {
 		if index < 0 || t.Attempts < 0 || t.Stalls < 0 || t.Trial != nil && t.Trial.Attempt < 1 {
 			return &InvalidError{Field: "tasks", Reason: "must have no negative numbers"}
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -221,6 +221,7 @@
 func (o *occurrence) restore(p job.OccurrenceProgress, attemptGap int) {
 	for i := range min(len(p.Steps), len(o.steps)) {
 		s := o.steps[i]
+		s.pace.doublings = p.Steps[i].Stalls
 		for index := range min(len(p.Steps[i].Done), len(s.tasks)) {
 			if p.Steps[i].Done[index] == '1' {
 				o.taskDone(s.tasks[index])
@@ -246,7 +247,6 @@
 	t.checkpoint = p.Checkpoint
 	t.crashes = p.Crashes
 	t.stalls = p.Stalls
-	t.step.pace.doublings = max(t.step.pace.doublings, p.Stalls)
 	if p.Trial != nil {
 		t.trial = trial{number: p.Trial.Attempt, worker: p.Trial.Incarnation(), inherited: true}
 	}
@@ -289,7 +289,7 @@
 }
 
 func (s *step) progress() job.StepProgress {
-	var p job.StepProgress
+	p := job.StepProgress{Stalls: s.pace.doublings}
 	if s.left < len(s.tasks) {
 		done := make([]byte, len(s.tasks))
 		for i, t := range s.tasks {
--- a/core/jobsched/longtasks_test.go
+++ b/core/jobsched/longtasks_test.go
@@ -131,6 +131,26 @@
 	}
 }
 
+// TestPaceOutlastsTheLeader guards against attempts that are stopped, and lose all their
+// work, because a new leader does not know the pace that allowed for them: the task from
+// which it was learned is done, or was of another job.
+func TestPaceOutlastsTheLeader(t *testing.T) {
+	c := newCluster(t, 1, 4)
+	c.run(200 * time.Millisecond)
+	step := makeStep(1, 500, time.Second)
+	step.Image = "slow"
+	c.submitLong(1, 400, step)
+	c.run(100 * time.Second)
+	c.starts = 0
+	id := c.submitLong(2, 400, step)
+	c.run(200 * time.Second)
+	c.replaceLeader()
+	c.runUntilFinal(id, 210*time.Second, func(int) {})
+	if c.state(id) != job.Completed || c.starts != 1 {
+		t.Errorf("the job is %s after %d starts of its task", c.state(id), c.starts)
+	}
+}
+
 // TestLongTasksResumeFromCheckpoints guards against the jump to the percent that a
 // checkpoint restores being taken for the pace of the task.
 func TestLongTasksResumeFromCheckpoints(t *testing.T) {
--- a/core/jobsched/pace.go
+++ b/core/jobsched/pace.go
@@ -114,6 +114,10 @@
 	s := a.step()
 	s.pace.sum.add(percents, took)
 	s.pace.note(a.worker, m.now)
+	if d := s.doublingsOfPace(); d > s.pace.doublings {
+		s.pace.doublings = d
+		m.markDirty(s.job())
+	}
 	m.imagePaces.observe(s.spec, took/time.Duration(percents))
 	m.judgeSuspects(s, a.worker, took/time.Duration(percents))
 }
@@ -123,7 +127,9 @@
 	sum paceSum
 	// last and lastBeside are the last advances on two different workers.
 	last, lastBeside advance
-	// doublings is the greatest number of doublings of any of the tasks.
+	// doublings is how often patience is doubled without a pace: the greatest number
+	// of stops of any of the tasks, or what their pace requires. It is stored, so that
+	// a new leader, which knows no pace, has the patience to learn it.
 	doublings int
 	suspects  []suspectWorker
 }
--- a/core/jobsched/patience.go
+++ b/core/jobsched/patience.go
@@ -1,6 +1,7 @@
 package jobsched
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -55,6 +56,17 @@
 	return scale(estimatedPercents*estimated, a.worker.slowness())
 }
 
+// doublingsOfPace returns how often the patience that follows from the estimate has to
+// be doubled to reach the one that follows from the step's pace; 0 if that is the least.
+func (s *step) doublingsOfPace() int {
+	wanted := observedPercents * s.pace.sum.perPercent()
+	if wanted <= stallTimeout {
+		return 0
+	}
+	from := cmp.Or(estimatedPercents*estimatedPercent(s.spec), stallTimeout)
+	return max(0, int(math.Ceil(math.Log2(float64(wanted)/float64(from)))))
+}
+
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(min(float64(d)*factor, float64(maxPatience)))
 }
