soak: daemons built with the race detector exit without its pause of a second

TestLargeConfigurations, with the race detector on two processors of a machine at a load average of 30, failed once with "daemon-1 ran on 6s after SIGTERM"; three tests of the soak in one play of all of them, on four processors, for their daemon-2.

Cause of the first: the daemon wrote "stopping" at 03:13:19.232 and "stopped" at 03:13:24.259, within the 5.5 s that a planned stop may take, and was killed after 6 s without having exited. Programs built with the race detector sleep for a second in their exit (an empty one takes 1.014 s, and 0.037 s with GORACE=atexit_sleep_ms=0). All daemons and the stand-ins wrote nothing from 03:13:22.23 to 03:13:24.24, which made the stop long. The others are not traced.

Daemons now run with that option, beside what GORACE says. The check is as it was. Races are written when they are found, and the soak still reads them from the logs; one that another goroutine would find in the second after main has returned is not seen any more, as nothing of the daemon runs then in production either.

--- a/soak/process.go
+++ b/soak/process.go
@@ -60,7 +60,7 @@
 		return nil
 	}
 	c := exec.Command(p.binary, "--metrics-port=9464", "--api-port=9465")
-	c.Env = append(os.Environ(), platform.SettingsEnv+"="+p.file)
+	c.Env = append(os.Environ(), platform.SettingsEnv+"="+p.file, raceOptions())
 	c.Stdout, c.Stderr = p.log, p.log
 	if err := c.Start(); err != nil {
 		return err
@@ -70,6 +70,13 @@
 	return nil
 }
 
+// raceOptions returns the environment variable that keeps a daemon built with the race
+// detector from sleeping for a second before it exits, which its time to stop does not
+// allow for.
+func raceOptions() string {
+	return "GORACE=" + strings.TrimSpace(os.Getenv("GORACE")+" atexit_sleep_ms=0")
+}
+
 func (p *process) wait(c *exec.Cmd, exited chan struct{}) {
 	_ = c.Wait()
 	p.mu.Lock()
