--- a/core/jobsched/longtasks_test.go
+++ b/core/jobsched/longtasks_test.go
@@ -312,3 +312,26 @@
 		c.lengths[id] = []int{10, 150}[c.lengthening.IntN(2)]
 	}
 }
+
+// TestSlowWorkerIsGivenTime checks that a worker counts as slow by as much as its
+// attempts are slower than others of their steps, up to a bound.
+func TestSlowWorkerIsGivenTime(t *testing.T) {
+	tests := []struct {
+		took time.Duration
+		want float64
+	}{{time.Second, 1}, {500 * time.Millisecond, 1}, {6500 * time.Millisecond, 6.5}, {time.Minute, maxSlowness}}
+	for _, test := range tests {
+		c := newCluster(t, 1, 1)
+		c.run(200 * time.Millisecond)
+		c.submit(1, "batch", makeStep(1, 500, 10*time.Second))
+		c.run(200 * time.Millisecond)
+		w := c.machine.worker(c.workers["w000"].entry.Incarnation)
+		for _, a := range w.attempts.All() {
+			a.pace.own = paceSum{percents: 10, took: test.took}
+			a.step().pace.sum = paceSum{percents: 100, took: 10 * time.Second}
+		}
+		if got := w.slowness(); got != test.want {
+			t.Errorf("10 percents in %s instead of 1s: slowness %.2f, want %.2f", test.took, got, test.want)
+		}
+	}
+}
