jobsched: do not store a final job again for the pace of its tasks

An attempt of a job that is over may run on for a while and advance. What that told of its step's pace marked the job to be stored, so that its record was written once more, perhaps after it had been removed. Only jobs that are not final are marked now.

--- a/core/jobsched/longtasks_test.go
+++ b/core/jobsched/longtasks_test.go
@@ -313,6 +313,23 @@
 	}
 }
 
+// TestPaceOfAFinalJobIsNotStored guards against the record of a final job being written
+// again, perhaps after it was removed, because an attempt of it runs on and advances.
+func TestPaceOfAFinalJobIsNotStored(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.run(200 * time.Millisecond)
+	id := c.submitLong(1, 400, makeStep(1, 500, time.Second))
+	c.run(time.Second)
+	attempts := c.machine.worker(c.workers["w000"].entry.Incarnation).attempts
+	c.machine.jobs.Get(id).state = job.Canceled
+	for _, a := range attempts.All() {
+		c.machine.notePace(a, 1, 4*time.Second)
+	}
+	if c.machine.dirty.Has(id) {
+		t.Error("the record of a canceled job is to be written")
+	}
+}
+
 // TestSlowWorkerIsGivenTime checks that a worker counts as slow by as much as its
 // attempts are slower than others of their steps, up to a bound.
 func TestSlowWorkerIsGivenTime(t *testing.T) {
--- a/core/jobsched/pace.go
+++ b/core/jobsched/pace.go
@@ -114,7 +114,7 @@
 	s := a.step()
 	s.pace.sum.add(percents, took)
 	s.pace.note(a.worker, m.now)
-	if d := s.doublingsOfPace(); d > s.pace.doublings {
+	if d := s.doublingsOfPace(); d > s.pace.doublings && !s.job().state.Final() {
 		s.pace.doublings = d
 		m.markDirty(s.job())
 	}
