core/jobsched: a trial after an unseen crash ends with its attempt only

A task that crashes its workers is started a third time after three workers had crashed under it, where leaders are replaced within a second of the crashes:

A start is a trial, too, if a worker may have crashed under the task unseen. That reason ends with the start, so the trial alone keeps it. It was lost in two places though the attempt had not ended: a worker's report that replaced what the roster said of the attempt ended the trial, also if it listed the attempt; and after a trial that had not begun the next start was none. A crash after that was counted by nobody.

Now the trial goes on when a report replaces the inherited attempt, and one that has not begun is followed by another. Nothing changes in what is stored.

--- a/core/jobsched/incarnation.go
+++ b/core/jobsched/incarnation.go
@@ -238,7 +238,7 @@
 			continue
 		}
 		if a.inherited {
-			m.endAttempt(a, endLost, "")
+			m.dropInheritedAttempt(a)
 			return nil
 		}
 		m.moveAttempt(a, w)
--- a/core/jobsched/recoverroster.go
+++ b/core/jobsched/recoverroster.go
@@ -68,7 +68,7 @@
 func (m *Machine) dropInherited(w *worker) {
 	for _, a := range w.attempts.All() {
 		if a.inherited {
-			m.endAttempt(a, endLost, "")
+			m.dropInheritedAttempt(a)
 		}
 	}
 }
@@ -79,7 +79,20 @@
 func (m *Machine) dropSuperseded(t *task, number int) {
 	for _, a := range slices.Clone(t.attempts) {
 		if a.inherited && a.key.attempt < number {
-			m.endAttempt(a, endLost, "")
+			m.dropInheritedAttempt(a)
 		}
 	}
 }
+
+// dropInheritedAttempt drops an inherited attempt because a report replaces it. The
+// trial of its task does not end with it: the report may list the attempt.
+func (m *Machine) dropInheritedAttempt(a *attempt) {
+	t, kept := a.task, trial{}
+	if t != nil {
+		kept = t.trial
+	}
+	m.endAttempt(a, endLost, "")
+	if kept.inherited {
+		t.trial = kept
+	}
+}
--- a/core/jobsched/trial.go
+++ b/core/jobsched/trial.go
@@ -88,7 +88,8 @@
 // resolveInheritedTrial resolves a trial of an earlier leader that no worker has
 // reported, although no worker is being waited for any more. If the trial's worker
 // has ended, the attempt ended with it. A trial that names no worker may have ended
-// that way if any worker has ended unseen.
+// that way if any worker has ended unseen. A trial that has not begun is followed by
+// another: nothing else may tell that a worker has crashed under the task.
 func (m *Machine) resolveInheritedTrial(t *task) {
 	if !t.trial.inherited {
 		return
@@ -103,6 +104,7 @@
 		return
 	}
 	t.trial = trial{}
+	t.attemptLost = true
 	m.markDirty(t.step.job())
 }
 
