--- a/core/job/recordsize.go
+++ b/core/job/recordsize.go
@@ -45,7 +45,7 @@
 
 // The sizes of the parts of the largest record, in bytes.
 var (
-	crashBytes   = len(encode(Crash{Attempt: maxAttempt, ObservedRunMs: math.MaxInt64, Uncertain: true, Correlated: true, Shared: true})) + 1
+	crashBytes   = len(encode(Crash{Attempt: maxAttempt, ObservedRunMs: math.MaxInt64, Uncertain: true, Correlated: true, Shared: true, CountsAnew: true})) + 1
 	trialBytes   = len(encode(Trial{Attempt: maxAttempt, StartedMs: math.MaxInt64})) + len(`,"worker":""`) + maxWorkerIDBytes
 	attemptBytes = len(encode(maxAttempt)) + 1
 	// restartBytes is one entry of the restarts, and doneBytes one of an occurrence
--- a/core/job/recordsize_test.go
+++ b/core/job/recordsize_test.go
@@ -93,7 +93,7 @@
 		t.Failed = append(t.Failed, maxAttempt)
 	}
 	for range MaxCrashes {
-		t.Crashes = append(t.Crashes, Crash{Attempt: maxAttempt, ObservedRunMs: math.MaxInt64, Uncertain: true, Correlated: true, Shared: true})
+		t.Crashes = append(t.Crashes, Crash{Attempt: maxAttempt, ObservedRunMs: math.MaxInt64, Uncertain: true, Correlated: true, Shared: true, CountsAnew: true})
 	}
 	return t
 }
