--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -50,6 +50,8 @@
 	storeDelay time.Duration
 	held       []Commit
 
+	// refuseStart reports whether a worker refuses a start as unhealthy; nil for none.
+	refuseStart func(Start) bool
 	// refuse returns how the store refuses a commit for good, nil if it does not; it is
 	// nil for a store that refuses none.
 	refuse func(Commit) *CommitRefused
--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -213,6 +213,9 @@
 }
 
 func (w *fakeWorker) start(s Start) Verdict {
+	if w.c.refuseStart != nil && w.c.refuseStart(s) {
+		return VerdictUnhealthy
+	}
 	key := attemptKey{task: s.Key, attempt: s.Attempt}
 	if w.attempts[key] != nil {
 		return VerdictDone
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -33,7 +33,7 @@
 }
 
 func (m *Machine) addJob(id job.ID, record *job.Accepted) *jobState {
-	j := &jobState{id: id, record: record, state: job.Queued, occurrences: make(map[int]*occurrence)}
+	j := &jobState{id: id, record: record, takenInAt: m.now, state: job.Queued, occurrences: make(map[int]*occurrence)}
 	j.openLimit = record.Spec.OpenOccurrences(record.Queue.MaxAttempts)
 	m.jobs.Set(id, j)
 	return j
@@ -78,7 +78,6 @@
 // as used for all of its tasks.
 func (m *Machine) beginOccurrence(j *jobState, gap int) *occurrence {
 	o := newOccurrence(j, j.next)
-	o.begunAt = m.now
 	j.occurrences[j.next] = o
 	j.next++
 	for _, s := range o.steps {
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -26,6 +26,11 @@
 	// wasUnreadable is set for a job that was unreadable until its records could be
 	// read again. Its tasks have no record of attempts that were lost meanwhile.
 	wasUnreadable bool
+	// takenInAt is when this machine took the job in. seenRunning is set once it has
+	// known an attempt of the job to run.
+	takenInAt   time.Time
+	seenRunning bool
+	idleCheck   idleCheck
 	// resumed is set once a task of a recovered job has been started.
 	resumed     bool
 	occurrences map[int]*occurrence
@@ -67,8 +72,6 @@
 	// work is the estimated work of all tasks, workLeft of those that are not done,
 	// in thousandths of a core times milliseconds.
 	work, workLeft float64
-	// begunAt is when this machine took the occurrence in.
-	begunAt time.Time
 	// firstStartAt is when this machine started its first attempt; zero if it has
 	// not. waited is set once no worker was found for a part of it.
 	firstStartAt time.Time
@@ -98,6 +101,9 @@
 	// waitingSince is since when no worker is found for the step. nextNoteAt is
 	// when the next note may report that it waits or is held back.
 	waitingSince, nextNoteAt time.Time
+	// waitedSince is since when the step waited before the last time that workers were
+	// found for all of its tasks.
+	waitedSince time.Time
 	// waitReason is what ruled out the most workers when the wait was last noted.
 	waitReason WaitReason
 	advice     advice
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -32,7 +32,7 @@
 	}
 	if spec.BestEffort {
 		a.bestEffortCPU = spec.Size.MilliCPU
-		a.overcommitted = a.bestEffortCPU > w.freeCPU()
+		a.overcommitted = p == phaseStarting && a.bestEffortCPU > w.freeCPU()
 	}
 	a.pace.doublings = t.step.pace.doublings
 	if t.startCheckpoint() != "" {
@@ -139,6 +139,7 @@
 		a.step().advice.reject(w.id)
 	}
 	m.noteAttempt(joblog.MessageStartRefused, a, ev.Verdict.String())
+	a.step().resumeWait()
 	if w.renewAt.After(m.now) {
 		w.renewAt = m.now
 	}
@@ -169,6 +170,7 @@
 	}
 	m.learnStart(a)
 	m.markBegun(a.task)
+	a.step().job().seenRunning = true
 	if doubtful {
 		// A stop has been sent already.
 		m.beginStop(a)
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -301,6 +301,7 @@
 		return a
 	}
 	m.markBegun(t)
+	t.step.job().seenRunning = true
 	m.noteAttempt(joblog.MessageAttemptAdopted, a, "an earlier leader started it")
 	return a
 }
--- a/core/jobsched/waitnote.go
+++ b/core/jobsched/waitnote.go
@@ -63,6 +63,15 @@
 func (m *Machine) noteFoundWorkers(s *step) {
 	if !s.waitingSince.IsZero() {
 		s.job().tally.waited += m.now.Sub(s.waitingSince)
+		s.waitedSince = s.waitingSince
 		s.waitingSince, s.waitReason = time.Time{}, ""
 	}
 }
+
+// resumeWait continues the step's last wait for workers, after one that it found has
+// refused its task.
+func (s *step) resumeWait() {
+	if s.waitingSince.IsZero() {
+		s.waitingSince = s.waitedSince
+	}
+}
