--- a/core/jobsched/starvation.go
+++ b/core/jobsched/starvation.go
@@ -18,10 +18,13 @@
 	// utilization is low: half of the three seconds in which a job has to have something
 	// running.
 	bestEffortMaxWait = 1500 * time.Millisecond
-	// lowUtilizationLimit is the fraction of committed processors below which
-	// utilization is low. Above it, workers without such serving tasks become free
-	// over time anyway.
-	lowUtilizationLimit = 0.6
+	// usableUtilizationLimit is the fraction of committed processors of the usable
+	// workers below which utilization is low. Above it, workers without such serving
+	// tasks become free over time anyway.
+	usableUtilizationLimit = 0.6
+	// listedUtilizationLimit is the same of all listed workers: below half, a job must
+	// not be without a running task for three seconds.
+	listedUtilizationLimit = 0.5
 	// maxStartWait is how long after it was due a job may have nothing running for want
 	// of free processors: less than the 14 s after the last one was accepted in which all
 	// have to run.
@@ -137,7 +140,7 @@
 	}
 	m.lowUtilization = make(map[string]bool, len(listed))
 	for service := range listed {
-		m.lowUtilization[service] = listed.isLow(service) || usable.isLow(service)
+		m.lowUtilization[service] = listed.isBelow(service, listedUtilizationLimit) || usable.isBelow(service, usableUtilizationLimit)
 	}
 }
 
@@ -154,11 +157,11 @@
 	u[w.entry.Service] = sums
 }
 
-// isLow reports whether less than lowUtilizationLimit of the service's processors is
-// committed. It returns false for a service without workers.
-func (u utilization) isLow(service string) bool {
+// isBelow reports whether less than a fraction of the service's processors is committed.
+// It returns false for a service without workers.
+func (u utilization) isBelow(service string, limit float64) bool {
 	sums := u[service]
-	return float64(sums.committed) < lowUtilizationLimit*float64(sums.capacity)
+	return float64(sums.committed) < limit*float64(sums.capacity)
 }
 
 // expectedCPU returns how much of its worker's processors the best-effort attempt is
