--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -61,8 +61,9 @@
 	// bestEffortCPU is the processor use of a best-effort task, in thousandths of a
 	// core. It is not part of the committed size.
 	bestEffortCPU int64
-	// overcommitted is set for a best-effort task on a worker without free processors
-	// for it. It runs at overcommittedShare until there are.
+	// overcommitted is set for a best-effort attempt that was started on a worker
+	// without free processors for it, until endOvercommit finds that there are. It runs
+	// at overcommittedShare.
 	overcommitted bool
 	longRunning   bool
 	startedAt     time.Time
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -64,8 +64,9 @@
 	// bestEffortCPU and longRunningCPU are sums over its attempts, in thousandths
 	// of a core. Only the second is part of committed.
 	bestEffortCPU, longRunningCPU int64
-	// expectedCPU sums what its best-effort attempts are expected to use, in
-	// thousandths of a core.
+	// expectedCPU is bestEffortCPU with overcommitted attempts at their share: what its
+	// best-effort attempts are expected to use, in thousandths of a core. freeCPU is
+	// what it leaves.
 	expectedCPU int64
 	// victims counts its serving tasks by the index of their image.
 	victims      []int
