--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -142,7 +142,7 @@
 	// known is set once this machine itself has started or adopted an attempt.
 	known bool
 	// stalls is how often attempts were stopped because they made no progress, or
-	// more if patience with the step had grown before.
+	// more if the stall limit of the step had grown before.
 	stalls int
 	// failedOn is the worker on which the task last failed.
 	failedOn *worker
--- a/core/jobsched/longtasks_test.go
+++ b/core/jobsched/longtasks_test.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// TestLongTasksEndOverTakeovers guards against patience that each new leader has to
+// TestLongTasksEndOverTakeovers guards against a stall limit that each new leader has to
 // learn anew, so that long tasks are stopped for ever while leaders change.
 func TestLongTasksEndOverTakeovers(t *testing.T) {
 	for name, change := range map[string]func(*cluster){"planned": (*cluster).handOver, "lost": (*cluster).replaceLeader} {
--- a/core/jobsched/pace.go
+++ b/core/jobsched/pace.go
@@ -34,7 +34,7 @@
 	// them took for a percent.
 	own     paceSum
 	slowest time.Duration
-	// doublings is how often the patience with the attempt is doubled.
+	// doublings is how often the stall limit of the attempt is doubled.
 	doublings int
 }
 
@@ -128,9 +128,9 @@
 	sum paceSum
 	// last and lastBeside are the last advances on two different workers.
 	last, lastBeside advance
-	// doublings is how often patience is doubled without a pace: the greatest number
+	// doublings is how often the stall limit is doubled without a pace: the greatest number
 	// of stops of any of the tasks, or what their pace requires. It is stored, so that
-	// a new leader, which knows no pace, has the patience to learn it.
+	// a new leader, which knows no pace, lets attempts run long enough to learn it.
 	doublings int
 	suspects  []suspectWorker
 }
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -62,8 +62,7 @@
 	// Lost is set if the attempt was declared lost.
 	Lost bool `json:"givenUp,omitempty"`
 	// StalledFor is the working time, at full speed, in which the attempt has made no
-	// progress beyond Percent; 0 if
-	// it is not stalled or only briefly.
+	// progress beyond Percent; 0 if it is not stalled or only briefly.
 	StalledFor time.Duration `json:"still,omitempty"`
 	Percent    int           `json:"percent,omitempty"`
 	// SeenFor is how long the attempt has been seen running, and SeenAgo how long
--- a/core/jobsched/stall.go
+++ b/core/jobsched/stall.go
@@ -47,10 +47,10 @@
 		return false
 	}
 	a.work(m.now)
-	if a.pace.stood <= leastPatience(a) || !a.worker.unreachableSince.IsZero() {
+	if a.pace.stood <= leastStallLimit(a) || !a.worker.unreachableSince.IsZero() {
 		return false
 	}
-	return a.pace.stood > m.patience(a)
+	return a.pace.stood > m.stallLimit(a)
 }
 
 // stopStalledAttempt stops an attempt that makes no progress, so that its task is
--- a/core/jobsched/patience.go
+++ b/core/jobsched/stalllimit.go
@@ -14,22 +14,22 @@
 	// the run as estimated, which the objectives of all queues allow for; tasks that
 	// take ten times as long are not stopped by it.
 	estimatedPercents = 25
-	// maxPatience keeps products within a time.Duration.
-	maxPatience = 365 * 24 * time.Hour
+	// maxStallLimit keeps products within a time.Duration.
+	maxStallLimit = 365 * 24 * time.Hour
 	// maxSlowness bounds how many times as long a slow worker is assumed to take.
 	maxSlowness = 10
 )
 
-// patience returns for how much working time the attempt may make no progress. It is
+// stallLimit returns for how much working time the attempt may make no progress. It is
 // doubled each time that one of the task was stopped in vain, so that tasks of any
 // length end: together these lose less than twice the time of the first percent that
 // is waited for.
-func (m *Machine) patience(a *attempt) time.Duration {
-	least := leastPatience(a)
+func (m *Machine) stallLimit(a *attempt) time.Duration {
+	least := leastStallLimit(a)
 	return max(least, scale(m.expectedStand(a, least), math.Exp2(float64(a.doublings()))))
 }
 
-func leastPatience(a *attempt) time.Duration {
+func leastStallLimit(a *attempt) time.Duration {
 	if a.bestEffortCPU > 0 {
 		return bestEffortStallTimeout
 	}
@@ -56,7 +56,7 @@
 	return scale(estimatedPercents*estimated, a.worker.slowness())
 }
 
-// doublingsOfPace returns how often the patience that follows from the estimate has to
+// doublingsOfPace returns how often the stall limit that follows from the estimate has to
 // be doubled to reach the one that follows from the step's pace; 0 if that is the least.
 func (s *step) doublingsOfPace() int {
 	wanted := observedPercents * s.pace.sum.perPercent()
@@ -68,10 +68,10 @@
 }
 
 func scale(d time.Duration, factor float64) time.Duration {
-	return time.Duration(min(float64(d)*factor, float64(maxPatience)))
+	return time.Duration(min(float64(d)*factor, float64(maxStallLimit)))
 }
 
-// doublings returns how often the patience with the attempt is doubled. Without a pace
+// doublings returns how often the stall limit of the attempt is doubled. Without a pace
 // of the step, what its other tasks have stood in vain counts as well.
 func (a *attempt) doublings() int {
 	if a.step().pace.sum.percents > 0 {
