core/jobsched: utilization, idle jobs and overcommitted attempts in files of their own

starvation.go had grown to four jobs: when a step is starving, how utilization is counted, whether anything of a job runs, and what an overcommitted attempt takes. Declarations are moved; nothing is decided otherwise.

--- a/core/jobsched/starvation.go
+++ b/core/jobsched/starvation.go
@@ -1,9 +1,6 @@
 package jobsched
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Best-effort work gets the processors that other tasks leave, and only its memory is
 // committed. Two limits keep it from a worker all the same: it does not start beside
@@ -18,21 +15,10 @@
 	// utilization is low: half of the three seconds in which a job has to have something
 	// running.
 	bestEffortMaxWait = 1500 * time.Millisecond
-	// usableUtilizationLimit is the fraction of committed processors of the usable
-	// workers below which utilization is low. Above it, workers without such serving
-	// tasks become free over time anyway.
-	usableUtilizationLimit = 0.6
-	// listedUtilizationLimit is the same of all listed workers: below half, a job must
-	// not be without a running task for three seconds.
-	listedUtilizationLimit = 0.5
 	// maxStartWait is how long after it was due a job may have nothing running for want
 	// of free processors: less than the 14 s after the last one was accepted in which all
 	// have to run.
 	maxStartWait = 10 * time.Second
-	// overcommittedShare is the share, in percent, at which an overcommitted attempt
-	// runs: it goes on, and leaves most of the processors to those that were there
-	// before.
-	overcommittedShare = 25
 )
 
 // starving reports whether a best-effort step has waited too long although much
@@ -82,105 +68,3 @@
 	}
 	return j.record.AcceptedAtMs
 }
-
-// idleCheck is the result of the last check whether anything of a job runs.
-type idleCheck struct {
-	at time.Time
-	// attempts is the number of the job's attempts then.
-	attempts int
-	idle     bool
-}
-
-// isIdle reports whether no attempt of the job runs or is about to run, as far as
-// known. An attempt on a worker that has been silent for some time is taken for one that
-// does not run; its own task waits until that is certain, the others need not.
-func (m *Machine) isIdle(j *jobState) bool {
-	if j.attempts == 0 {
-		return true
-	}
-	if c := &j.idleCheck; !c.at.Equal(m.now) || c.attempts != j.attempts {
-		*c = idleCheck{at: m.now, attempts: j.attempts, idle: !m.hasWorkingAttempt(j)}
-	}
-	return j.idleCheck.idle
-}
-
-// hasWorkingAttempt reports whether an attempt of the job runs or is about to run.
-func (m *Machine) hasWorkingAttempt(j *jobState) bool {
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				if slices.ContainsFunc(t.attempts, m.isWorking) {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
-// isWorking reports whether the attempt runs or is about to run, as far as known.
-func (m *Machine) isWorking(a *attempt) bool {
-	w := a.worker
-	silent := !w.unreachableSince.IsZero() && m.now.Sub(w.unreachableSince) >= rosterUnreachableAfter
-	return !silent && !w.ended && a.phase != phaseDoubtful
-}
-
-// measureUtilization finds the services with low utilization: that of all listed
-// workers, or of those alone that may be given tasks now.
-func (m *Machine) measureUtilization() {
-	listed, usable := make(utilization), make(utilization)
-	for _, w := range m.workers.All() {
-		if !w.listed || w.ended {
-			continue
-		}
-		listed.add(w)
-		if w.isUsable(m.now) && !m.isCordoned(w) {
-			usable.add(w)
-		}
-	}
-	m.lowUtilization = make(map[string]bool, len(listed))
-	for service := range listed {
-		m.lowUtilization[service] = listed.isBelow(service, listedUtilizationLimit) || usable.isBelow(service, usableUtilizationLimit)
-	}
-}
-
-// utilization sums what is committed on workers, and their capacity, by service.
-type utilization map[string]utilizationSums
-
-// utilizationSums are sums over the workers of a service, in thousandths of a core.
-type utilizationSums struct{ committed, capacity int64 }
-
-func (u utilization) add(w *worker) {
-	sums := u[w.entry.Service]
-	sums.committed += w.committed.MilliCPU
-	sums.capacity += w.entry.Capacity.MilliCPU
-	u[w.entry.Service] = sums
-}
-
-// isBelow reports whether less than a fraction of the service's processors is committed.
-// It returns false for a service without workers.
-func (u utilization) isBelow(service string, limit float64) bool {
-	sums := u[service]
-	return float64(sums.committed) < limit*float64(sums.capacity)
-}
-
-// expectedCPU returns how much of its worker's processors the best-effort attempt is
-// expected to use, in thousandths of a core.
-func (a *attempt) expectedCPU() int64 {
-	if a.overcommitted {
-		return a.bestEffortCPU * overcommittedShare / fullSpeed
-	}
-	return a.bestEffortCPU
-}
-
-// endOvercommit gives an overcommitted attempt its full share if its worker has the
-// processors for it by now.
-func (a *attempt) endOvercommit() {
-	w := a.worker
-	if !a.overcommitted || a.bestEffortCPU-a.expectedCPU() > w.freeCPU() {
-		return
-	}
-	w.expectedCPU -= a.expectedCPU()
-	a.overcommitted = false
-	w.expectedCPU += a.expectedCPU()
-}
