Settings that switch on decisions under load

Four policies (reject hopeless jobs, share room, worker speeds, copies of stragglers) get a flag each, off by default, and reach the state machine by its options.

--- a/cmd/guavarill-platform/main.go
+++ b/cmd/guavarill-platform/main.go
@@ -25,6 +25,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/guavarill/guavarill/adapter/logsink"
+	"github.com/guavarill/guavarill/core/jobsched"
 	"github.com/guavarill/guavarill/platform"
 )
 
@@ -48,6 +49,16 @@
 	MetricsPort int    `long:"metrics-port" env:"GUAVARILL_METRICS_PORT" default:"0" description:"port for metrics; 0 serves none"`
 	APIPort     int    `long:"api-port" env:"GUAVARILL_API_PORT" default:"0" description:"port for guavarill's own interface for jobs; 0 serves none"`
 	LogLevel    string `long:"log-level" env:"GUAVARILL_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warning" choice:"error" description:"least level of log lines"`
+
+	Policies policyOptions `group:"Decisions under load"`
+}
+
+// policyOptions switches on the policies of jobsched.Policies.
+type policyOptions struct {
+	RejectHopeless bool `long:"reject-hopeless-jobs" env:"GUAVARILL_REJECT_HOPELESS_JOBS" description:"reject jobs that the forecast says cannot be served in time"`
+	ShareRoom      bool `long:"share-room" env:"GUAVARILL_SHARE_ROOM" description:"divide room among queues that want more than there is"`
+	WorkerSpeeds   bool `long:"worker-speeds" env:"GUAVARILL_WORKER_SPEEDS" description:"place and move tasks by the learned speed of workers"`
+	CopyStragglers bool `long:"copy-stragglers" env:"GUAVARILL_COPY_STRAGGLERS" description:"start second attempts of slow tasks of steps that allow them"`
 }
 
 // maxPort is the highest TCP port.
@@ -97,7 +108,7 @@
 	defer stop()
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	daemon := platform.New(settings, log)
+	daemon := platform.New(settings, jobsched.Policies(o.Policies), log)
 	go platform.WatchSettings(ctx, path, reloads, log, daemon.Reload)
 	o.startServers(daemon, settings.IP, recent, log)
 	if err := daemon.Run(ctx); err != nil {
--- a/demo/jobs.go
+++ b/demo/jobs.go
@@ -13,6 +13,7 @@
 	"github.com/guavarill/guavarill/adapter/logsink"
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/joblog"
+	"github.com/guavarill/guavarill/core/jobsched"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/platform"
 	standin "github.com/guavarill/guavarill/standin/platform"
@@ -102,7 +103,7 @@
 	}
 	log := logsink.NewLogger(r.recent)
 	log.AddHook(logsink.DaemonField(name))
-	d := platform.New(settings, log)
+	d := platform.New(settings, jobsched.Policies{}, log)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return &StepError{Step: "interface of " + name, Cause: err}
