core/jobsched: share room between queues; long-running jobs leave room for short ones

Callers of short urgent jobs waited 11 to 37 s for jobs that may take 2.3 s: in a flood of long-running jobs 12,874 of 13,056 usable cores were committed, most of them by tasks that stay. New long-running tasks went first in every order, took each gap that short tasks left, and stopped short work after a second's wait; nobody gives such room back.

With Policies.ShareRoom the room of a service is divided by weighted max-min shares. New long-running tasks start within the share of their queue only, which leaves what short work has lately wanted, up to its own share; above it they preempt nothing as urgent. The hold ends below half utilization, and after 10 s for one step in each allowance. Interrupted tasks are exempt. Room is reserved for the longest-waiting large short task. Room reserved by preemption counts as used: otherwise each of forty held tasks found the same gap within the share, and 122 short attempts were stopped at once.

--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -24,6 +24,8 @@
 	MessageEndsNotReported      = "ends never told"
 	MessageAttemptMissing       = "attempt not there"
 	MessageStepWaits            = "step waits"
+	MessageShareBinds           = "share of room used up"
+	MessageShareFree            = "share of room free again"
 	MessageStartHeldBack        = "start held back"
 	MessageJobResumed           = "job resumed after a take-over"
 	MessageLeadershipAcquired   = "leads"
--- a/core/jobsched/gang.go
+++ b/core/jobsched/gang.go
@@ -19,6 +19,11 @@
 		}
 		number = max(number, t.last)
 	}
+	if m.isHeldByShare(s.tasks[0]) {
+		m.saturated = true
+		m.noteWaiting(s)
+		return
+	}
 	if !m.ensureRestartsStored(s) || !m.mayStartGangAfterCrashes(s) {
 		return
 	}
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -141,6 +141,9 @@
 	// lowUtilization holds, by service, whether so much capacity is free that
 	// best-effort work need not wait for better workers.
 	lowUtilization map[string]bool
+	// shares divides room between queues; it is unused unless the deployment asks for
+	// that.
+	shares shareState
 
 	// runTimes tells how much longer than estimated the jobs of each queue run.
 	runTimes runTimeRatios
@@ -191,7 +194,7 @@
 	m := &Machine{
 		options: o, epoch: epoch, config: r.Config, now: now, recoveredAt: now, recoveredWall: r.Wall,
 		final: make(map[job.ID]time.Time), incarnations: make(map[model.WorkerID]*workerIncarnations), unreadable: make(map[job.ID]*unreadableJob), learner: interference.New(learnerOptions()),
-		runTimes: make(runTimeRatios), imagePaces: make(imagePaces), sizeBalances: make(map[string]*sizeBalance),
+		runTimes: make(runTimeRatios), imagePaces: make(imagePaces), sizeBalances: make(map[string]*sizeBalance), shares: newShareState(),
 	}
 	m.cordonLimits = cordon.LimitsFor(o.CordonWithin)
 	m.options.MaxLease = cmp.Or(o.MaxLease, o.Lease)
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -27,7 +27,7 @@
 	spec := t.step.spec
 	a := &attempt{
 		key: attemptKey{task: t.key(), attempt: number}, worker: w, task: t, phase: p,
-		size: spec.Committed(), longRunning: spec.LongRunning, advancedAt: m.now,
+		size: spec.Committed(), class: m.roomClass(t.step), longRunning: spec.LongRunning, advancedAt: m.now,
 		throttle: fullSpeed,
 	}
 	if spec.BestEffort {
@@ -42,6 +42,7 @@
 	t.last = max(t.last, number)
 	t.step.job().attempts++
 	w.add(a)
+	m.countStartedRoom(a)
 	m.beginTrial(a)
 	m.countVictim(a, 1)
 	m.countStarting(a, 1)
--- a/core/jobsched/preempt.go
+++ b/core/jobsched/preempt.go
@@ -92,7 +92,7 @@
 	if m.isReserved(t) {
 		return true
 	}
-	if m.isPreemptionFutile(t.step) {
+	if m.isPreemptionFutile(t) {
 		return false
 	}
 	best, victims := m.cheapestPreemption(t)
@@ -112,6 +112,9 @@
 	w.reserved = append(w.reserved, reservation{
 		task: t, size: t.step.spec.Committed(), until: m.now.Add(d), trial: forTrial,
 	})
+	if c := m.roomClass(t.step); c != nil {
+		c.used = c.used.Add(t.step.spec.Committed())
+	}
 }
 
 // cheapestPreemption returns the worker on which making room for a task loses the
@@ -135,7 +138,7 @@
 		}
 	}
 	if !anywhere {
-		m.recordFutilePreemption(t.step)
+		m.recordFutilePreemption(t)
 	}
 	return best, victims
 }
@@ -178,7 +181,7 @@
 // that lose least first.
 func (m *Machine) preemptibleAttempts(t *task, w *worker) []*attempt {
 	var list []*attempt
-	impatient := m.hasWaitedLong(t.step)
+	impatient := m.hasWaitedLong(t.step) && !m.isAboveShare(t)
 	for _, a := range w.attempts.All() {
 		if a.phase != phaseRunning || a.task == nil || a.longRunning || a.step().spec.Gang {
 			continue
--- /dev/null
+++ b/core/jobsched/roomshare.go
@@ -0,0 +1,220 @@
+package jobsched
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/roomshares"
+)
+
+// This file divides the room of each service between the queues that use it, if the
+// deployment asks for that (Policies.ShareRoom). It answers a load in which long-running
+// jobs arrive faster than they end: they would fill all workers, and short urgent work
+// would wait for room that nobody gives back.
+
+// shareState is what the leader knows of the use of room.
+type shareState struct {
+	classes map[roomClassKey]*roomClass
+	// ordered holds the same classes, by queue, the short ones first.
+	ordered  []*roomClass
+	services map[string]*serviceRoom
+	// ranks holds the number of more urgent priorities by service and priority, as of
+	// the configuration ranksVersion.
+	ranks        map[priorityKey]int
+	ranksVersion uint64
+	// largeTasks holds, by service, the task for which room was last reserved because it
+	// had waited long.
+	largeTasks map[string]*task
+}
+
+// priorityKey is a priority of queues of a service.
+type priorityKey struct {
+	service  string
+	priority int
+}
+
+// serviceRoom is the room of a service's workers at the start of the round, with what
+// was started since.
+type serviceRoom struct {
+	// usable and used are of the workers that may be given tasks, listed and listedUsed
+	// of all listed ones.
+	usable, used, listed, listedUsed model.Resources
+}
+
+func newShareState() shareState {
+	return shareState{classes: make(map[roomClassKey]*roomClass), services: make(map[string]*serviceRoom), largeTasks: make(map[string]*task)}
+}
+
+func (s *shareState) add(c *roomClass) {
+	s.classes[c.key] = c
+	s.ordered = append(s.ordered, c)
+	slices.SortFunc(s.ordered, func(a, b *roomClass) int {
+		return cmp.Or(strings.Compare(a.key.queue, b.key.queue), compareFirst(b.key.longRunning, a.key.longRunning))
+	})
+}
+
+// service returns the room of a service; it is empty for one without workers.
+func (s *shareState) service(name string) *serviceRoom {
+	r := s.services[name]
+	if r == nil {
+		r = &serviceRoom{}
+		s.services[name] = r
+	}
+	return r
+}
+
+// measureRoom updates what the classes use and the capacity that they share.
+func (m *Machine) measureRoom() {
+	if !m.options.Policies.ShareRoom {
+		return
+	}
+	clear(m.shares.services)
+	for _, c := range m.shares.ordered {
+		c.used = model.Resources{}
+	}
+	for _, w := range m.workers.All() {
+		if !w.listed || w.ended {
+			continue
+		}
+		r := m.shares.service(w.entry.Service)
+		r.listed = r.listed.Add(w.entry.Capacity)
+		r.listedUsed = r.listedUsed.Add(w.committed)
+		if !w.isUsable(m.now) || m.isCordoned(w) {
+			continue
+		}
+		r.usable = r.usable.Add(w.entry.Capacity)
+		r.used = r.used.Add(w.committed)
+		for _, u := range w.classUses {
+			u.class.used = u.class.used.Add(u.size)
+		}
+		for _, reserved := range w.reserved {
+			if c := m.roomClass(reserved.task.step); c != nil {
+				c.used = c.used.Add(reserved.size)
+			}
+		}
+	}
+}
+
+// countStartedRoom counts an attempt that was added after the room was measured.
+func (m *Machine) countStartedRoom(a *attempt) {
+	if a.class == nil {
+		return
+	}
+	a.class.used = a.class.used.Add(a.size)
+	r := m.shares.service(a.worker.entry.Service)
+	r.used = r.used.Add(a.size)
+	r.listedUsed = r.listedUsed.Add(a.size)
+}
+
+// divideRoom updates what each class wants and is entitled to. It runs once a pass.
+func (m *Machine) divideRoom() {
+	if !m.options.Policies.ShareRoom {
+		return
+	}
+	m.measureWaiting()
+	m.rankPriorities()
+	for name := range m.shares.services {
+		m.divideRoomOf(name)
+	}
+	m.noteBindingShares()
+}
+
+// measureWaiting updates what waits, and the reserves of short work. What is too late to
+// be of use is not waited for.
+func (m *Machine) measureWaiting() {
+	for _, c := range m.shares.ordered {
+		c.waiting = model.Resources{}
+	}
+	waits := make(map[*roomClass]bool)
+	for s := range m.pending.All() {
+		c := m.roomClass(s)
+		if c == nil || !s.ready() || s.job().state.Final() || m.lateness(s.occurrence) == tooLate {
+			continue
+		}
+		if !waits[c] {
+			waits[c], c.allowance = true, 0
+		}
+		c.allowance = max(c.allowance, time.Duration(m.allowanceMs(s.occurrence))*time.Millisecond)
+		for _, t := range s.tasks {
+			if t.idle() && !m.isReserved(t) {
+				c.waiting = c.waiting.Add(s.spec.Committed())
+			}
+		}
+	}
+	for _, c := range m.shares.ordered {
+		if !c.key.longRunning {
+			c.reserve.Observe(m.now, c.wanted(), c.allowance)
+		}
+	}
+}
+
+// divideRoomOf divides a service's room between its long-running classes and the short
+// ones that these must leave room for. What the others take is not divided.
+func (m *Machine) divideRoomOf(service string) {
+	room := m.shares.service(service)
+	divided := room.usable.Sub(room.used)
+	classes := m.claimants(service)
+	claims := make([]roomshares.Claim, len(classes))
+	for i, c := range classes {
+		claims[i] = roomshares.Claim{Weight: m.roomWeight(c), Wanted: c.wanted()}
+		if !c.key.longRunning {
+			claims[i].Wanted = c.reserve.Room()
+		}
+		divided = divided.Add(c.used)
+	}
+	for i, e := range roomshares.Divide(divided, claims) {
+		classes[i].entitlement = e
+		classes[i].divided = divided
+	}
+}
+
+// claimants returns the classes of a service between which room is divided: the
+// long-running ones, and the short ones at least as urgent as one of these.
+func (m *Machine) claimants(service string) []*roomClass {
+	leastUrgent := math.MinInt
+	for _, c := range m.shares.ordered {
+		if c.key.longRunning && c.queue.Service == service && c.wanted() != (model.Resources{}) {
+			leastUrgent = max(leastUrgent, c.queue.Priority)
+		}
+	}
+	var classes []*roomClass
+	for _, c := range m.shares.ordered {
+		if c.queue.Service != service {
+			continue
+		}
+		c.entitlement = roomshares.Entitlement{}
+		if c.key.longRunning || c.queue.Priority <= leastUrgent {
+			classes = append(classes, c)
+		}
+	}
+	return classes
+}
+
+// roomWeight returns the weight of a class: half of that of the next more urgent priority
+// of the service's queues, so that equal priorities weigh the same.
+func (m *Machine) roomWeight(c *roomClass) float64 {
+	return math.Ldexp(1, -m.shares.ranks[priorityKey{c.queue.Service, c.queue.Priority}])
+}
+
+// rankPriorities updates the ranks of the configured priorities. Priorities of queues
+// that are no longer configured count as the most urgent.
+func (m *Machine) rankPriorities() {
+	if m.config == nil || m.shares.ranks != nil && m.shares.ranksVersion == m.config.Version {
+		return
+	}
+	m.shares.ranks, m.shares.ranksVersion = make(map[priorityKey]int), m.config.Version
+	priorities := make(map[string][]int)
+	for _, q := range m.config.Queues {
+		priorities[q.Service] = append(priorities[q.Service], q.Priority)
+	}
+	for service, list := range priorities {
+		slices.Sort(list)
+		for rank, priority := range slices.Compact(list) {
+			m.shares.ranks[priorityKey{service, priority}] = rank
+		}
+	}
+}
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -10,8 +10,10 @@
 		m.dropReservations(w)
 		m.startReserved(w)
 	}
+	m.measureRoom()
 	if m.pass.begin(m.options.RoundBudget) {
 		m.saturated = false
+		m.divideRoom()
 	}
 	m.unplaceable.reset()
 	m.measureUtilization()
@@ -29,6 +31,7 @@
 	m.pass.open = false
 	m.countWaitingTrials()
 	m.measureWaits()
+	m.reserveForLargeTasks()
 }
 
 // startMostUrgent processes the most urgent steps, whether or not they had a turn
@@ -114,6 +117,10 @@
 		if m.pass.isExhausted() || m.starting >= m.options.StartsInFlight {
 			return startBudgetSpent
 		}
+		if m.isHeldByShare(t) {
+			result = max(result, startFoundNoWorker)
+			continue
+		}
 		if !m.ensureRestartStored(t) {
 			result = max(result, startAwaitsRecord)
 			continue
--- a/core/jobsched/unplaceable.go
+++ b/core/jobsched/unplaceable.go
@@ -69,11 +69,12 @@
 	return d
 }
 
-func (m *Machine) preemptionDemand(s *step) preemptionDemand {
+func (m *Machine) preemptionDemand(t *task) preemptionDemand {
+	s := t.step
 	q := m.queue(s.job())
 	return preemptionDemand{
 		service: q.Service, label: s.spec.Label, priority: q.Priority,
-		longRunning: s.spec.LongRunning, waitedLong: m.hasWaitedLong(s),
+		longRunning: s.spec.LongRunning, waitedLong: m.hasWaitedLong(s) && !m.isAboveShare(t),
 	}
 }
 
@@ -124,16 +125,16 @@
 }
 
 // isPreemptionFutile reports whether it is known that preemption cannot make room
-// for a task of the step.
-func (m *Machine) isPreemptionFutile(s *step) bool {
-	return anyFitsIn(m.unplaceable.preemptions[m.preemptionDemand(s)], s.spec.Committed())
+// for the task.
+func (m *Machine) isPreemptionFutile(t *task) bool {
+	return anyFitsIn(m.unplaceable.preemptions[m.preemptionDemand(t)], t.step.spec.Committed())
 }
 
-// recordFutilePreemption records that preemption cannot make room for a task of the
-// step, whatever its restrictions.
-func (m *Machine) recordFutilePreemption(s *step) {
-	if !m.queue(s.job()).Advised {
-		addMinimalSize(m.unplaceable.preemptions, m.preemptionDemand(s), s.spec.Committed())
+// recordFutilePreemption records that preemption cannot make room for the task,
+// whatever its restrictions.
+func (m *Machine) recordFutilePreemption(t *task) {
+	if s := t.step; !m.queue(s.job()).Advised {
+		addMinimalSize(m.unplaceable.preemptions, m.preemptionDemand(t), s.spec.Committed())
 	}
 }
 
--- a/core/jobsched/waitingorder.go
+++ b/core/jobsched/waitingorder.go
@@ -21,6 +21,9 @@
 	interrupted bool
 	priority    int
 	lateness    lateness
+	// shareUsed is the part of its share that the step's class of work uses, if room is
+	// shared.
+	shareUsed   float64
 	cost        float64
 	objectiveMs int64
 }
@@ -35,6 +38,7 @@
 		if s.ready() {
 			p := pendingStep{
 				step: s, priority: m.queue(s.job()).Priority, lateness: m.lateness(s.occurrence), cost: m.cost(s.occurrence), objectiveMs: m.objectiveMs(s.occurrence),
+				shareUsed: m.shareUsed(s),
 			}
 			if p.lateness == tooLate {
 				m.countOutcome(s.occurrence, false)
@@ -48,7 +52,11 @@
 			m.pending.Delete(s)
 		}
 	}
-	slices.SortFunc(steps, compareUrgency)
+	if m.options.Policies.ShareRoom {
+		slices.SortFunc(steps, compareSharing)
+	} else {
+		slices.SortFunc(steps, compareUrgency)
+	}
 	return steps
 }
 
--- a/core/jobsched/waitreason.go
+++ b/core/jobsched/waitreason.go
@@ -19,7 +19,8 @@
 // tell why it waits.
 var namedFilters = []namedFilter{
 	{"not usable", filterUsable}, {"zone cordoned", filterCordon}, {"other service", filterService}, {"label", filterLabel},
-	{"on probation", filterProbation}, {"no ticket", filterTicket}, {"no memory", filterMemory}, {"no room", filterCommitted},
+	{"on probation", filterProbation}, {"no ticket", filterTicket}, {"share of room taken", filterShare},
+	{"no memory", filterMemory}, {"no room", filterCommitted},
 	{"best-effort processors taken", filterBestEffortCPU}, {"spread", filterSpread}, {"on trial", filterTrial},
 	{"would disturb", filterInterference},
 }
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -68,6 +68,8 @@
 	// best-effort attempts are expected to use, in thousandths of a core. freeCPU is
 	// what it leaves.
 	expectedCPU int64
+	// classUses holds what the attempts of each class of work take.
+	classUses []classUse
 	// victims counts its serving tasks by the index of their image.
 	victims      []int
 	servingTasks int
@@ -125,6 +127,7 @@
 	w.attempts.Set(a.key, a)
 	w.tails.stale = true
 	w.committed = w.committed.Add(a.size)
+	w.addClassUse(a)
 	w.bestEffortCPU += a.bestEffortCPU
 	w.expectedCPU += a.expectedCPU()
 	if a.longRunning {
@@ -140,6 +143,7 @@
 	w.attempts.Delete(a.key)
 	w.tails.stale = true
 	w.committed = w.committed.Sub(a.size)
+	w.removeClassUse(a)
 	w.bestEffortCPU -= a.bestEffortCPU
 	w.expectedCPU -= a.expectedCPU()
 	if a.longRunning {
--- a/jobservice/metrics.go
+++ b/jobservice/metrics.go
@@ -33,6 +33,8 @@
 	// longestWait is the longest present wait of a step for a worker, by the reason.
 	longestWait *prometheus.GaugeVec
 	storeLost   prometheus.Counter
+	// roomShare describes the division of room between queues.
+	roomShare *prometheus.GaugeVec
 	// cordonedZones is how many zones the leader starts nothing in.
 	cordonedZones prometheus.Gauge
 	// stepTime and eventsWaiting describe the control goroutine, lag is the time from
@@ -106,6 +108,7 @@
 	m.longestWait = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "longest_wait_seconds", Help: "Longest present wait of a step for a worker at the leader, by what rules out the most workers.",
 	}, []string{"reason"})
+	m.roomShare = newRoomShareGauge()
 	m.refusedCommits = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "commits_refused_total",
 		Help: "Commits that the store refused for good. The entry at fault is set aside.",
@@ -128,7 +131,7 @@
 	})
 	m.unreadable = newUnreadableRecords(counter("unreadable_records_total", "Changes of stored records that left them unreadable, by kind.", "kind"))
 	r.MustRegister(m.refusedCommits, m.requests, m.requestTime, m.orders, m.orderTime, m.decisions, m.commitTime, m.terms,
-		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.trialsRunning, m.trialsWaiting, m.longestWait, m.storeLost, m.cordonedZones, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
+		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.trialsRunning, m.trialsWaiting, m.longestWait, m.roomShare, m.storeLost, m.cordonedZones, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
 		m.entriesUnusable, m.entryChanges, m.configVersion, m.configFailures, m.configWastedBytes, configAge)
 	m.setEntries(jobsched.EntryCounts{})
 	return m
