core/jobsched: queues of equal priority share room without long-running work, too

A queue's backlog kept another queue of the same priority waiting where no long-running work took part in the division: its jobs were due earlier. Then all short classes of a service are claimants. TestQueueBelowItsShareGoesFirst fails without it.

--- a/core/jobsched/roomhold.go
+++ b/core/jobsched/roomhold.go
@@ -29,8 +29,11 @@
 // because the share of its queue is used up. While utilization is low, shares hold
 // nothing.
 func (m *Machine) holdsNewTasks(s *step) bool {
+	if !s.spec.LongRunning {
+		return false
+	}
 	c := m.roomClass(s)
-	if c == nil || !s.spec.LongRunning || c.exceeding == s || c.fits(startSize(s)) {
+	if c == nil || c.exceeding == s || c.fits(startSize(s)) {
 		return false
 	}
 	return !m.shares.service(c.queue.Service).isMostlyFree()
--- a/core/jobsched/roomshare.go
+++ b/core/jobsched/roomshare.go
@@ -152,8 +152,8 @@
 	}
 }
 
-// divideRoomOf divides a service's room between its long-running classes and the short
-// ones that these must leave room for. What the others take is not divided.
+// divideRoomOf divides a service's room between its claimants. What tasks of no class
+// take is not divided.
 func (m *Machine) divideRoomOf(service string) {
 	room := m.shares.service(service)
 	divided := room.usable.Sub(room.used)
@@ -173,12 +173,16 @@
 }
 
 // claimants returns the classes of a service between which room is divided: the
-// long-running ones, and the short ones at least as urgent as one of these.
+// long-running ones, and the short ones at least as urgent as one of these. Without any
+// long-running work these are all.
 func (m *Machine) claimants(service string) []*roomClass {
-	leastUrgent := math.MinInt
+	leastUrgent, found := math.MaxInt, false
 	for _, c := range m.shares.ordered {
-		if c.key.longRunning && c.queue.Service == service && c.wanted() != (model.Resources{}) {
-			leastUrgent = max(leastUrgent, c.queue.Priority)
+		if !c.key.longRunning || c.queue.Service != service || c.wanted() == (model.Resources{}) {
+			continue
+		}
+		if !found || c.queue.Priority > leastUrgent {
+			leastUrgent, found = c.queue.Priority, true
 		}
 	}
 	var classes []*roomClass
--- a/core/jobsched/roomshare_test.go
+++ b/core/jobsched/roomshare_test.go
@@ -273,3 +273,24 @@
 		t.Errorf("%d of 7 tasks run, want all: nothing else is in use", n)
 	}
 }
+
+// TestQueueBelowItsShareGoesFirst guards against a queue whose few jobs wait behind the
+// backlog of another queue of the same priority, because that one's jobs are due earlier.
+func TestQueueBelowItsShareGoesFirst(t *testing.T) {
+	c := newCluster(t, 1, 4)
+	c.options.Policies.ShareRoom = true
+	for _, name := range []string{"many", "few"} {
+		c.config.Queues[name] = &job.Queue{Name: name, Service: "pool", MaxAttempts: 3, Stretch: 1, LatencyTargetMs: 20000}
+	}
+	c.replaceLeader()
+	c.run(200 * time.Millisecond)
+	for i := range 150 {
+		c.submit(100+i, "many", makeStep(1, 2000, time.Second))
+	}
+	c.run(500 * time.Millisecond)
+	id := c.submit(1, "few", makeStep(4, 2000, time.Second))
+	c.run(3 * time.Second)
+	if s := c.state(id); s != job.Completed {
+		t.Errorf("the job is %s after the time that two tasks take, want completed", s)
+	}
+}
