core/workerspeed, core/jobsched: learn the speed of workers, place and move tasks by it

A quarter of the workers six times as slow for 40 s: serving tasks there stay over their target, best-effort work beside them is throttled and moved in vain, and short jobs wait for tasks that were placed there because room stays free there. What attempts take is compared with the same step or image elsewhere; the policy WorkerSpeeds switches the decisions on.

--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -45,6 +45,9 @@
 	MessageEntryRepaired        = "worker entry good again"
 	MessageEntryGone            = "worker entry gone"
 	MessageLinesDropped         = "log lines dropped"
+	MessageWorkerSlow           = "worker slow"
+	MessageWorkerNormal         = "worker at normal speed again"
+	MessageTaskMoved            = "task moved"
 	MessageLeaderBehind         = "the leader is behind"
 	MessageLeaderCaughtUp       = "the leader has caught up"
 )
--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -98,6 +98,9 @@
 	nextNoteAt time.Time
 	// nextMoveAt is when the next search for another worker may be made.
 	nextMoveAt time.Time
+	// overSince is since when the reading has been above the target; zero if it is not.
+	// It is kept while the speeds of workers are learned.
+	overSince time.Time
 }
 
 // isReclaimable reports whether the attempt's room is being freed, or could be
--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -9,7 +9,7 @@
 // selective ones run first.
 var (
 	// fitFilters do not depend on what runs on the worker now.
-	fitFilters = []placementFilter{filterUsable, filterCordon, filterService, filterLabel, filterProbation, filterTicket}
+	fitFilters = []placementFilter{filterUsable, filterCordon, filterService, filterLabel, filterProbation, filterTicket, filterSpeed}
 	// roomFilters depend on what runs there.
 	roomFilters = []placementFilter{filterRoom, filterSpread, filterTrial, filterInterference}
 )
--- a/core/jobsched/interference.go
+++ b/core/jobsched/interference.go
@@ -100,6 +100,10 @@
 
 // learnFromReport passes the readings of a worker's report to the learner.
 func (m *Machine) learnFromReport(w *worker) {
+	if w.maybeSlow(m.now) {
+		// The work beside its serving tasks would be blamed for the worker.
+		return
+	}
 	for _, a := range w.attempts.All() {
 		if !a.serving() || a.learnKey.Generation == 0 {
 			continue
@@ -154,7 +158,7 @@
 	peers := make([]peer, 0, len(s.tasks))
 	for _, t := range s.tasks {
 		for _, a := range t.attempts {
-			if a.serving() && m.now.Sub(a.readAt) < maxReadingAge {
+			if a.serving() && m.now.Sub(a.readAt) < maxReadingAge && !a.worker.isSlow() {
 				peers = append(peers, peer{a.reading, m.predictedExcess(a)})
 			}
 		}
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -111,6 +111,13 @@
 	// baseline is the step's baseline reading, computed at baselineAt.
 	baseline   float64
 	baselineAt time.Time
+	// usual is the usual reading of its serving tasks, computed at usualAt.
+	usual   float64
+	usualAt time.Time
+	// maxSlowness is the slowness up to which workers are used for its tasks, computed
+	// at maxSlownessAt.
+	maxSlowness   float64
+	maxSlownessAt time.Time
 }
 
 func (s *step) job() *jobState { return s.occurrence.job }
@@ -148,6 +155,8 @@
 	failedOn *worker
 	// reservedOn is the worker on which room was last reserved for the task.
 	reservedOn *worker
+	// movedAt is when it was last moved off a slow worker; zero if it was not.
+	movedAt time.Time
 }
 
 func (t *task) key() job.TaskKey {
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -11,6 +11,7 @@
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/ordered"
+	"github.com/guavarill/guavarill/core/workerspeed"
 )
 
 // Options are the limits that the platform's contract sets.
@@ -122,6 +123,10 @@
 	sweptAt time.Time
 	// starting counts the attempts whose start has been sent but not answered.
 	starting int
+	// slowWorkers counts the workers that are known to be slow.
+	slowWorkers int
+	// imageReferences holds the paces of images as multiples of the estimate.
+	imageReferences map[string]*workerspeed.Reference
 	// orphans counts the attempts without a task.
 	orphans int
 
@@ -287,6 +292,8 @@
 	if sweep {
 		m.sweptAt = m.now
 		m.checkAttempts()
+		m.judgeSpeeds()
+		m.moveOffSlowWorkers()
 	}
 	m.sendStops()
 	m.scheduleIfDue()
--- a/core/jobsched/pace.go
+++ b/core/jobsched/pace.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/workerspeed"
 )
 
 // A percent of a task's run is the smallest progress that a worker reports. How long
@@ -36,6 +37,9 @@
 	slowest time.Duration
 	// doublings is how often the stall limit of the attempt is doubled.
 	doublings int
+	// recent sums the latest advances, those before with half their weight. It is kept
+	// while the speeds of workers are learned.
+	recent paceSum
 }
 
 // paceSum sums the percents that were seen to pass and the working time that they
@@ -121,6 +125,7 @@
 	}
 	m.imagePaces.observe(s.spec, took/time.Duration(percents))
 	m.judgeSuspects(s, a.worker, took/time.Duration(percents))
+	m.learnSpeedFromPace(a, percents, took)
 }
 
 // stepPace is how the attempts of a step advance.
@@ -133,6 +138,8 @@
 	// a new leader, which knows no pace, lets attempts run long enough to learn it.
 	doublings int
 	suspects  []suspectWorker
+	// reference holds what a percent takes on which workers, in nanoseconds.
+	reference workerspeed.Reference
 }
 
 // advance is that an attempt has advanced.
--- a/core/jobsched/preempt.go
+++ b/core/jobsched/preempt.go
@@ -17,6 +17,8 @@
 	until time.Time
 	// trial is set for a task that is about to go on trial there.
 	trial bool
+	// moving is set for a task that is being stopped elsewhere to start there.
+	moving bool
 }
 
 // reservationSlack is how long a reservation outlasts StopTime: the end of a
@@ -48,10 +50,17 @@
 	}
 	w.reserved = slices.DeleteFunc(w.reserved, func(r reservation) bool {
 		elsewhere := r.trial && r.task.trial.worker != w.id
-		return !m.now.Before(r.until) || elsewhere || !r.task.idle() || r.task.step.job().state.Final()
+		return !m.now.Before(r.until) || elsewhere || !r.isAwaited() || r.task.step.job().state.Final()
 	})
 }
 
+// isAwaited reports whether the task still needs the room: it has no attempt, or one that
+// is being stopped for it.
+func (r *reservation) isAwaited() bool {
+	attempts := r.task.attempts
+	return r.task.idle() || r.moving && len(attempts) == 1 && attempts[0].phase == phaseStopping
+}
+
 // startReserved starts the tasks with a reservation on the worker as soon as they
 // fit. Waiting for the step's turn might be too late: a turn ends with the first
 // task that fits nowhere.
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -111,6 +111,7 @@
 	w.sampleClock(m.now, r.ClockMs)
 	m.processEnds(w, r.Ended)
 	m.reconcile(w, sentAt, r)
+	m.learnSpeedFromReadings(w)
 	m.learnFromReport(w)
 	m.adjustThrottle(w)
 	w.renewAt = m.nextRenewal(w)
--- a/core/jobsched/score.go
+++ b/core/jobsched/score.go
@@ -5,7 +5,7 @@
 type placementScore func(m *Machine, t *task, w *worker) float64
 
 var placementScores = []placementScore{
-	scoreBalance, scoreDataRack, scoreSameRack, scoreFailedWorker, scoreTrials, scoreServing,
+	scoreBalance, scoreDataRack, scoreSameRack, scoreFailedWorker, scoreTrials, scoreServing, scoreSpeed,
 }
 
 func (m *Machine) score(t *task, w *worker) float64 {
--- /dev/null
+++ b/core/jobsched/speedlearning.go
@@ -0,0 +1,185 @@
+package jobsched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/workerspeed"
+)
+
+// This file feeds what is learned of the speed of workers: from the percents that
+// attempts advance, and from the readings of serving tasks.
+
+// source identifies the attempt for what is learned from it.
+func (a *attempt) source() workerspeed.Source {
+	return workerspeed.Source{Task: a.key.task, Attempt: a.key.attempt}
+}
+
+// maxRecentPercents is the number of percents above which those of an attempt's recent
+// pace count half, so that it follows a change.
+const maxRecentPercents = 20
+
+// learnSpeedFromPace learns from an attempt that has passed some percents of its run in
+// the given working time. Attempts that may be slow because of their place in the network
+// tell nothing.
+func (m *Machine) learnSpeedFromPace(a *attempt, percents int, took time.Duration) {
+	spec := a.step().spec
+	if !m.options.Policies.WorkerSpeeds || spec.LongRunning || spec.SameRack || spec.DataRack != "" && spec.DataRack != a.worker.entry.Rack {
+		return
+	}
+	recent := &a.pace.recent
+	recent.add(percents, took)
+	if recent.percents > maxRecentPercents {
+		recent.percents, recent.took = recent.percents/2, recent.took/2
+	}
+	perPercent := float64(recent.took) / float64(recent.percents)
+	usual, known := m.usualPace(a, perPercent)
+	if !known {
+		return
+	}
+	evidence := workerspeed.Exact
+	if a.bestEffortCPU > 0 && a.worker.mayLackProcessors() {
+		evidence = workerspeed.AtMost
+	}
+	a.worker.speed.learned.Observe(m.now, a.source(), perPercent/usual, evidence)
+}
+
+// mayLackProcessors reports whether the worker's best-effort work may wait for processors
+// because its other tasks use what is committed to them.
+func (w *worker) mayLackProcessors() bool {
+	return w.committed.MilliCPU+w.bestEffortCPU > w.entry.Capacity.MilliCPU
+}
+
+// usualPace takes in what a percent takes the attempt, and returns what one lately took on
+// other workers: in its step, or for its image where the step's other tasks do not tell.
+func (m *Machine) usualPace(a *attempt, perPercent float64) (float64, bool) {
+	s, on := a.step(), a.worker.id
+	s.pace.reference.Observe(m.now, on, a.source(), perPercent)
+	usual, known := s.pace.reference.Elsewhere(m.now, on)
+	image, estimated := m.imageReference(s.spec), float64(estimatedPercent(s.spec))
+	if image == nil {
+		return usual, known
+	}
+	image.Observe(m.now, on, a.source(), perPercent/estimated)
+	if known {
+		return usual, true
+	}
+	usual, known = image.Elsewhere(m.now, on)
+	return usual * estimated, known
+}
+
+// imageReference returns the paces of the step's image as multiples of the estimate; nil
+// if the step has no image or no estimate, or there are too many images.
+func (m *Machine) imageReference(spec *job.Step) *workerspeed.Reference {
+	if spec.Image == "" || estimatedPercent(spec) == 0 {
+		return nil
+	}
+	r := m.imageReferences[spec.Image]
+	if r == nil && len(m.imageReferences) < maxImagePaces {
+		if m.imageReferences == nil {
+			m.imageReferences = make(map[string]*workerspeed.Reference)
+		}
+		r = new(workerspeed.Reference)
+		m.imageReferences[spec.Image] = r
+	}
+	return r
+}
+
+// learnSpeedFromReadings learns from the readings of the worker's serving tasks in a new
+// report. Those beside best-effort work that is not throttled to a share of 0 show only
+// how slow the worker is at most.
+func (m *Machine) learnSpeedFromReadings(w *worker) {
+	if !m.options.Policies.WorkerSpeeds {
+		return
+	}
+	if w.hasBestEffortAtWork() {
+		w.speed.besideAt = m.now
+	}
+	evidence := workerspeed.AtMost
+	if w.isUndisturbed(m.now) {
+		evidence = workerspeed.Exact
+	}
+	for _, a := range w.attempts.All() {
+		if !a.serving() {
+			a.overSince = time.Time{}
+			continue
+		}
+		a.measureOver(m.now)
+		usual := m.usualReading(a.step())
+		if usual == 0 {
+			continue
+		}
+		slowness := float64(a.reading) / usual
+		w.speed.learned.Observe(m.now, a.source(), slowness, evidence)
+		w.speed.suspected.Observe(m.now, a.source(), slowness, workerspeed.Exact)
+	}
+}
+
+// hasBestEffortAtWork reports whether a best-effort attempt on the worker is not throttled
+// to a share of 0.
+func (w *worker) hasBestEffortAtWork() bool {
+	if w.bestEffortCPU == 0 {
+		return false
+	}
+	for _, a := range w.attempts.All() {
+		if a.bestEffortCPU > 0 && (a.throttle > 0 || a.throttleUnknown) {
+			return true
+		}
+	}
+	return false
+}
+
+// measureOver updates since when the attempt has been over its target.
+func (a *attempt) measureOver(now time.Time) {
+	switch {
+	case a.reading <= a.step().spec.LatencyTargetMs:
+		a.overSince = time.Time{}
+	case a.overSince.IsZero():
+		a.overSince = now
+	}
+}
+
+// usualReadingInterval is how long the usual reading of a step is kept: the readings
+// themselves cover half a second.
+const usualReadingInterval = 200 * time.Millisecond
+
+// usualReading returns the reading, in milliseconds, that is usual for the step's serving
+// tasks now: the lower quartile, since some are disturbed and some on slow workers. It is
+// 0 with too few readings.
+func (m *Machine) usualReading(s *step) float64 {
+	if m.now.Sub(s.usualAt) < usualReadingInterval {
+		return s.usual
+	}
+	s.usual, s.usualAt = 0, m.now
+	readings := make([]int64, 0, len(s.tasks))
+	for _, t := range s.tasks {
+		for _, a := range t.attempts {
+			if a.serving() && m.now.Sub(a.readAt) < maxReadingAge {
+				readings = append(readings, a.reading)
+			}
+		}
+	}
+	if len(readings) >= minPeers {
+		slices.Sort(readings)
+		s.usual = float64(readings[(len(readings)-1)/4])
+	}
+	return s.usual
+}
+
+// missesTargetAlone reports whether the worker's slowness keeps the serving attempt from
+// its target by a margin, whatever runs beside it: what its step's undisturbed tasks show
+// elsewhere, times the slowness, is well above the target, and so is its own reading.
+func (m *Machine) missesTargetAlone(a *attempt) bool {
+	if !a.worker.isSlow() || !a.serving() {
+		return false
+	}
+	alone := m.baselineReading(a.step()) * m.slownessOf(a.worker)
+	limit := missesTargetFrom * float64(a.step().spec.LatencyTargetMs)
+	return alone >= limit && float64(a.reading) >= limit
+}
+
+// missesTargetFrom is the tail, as a fraction of the target, from which a serving task
+// certainly misses it: readings of undisturbed tasks differ by a tenth, and so do those
+// that they are compared with.
+const missesTargetFrom = 1.25
--- /dev/null
+++ b/core/jobsched/speedplacement.go
@@ -0,0 +1,61 @@
+package jobsched
+
+import (
+	"math"
+	"time"
+
+	"github.com/guavarill/guavarill/core/workerspeed"
+)
+
+// scoreSpeed keeps tasks off slow workers while there are others. It counts the run time
+// as the rack of the data does, away from which a task takes two to three times as long.
+func scoreSpeed(m *Machine, _ *task, w *worker) float64 {
+	if !w.isSlow() {
+		return 0
+	}
+	return -dataRackScore * math.Log(m.slownessOf(w))
+}
+
+// normalWorkerWait is how long a step waits for a worker at normal speed: half of the
+// three seconds in which a job has to have something running.
+const normalWorkerWait = 1500 * time.Millisecond
+
+// filterSpeed keeps tasks off workers that are too slow for them.
+func filterSpeed(m *Machine, t *task, w *worker) bool {
+	return !w.isSlow() || t.isSuspect() || m.slownessOf(w) <= m.maxSlownessFor(t.step)
+}
+
+// maxSlownessFor returns the slowness up to which workers are used for the step's tasks.
+// On a slower one a task would miss its objective, and would end later than one that
+// waits for another worker for normalWorkerWait. All workers are used once the step has
+// waited for that long, and where most workers are slow.
+func (m *Machine) maxSlownessFor(s *step) float64 {
+	if m.slowWorkers == 0 || 2*m.slowWorkers > m.workers.Len() {
+		return math.Inf(1)
+	}
+	if !s.maxSlownessAt.Equal(m.now) {
+		s.maxSlowness, s.maxSlownessAt = roundSlowness(m.computeMaxSlowness(s)), m.now
+	}
+	return s.maxSlowness
+}
+
+func (m *Machine) computeMaxSlowness(s *step) float64 {
+	spec := s.spec
+	waited := !s.waitingSince.IsZero() && m.now.Sub(s.waitingSince) >= normalWorkerWait
+	if spec.LongRunning || spec.Gang || spec.EstimateMs <= 0 || waited || m.hasWaitedBefore(s.job()) {
+		return math.Inf(1)
+	}
+	estimateMs := float64(spec.EstimateMs)
+	whileWaiting := 1 + float64(normalWorkerWait.Milliseconds())/estimateMs
+	leftMs := float64(m.objectiveMs(s.occurrence)-m.wall.UnixMilli()) - (float64(s.occurrence.pathLeftMs) - estimateMs)
+	return max(whileWaiting, leftMs/estimateMs)
+}
+
+// roundSlowness rounds down to one of a few values, so that steps with about the same
+// limit share what is known of the workers that have no room for them.
+func roundSlowness(limit float64) float64 {
+	if limit >= workerspeed.MaxSlowness {
+		return math.Inf(1)
+	}
+	return math.Exp2(math.Floor(2*math.Log2(max(limit, 1))) / 2)
+}
--- a/core/jobsched/tally.go
+++ b/core/jobsched/tally.go
@@ -20,6 +20,7 @@
 	stopCordoned     stopCause = "zone cordoned"
 	stopSuperseded   stopCause = "other attempt"
 	stopUnneeded     stopCause = "job over"
+	stopSlowWorker   stopCause = "slow worker"
 )
 
 // jobTally is what a job has waited for and cost since this leader took it in. The
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -54,11 +54,13 @@
 // hasServingTasks reports whether a task with a latency target is on the worker.
 func (w *worker) hasServingTasks() bool { return w.servingTasks > 0 }
 
-// measurePressure updates the pressure from the readings of a new report.
-func (w *worker) measurePressure(now time.Time) {
+// measurePressure updates the pressure from the readings of a new report. Tasks that the
+// worker alone keeps from their targets do not count: to throttle others would not help
+// them.
+func (m *Machine) measurePressure(w *worker) {
 	worst := 0.0
 	for _, a := range w.attempts.All() {
-		if a.serving() {
+		if a.serving() && !m.missesTargetAlone(a) {
 			worst = max(worst, float64(a.reading)/float64(a.step().spec.LatencyTargetMs))
 		}
 	}
@@ -72,7 +74,7 @@
 	case t.pressure <= 1:
 		t.overSince = time.Time{}
 	case t.overSince.IsZero():
-		t.overSince = now
+		t.overSince = m.now
 	}
 }
 
@@ -87,7 +89,7 @@
 
 // adjustThrottle updates the shares for the worker's best-effort work.
 func (m *Machine) adjustThrottle(w *worker) {
-	w.measurePressure(m.now)
+	m.measurePressure(w)
 	t := &w.throttle
 	fitting := m.allowedShare(w)
 	t.disturbingPercent = min(t.disturbingPercent, fitting)
@@ -174,13 +176,23 @@
 			if share := m.wantedShare(a); share != a.throttle || a.throttleUnknown && unknown >= 0 {
 				a.throttlePending = true
 				m.emit(Throttle{Order: m.order(w), Key: a.key.task, Attempt: a.key.attempt, Percent: share})
-			} else if share == 0 && m.now.Sub(a.throttledAt) > moveAfter && m.movable(a, &searches) {
+			} else if share == 0 && m.now.Sub(a.throttledAt) > moveAfter && !m.isVainMove(a) && m.movable(a, &searches) {
 				m.requestStop(a, stopDisturbing, "it slows down the tasks beside it")
 			}
 		}
 	}
 }
 
+// isVainMove reports whether it is not known yet if the tasks beside the attempt are slow
+// because of their worker: then they stay so without it.
+func (m *Machine) isVainMove(a *attempt) bool {
+	return a.worker.maybeSlow(m.now) && m.now.Sub(a.throttledAt) <= moveAfter+suspicionTime
+}
+
+// suspicionTime is how long disturbing work at a share of 0 stays on a worker that may be
+// slow itself: readings without it arrive, and enough of them to tell.
+const suspicionTime = 2 * time.Second
+
 // moveRetry is the time between two searches for another worker for such an
 // attempt: each checks all workers.
 const moveRetry = 500 * time.Millisecond
--- a/core/jobsched/unplaceable.go
+++ b/core/jobsched/unplaceable.go
@@ -23,6 +23,9 @@
 	// would disturb, unless it is starving.
 	image                 string
 	starving, overcommits bool
+	// maxSlowness is the slowness up to which workers are used; infinite if none is
+	// too slow.
+	maxSlowness float64
 }
 
 // preemptionDemand is what determines, besides its size, whether room can be made
@@ -31,6 +34,7 @@
 	service, label          string
 	priority                int
 	longRunning, waitedLong bool
+	maxSlowness             float64
 }
 
 // unplaceable remembers, by demand, the sizes that could not be placed in this
@@ -62,7 +66,7 @@
 }
 
 func (m *Machine) placementDemand(s *step) placementDemand {
-	d := placementDemand{service: m.queue(s.job()).Service, label: s.spec.Label, bestEffort: s.spec.BestEffort}
+	d := placementDemand{service: m.queue(s.job()).Service, label: s.spec.Label, bestEffort: s.spec.BestEffort, maxSlowness: m.maxSlownessFor(s)}
 	if d.bestEffort {
 		d.image, d.starving, d.overcommits = s.spec.Image, m.starving(s), m.mayOvercommit(s)
 	}
@@ -73,7 +77,7 @@
 	q := m.queue(s.job())
 	return preemptionDemand{
 		service: q.Service, label: s.spec.Label, priority: q.Priority,
-		longRunning: s.spec.LongRunning, waitedLong: m.hasWaitedLong(s),
+		longRunning: s.spec.LongRunning, waitedLong: m.hasWaitedLong(s), maxSlowness: m.maxSlownessFor(s),
 	}
 }
 
--- a/core/jobsched/waitreason.go
+++ b/core/jobsched/waitreason.go
@@ -19,7 +19,7 @@
 // tell why it waits.
 var namedFilters = []namedFilter{
 	{"not usable", filterUsable}, {"zone cordoned", filterCordon}, {"other service", filterService}, {"label", filterLabel},
-	{"on probation", filterProbation}, {"no ticket", filterTicket}, {"no memory", filterMemory}, {"no room", filterCommitted},
+	{"on probation", filterProbation}, {"no ticket", filterTicket}, {"too slow", filterSpeed}, {"no memory", filterMemory}, {"no room", filterCommitted},
 	{"best-effort processors taken", filterBestEffortCPU}, {"spread", filterSpread}, {"on trial", filterTrial},
 	{"would disturb", filterInterference},
 }
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -92,6 +92,7 @@
 	health   health
 	throttle throttleState
 	tails    tailCache
+	speed    workerSpeed
 }
 
 func newWorker(e WorkerEntry) *worker {
