--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -102,6 +102,9 @@
 	schedules *rand.Rand
 	// tail is the tail latency of serving tasks, in percent of their target.
 	tail int64
+	// disturbance is the slowdown, above 1, that each best-effort attempt at full speed
+	// brings to the serving tasks beside it.
+	disturbance float64
 	// slow makes the leader's steps take time; nil for a leader whose steps take
 	// none.
 	slow *slowLeader
@@ -141,6 +144,8 @@
 	number int64
 	// failAll makes every attempt fail; freeze stops the progress of attempts.
 	failAll, freeze bool
+	// slowness is how many times as long as elsewhere attempts take; 0 means 1.
+	slowness float64
 	// fault is the fault of its entry.
 	fault EntryFault
 }
--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -41,7 +41,7 @@
 				w.end(a, EndIncomplete)
 			}
 		default:
-			a.worked += d * time.Duration(a.share) / 100
+			a.worked += time.Duration(float64(d*time.Duration(a.share)/100) / cmp.Or(w.slowness, 1))
 			if a.worked >= a.need && !a.step.LongRunning {
 				w.end(a, EndDone)
 			}
@@ -329,7 +329,7 @@
 		}
 		reading := a.step.Size.MilliCPU * int64(a.share) / 100
 		if a.step.LatencyTargetMs > 0 {
-			reading = a.step.LatencyTargetMs * w.c.tail / 100
+			reading = int64(float64(a.step.LatencyTargetMs*w.c.tail/100) * cmp.Or(w.slowness, 1) * w.disturbed())
 		}
 		report.Running = append(report.Running, RunningAttempt{
 			Key: a.key.task, Attempt: a.key.attempt, Percent: min(percent, 100), Reading: reading, Checkpoint: w.c.checkpointOf(a),
@@ -338,6 +338,18 @@
 	return report
 }
 
+// disturbed returns how many times as long as alone the worker's serving tasks take for
+// a request.
+func (w *fakeWorker) disturbed() float64 {
+	slowdown := 1.0
+	for _, a := range w.attempts {
+		if a.step.BestEffort {
+			slowdown += w.c.disturbance * float64(a.share) / 100
+		}
+	}
+	return slowdown
+}
+
 func (c *cluster) specOf(id job.ID) *job.Spec { return c.specs()[id] }
 
 // specs returns the specs of all jobs that were ever submitted.
--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -11,7 +11,7 @@
 	// fitFilters do not depend on what runs on the worker now.
 	fitFilters = []placementFilter{filterUsable, filterCordon, filterService, filterLabel, filterProbation, filterTicket, filterSpeed}
 	// roomFilters depend on what runs there.
-	roomFilters = []placementFilter{filterRoom, filterSpread, filterTrial, filterInterference}
+	roomFilters = []placementFilter{filterRoom, filterSpread, filterTrial, filterInterference, filterUnproven}
 )
 
 // isFeasible reports whether the task may be placed on the worker now.
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -125,6 +125,8 @@
 	starting int
 	// slowWorkers counts the workers that are known to be slow.
 	slowWorkers int
+	// doubtfulWorkers counts them and those whose speed is to be shown again.
+	doubtfulWorkers int
 	// imageReferences holds the paces of images as multiples of the estimate.
 	imageReferences map[string]*workerspeed.Reference
 	// orphans counts the attempts without a task.
--- a/core/jobsched/recoverroster.go
+++ b/core/jobsched/recoverroster.go
@@ -18,6 +18,8 @@
 	if valid {
 		w.health = recoveredHealth(e.Health, m.recoveredAt.Add(-age))
 		w.rosterStatus.failures = w.health.failures
+		m.recoverSpeed(w, e.Slowness)
+		w.rosterStatus.slow, w.rosterStatus.unproven = w.speed.slow, w.speed.unproven
 	}
 	m.addIncarnation(w)
 	m.startTimesReported = m.startTimesReported || w.id.StartedMs != 0
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -8,6 +8,7 @@
 
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/workerspeed"
 )
 
 // A leader that takes over must not start a task that may be running elsewhere. It
@@ -49,6 +50,10 @@
 	// heard; 0 if it answers, or if no leader has told. It shows the next leader
 	// which workers fell silent together.
 	SilentFor time.Duration `json:",omitempty"`
+	// Slowness is how many times as long as elsewhere tasks take on the worker, or took
+	// before it was forgotten; 0 if it does not count as slow. A new leader cannot always learn it: an earlier one may
+	// have moved all work that shows it.
+	Slowness float64 `json:",omitempty"`
 }
 
 // FullCapacity returns the largest known capacity of the worker's VM.
@@ -86,6 +91,8 @@
 	attempts int
 	// failures is the value in RosterEntry.Health, or 0 without one.
 	failures int
+	// slow and unproven are what RosterEntry.Slowness states.
+	slow, unproven bool
 }
 
 // rosterState tracks the stored roster.
@@ -149,7 +156,7 @@
 // rosterStatusOf returns what the roster should state about a worker now.
 func (m *Machine) rosterStatusOf(w *worker) rosterStatus {
 	status := m.startStatusOf(w)
-	status.failures = 0
+	status.failures, status.slow, status.unproven = 0, w.speed.slow, w.speed.unproven
 	if w.health.isOnProbation(m.now) {
 		status.failures = w.health.failures
 	}
@@ -331,6 +338,9 @@
 		if !w.unreachableSince.IsZero() && !w.lastReportAt.IsZero() {
 			l.entry.SilentFor = m.now.Sub(w.lastReportAt)
 		}
+		if w.isDoubtful() {
+			l.entry.Slowness = max(m.slownessOf(w), workerspeed.NormalBelow)
+		}
 		if l.status.bounded {
 			left := max(w.leaseBound.Sub(m.now), minLeaseLeft)
 			l.entry.LeaseLeft = &left
--- a/core/jobsched/slowness.go
+++ b/core/jobsched/slowness.go
@@ -14,6 +14,9 @@
 	// whether the worker counts as slow by it.
 	learned workerspeed.Speed
 	slow    bool
+	// unproven is set once the worker no longer counts as slow only because nothing has
+	// shown its speed for long, until something does.
+	unproven bool
 	// suspected is by all readings of serving tasks, whatever runs beside them;
 	// suspicious is whether the worker would be slow by it. refutedUntil is until when
 	// that does not count, after the readings became normal once best-effort work beside
@@ -41,6 +44,9 @@
 // a margin.
 func (w *worker) isSlow() bool { return w.speed.slow }
 
+// isDoubtful reports whether the worker is slow, or was and has not shown its speed since.
+func (w *worker) isDoubtful() bool { return w.speed.slow || w.speed.unproven }
+
 // maybeSlow reports whether the worker is slow, or its serving tasks suggest so and it
 // has not been seen yet whether best-effort work beside them is the cause.
 func (w *worker) maybeSlow(now time.Time) bool {
@@ -59,12 +65,15 @@
 	if !m.options.Policies.WorkerSpeeds {
 		return
 	}
-	m.slowWorkers = 0
+	m.slowWorkers, m.doubtfulWorkers = 0, 0
 	for _, w := range m.workers.All() {
 		m.judgeSpeed(w)
 		if w.isSlow() {
 			m.slowWorkers++
 		}
+		if w.isDoubtful() {
+			m.doubtfulWorkers++
+		}
 	}
 }
 
@@ -76,12 +85,13 @@
 		speed.refutedUntil = m.now.Add(refutationTime)
 	}
 	speed.suspicious = suspicious
+	speed.unproven = speed.unproven && !speed.learned.IsCurrent(m.now)
 	switch slowness := m.slownessOf(w); {
 	case !speed.slow && slowness >= workerspeed.SlowFrom:
 		speed.slow = true
 		m.noteSpeed(joblog.MessageWorkerSlow, w, slowness)
 	case speed.slow && slowness < workerspeed.NormalBelow:
-		speed.slow = false
+		speed.slow, speed.unproven = false, !speed.learned.IsCurrent(m.now)
 		m.noteSpeed(joblog.MessageWorkerNormal, w, slowness)
 	}
 }
@@ -95,3 +105,17 @@
 	}
 	m.emit(Note{Decision: decision, Worker: w.id, Reason: reason})
 }
+
+// recoverSpeed takes over the slowness that an earlier leader knew of the worker, 0 if it
+// knew of none. The roster was stored when that last changed, so it holds until now.
+func (m *Machine) recoverSpeed(w *worker, slowness float64) {
+	if !m.options.Policies.WorkerSpeeds || slowness < workerspeed.NormalBelow {
+		return
+	}
+	if slowness < workerspeed.SlowFrom {
+		w.speed.unproven = true
+		return
+	}
+	w.speed.learned.Assume(m.recoveredAt, slowness)
+	w.speed.slow = true
+}
--- a/core/jobsched/speedlearning.go
+++ b/core/jobsched/speedlearning.go
@@ -145,28 +145,39 @@
 const usualReadingInterval = 200 * time.Millisecond
 
 // usualReading returns the reading, in milliseconds, that is usual for the step's serving
-// tasks now: the lower quartile, since some are disturbed and some on slow workers. It is
-// 0 with too few readings.
+// tasks now: the lower quartile, since some are on slow workers. It is taken from those
+// without best-effort work beside them, or from all if these are too few, and is 0 if all
+// are too few.
 func (m *Machine) usualReading(s *step) float64 {
 	if m.now.Sub(s.usualAt) < usualReadingInterval {
 		return s.usual
 	}
 	s.usual, s.usualAt = 0, m.now
-	readings := make([]int64, 0, len(s.tasks))
+	all, undisturbed := make([]int64, 0, len(s.tasks)), make([]int64, 0, len(s.tasks))
 	for _, t := range s.tasks {
 		for _, a := range t.attempts {
 			if a.serving() && m.now.Sub(a.readAt) < maxReadingAge {
-				readings = append(readings, a.reading)
+				all = append(all, a.reading)
+				if a.worker.isUndisturbed(m.now) {
+					undisturbed = append(undisturbed, a.reading)
+				}
 			}
 		}
 	}
-	if len(readings) >= minPeers {
-		slices.Sort(readings)
-		s.usual = float64(readings[(len(readings)-1)/4])
+	if len(undisturbed) >= minPeers {
+		s.usual = lowerQuartile(undisturbed)
+	} else if len(all) >= minPeers {
+		s.usual = lowerQuartile(all)
 	}
 	return s.usual
 }
 
+// lowerQuartile returns the lower quartile of the readings, which it sorts.
+func lowerQuartile(readings []int64) float64 {
+	slices.Sort(readings)
+	return float64(readings[(len(readings)-1)/4])
+}
+
 // missesTargetAlone reports whether the worker's slowness keeps the serving attempt from
 // its target by a margin, whatever runs beside it: what its step's undisturbed tasks show
 // elsewhere, times the slowness, is well above the target, and so is its own reading.
--- a/core/jobsched/waitreason.go
+++ b/core/jobsched/waitreason.go
@@ -21,7 +21,7 @@
 	{"not usable", filterUsable}, {"zone cordoned", filterCordon}, {"other service", filterService}, {"label", filterLabel},
 	{"on probation", filterProbation}, {"no ticket", filterTicket}, {"too slow", filterSpeed}, {"no memory", filterMemory}, {"no room", filterCommitted},
 	{"best-effort processors taken", filterBestEffortCPU}, {"spread", filterSpread}, {"on trial", filterTrial},
-	{"would disturb", filterInterference},
+	{"would disturb", filterInterference}, {"speed unproven", filterUnproven},
 }
 
 // WaitReasons returns all reasons that a step may wait for.
--- a/core/workerspeed/speed.go
+++ b/core/workerspeed/speed.go
@@ -25,15 +25,17 @@
 	maxSamples = 16
 	// sampleHalfLife is the time in which an attempt's weight halves against that of
 	// the latest one: a worker that has recovered is found while old evidence is kept.
-	sampleHalfLife = 1500 * time.Millisecond
+	sampleHalfLife = time.Second
 	// sampleAge is how much older than the latest a sample may be.
 	sampleAge = 10 * time.Second
 	// minSamples and minSteps are how many attempts have to tell, and of how many
 	// steps.
 	minSamples, minSteps = 3, 2
-	// normalWeight is the weight of the assumption that the worker is normal, in
-	// attempts.
+	// normalWeight is the weight, in attempts, of the assumption that a worker is normal.
+	// slowWeight is that of the assumption that one which was slow still is: less than
+	// one attempt, which shows whether it has recovered.
 	normalWeight = 1.5
+	slowWeight   = 0.75
 )
 
 // Evidence is how far a slowness that was seen tells about the worker.
@@ -57,7 +59,9 @@
 	slowness float64
 	evidence int
 	stale    bool
-	latest   time.Time
+	// latest is the time of the latest evidence, estimatedTo that of the latest in the
+	// estimate.
+	latest, estimatedTo time.Time
 }
 
 // sample is the slowness that an attempt shows.
@@ -71,8 +75,18 @@
 // Evidence that is not exact counts only if it is lower than what is known.
 func (s *Speed) Observe(now time.Time, source Source, slowness float64, evidence Evidence) {
 	slowness = min(max(slowness, 1), MaxSlowness)
+	if now.After(s.latest) {
+		s.estimate()
+	}
+	known := MaxSlowness
+	if evidence == AtMost {
+		known = s.Slowness(now)
+	}
 	i := slices.IndexFunc(s.samples, func(other sample) bool { return other.source == source })
-	if evidence == AtMost && !s.isLower(now, slowness, i) {
+	if i >= 0 {
+		known = max(known, s.samples[i].slowness)
+	}
+	if evidence == AtMost && slowness >= known {
 		return
 	}
 	s.latest, s.stale = now, true
@@ -87,10 +101,9 @@
 	}
 }
 
-// isLower reports whether the slowness is lower than what is known of the worker, or
-// than what the sample with the given index, if any, shows.
-func (s *Speed) isLower(now time.Time, slowness float64, sample int) bool {
-	return slowness < s.Slowness(now) || sample >= 0 && slowness < s.samples[sample].slowness
+// Assume takes over the slowness that another has learned of the worker.
+func (s *Speed) Assume(now time.Time, slowness float64) {
+	*s = Speed{slowness: min(max(slowness, 1), MaxSlowness), evidence: 1, latest: now, estimatedTo: now}
 }
 
 // oldest returns the index of the sample that was taken first.
@@ -105,29 +118,64 @@
 }
 
 // estimate computes the estimate: the weighted lower median of the samples and the
-// assumption that the worker is normal.
+// assumption that the worker is as it was.
 func (s *Speed) estimate() {
 	if !s.stale {
 		return
 	}
-	s.stale = false
+	assumed, weight := s.assumption()
+	s.stale, s.estimatedTo = false, s.latest
 	s.samples = slices.DeleteFunc(s.samples, func(x sample) bool { return s.latest.Sub(x.at) > sampleAge })
 	s.evidence = len(s.samples)
-	if len(s.samples) < minSamples || s.steps() < minSteps {
+	if assumed == 1 && (len(s.samples) < minSamples || s.steps() < minSteps) {
 		s.slowness, s.evidence = 1, 0
 		return
 	}
-	slices.SortFunc(s.samples, func(a, b sample) int { return cmp.Compare(a.slowness, b.slowness) })
-	total := normalWeight
+	values := []weighted{{assumed, weight}}
 	for i := range s.samples {
-		total += s.weight(i)
+		values = append(values, weighted{s.samples[i].slowness, s.weight(i)})
+	}
+	s.slowness = lowerMedian(values)
+}
+
+// assumption returns what is assumed of the worker before its samples are looked at, and
+// the weight of that in attempts.
+func (s *Speed) assumption() (slowness, weight float64) {
+	if slowness = s.fade(s.latest.Sub(s.estimatedTo)); slowness >= SlowFrom {
+		return slowness, slowWeight
+	}
+	return 1, normalWeight
+}
+
+// fade returns what is left of the estimate at the given age of its latest evidence.
+func (s *Speed) fade(age time.Duration) float64 {
+	if s.evidence == 0 {
+		return 1
+	}
+	if age <= holdTime {
+		return s.slowness
+	}
+	left := float64(forgetTime-age) / float64(forgetTime-holdTime)
+	return 1 + (s.slowness-1)*max(left, 0)
+}
+
+// weighted is a slowness with its weight.
+type weighted struct{ slowness, weight float64 }
+
+// lowerMedian returns the lower weighted median.
+func lowerMedian(values []weighted) float64 {
+	slices.SortFunc(values, func(a, b weighted) int { return cmp.Compare(a.slowness, b.slowness) })
+	total := 0.0
+	for _, v := range values {
+		total += v.weight
 	}
-	s.slowness = 1
-	sum := normalWeight
-	for i := 0; sum < total/2; i++ {
-		s.slowness = s.samples[i].slowness
-		sum += s.weight(i)
+	sum := 0.0
+	for _, v := range values {
+		if sum += v.weight; sum >= total/2 {
+			return v.slowness
+		}
 	}
+	return 1
 }
 
 // weight returns the weight of a sample against the latest one.
@@ -152,15 +200,13 @@
 // that is unknown. Without new evidence it falls to 1.
 func (s *Speed) Slowness(now time.Time) float64 {
 	s.estimate()
-	if s.evidence == 0 {
-		return 1
-	}
-	age := now.Sub(s.latest)
-	if age <= holdTime {
-		return s.slowness
-	}
-	left := float64(forgetTime-age) / float64(forgetTime-holdTime)
-	return 1 + (s.slowness-1)*max(left, 0)
+	return s.fade(now.Sub(s.latest))
+}
+
+// IsCurrent reports whether recent evidence shows the speed of the worker.
+func (s *Speed) IsCurrent(now time.Time) bool {
+	s.estimate()
+	return s.evidence > 0 && now.Sub(s.latest) <= holdTime
 }
 
 // Confidence describes what the slowness is based on.
--- a/core/workerspeed/speed_test.go
+++ b/core/workerspeed/speed_test.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// TestOneAttemptShowsThatASlowWorkerStaysSlow: a slow worker gets little work, and one
+// task there shows whether it has recovered.
+func TestOneAttemptShowsThatASlowWorkerStaysSlow(t *testing.T) {
+	for _, slowness := range []float64{1, 6} {
+		var s Speed
+		s.observeSteps(begin, 4, 6)
+		now := begin.Add(holdTime + time.Second)
+		s.Observe(now, source(9, 0), slowness, Exact)
+		if got := s.Slowness(now); slowness == 1 && got != 1 || slowness == 6 && got < SlowFrom {
+			t.Errorf("slowness %.2f after an attempt that took %.0f times as long", got, slowness)
+		}
+	}
+}
+
 // TestSlownessIsForgotten: without evidence a worker becomes unknown, and gets work
 // that shows its speed.
 func TestSlownessIsForgotten(t *testing.T) {
--- a/jobservice/metrics.go
+++ b/jobservice/metrics.go
@@ -26,6 +26,8 @@
 	// unansweredWorkers is how many workers have not answered the new leader and
 	// therefore hold starts back.
 	unansweredWorkers prometheus.Gauge
+	// slowWorkers counts the workers that are known to be slow.
+	slowWorkers prometheus.Gauge
 	// trialsRunning and trialsWaiting count the tasks that may have crashed workers:
 	// those whose trial runs, and those that wait for it.
 	trialsRunning prometheus.Gauge
@@ -88,6 +90,7 @@
 		attempts:          gauge("attempts", "Attempts that may run, at the leader."),
 		unansweredWorkers: gauge("workers_unheard", "Workers that hold starts back, because they have not answered the new leader."),
 		trialsRunning:     gauge("trials_running", "Attempts on trial at the leader: workers crashed under their tasks, which have not run for longer since."),
+		slowWorkers:       gauge("slow_workers", "Workers at the leader on which tasks are known to take longer than elsewhere."),
 		trialsWaiting:     gauge("trials_waiting", "Tasks at the leader that wait to be tried, because other trials run."),
 		stepTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "leader_step_seconds", Help: "Time of a step of the leader's control goroutine.",
@@ -128,7 +131,7 @@
 	})
 	m.unreadable = newUnreadableRecords(counter("unreadable_records_total", "Changes of stored records that left them unreadable, by kind.", "kind"))
 	r.MustRegister(m.refusedCommits, m.requests, m.requestTime, m.orders, m.orderTime, m.decisions, m.commitTime, m.terms,
-		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.trialsRunning, m.trialsWaiting, m.longestWait, m.storeLost, m.cordonedZones, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
+		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.trialsRunning, m.trialsWaiting, m.slowWorkers, m.longestWait, m.storeLost, m.cordonedZones, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
 		m.entriesUnusable, m.entryChanges, m.configVersion, m.configFailures, m.configWastedBytes, configAge)
 	m.setEntries(jobsched.EntryCounts{})
 	return m
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -72,6 +72,7 @@
 	running, waiting := t.machine.Trials()
 	l.o.Metrics.trialsRunning.Set(float64(running))
 	l.o.Metrics.trialsWaiting.Set(float64(waiting))
+	l.o.Metrics.slowWorkers.Set(float64(t.machine.SlowWorkers()))
 	l.o.Metrics.setLongestWaits(t.machine.LongestWaits())
 	return false, false
 }
