--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -8,8 +8,9 @@
 // The filters are grouped by what they depend on and ordered so that cheap and
 // selective ones run first.
 var (
-	// fitFilters do not depend on what runs on the worker now.
-	fitFilters = []placementFilter{filterUsable, filterCordon, filterService, filterLabel, filterProbation, filterTicket, filterSpeed}
+	// fitFilters do not depend on what runs on the worker now. The last is
+	// filterTicket, which isFeasibleWithTicket leaves out.
+	fitFilters = []placementFilter{filterUsable, filterCordon, filterService, filterLabel, filterProbation, filterSpeed, filterTicket}
 	// roomFilters depend on what runs there.
 	roomFilters = []placementFilter{filterRoom, filterSpread, filterTrial, filterInterference, filterUnproven}
 )
--- a/core/jobsched/speedlearning.go
+++ b/core/jobsched/speedlearning.go
@@ -53,15 +53,22 @@
 
 // usualPace takes in what a percent takes the attempt, and returns what one lately took on
 // other workers: in its step, or for its image where the step's other tasks do not tell.
+// What runs on slow workers does not show what is usual: a step that finds no room
+// elsewhere runs on these alone.
 func (m *Machine) usualPace(a *attempt, perPercent float64) (float64, bool) {
 	s, on := a.step(), a.worker.id
-	s.pace.reference.Observe(m.now, on, a.source(), perPercent)
+	usualHere := !a.worker.isDoubtful()
+	if usualHere {
+		s.pace.reference.Observe(m.now, on, a.source(), perPercent)
+	}
 	usual, known := s.pace.reference.Elsewhere(m.now, on)
 	image, estimated := m.imageReference(s.spec), float64(estimatedPercent(s.spec))
 	if image == nil {
 		return usual, known
 	}
-	image.Observe(m.now, on, a.source(), perPercent/estimated)
+	if usualHere {
+		image.Observe(m.now, on, a.source(), perPercent/estimated)
+	}
 	if known {
 		return usual, true
 	}
@@ -145,9 +152,10 @@
 const usualReadingInterval = 200 * time.Millisecond
 
 // usualReading returns the reading, in milliseconds, that is usual for the step's serving
-// tasks now: the lower quartile, since some are on slow workers. It is taken from those
-// without best-effort work beside them, or from all if these are too few, and is 0 if all
-// are too few.
+// tasks now on workers that are not known to be slow: the lower quartile, since some may
+// be slow nevertheless. It is taken from all of them, or from those without best-effort work beside them if these are faster: most may be
+// disturbed, but where best-effort work is throttled to a share of 0 most are on slow
+// workers. It is 0 with too few readings.
 func (m *Machine) usualReading(s *step) float64 {
 	if m.now.Sub(s.usualAt) < usualReadingInterval {
 		return s.usual
@@ -156,7 +164,7 @@
 	all, undisturbed := make([]int64, 0, len(s.tasks)), make([]int64, 0, len(s.tasks))
 	for _, t := range s.tasks {
 		for _, a := range t.attempts {
-			if a.serving() && m.now.Sub(a.readAt) < maxReadingAge {
+			if a.serving() && m.now.Sub(a.readAt) < maxReadingAge && !a.worker.isSlow() {
 				all = append(all, a.reading)
 				if a.worker.isUndisturbed(m.now) {
 					undisturbed = append(undisturbed, a.reading)
@@ -164,11 +172,12 @@
 			}
 		}
 	}
-	if len(undisturbed) >= minPeers {
-		s.usual = lowerQuartile(undisturbed)
-	} else if len(all) >= minPeers {
+	if len(all) >= minPeers {
 		s.usual = lowerQuartile(all)
 	}
+	if len(undisturbed) >= minPeers {
+		s.usual = min(s.usual, lowerQuartile(undisturbed))
+	}
 	return s.usual
 }
 
