--- a/core/jobsched/speedplacement.go
+++ b/core/jobsched/speedplacement.go
@@ -48,7 +48,7 @@
 		return math.Inf(1)
 	}
 	if !s.maxSlownessAt.Equal(m.now) {
-		s.maxSlowness, s.maxSlownessAt = roundSlowness(m.computeMaxSlowness(s)), m.now
+		s.maxSlowness, s.maxSlownessAt = m.computeMaxSlowness(s), m.now
 	}
 	return s.maxSlowness
 }
@@ -59,17 +59,8 @@
 	if spec.LongRunning || spec.Gang || spec.EstimateMs <= 0 || waited || m.hasWaitedBefore(s.job()) {
 		return math.Inf(1)
 	}
-	estimateMs := float64(spec.EstimateMs)
-	whileWaiting := 1 + float64(normalWorkerWait.Milliseconds())/estimateMs
-	leftMs := float64(m.objectiveMs(s.occurrence)-m.wall.UnixMilli()) - (float64(s.occurrence.pathLeftMs) - estimateMs)
-	return max(whileWaiting, leftMs/estimateMs)
-}
-
-// roundSlowness rounds down to one of a few values, so that steps with about the same
-// limit share what is known of the workers that have no room for them.
-func roundSlowness(limit float64) float64 {
-	if limit >= workerspeed.MaxSlowness {
-		return math.Inf(1)
-	}
-	return math.Exp2(math.Floor(2*math.Log2(max(limit, 1))) / 2)
+	takes := time.Duration(spec.EstimateMs) * time.Millisecond
+	later := time.Duration(s.occurrence.pathLeftMs)*time.Millisecond - takes
+	left := time.Duration(m.objectiveMs(s.occurrence)-m.wall.UnixMilli())*time.Millisecond - later
+	return workerspeed.Limit(takes, left, normalWorkerWait)
 }
--- a/core/jobsched/unevenworkers_test.go
+++ b/core/jobsched/unevenworkers_test.go
@@ -41,11 +41,15 @@
 	number     int
 	// jobsAtOnce is how many short jobs are submitted each submitInterval.
 	jobsAtOnce int
+	// seenNotes is how many notes checkNewMoves has looked at.
+	seenNotes int
+	// cutAt holds since when workers are out of reach.
+	cutAt map[model.WorkerID]time.Time
 }
 
 // newUnevenDay starts the serving tasks.
 func newUnevenDay(t *testing.T, seed uint64, jobsAtOnce int, speeds bool) *unevenDay {
-	d := &unevenDay{cluster: newCluster(t, seed, unevenWorkers), rnd: rand.New(rand.NewPCG(seed, 11)), number: 1000, jobsAtOnce: jobsAtOnce}
+	d := &unevenDay{cluster: newCluster(t, seed, unevenWorkers), rnd: rand.New(rand.NewPCG(seed, 11)), number: 1000, jobsAtOnce: jobsAtOnce, cutAt: make(map[model.WorkerID]time.Time)}
 	d.keepNotes = true
 	d.options.Policies.WorkerSpeeds = speeds
 	d.replaceLeader()
@@ -94,6 +98,7 @@
 		}
 		d.tick()
 		d.noteCompleted(d.short)
+		d.checkNewMoves()
 		if measured {
 			d.measureServing()
 		}
@@ -138,6 +143,34 @@
 	}
 }
 
+// checkNewMoves checks that the other tasks of a step from which one is moved all run, began
+// long enough ago, and that their workers' last reports are recent.
+func (d *unevenDay) checkNewMoves() {
+	for _, n := range d.notes[d.seenNotes:] {
+		if n.Decision != joblog.MessageTaskMoved {
+			continue
+		}
+		for index := range servingTasks {
+			key := job.TaskKey{Job: n.Job, Index: index}
+			truth := d.task(key)
+			available := key.String() == n.Task
+			for id := range truth.running {
+				available = available || d.isHeard(id) && d.now.Sub(truth.lastStart) >= unavailableNotice
+			}
+			if !available {
+				d.t.Errorf("%s: %s is moved while %s is unavailable", d.now.Sub(testEpoch), n.Task, key)
+			}
+		}
+	}
+	d.seenNotes = len(d.notes)
+}
+
+// isHeard reports whether a report of the worker may be no older than maxReportAge.
+func (d *unevenDay) isHeard(id model.WorkerID) bool {
+	at, cut := d.cutAt[id]
+	return !cut || d.now.Sub(at) <= maxReportAge
+}
+
 // stopsOf counts the attempts that were stopped for a reason.
 func (d *unevenDay) stopsOf(reason string) int {
 	n := 0
@@ -203,6 +236,20 @@
 	}
 }
 
+// TestNothingIsMovedBesideAnUnavailableTask guards against more unavailable tasks than a
+// step allows: workers are out of reach while others are slow.
+func TestNothingIsMovedBesideAnUnavailableTask(t *testing.T) {
+	d := newUnevenDay(t, 5, 1, true)
+	d.setSlowness(slownessOfSome)
+	for i, id := range d.workerIDs() {
+		if i%8 == 1 {
+			d.after(time.Duration(i)*300*time.Millisecond, func() { d.workers[id].partitioned, d.cutAt[id] = true, d.now })
+		}
+	}
+	d.play(slowFor, false)
+	d.checkMoves()
+}
+
 // TestWorkersThatRecoverAreUsed guards against workers that count as slow for good after
 // they were.
 func TestWorkersThatRecoverAreUsed(t *testing.T) {
--- a/core/workerspeed/doc.go
+++ b/core/workerspeed/doc.go
@@ -5,5 +5,6 @@
 // What an attempt takes for a unit of its work is compared with what the same work has
 // lately taken on other workers (Reference). A worker counts as slow only if most of
 // what has lately run on it agrees, over attempts of several steps (Speed): one long
-// job or a single straggler does not make a worker slow.
+// job or a single straggler does not make a worker slow. Limit tells how slow a worker may
+// be for a task.
 package workerspeed
