--- a/core/jobsched/unevenworkers_test.go
+++ b/core/jobsched/unevenworkers_test.go
@@ -279,6 +279,22 @@
 	}
 }
 
+// TestSlowWorkersAreHandedOver guards against a new leader that takes slow workers for
+// normal ones, because all work that shows their speed was moved.
+func TestSlowWorkersAreHandedOver(t *testing.T) {
+	for name, change := range map[string]func(*cluster){"planned": (*cluster).handOver, "lost": (*cluster).replaceLeader} {
+		t.Run(name, func(t *testing.T) {
+			d := newUnevenDay(t, 6, 1, true)
+			d.playSlow(slownessOfSome, false)
+			change(d.cluster)
+			d.run(100 * time.Millisecond)
+			if slow := d.machine.doubtfulWorkers; slow != unevenWorkers/4 {
+				t.Errorf("%d workers are slow, or were and were not seen since, for the new leader, want %d", slow, unevenWorkers/4)
+			}
+		})
+	}
+}
+
 // TestEvenWorkersAreNotSlow guards against workers that count as slow by chance.
 func TestEvenWorkersAreNotSlow(t *testing.T) {
 	d := newUnevenDay(t, 3, 3, true)
