--- a/core/jobsched/waitreason.go
+++ b/core/jobsched/waitreason.go
@@ -19,10 +19,10 @@
 // tell why it waits.
 var namedFilters = []namedFilter{
 	{"not usable", filterUsable}, {"zone cordoned", filterCordon}, {"other service", filterService}, {"label", filterLabel},
-	{"on probation", filterProbation}, {"no ticket", filterTicket}, {"share of room taken", filterShare},
+	{"on probation", filterProbation}, {"no ticket", filterTicket}, {"too slow", filterSpeed}, {"share of room taken", filterShare},
 	{"no memory", filterMemory}, {"no room", filterCommitted},
 	{"best-effort processors taken", filterBestEffortCPU}, {"spread", filterSpread}, {"on trial", filterTrial},
-	{"would disturb", filterInterference},
+	{"would disturb", filterInterference}, {"speed unproven", filterUnproven},
 }
 
 // WaitReasons returns all reasons that a step may wait for.
