core/jobsched: start copies of slow tasks

A step that allows a second attempt waited for its slowest task like any other. With CopyStragglers the leader now starts a copy of such a task on another worker, in room that no step waits for, and stops the other attempt when one of the two is done. Both are kept after a take-over. The end of the first attempt counts although a later one runs: the contract lets tasks that allow copies run twice, so that such an end needs no restart record.

--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -19,6 +19,8 @@
 	MessageAttemptAdopted       = "attempt adopted"
 	MessageAttemptStopped       = "attempt stopped"
 	MessageAttemptEnded         = "attempt ended"
+	MessageCopyWon              = "copy done first"
+	MessageCopyLost             = "copy of no use"
 	MessageAttemptLost          = "attempt lost"
 	MessageEndNotAcknowledged   = "end not acknowledged"
 	MessageEndsNotReported      = "ends never told"
--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -66,7 +66,10 @@
 	// at overcommittedShare.
 	overcommitted bool
 	longRunning   bool
-	startedAt     time.Time
+	// copy is set for the second attempt of a slow task, and beaten for an attempt whose
+	// task the other one of the two has done.
+	copy, beaten bool
+	startedAt    time.Time
 	// seenBefore is how long earlier leaders have seen the attempt running.
 	seenBefore time.Duration
 	// seenFromStart is set if an adopted attempt has been seen since its start.
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -108,6 +108,7 @@
 	waitReason WaitReason
 	advice     advice
 	pace       stepPace
+	runs       stepRuns
 	// baseline is the step's baseline reading, computed at baselineAt.
 	baseline   float64
 	baselineAt time.Time
@@ -148,6 +149,10 @@
 	failedOn *worker
 	// reservedOn is the worker on which room was last reserved for the task.
 	reservedOn *worker
+	// copies is how many copies of the task this leader has started. nextCopyAt is when
+	// the next one may be.
+	copies     int
+	nextCopyAt time.Time
 }
 
 func (t *task) key() job.TaskKey {
--- a/core/jobsched/lostattempts.go
+++ b/core/jobsched/lostattempts.go
@@ -80,10 +80,14 @@
 
 // sentRestart returns the number of a later attempt of an end's task that may have been
 // started after the ended one had been declared lost, or 0 if there is none. A restart
-// that was only requested does not count: the end makes it needless.
+// that was only requested does not count: the end makes it needless. Nor does a later
+// attempt of a task that may have copies: its first end as done counts.
 func (m *Machine) sentRestart(e *EndedAttempt) int {
 	number := m.restarts.sent[e.Key.Job][e.Key]
 	if t := m.task(e.Key); t != nil {
+		if m.allowsCopies(t.step) {
+			return 0
+		}
 		for _, a := range t.attempts {
 			number = max(number, a.key.attempt)
 		}
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -124,6 +124,8 @@
 	starting int
 	// orphans counts the attempts without a task.
 	orphans int
+	// speculation tracks copies of slow tasks.
+	speculation speculationState
 
 	dirty       ordered.Map[job.ID, struct{}]
 	removals    []job.ID
@@ -290,6 +292,9 @@
 	}
 	m.sendStops()
 	m.scheduleIfDue()
+	if sweep {
+		m.copyStragglers()
+	}
 	m.sendRenewals()
 	if sweep {
 		m.sendThrottles()
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -43,6 +43,7 @@
 	t.step.job().attempts++
 	w.add(a)
 	m.beginTrial(a)
+	m.trackCopyable(a)
 	m.countVictim(a, 1)
 	m.countStarting(a, 1)
 	if p == phaseRunning {
@@ -80,7 +81,13 @@
 
 // startAttempt starts a task on a worker under the given attempt number.
 func (m *Machine) startAttempt(t *task, w *worker, number int) {
-	reason := fmt.Sprintf("room %s, report %s old, configuration %d, score %.2f", w.room(),
+	m.startAttemptBecause(t, w, number, "")
+}
+
+// startAttemptBecause starts a task as startAttempt does and returns the attempt. because
+// begins the reason in the note about it.
+func (m *Machine) startAttemptBecause(t *task, w *worker, number int, because string) *attempt {
+	reason := because + fmt.Sprintf("room %s, report %s old, configuration %d, score %.2f", w.room(),
 		m.now.Sub(w.clockAt).Round(time.Millisecond), m.configVersion(), m.score(t, w))
 	a := m.addAttempt(t, w, number, phaseStarting)
 	t.known = true
@@ -96,6 +103,7 @@
 	if w.renewAt.After(m.now.Add(renewWait)) {
 		w.renewAt = m.now.Add(renewWait)
 	}
+	return a
 }
 
 func (t *task) startCheckpoint() string {
@@ -139,7 +147,9 @@
 		a.step().advice.reject(w.id)
 	}
 	m.noteAttempt(joblog.MessageStartRefused, a, ev.Verdict.String())
-	a.step().resumeWait()
+	if !a.copy {
+		a.step().resumeWait()
+	}
 	if w.renewAt.After(m.now) {
 		w.renewAt = m.now
 	}
@@ -271,6 +281,7 @@
 	t.attempts = slices.DeleteFunc(t.attempts, func(other *attempt) bool { return other == a })
 	j.attempts--
 	j.tally.noteEnd(a, cause, m.now)
+	m.endCopy(a, cause)
 	if j.state.Final() {
 		m.dropIfFinal(j)
 		return
@@ -294,6 +305,8 @@
 	case EndDone:
 		a.worker.health.recordSuccess()
 		m.observeWholeRun(a)
+		m.noteRun(a)
+		m.decideCopy(t, a)
 		m.taskEndedDone(t)
 	case EndFailed:
 		m.blame(t.step, a.worker)
--- a/core/jobsched/recoverroster.go
+++ b/core/jobsched/recoverroster.go
@@ -75,8 +75,11 @@
 
 // dropSuperseded drops the inherited attempts of a task with a lower number than
 // the given one. The leader that started that one knew that the others were over,
-// and the roster that lists them was written before.
+// and the roster that lists them was written before. An attempt with a copy is not over.
 func (m *Machine) dropSuperseded(t *task, number int) {
+	if m.allowsCopies(t.step) {
+		return
+	}
 	for _, a := range slices.Clone(t.attempts) {
 		if a.inherited && a.key.attempt < number {
 			m.dropInheritedAttempt(a)
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -285,7 +285,7 @@
 		return a
 	}
 	m.dropSuperseded(t, r.Attempt)
-	alone := t.idle()
+	alone, beside := t.idle(), m.mayStayBeside(t)
 	m.recordAdopted(t, r.Attempt)
 	a := m.addAttempt(t, w, r.Attempt, phaseRunning)
 	a.startedAt = m.now
@@ -296,7 +296,10 @@
 	a.applyInheritedRunTime()
 	a.applyInheritedStall(r.Percent)
 	m.adoptTrial(t, r.Attempt, w.id)
-	if !alone {
+	switch {
+	case beside:
+		m.adoptCopy(t)
+	case !alone:
 		m.requestStop(a, stopSuperseded, "its task has another attempt")
 		return a
 	}
--- a/core/jobsched/restartrecord.go
+++ b/core/jobsched/restartrecord.go
@@ -61,9 +61,10 @@
 
 // recordAdopted records an adopted attempt as a restart. It is not known whether
 // the leader that started it had received the ends of the earlier attempts, and if
-// not, had stored that.
+// not, had stored that. Of a task that may have copies the first end as done counts,
+// whichever attempt it is of.
 func (m *Machine) recordAdopted(t *task, number int) {
-	if number > 1 && !t.step.spec.LongRunning {
+	if number > 1 && !m.allowsCopies(t.step) && !t.step.spec.LongRunning {
 		m.requestRestart(t, number)
 		m.noteSentRestart(t, number)
 	}
--- /dev/null
+++ b/core/jobsched/speculate.go
@@ -0,0 +1,268 @@
+package jobsched
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/guavarill/guavarill/core/ordered"
+	"github.com/guavarill/guavarill/core/speculation"
+)
+
+// speculationState tracks the attempts that might get a copy, and the copies.
+type speculationState struct {
+	// attempts holds the attempts of steps that allow copies, copies those of them that
+	// are copies.
+	attempts, copies ordered.Map[*attempt, struct{}]
+	counts           CopyCounts
+}
+
+// maxCopiesOfTask is how many copies of a task a leader starts, one after the other. It
+// keeps the attempts between two commits below attemptGap.
+const maxCopiesOfTask = 2
+
+// allowsCopies reports whether tasks of the step may have a copy. Best-effort work runs
+// at a varying share, and a task that saves checkpoints would mix those of two attempts.
+func (m *Machine) allowsCopies(s *step) bool {
+	spec := s.spec
+	other := spec.Gang || spec.LongRunning || spec.BestEffort || spec.Checkpointing
+	return m.options.Policies.CopyStragglers && spec.Speculative && !other
+}
+
+// trackCopyable adds an attempt to those that might get a copy.
+func (m *Machine) trackCopyable(a *attempt) {
+	if m.allowsCopies(a.step()) {
+		m.speculation.attempts.Set(a, struct{}{})
+	}
+}
+
+// straggler is an attempt whose task is to get a copy.
+type straggler struct {
+	attempt *attempt
+	speculation.Candidate
+	rank speculation.Rank
+}
+
+// copyStragglers starts copies of slow tasks in room that nobody waits for. It runs after
+// a placement round that has seen all changes: only then is it known which steps wait.
+func (m *Machine) copyStragglers() {
+	if !m.options.Policies.CopyStragglers || m.pass.open || m.changed || m.speculation.attempts.Len() == 0 {
+		return
+	}
+	found := m.stragglers()
+	if len(found) == 0 {
+		return
+	}
+	budgets := make(copyBudgets)
+	for _, s := range found {
+		if m.starting >= m.options.StartsInFlight {
+			return
+		}
+		m.copyStraggler(s, budgets)
+	}
+}
+
+// maxSearchesPerSweep bounds the searches for a worker in a sweep, each of which checks
+// all workers.
+const maxSearchesPerSweep = 4
+
+// stragglers returns the attempts that are worth a copy, the first to be copied first,
+// and at most maxSearchesPerSweep.
+func (m *Machine) stragglers() []straggler {
+	var found []straggler
+	slow := make(map[*step]int)
+	for a := range m.speculation.attempts.All() {
+		if a.copy {
+			slow[a.step()]++
+			continue
+		}
+		if !m.mayBeCopied(a) {
+			continue
+		}
+		c := m.copyCandidate(a)
+		if gain, ok := c.Gain(); ok {
+			found = append(found, straggler{attempt: a, Candidate: c, rank: speculation.Rank{Gain: gain}})
+			slow[a.step()]++
+		}
+	}
+	for i := range found {
+		s := found[i].attempt.step()
+		found[i].rank.Last = s.left <= slow[s]
+	}
+	slices.SortStableFunc(found, func(a, b straggler) int { return a.rank.Compare(b.rank) })
+	return found[:min(len(found), maxSearchesPerSweep)]
+}
+
+// mayBeCopied reports whether the task of the attempt may get a copy, worthwhile or not.
+// A copy can fail as well: were both attempts to fail, the task must not have failed more
+// often than it may.
+func (m *Machine) mayBeCopied(a *attempt) bool {
+	t, j := a.task, a.step().job()
+	alone := a.phase == phaseRunning && len(t.attempts) == 1
+	switch {
+	case !alone || t.done || j.state.Final() || m.now.Before(t.nextCopyAt) || t.copies >= maxCopiesOfTask:
+		return false
+	case len(t.failed)+2 > m.queue(j).MaxAttempts:
+		return false
+	case len(t.crashes) > 0 || t.trial.number > 0 || m.needsTrial(t):
+		return false
+	case m.mayBeDone(t) || m.restarts.requested[j.id][t.key()] > 0:
+		// Its next start has to be recorded first.
+		return false
+	}
+	return a.percent < fullPercent && !m.startsHeldBack(t.step, m.now)
+}
+
+// copyCandidate describes an attempt to the decision whether it is worth a copy on a
+// worker of usual speed.
+func (m *Machine) copyCandidate(a *attempt) speculation.Candidate {
+	s := a.step()
+	rest := m.runTimes.of(m.queue(s.job()).Name) * float64(s.pathAfterMs())
+	left := m.objectiveMs(s.occurrence) - m.wall.UnixMilli() - int64(rest)
+	late := (lateFactor - 1) * m.allowanceMs(s.occurrence)
+	return speculation.Candidate{
+		Progress: m.copyProgress(a), Usual: m.usualRun(s), CopySlowness: 1,
+		Objective: time.Duration(left) * time.Millisecond, Useful: time.Duration(left+late) * time.Millisecond,
+	}
+}
+
+// copyProgress returns what is known of the attempt's progress.
+func (m *Machine) copyProgress(a *attempt) speculation.Progress {
+	w := a.worker
+	p := speculation.Progress{
+		Percent: a.percent, Passed: a.percent, Worked: m.now.Sub(a.startedAt), Slowness: m.slownessOf(w),
+	}
+	if since := w.unreachableSince; !since.IsZero() && m.now.Sub(since) >= rosterUnreachableAfter {
+		p.LostIn = max(w.leaseBound.Add(w.lossGrace()).Sub(m.now), time.Millisecond)
+	}
+	switch {
+	case a.adopted:
+		a.work(m.now)
+		p.Passed, p.Took = a.pace.own.percents, a.pace.own.took+a.pace.stood
+	case a.listed:
+		p.SinceReport = m.now.Sub(w.lastReportAt)
+		p.Took = max(w.lastReportAt.Sub(a.startedAt), 0)
+	}
+	return p
+}
+
+// copyStraggler starts a copy of a slow task, if a worker is found on which it is worth
+// it.
+func (m *Machine) copyStraggler(s straggler, budgets copyBudgets) {
+	t := s.attempt.task
+	size := t.step.spec.Size.MilliCPU
+	budget := budgets.of(m, m.queue(t.step.job()).Service)
+	if !budget.Allows(size) {
+		return
+	}
+	w := m.workerForCopy(s.attempt)
+	if w == nil {
+		t.nextCopyAt = m.now.Add(copyRetryDelay)
+		return
+	}
+	s.CopySlowness = m.slownessOf(w)
+	gain, ok := s.Gain()
+	if !ok {
+		return
+	}
+	budget.Take(size)
+	m.startCopy(s, w, gain)
+}
+
+// copyRetryDelay is the time until a copy is tried again for which there was no worker,
+// or whose worker refused it.
+const copyRetryDelay = 200 * time.Millisecond
+
+// startCopy starts a copy of a task on a worker.
+func (m *Machine) startCopy(s straggler, w *worker, gain time.Duration) {
+	t, first := s.attempt.task, s.attempt
+	reason := fmt.Sprintf("copy of attempt %d on %s, which is at %d%% after %s and expected to end in %s; the copy is expected to end in %s and gain %s; ",
+		first.key.attempt, first.worker.id, first.percent, s.Worked.Round(time.Millisecond),
+		s.Remaining(s.Usual).Round(time.Millisecond), s.CopyTime().Round(time.Millisecond), gain.Round(time.Millisecond))
+	a := m.startAttemptBecause(t, w, t.last+1, reason)
+	m.markCopy(a)
+	t.copies++
+	t.nextCopyAt = m.now.Add(copyRetryDelay)
+	t.step.job().tally.copies++
+	m.speculation.counts.Started++
+	m.markDirty(t.step.job())
+}
+
+// markCopy records that an attempt is a copy.
+func (m *Machine) markCopy(a *attempt) {
+	a.copy = true
+	m.speculation.copies.Set(a, struct{}{})
+}
+
+// workerForCopy returns the best worker for a copy of the attempt's task; nil if there is
+// none that is no slower, on another VM, near the task's data and not waited for.
+func (m *Machine) workerForCopy(first *attempt) *worker {
+	t, from := first.task, first.worker
+	waiting := m.waitingSteps()
+	slowness := max(m.slownessOf(from), 1)
+	return m.bestOf(t, func(yield func(*worker) bool) {
+		for _, w := range m.workers.All() {
+			other := w.id.ID != from.id.ID && (w.entry.Machine == "" || w.entry.Machine != from.entry.Machine)
+			if !other || !t.step.isNear(w, from) || m.slownessOf(w) > slowness || m.isWaitedFor(w, waiting) {
+				continue
+			}
+			if !yield(w) {
+				return
+			}
+		}
+	})
+}
+
+// isNear reports whether a copy on w is near the step's data, and near the first attempt
+// if the step is slow across racks.
+func (s *step) isNear(w, first *worker) bool {
+	data := s.spec.DataRack == "" || w.entry.Rack == s.spec.DataRack
+	return data && (!s.spec.SameRack || w.entry.Rack == first.entry.Rack)
+}
+
+// waitingSteps returns the steps that wait for room that a copy would take. Best-effort
+// work gets what others leave.
+func (m *Machine) waitingSteps() []*step {
+	var waiting []*step
+	for s := range m.pending.All() {
+		if s.ready() && !s.spec.BestEffort && !s.waitingSince.IsZero() {
+			waiting = append(waiting, s)
+		}
+	}
+	return waiting
+}
+
+// isWaitedFor reports whether the room on the worker would serve one of the steps, now
+// or once more of it is free.
+func (m *Machine) isWaitedFor(w *worker, waiting []*step) bool {
+	return slices.ContainsFunc(waiting, func(s *step) bool {
+		t := s.tasks[0]
+		return filterService(m, t, w) && filterLabel(m, t, w) && s.spec.Committed().Fits(w.entry.Capacity)
+	})
+}
+
+// copyBudgets holds what copies may take, by service.
+type copyBudgets map[string]*speculation.Budget
+
+// of returns the budget of a service, which it computes the first time.
+func (b copyBudgets) of(m *Machine, service string) *speculation.Budget {
+	if known := b[service]; known != nil {
+		return known
+	}
+	budget := &speculation.Budget{}
+	for _, w := range m.workers.All() {
+		if w.entry.Service == service && w.isUsable(m.now) {
+			budget.Room += w.entry.Capacity.MilliCPU - w.longRunningCPU
+			budget.Free += w.room().MilliCPU
+			budget.Attempts += w.attempts.Len()
+		}
+	}
+	for a := range m.speculation.copies.All() {
+		if a.worker.entry.Service == service {
+			budget.Copies++
+			budget.CopyRoom += a.size.MilliCPU
+		}
+	}
+	b[service] = budget
+	return budget
+}
--- a/core/jobsched/tally.go
+++ b/core/jobsched/tally.go
@@ -33,6 +33,9 @@
 	// lostCPUMs is the unsaved work of attempts that ended undone, in thousandths of
 	// a core times milliseconds.
 	lostCPUMs int64
+	// copies counts the copies of slow tasks that were started, copiesWon those that
+	// were done first.
+	copies, copiesWon int
 	// waited sums, over the steps, the time in which no worker was found for a part
 	// of the step.
 	waited time.Duration
@@ -76,7 +79,15 @@
 	tasks, work := spec.Work()
 	return fmt.Sprintf("; queue %s, allowed %s, %d tasks of %.1f core-s; %s; waited %s for workers; %d starts, %d failed, stopped: %s; %.1f core-s lost",
 		q.Name, allowed, tasks, coreSeconds(work), m.describeFirstStart(j), t.waited.Round(time.Millisecond),
-		t.starts, t.failures, t.describeStops(), coreSeconds(float64(t.lostCPUMs)))
+		t.starts, t.failures, t.describeStops(), coreSeconds(float64(t.lostCPUMs))) + t.describeCopies()
+}
+
+// describeCopies says how many copies of slow tasks there were; empty without any.
+func (t *jobTally) describeCopies() string {
+	if t.copies == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; %d copies, of which %d were done first", t.copies, t.copiesWon)
 }
 
 // describeFirstStart says how long after the job was accepted its first attempt was
