core/jobsched: tests of copies of slow tasks

The workers of the tests check that a task runs at most twice at once where its step allows copies, and of every task that nothing starts over a second after its job was canceled.

--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -93,6 +93,8 @@
 	// without an entry. lengthening draws them on a day; nil for none.
 	lengths     map[job.ID]int
 	lengthening *rand.Rand
+	// copies slows attempts down at random and makes some steps allow copies.
+	copies copyLoad
 	// saves makes checkpointing tasks report checkpoints and resume from them.
 	saves bool
 	// planned draws the planned changes on a day; nil for none.
@@ -276,6 +278,7 @@
 // submit stores a job and notifies the leader.
 func (c *cluster) submit(number int, queue string, steps ...job.Step) job.ID {
 	id := job.ID(fmt.Sprintf("%016x", number))
+	c.copies.allowSome(steps)
 	c.accepted[id] = &job.Accepted{
 		Spec: job.Spec{Payload: "p", Steps: steps}, Queue: *c.config.Queues[queue], ConfigVersion: 1,
 		AcceptedAtMs: c.wall.UnixMilli(),
@@ -292,6 +295,7 @@
 	canceled := *a
 	canceled.Canceled = true
 	c.accepted[id] = &canceled
+	c.copies.noteCanceled(id, c.now)
 	c.sendEvent(c.machine, 0, func() Event { return JobAccepted{ID: id, Record: &canceled} })
 }
 
@@ -353,6 +357,7 @@
 func (c *cluster) execute(e Effect) {
 	switch e := e.(type) {
 	case Note:
+		c.copies.count(e)
 		if c.keepNotes {
 			c.notes = append(c.notes, e)
 		}
--- a/core/jobsched/clusterchecks_test.go
+++ b/core/jobsched/clusterchecks_test.go
@@ -17,6 +17,9 @@
 	// out; failures counts the failed ends that were.
 	settled  bool
 	failures int
+	// settledAt is when the first such end as done was acknowledged, failedAt when the
+	// last failed one was.
+	settledAt, failedAt time.Time
 	// failed holds the numbers of the attempts that have failed.
 	failed    map[int]struct{}
 	lastStart time.Time
--- a/core/jobsched/clusterdelivery_test.go
+++ b/core/jobsched/clusterdelivery_test.go
@@ -79,7 +79,9 @@
 		c.after(late, func() {
 			if w := c.incarnationAt(o.Worker.ID); (holder == nil || holder == w) && !w.unreachable() && w.successor == nil && o.Epoch >= w.epoch {
 				w.epoch = o.Epoch
+				c.copies.late = true
 				act(w)
+				c.copies.late = false
 			}
 		})
 		c.sendEvent(m, time.Second, func() Event { return event(VerdictUnknown) })
