--- a/core/joblog/explain_attempts.go
+++ b/core/joblog/explain_attempts.go
@@ -70,6 +70,7 @@
 		MessageAttemptStarted, MessageAttemptAdopted, MessageStartRefused, MessageStartUnanswered, MessageAttemptStopped, MessageAttemptLost, MessageEndNotAcknowledged, MessageAttemptMissing,
 		MessageAttemptEnded,
 	}
+	e.explainCopies()
 	for _, kind := range kinds {
 		lines := e.withMessage(kind)
 		switch {
@@ -84,6 +85,17 @@
 	e.explainCrashes(e.withMessage(MessageCrashCounted))
 }
 
+// explainCopies reports the copies of slow tasks that were done first, each with what
+// that gained, and how many were of no use.
+func (e *explainer) explainCopies() {
+	for _, l := range e.withMessage(MessageCopyWon) {
+		e.addFinding("task %s was done first by its copy, attempt %d on %s: %s", l.Task, l.Attempt, l.Worker, l.Reason)
+	}
+	if lost := e.withMessage(MessageCopyLost); len(lost) > 0 {
+		e.addFinding("copies of slow tasks that were of no use: %d", len(lost))
+	}
+}
+
 // reasonFailed is the reason in the line about an attempt that failed.
 const reasonFailed = "failed"
 
--- a/jobservice/follow.go
+++ b/jobservice/follow.go
@@ -95,6 +95,7 @@
 func (t *term) pollWorkers(ctx context.Context) {
 	defer t.leader.o.Metrics.setEntries(jobsched.EntryCounts{})
 	defer t.leader.o.Metrics.setLongestWaits(nil)
+	defer t.leader.o.Metrics.copies.set(jobsched.CopyCounts{})
 	interval := max(listInterval, t.leader.o.DrainTime/listsPerDrain)
 	for ctx.Err() == nil {
 		began := time.Now()
--- a/jobservice/metrics.go
+++ b/jobservice/metrics.go
@@ -32,6 +32,7 @@
 	trialsWaiting prometheus.Gauge
 	// longestWait is the longest present wait of a step for a worker, by the reason.
 	longestWait *prometheus.GaugeVec
+	copies      copyMetrics
 	storeLost   prometheus.Counter
 	// cordonedZones is how many zones the leader starts nothing in.
 	cordonedZones prometheus.Gauge
@@ -130,6 +131,7 @@
 	r.MustRegister(m.refusedCommits, m.requests, m.requestTime, m.orders, m.orderTime, m.decisions, m.commitTime, m.terms,
 		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.trialsRunning, m.trialsWaiting, m.longestWait, m.storeLost, m.cordonedZones, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
 		m.entriesUnusable, m.entryChanges, m.configVersion, m.configFailures, m.configWastedBytes, configAge)
+	m.copies = newCopyMetrics(r)
 	m.setEntries(jobsched.EntryCounts{})
 	return m
 }
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -73,6 +73,7 @@
 	l.o.Metrics.trialsRunning.Set(float64(running))
 	l.o.Metrics.trialsWaiting.Set(float64(waiting))
 	l.o.Metrics.setLongestWaits(t.machine.LongestWaits())
+	l.o.Metrics.copies.set(t.machine.Copies())
 	return false, false
 }
 
