--- a/core/jobsched/speculate.go
+++ b/core/jobsched/speculate.go
@@ -53,12 +53,12 @@
 	if len(found) == 0 {
 		return
 	}
-	budgets := make(copyBudgets)
+	room := m.newCopyRoom()
 	for _, s := range found {
 		if m.starting >= m.options.StartsInFlight {
 			return
 		}
-		m.copyStraggler(s, budgets)
+		m.copyStraggler(s, room)
 	}
 }
 
@@ -148,14 +148,14 @@
 
 // copyStraggler starts a copy of a slow task, if a worker is found on which it is worth
 // it.
-func (m *Machine) copyStraggler(s straggler, budgets copyBudgets) {
+func (m *Machine) copyStraggler(s straggler, room *copyRoom) {
 	t := s.attempt.task
 	size := t.step.spec.Size.MilliCPU
-	budget := budgets.of(m, m.queue(t.step.job()).Service)
+	budget := room.budget(m.queue(t.step.job()).Service)
 	if !budget.Allows(size) {
 		return
 	}
-	w := m.workerForCopy(s.attempt)
+	w := room.workerFor(s.attempt)
 	if w == nil {
 		t.nextCopyAt = m.now.Add(copyRetryDelay)
 		return
@@ -193,76 +193,3 @@
 	a.copy = true
 	m.speculation.copies.Set(a, struct{}{})
 }
-
-// workerForCopy returns the best worker for a copy of the attempt's task; nil if there is
-// none that is no slower, on another VM, near the task's data and not waited for.
-func (m *Machine) workerForCopy(first *attempt) *worker {
-	t, from := first.task, first.worker
-	waiting := m.waitingSteps()
-	slowness := max(m.slownessOf(from), 1)
-	return m.bestOf(t, func(yield func(*worker) bool) {
-		for _, w := range m.workers.All() {
-			other := w.id.ID != from.id.ID && (w.entry.Machine == "" || w.entry.Machine != from.entry.Machine)
-			if !other || !t.step.isNear(w, from) || m.slownessOf(w) > slowness || m.isWaitedFor(w, waiting) {
-				continue
-			}
-			if !yield(w) {
-				return
-			}
-		}
-	})
-}
-
-// isNear reports whether a copy on w is near the step's data, and near the first attempt
-// if the step is slow across racks.
-func (s *step) isNear(w, first *worker) bool {
-	data := s.spec.DataRack == "" || w.entry.Rack == s.spec.DataRack
-	return data && (!s.spec.SameRack || w.entry.Rack == first.entry.Rack)
-}
-
-// waitingSteps returns the steps that wait for room that a copy would take. Best-effort
-// work gets what others leave.
-func (m *Machine) waitingSteps() []*step {
-	var waiting []*step
-	for s := range m.pending.All() {
-		if s.ready() && !s.spec.BestEffort && !s.waitingSince.IsZero() {
-			waiting = append(waiting, s)
-		}
-	}
-	return waiting
-}
-
-// isWaitedFor reports whether the room on the worker would serve one of the steps, now
-// or once more of it is free.
-func (m *Machine) isWaitedFor(w *worker, waiting []*step) bool {
-	return slices.ContainsFunc(waiting, func(s *step) bool {
-		t := s.tasks[0]
-		return filterService(m, t, w) && filterLabel(m, t, w) && s.spec.Committed().Fits(w.entry.Capacity)
-	})
-}
-
-// copyBudgets holds what copies may take, by service.
-type copyBudgets map[string]*speculation.Budget
-
-// of returns the budget of a service, which it computes the first time.
-func (b copyBudgets) of(m *Machine, service string) *speculation.Budget {
-	if known := b[service]; known != nil {
-		return known
-	}
-	budget := &speculation.Budget{}
-	for _, w := range m.workers.All() {
-		if w.entry.Service == service && w.isUsable(m.now) {
-			budget.Room += w.entry.Capacity.MilliCPU - w.longRunningCPU
-			budget.Free += w.room().MilliCPU
-			budget.Attempts += w.attempts.Len()
-		}
-	}
-	for a := range m.speculation.copies.All() {
-		if a.worker.entry.Service == service {
-			budget.Copies++
-			budget.CopyRoom += a.size.MilliCPU
-		}
-	}
-	b[service] = budget
-	return budget
-}
--- a/core/jobsched/speculate_test.go
+++ b/core/jobsched/speculate_test.go
@@ -195,3 +195,81 @@
 		t.Errorf("the job is %s after 5 s: %s", s, c.describe(id))
 	}
 }
+
+// TestFailedCopyLeavesTheFirstAttempt guards against a task that is started anew, or a
+// job that fails, because a copy failed while the first attempt goes on.
+func TestFailedCopyLeavesTheFirstAttempt(t *testing.T) {
+	c := newCopyCluster(t, 1, 8, true)
+	id := c.slowFirst(t)
+	for key, truth := range c.truth {
+		for worker, attempt := range truth.running {
+			if key.Job == id && attempt > 1 {
+				c.workers[worker].failAll = true
+			}
+		}
+	}
+	starts := c.starts
+	c.run(1300 * time.Millisecond)
+	if lost := c.notesOf(joblog.MessageCopyLost); len(lost) == 0 {
+		t.Fatal("no copy has failed")
+	}
+	c.run(8 * time.Second)
+	failed := 0
+	for _, truth := range c.truth {
+		failed += len(truth.failed)
+	}
+	if s := c.state(id); s != job.Completed || c.starts-starts > maxCopiesOfTask*3 {
+		t.Errorf("the job is %s after %d failures and %d further starts", s, failed, c.starts-starts)
+	}
+}
+
+// TestNoCopyThatCouldExceedMaxAttempts guards against a copy of a task whose next failure
+// is its last: were both attempts to fail, it would have failed too often.
+func TestNoCopyThatCouldExceedMaxAttempts(t *testing.T) {
+	for _, c := range []struct {
+		attempts int
+		copied   bool
+	}{{1, false}, {2, true}} {
+		jobs, cluster := playStragglers(t, 1, true, 4, func(cluster *cluster) {
+			slowByChance(cluster)
+			cluster.config.Queues["urgent"].MaxAttempts = c.attempts
+		})
+		if started := cluster.machine.Copies().Started; (started > 0) != c.copied {
+			t.Errorf("%d copies are started for %d jobs with %d attempts", started, len(jobs), c.attempts)
+		}
+	}
+}
+
+// TestNoCopiesInRoomThatIsWaitedFor guards against copies that take room from tasks that
+// wait for it.
+func TestNoCopiesInRoomThatIsWaitedFor(t *testing.T) {
+	c := newCopyCluster(t, 1, 4, true)
+	slowByChance(c)
+	number := 0
+	for range 20 {
+		for range 10 {
+			number++
+			step := makeStep(12, 2000, 700*time.Millisecond)
+			step.Speculative = true
+			c.submit(number, "batch", step)
+		}
+		c.run(500 * time.Millisecond)
+	}
+	if counts := c.machine.Copies(); counts.Started > 0 {
+		t.Errorf("%+v while tasks wait", counts)
+	}
+}
+
+// TestCopiesKeepMaxPerWorker checks that a copy counts against the maximum number of
+// tasks of its step on a worker.
+func TestCopiesKeepMaxPerWorker(t *testing.T) {
+	c := newCopyCluster(t, 1, 3, true)
+	step := makeStep(3, 1000, time.Second)
+	step.Speculative, step.MaxPerWorker = true, 1
+	c.copies.slowing, c.copies.slowShare, c.copies.slowFactor = rand.New(rand.NewPCG(1, 1)), 1, 7
+	id := c.submit(1, "urgent", step)
+	c.run(3 * time.Second)
+	if n := c.running(id); n > 3 {
+		t.Errorf("%d attempts run on 3 workers with one each", n)
+	}
+}
