--- a/core/jobsched/speculate_test.go
+++ b/core/jobsched/speculate_test.go
@@ -273,3 +273,93 @@
 		t.Errorf("%d attempts run on 3 workers with one each", n)
 	}
 }
+
+// TestFirstAttemptIsDoneBeforeItsCopy guards against an end that is not acknowledged, and
+// a task that runs again, because a later attempt of it runs.
+func TestFirstAttemptIsDoneBeforeItsCopy(t *testing.T) {
+	for name, change := range map[string]func(*cluster){"one leader": func(*cluster) {}, "lost": (*cluster).replaceLeader, "handed over": (*cluster).handOver} {
+		t.Run(name, func(t *testing.T) {
+			c := newCopyCluster(t, 1, 8, true)
+			id := c.slowFirst(t)
+			for _, w := range c.workers {
+				for key, a := range w.attempts {
+					if key.attempt > 1 {
+						a.need = time.Minute
+					}
+				}
+			}
+			c.run(200 * time.Millisecond)
+			change(c)
+			c.run(9 * time.Second)
+			if s := c.state(id); s != job.Completed || c.running(id) > 0 {
+				t.Errorf("the job is %s with %d attempts that run: %s", s, c.running(id), c.describe(id))
+			}
+			if kept := c.notesOf(joblog.MessageEndNotAcknowledged); len(kept) > 0 {
+				t.Errorf("ends are not acknowledged: %v", kept)
+			}
+		})
+	}
+}
+
+// copied returns a task of the job of which two attempts run, and their numbers by worker.
+func (c *cluster) copied(t *testing.T, id job.ID) (job.TaskKey, map[model.WorkerID]int) {
+	for key, truth := range c.truth {
+		if key.Job == id && len(truth.running) == 2 {
+			return key, truth.running
+		}
+	}
+	t.Fatalf("no task runs twice: %s", c.describe(id))
+	return job.TaskKey{}, nil
+}
+
+// TestBothAttemptsAreDone guards against an end as done that is not acknowledged because
+// the other attempt of the task was done shortly before, and the job is over.
+func TestBothAttemptsAreDone(t *testing.T) {
+	for name, change := range map[string]func(*cluster){"one leader": func(*cluster) {}, "lost": (*cluster).replaceLeader, "handed over": (*cluster).handOver} {
+		t.Run(name, func(t *testing.T) {
+			c := newCopyCluster(t, 1, 8, true)
+			id := c.slowFirst(t)
+			change(c)
+			c.run(300 * time.Millisecond)
+			copied, _ := c.copied(t, id)
+			for _, w := range c.workers {
+				for key, a := range w.attempts {
+					a.need = a.worked + 50*time.Millisecond
+					if key.task == copied {
+						a.need += time.Duration(60-5*min(key.attempt, 2)) * time.Millisecond
+					}
+				}
+			}
+			c.run(4 * time.Second)
+			if s := c.state(id); s != job.Completed {
+				t.Errorf("the job is %s: %s", s, c.describe(id))
+			}
+			for worker, w := range c.workers {
+				if len(w.ended) > 0 {
+					t.Errorf("%s has %d ends that are not acknowledged", worker, len(w.ended))
+				}
+			}
+		})
+	}
+}
+
+// TestUnreachableFirstAttemptIsKeptAfterTakeOver guards against a third attempt that a
+// new leader starts after the copy has failed, while the first attempt may still run on a
+// worker that does not answer.
+func TestUnreachableFirstAttemptIsKeptAfterTakeOver(t *testing.T) {
+	c := newCopyCluster(t, 1, 8, true)
+	id := c.slowFirst(t)
+	key, running := c.copied(t, id)
+	for worker, attempt := range running {
+		if attempt == 1 {
+			c.workers[worker].partitioned = true
+		} else {
+			c.workers[worker].failAll = true
+		}
+	}
+	c.handOver()
+	c.run(2 * time.Second)
+	if truth := c.task(key); len(truth.failed) != 1 || len(truth.running) != 1 {
+		t.Errorf("%d attempts have failed and %v run, want one each", len(truth.failed), truth.running)
+	}
+}
