core/jobsched: no copy beside a worker that may have crashed

A copy is started beside a silent worker only if that still writes its entry after three seconds. Crashes of two attempts that ran at once both count, in whichever order they are seen.

--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -162,7 +162,7 @@
 // the job if there are too many.
 func (m *Machine) countCrash(t *task, c job.Crash) {
 	j := t.step.job()
-	if j.state.Final() || len(t.crashes) > 0 && t.crashes[len(t.crashes)-1].Attempt >= c.Attempt {
+	if j.state.Final() || m.isCrashCounted(t, c) {
 		return
 	}
 	if t.needsIsolation() && (isSuspicious(c) || c.Shared) {
@@ -180,6 +180,15 @@
 	}
 }
 
+// isCrashCounted reports whether the crash has been counted, or one of a later attempt,
+// unless that ran beside this one.
+func (m *Machine) isCrashCounted(t *task, c job.Crash) bool {
+	if m.allowsCopies(t.step) {
+		return slices.ContainsFunc(t.crashes, func(known job.Crash) bool { return known.Attempt == c.Attempt })
+	}
+	return len(t.crashes) > 0 && t.crashes[len(t.crashes)-1].Attempt >= c.Attempt
+}
+
 // addCrash appends a crash. If one of the last two attempts ran for stableRunTime,
 // the earlier crashes are dropped, unless the two crashes came at the same run
 // time.
--- a/core/jobsched/speculate.go
+++ b/core/jobsched/speculate.go
@@ -109,6 +109,9 @@
 	case m.mayBeDone(t) || m.restarts.requested[j.id][t.key()] > 0:
 		// Its next start has to be recorded first.
 		return false
+	case !a.worker.unreachableSince.IsZero() && !m.isPartitioned(a.worker):
+		// The task may have crashed it, and would crash the worker of the copy too.
+		return false
 	}
 	return a.percent < fullPercent && !m.startsHeldBack(t.step, m.now)
 }
@@ -132,7 +135,7 @@
 	p := speculation.Progress{
 		Percent: a.percent, Passed: a.percent, Worked: m.now.Sub(a.startedAt), Slowness: m.slownessOf(w),
 	}
-	if since := w.unreachableSince; !since.IsZero() && m.now.Sub(since) >= rosterUnreachableAfter {
+	if m.isPartitioned(w) {
 		p.LostIn = max(w.leaseBound.Add(w.lossGrace()).Sub(m.now), time.Millisecond)
 	}
 	switch {
@@ -146,6 +149,17 @@
 	return p
 }
 
+// partitionedAfter is how long a worker must be unreachable before it counts as
+// partitioned if it is still listed: the entry of one that has crashed is gone by then.
+const partitionedAfter = 3 * time.Second
+
+// isPartitioned reports whether the worker does not answer although it runs, as it writes
+// its entry.
+func (m *Machine) isPartitioned(w *worker) bool {
+	since := w.unreachableSince
+	return w.listed && !since.IsZero() && m.now.Sub(since) >= partitionedAfter
+}
+
 // copyStraggler starts a copy of a slow task, if a worker is found on which it is worth
 // it.
 func (m *Machine) copyStraggler(s straggler, room *copyRoom) {
