soak: jobs that allow copies of slow tasks

The stand-in's audit lets only tasks of these jobs run twice at a time, and no task three times; a start after a task was acknowledged as done is accepted for as long as the order of a copy may be on its way, for these jobs only.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -43,6 +43,8 @@
 	longRunning bool
 	// crashing is whether its only task crashes each worker that starts it.
 	crashing bool
+	// copyable is whether its tasks may run twice at a time.
+	copyable bool
 
 	mu         sync.Mutex
 	fate       fate
@@ -90,12 +92,20 @@
 // nextID returns the id of the caller's next job.
 func (c *caller) nextID() string { return fmt.Sprintf("%04x%012x", c.prefix, len(c.jobs)+1) }
 
+// copyableEvery is of how many jobs one may run its tasks twice at a time, in a run with
+// copies.
+const copyableEvery = 3
+
 // draw returns a random job of one to three steps.
 func (c *caller) draw() *submitted {
 	j := &submitted{id: c.nextID()}
 	for range 1 + c.rnd.IntN(3) {
 		j.steps = append(j.steps, 1+c.rnd.IntN(4))
 	}
+	if c.d.copies && c.rnd.IntN(copyableEvery) == 0 {
+		j.copyable = true
+		c.d.site.Audit.AllowCopies(j.id)
+	}
 	return j
 }
 
@@ -118,6 +128,9 @@
 	if j.crashing {
 		return c.client.SubmitCrashing(c.anyone(rnd), j.id)
 	}
+	if j.copyable {
+		return c.client.SubmitCopyable(c.anyone(rnd), j.id, j.steps)
+	}
 	return c.client.Submit(c.anyone(rnd), j.id, j.steps)
 }
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -52,7 +52,7 @@
 		byID[j.id] = j
 	}
 	h := history{
-		report: r, jobs: byID, done: make(map[string]bool), settled: make(map[string]bool),
+		report: r, jobs: byID, done: make(map[string]bool), settled: make(map[string]time.Time),
 		crashes: make(map[string]int), further: make(map[string]int),
 	}
 	for _, e := range events {
@@ -65,10 +65,11 @@
 
 // history checks the events at the workers in order.
 type history struct {
-	report  *report
-	jobs    map[string]*submitted
-	done    map[string]bool
-	settled map[string]bool
+	report *report
+	jobs   map[string]*submitted
+	done   map[string]bool
+	// settled holds when it was acknowledged that a task was done.
+	settled map[string]time.Time
 	// crashes counts the workers that each task has crashed, further its starts after
 	// crashesMost of them.
 	crashes, further map[string]int
@@ -79,7 +80,9 @@
 	case standin.AuditDone:
 		h.done[e.Task] = true
 	case standin.AuditSettled:
-		h.settled[e.Task] = true
+		if h.settled[e.Task].IsZero() {
+			h.settled[e.Task] = e.At
+		}
 	case standin.AuditCrashed:
 		h.crashes[e.Task]++
 	case standin.AuditStarted:
@@ -101,7 +104,7 @@
 		return
 	case j.fate == refused:
 		h.report.add("%s was started, and its caller was told that it was refused", e.Task)
-	case h.settled[e.Task]:
+	case h.startedSettled(e, j):
 		h.report.add("%s was started on %s after it was done", e.Task, e.Worker)
 	case !j.canceledAt.IsZero() && e.At.After(j.canceledAt.Add(cancelGrace)):
 		h.report.add("%s was started %s after its job was canceled", e.Task, e.At.Sub(j.canceledAt).Round(time.Millisecond))
@@ -117,6 +120,20 @@
 	}
 }
 
+// copyGrace is how long after a task was done a copy of it may still be started: as long
+// as the lease that an order on its way grants.
+const copyGrace = 3 * time.Second
+
+// startedSettled reports whether a start comes after its task was done, or after
+// copyGrace more if copies of it may run.
+func (h *history) startedSettled(e standin.AuditEvent, j *submitted) bool {
+	at := h.settled[e.Task]
+	if j.copyable {
+		at = at.Add(copyGrace)
+	}
+	return !h.settled[e.Task].IsZero() && e.At.After(at)
+}
+
 const (
 	// crashesMost is the number of workers that a task may crash before its further
 	// starts are limited; furtherMost is that limit. Both are the users' rule.
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -43,6 +43,8 @@
 	down   map[string]bool
 	// keepIDs has every other worker that comes back from a crash do so under its id.
 	keepIDs bool
+	// copies is set if some callers' jobs allow copies of slow tasks.
+	copies bool
 	// stays are the times in which each worker was one of them.
 	stays map[string]*span
 	added int
@@ -58,7 +60,7 @@
 // newDeployment starts everything.
 func newDeployment(o Options, r *report) (*deployment, error) {
 	d := &deployment{
-		site: standin.NewSite(), report: r, workerWays: make(map[string]*proxy), down: make(map[string]bool), keepIDs: o.Restarting,
+		site: standin.NewSite(), report: r, workerWays: make(map[string]*proxy), down: make(map[string]bool), keepIDs: o.Restarting, copies: o.Copies,
 		stays: make(map[string]*span), cordons: make(map[string][]*span), queues: []standin.Queue{standin.JobsQueue()},
 	}
 	d.site.Configure(d.queues...)
@@ -83,6 +85,9 @@
 		if err != nil {
 			return d, err
 		}
+		if o.Copies {
+			p.env = []string{"GUAVARILL_COPY_STRAGGLERS=true"}
+		}
 		d.daemons = append(d.daemons, p)
 		if err := p.start(); err != nil {
 			return d, err
--- a/soak/process.go
+++ b/soak/process.go
@@ -29,6 +29,8 @@
 	command *exec.Cmd
 	exited  chan struct{}
 	paused  bool
+	// env holds further variables of its environment.
+	env []string
 	// pauses counts the times that the daemon was suspended.
 	pauses int
 	// failure is the exit code of a process that ended by itself, -1 for none.
@@ -61,6 +63,7 @@
 	}
 	c := exec.Command(p.binary, "--metrics-port=9464", "--api-port=9465")
 	c.Env = append(os.Environ(), platform.SettingsEnv+"="+p.file, raceOptions())
+	c.Env = append(c.Env, p.env...)
 	c.Stdout, c.Stderr = p.log, p.log
 	if err := c.Start(); err != nil {
 		return err
--- a/soak/run.go
+++ b/soak/run.go
@@ -32,6 +32,9 @@
 	// Large puts every other daemon behind a slow link to the store, and makes the
 	// configuration grow and shrink by thousands of queues.
 	Large bool
+	// Copies has the daemons start copies of slow tasks, and callers submit jobs that
+	// allow them.
+	Copies bool
 }
 
 // linger is how long long-running jobs stay after the last fault: until each of
--- a/standin/platform/caller.go
+++ b/standin/platform/caller.go
@@ -40,6 +40,22 @@
 // Submit submits a job with the given number of tasks in each step and returns the
 // status of the response. Each step follows the previous one.
 func (c *Caller) Submit(address, id string, steps []int) (int, error) {
+	return c.submit(address, id, "text", chain(steps))
+}
+
+// SubmitCopyable submits a job like Submit whose tasks may run twice at a time, and of
+// whose runs some are stragglers.
+func (c *Caller) SubmitCopyable(address, id string, steps []int) (int, error) {
+	list := chain(steps)
+	for i := range list {
+		list[i].Speculative = true
+	}
+	return c.submit(address, id, straggling, list)
+}
+
+// chain returns steps with the given numbers of tasks, each of which follows the previous
+// one.
+func chain(steps []int) []step {
 	var list []step
 	for i, count := range steps {
 		s := newStep(count)
@@ -48,7 +64,7 @@
 		}
 		list = append(list, s)
 	}
-	return c.submit(address, id, "text", list)
+	return list
 }
 
 // SubmitLongRunning submits a job with the given number of long-running tasks and
@@ -68,6 +84,10 @@
 // crashing is the specification by which workers recognize tasks that crash them.
 const crashing = "crashing"
 
+// straggling is the specification by which workers recognize tasks of which some runs
+// take several times as long.
+const straggling = "straggling"
+
 // LongRunning is the specification by which workers recognize long-running tasks.
 const LongRunning = "long-running"
 
@@ -79,6 +99,7 @@
 	EstimatedMs int   `json:"estimatedMs"`
 	After       []int `json:"after,omitempty"`
 	LongRunning bool  `json:"longRunning,omitempty"`
+	Speculative bool  `json:"speculative,omitempty"`
 }
 
 func newStep(count int) step {
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -168,6 +168,9 @@
 	noEnd = time.Hour
 	// crashTime is how long a task runs before it crashes its worker.
 	crashTime = 10 * time.Millisecond
+	// stragglerEvery is of how many runs of straggling tasks one takes stragglerFactor
+	// times as long.
+	stragglerEvery, stragglerFactor = 3, 7
 )
 
 func (w *Worker) begin(o order) {
@@ -175,6 +178,9 @@
 	if o.Specification == LongRunning {
 		r.life = 0
 	}
+	if o.Specification == straggling && w.starts%stragglerEvery == 0 {
+		r.life *= stragglerFactor
+	}
 	if o.Specification == crashing {
 		r.life = noEnd
 		time.AfterFunc(crashTime, func() { w.crashUnder(r) })
