--- a/core/jobsched/speculate.go
+++ b/core/jobsched/speculate.go
@@ -79,8 +79,8 @@
 		if !m.mayBeCopied(a) {
 			continue
 		}
-		c := m.copyCandidate(a)
-		if gain, ok := c.Gain(); ok {
+		c := speculation.Candidate{Progress: m.copyProgress(a), Usual: m.usualRun(a.step()), CopySlowness: 1}
+		if gain, ok := c.Gain(); ok && m.copyMatters(a.step(), &c) {
 			found = append(found, straggler{attempt: a, Candidate: c, rank: speculation.Rank{Gain: gain}})
 			slow[a.step()]++
 		}
@@ -116,17 +116,14 @@
 	return a.percent < fullPercent && !m.startsHeldBack(t.step, m.now)
 }
 
-// copyCandidate describes an attempt to the decision whether it is worth a copy on a
-// worker of usual speed.
-func (m *Machine) copyCandidate(a *attempt) speculation.Candidate {
-	s := a.step()
+// copyMatters reports whether a copy of a task of the step matters to its job. It sets
+// the times that the job leaves for the task.
+func (m *Machine) copyMatters(s *step, c *speculation.Candidate) bool {
 	rest := m.runTimes.of(m.queue(s.job()).Name) * float64(s.pathAfterMs())
 	left := m.objectiveMs(s.occurrence) - m.wall.UnixMilli() - int64(rest)
 	late := (lateFactor - 1) * m.allowanceMs(s.occurrence)
-	return speculation.Candidate{
-		Progress: m.copyProgress(a), Usual: m.usualRun(s), CopySlowness: 1,
-		Objective: time.Duration(left) * time.Millisecond, Useful: time.Duration(left+late) * time.Millisecond,
-	}
+	c.Objective, c.Useful = time.Duration(left)*time.Millisecond, time.Duration(left+late)*time.Millisecond
+	return c.Matters()
 }
 
 // copyProgress returns what is known of the attempt's progress.
@@ -169,14 +166,14 @@
 	if !budget.Allows(size) {
 		return
 	}
+	t.nextCopyAt = m.now.Add(copyRetryDelay)
 	w := room.workerFor(s.attempt)
 	if w == nil {
-		t.nextCopyAt = m.now.Add(copyRetryDelay)
 		return
 	}
 	s.CopySlowness = m.slownessOf(w)
 	gain, ok := s.Gain()
-	if !ok {
+	if !ok || !s.Matters() {
 		return
 	}
 	budget.Take(size)
@@ -196,7 +193,6 @@
 	a := m.startAttemptBecause(t, w, t.last+1, reason)
 	m.markCopy(a)
 	t.copies++
-	t.nextCopyAt = m.now.Add(copyRetryDelay)
 	t.step.job().tally.copies++
 	m.speculation.counts.Started++
 	m.markDirty(t.step.job())
--- a/core/speculation/decide.go
+++ b/core/speculation/decide.go
@@ -71,20 +71,22 @@
 func (c Candidate) CopyTime() time.Duration { return startDelay + scale(c.Usual, c.CopySlowness) }
 
 // Gain returns how much earlier a copy is expected to end than the attempt, and whether
-// the copy is worth its run: if it gains MinGain and gainFraction of the time that it
-// takes, and thereby the job meets its objective, or is of use, where it otherwise is
-// not expected to.
+// that is worth its run: MinGain at least, and gainFraction of the time that it takes.
 func (c Candidate) Gain() (time.Duration, bool) {
 	if c.Usual <= 0 {
 		return 0, false
 	}
+	takes := c.CopyTime()
+	gain := c.Remaining(c.Usual) - takes
+	return gain, gain >= max(MinGain, scale(takes, gainFraction))
+}
+
+// Matters reports whether with the copy the job is expected to meet its objective, or to
+// be of use, and without it not.
+func (c Candidate) Matters() bool {
 	remaining, takes := c.Remaining(c.Usual), c.CopyTime()
-	gain := remaining - takes
-	if gain < max(MinGain, scale(takes, gainFraction)) {
-		return gain, false
-	}
 	decides := func(bound time.Duration) bool { return takes <= bound && remaining+MinGain > bound }
-	return gain, decides(c.Objective) || decides(c.Useful)
+	return decides(c.Objective) || decides(c.Useful)
 }
 
 func scale(d time.Duration, factor float64) time.Duration {
--- a/core/speculation/speculation_test.go
+++ b/core/speculation/speculation_test.go
@@ -18,10 +18,16 @@
 	}
 }
 
+// copied returns the gain of a copy and whether it is worth it and matters.
+func copied(c Candidate) (time.Duration, bool) {
+	gain, ok := c.Gain()
+	return gain, ok && c.Matters()
+}
+
 // TestTaskSevenTimesAsLongIsCopied plays the load that the package is for: a short task
 // takes seven times as long as the others of its step, as its first report shows.
 func TestTaskSevenTimesAsLongIsCopied(t *testing.T) {
-	gain, ok := stragglerAt(7, 500*time.Millisecond).Gain()
+	gain, ok := copied(stragglerAt(7, 500*time.Millisecond))
 	if !ok || gain < 2*time.Second {
 		t.Errorf("copied: %v, gain %s, want a copy that gains over 2 s", ok, gain)
 	}
@@ -32,7 +38,7 @@
 func TestTaskOnSlowWorkerIsCopied(t *testing.T) {
 	c := stragglerAt(6, 100*time.Millisecond)
 	c.Progress = Progress{Worked: 100 * time.Millisecond, Slowness: 6}
-	if gain, ok := c.Gain(); !ok {
+	if gain, ok := copied(c); !ok {
 		t.Errorf("not copied, gain %s", gain)
 	}
 }
@@ -48,7 +54,7 @@
 		"never heard":   {Progress: Progress{Worked: time.Second, Slowness: 1}, Usual: usual, CopySlowness: 1, Objective: time.Second, Useful: 3 * time.Second},
 		"nothing known": {Progress: Progress{Took: time.Second, Passed: 1}, Objective: time.Second, Useful: 3 * time.Second},
 	} {
-		if gain, ok := c.Gain(); ok {
+		if gain, ok := copied(c); ok {
 			t.Errorf("%s: copied for a gain of %s", name, gain)
 		}
 	}
@@ -62,7 +68,7 @@
 	tooLate.Objective, tooLate.Useful = -2*time.Second, 100*time.Millisecond
 	slow.CopySlowness = 6
 	for name, c := range map[string]Candidate{"in time": inTime, "too late": tooLate, "slow worker": slow} {
-		if gain, ok := c.Gain(); ok {
+		if gain, ok := copied(c); ok {
 			t.Errorf("%s: copied for a gain of %s", name, gain)
 		}
 	}
@@ -73,7 +79,7 @@
 func TestSilentWorker(t *testing.T) {
 	c := stragglerAt(1, 500*time.Millisecond)
 	c.LostIn = 10 * time.Second
-	if _, ok := c.Gain(); !ok {
+	if _, ok := copied(c); !ok {
 		t.Error("not copied")
 	}
 }
