--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -108,6 +108,7 @@
 	waitReason WaitReason
 	advice     advice
 	pace       stepPace
+	runs       stepRuns
 	// baseline is the step's baseline reading, computed at baselineAt.
 	baseline   float64
 	baselineAt time.Time
@@ -157,6 +158,10 @@
 	reservedOn *worker
 	// movedAt is when it was last moved off a slow worker; zero if it was not.
 	movedAt time.Time
+	// copies is how many copies of the task this leader has started. nextCopyAt is when
+	// the next one may be.
+	copies     int
+	nextCopyAt time.Time
 }
 
 func (t *task) key() job.TaskKey {
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -131,6 +131,8 @@
 	imageReferences map[string]*workerspeed.Reference
 	// orphans counts the attempts without a task.
 	orphans int
+	// speculation tracks copies of slow tasks.
+	speculation speculationState
 
 	dirty       ordered.Map[job.ID, struct{}]
 	removals    []job.ID
@@ -302,6 +304,9 @@
 	}
 	m.sendStops()
 	m.scheduleIfDue()
+	if sweep {
+		m.copyStragglers()
+	}
 	m.sendRenewals()
 	if sweep {
 		m.sendThrottles()
--- a/jobservice/follow.go
+++ b/jobservice/follow.go
@@ -96,6 +96,7 @@
 	defer t.leader.o.Metrics.setEntries(jobsched.EntryCounts{})
 	defer t.leader.o.Metrics.setLongestWaits(nil)
 	defer t.leader.o.Metrics.setRoomShares(nil)
+	defer t.leader.o.Metrics.copies.set(jobsched.CopyCounts{})
 	interval := max(listInterval, t.leader.o.DrainTime/listsPerDrain)
 	for ctx.Err() == nil {
 		began := time.Now()
--- a/jobservice/metrics.go
+++ b/jobservice/metrics.go
@@ -34,6 +34,7 @@
 	trialsWaiting prometheus.Gauge
 	// longestWait is the longest present wait of a step for a worker, by the reason.
 	longestWait *prometheus.GaugeVec
+	copies      copyMetrics
 	storeLost   prometheus.Counter
 	// roomShare describes the division of room between queues.
 	roomShare *prometheus.GaugeVec
@@ -136,6 +137,7 @@
 	r.MustRegister(m.refusedCommits, m.requests, m.requestTime, m.orders, m.orderTime, m.decisions, m.commitTime, m.terms,
 		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.trialsRunning, m.trialsWaiting, m.slowWorkers, m.longestWait, m.roomShare, m.storeLost, m.cordonedZones, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
 		m.entriesUnusable, m.entryChanges, m.configVersion, m.configFailures, m.configWastedBytes, configAge)
+	m.copies = newCopyMetrics(r)
 	m.setEntries(jobsched.EntryCounts{})
 	return m
 }
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -75,6 +75,7 @@
 	l.o.Metrics.slowWorkers.Set(float64(t.machine.SlowWorkers()))
 	l.o.Metrics.setLongestWaits(t.machine.LongestWaits())
 	l.o.Metrics.setRoomShares(t.machine.RoomShares())
+	l.o.Metrics.copies.set(t.machine.Copies())
 	return false, false
 }
 
