--- a/adapter/jobapi/messages.go
+++ b/adapter/jobapi/messages.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -34,6 +35,9 @@
 	// ProblemUnservable: the job was not accepted, because none of the present workers
 	// could ever run it.
 	ProblemUnservable ProblemKind = "unservable"
+	// ProblemOverloaded: the job was not accepted, because it could not be served in time.
+	// It may be submitted again after the time in the Retry-After header.
+	ProblemOverloaded ProblemKind = "overloaded"
 	// ProblemUncertain: the request may have been carried out, or its result is unknown.
 	ProblemUncertain ProblemKind = "uncertain"
 	// ProblemNotLeading: this daemon is not the leader, and only the leader can answer the
@@ -104,6 +108,10 @@
 func RetryAfterSeconds(err error) string {
 	var infeasible *job.InfeasibleError
 	var unstorable *job.UnstorableError
+	var overloaded *jobservice.OverloadedError
+	if errors.As(err, &overloaded) {
+		return strconv.Itoa(int(overloaded.Decision.RetryAfter.Seconds()))
+	}
 	if errors.As(err, &infeasible) || errors.As(err, &unstorable) {
 		return infeasibleRetryAfter
 	}
@@ -122,8 +130,11 @@
 	var unstorable *job.UnstorableError
 	var stale *jobservice.StaleSummaryError
 	var follower *jobservice.NotLeadingError
+	var overloaded *jobservice.OverloadedError
 	var routing *echo.HTTPError
 	switch {
+	case errors.As(err, &overloaded):
+		return http.StatusTooManyRequests, ProblemOverloaded
 	case errors.As(err, &invalid):
 		return http.StatusBadRequest, ProblemInvalid
 	case errors.As(err, &large):
--- a/adapter/jobapi/server.go
+++ b/adapter/jobapi/server.go
@@ -194,7 +194,7 @@
 		return
 	}
 	status, kind := ProblemOf(err)
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		c.Response().Header().Set("Retry-After", RetryAfterSeconds(err))
 	}
 	if kind != ProblemNotLeading {
--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -47,6 +47,8 @@
 	MessageLinesDropped         = "log lines dropped"
 	MessageLeaderBehind         = "the leader is behind"
 	MessageLeaderCaughtUp       = "the leader has caught up"
+	MessageQueueLimited         = "queue begins to reject jobs"
+	MessageQueueAcceptsAll      = "queue accepts all jobs again"
 )
 
 // JobFinalMessage returns the message for a job that has reached the final state
--- a/core/jobsched/commit.go
+++ b/core/jobsched/commit.go
@@ -242,5 +242,5 @@
 }
 
 func (m *Machine) summary() Summary {
-	return Summary{WrittenMs: m.wall.UnixMilli(), Waiting: m.waiting()}
+	return Summary{WrittenMs: m.wall.UnixMilli(), Waiting: m.waiting(), Forecast: m.Forecast()}
 }
--- a/core/jobsched/effect.go
+++ b/core/jobsched/effect.go
@@ -5,6 +5,7 @@
 
 	"github.com/guavarill/guavarill/core/interference"
 	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/jobforecast"
 	"github.com/guavarill/guavarill/core/model"
 )
 
@@ -105,6 +106,9 @@
 	WrittenMs int64 `json:"writtenMs"`
 	// Waiting counts, by queue, the unscheduled jobs that have not started a task.
 	Waiting map[string]int `json:"waiting,omitempty"`
+	// Forecast tells the other daemons which jobs to reject; nil while all queues find
+	// room.
+	Forecast *jobforecast.Forecast `json:"forecast,omitempty"`
 }
 
 // Note is a decision to be logged. The machine notes decisions that affect a job or
--- /dev/null
+++ b/core/jobsched/forecastdemand.go
@@ -0,0 +1,105 @@
+package jobsched
+
+import (
+	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/jobforecast"
+)
+
+// measureDemand measures what the attempts of the queues hold and which of their steps
+// wait for workers.
+func (m *Machine) measureDemand() {
+	for _, qf := range m.forecaster.queues {
+		qf.demand, qf.committed, qf.longestWait = jobforecast.Demand{}, 0, 0
+		qf.waitsForCommitted, qf.waitsForBestEffort = false, false
+	}
+	for _, w := range m.workers.All() {
+		for _, a := range w.attempts.All() {
+			if s := a.step(); s != nil && !a.longRunning {
+				qf := m.queueForecast(m.queue(s.job()))
+				qf.demand.Held += float64(s.spec.Size.MilliCPU)
+				qf.committed += a.size.MilliCPU
+			}
+		}
+	}
+	for s := range m.pending.All() {
+		if s.ready() {
+			m.measureWaiting(s)
+		}
+	}
+}
+
+// measureWaiting adds the step's tasks that wait for a worker to the demand of its queue.
+func (m *Machine) measureWaiting(s *step) {
+	idle := 0
+	for _, t := range s.tasks {
+		if t.idle() {
+			idle++
+		}
+	}
+	if idle == 0 {
+		return
+	}
+	qf := m.queueForecast(m.queue(s.job()))
+	waits := !s.waitingSince.IsZero() && m.now.Sub(s.waitingSince) >= roomEvidenceTime
+	if s.spec.LongRunning {
+		if waits {
+			qf.longestWait = max(qf.longestWait, m.now.Sub(s.waitingSince))
+			qf.evidenceAt = m.now
+		}
+		return
+	}
+	if m.lateness(s.occurrence) == inTime {
+		qf.demand.Ahead += float64(idle) * s.spec.TaskWork()
+	}
+	if waits && isUnconstrained(s.spec, qf.queue) {
+		qf.demand.Waiting = jobforecast.AddSmallest(qf.demand.Waiting, s.spec.Size)
+		qf.evidenceAt = m.now
+		qf.waitsForBestEffort = qf.waitsForBestEffort || s.spec.BestEffort
+		qf.waitsForCommitted = qf.waitsForCommitted || !s.spec.BestEffort
+	}
+}
+
+// isUnconstrained reports whether only the lack of room can keep the step's tasks from
+// any worker, so that larger tasks find none either.
+func isUnconstrained(s *job.Step, q *job.Queue) bool {
+	return !s.Gang && s.Label == "" && s.MaxPerWorker == 0 && !q.Advised
+}
+
+// measureFree counts the workers by what is free there, for the kinds of tasks of the
+// queue that wait.
+func (m *Machine) measureFree(qf *queueForecast) {
+	committed := qf.waitsForCommitted && !m.mayPreempt(qf.queue)
+	if !committed && !qf.waitsForBestEffort {
+		return
+	}
+	for _, w := range m.workers.All() {
+		if w.entry.Service != qf.queue.Service || !w.isUsable(m.now) || m.isCordoned(w) {
+			continue
+		}
+		if committed {
+			qf.demand.Free.Add(w.room().MilliCPU)
+		}
+		if qf.waitsForBestEffort {
+			qf.demand.FreeBestEffort.Add(w.freeCPU())
+		}
+	}
+}
+
+// mayPreempt reports whether tasks of the queue may take the place of others.
+func (m *Machine) mayPreempt(q *job.Queue) bool {
+	for _, other := range m.forecaster.queues {
+		if other.queue.Priority > q.Priority && other.queue.Service == q.Service && other.committed > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// forecastLongRunning returns the forecast for the long-running jobs of a queue, nil
+// unless their tasks have waited for longer than such a job may.
+func (m *Machine) forecastLongRunning(qf *queueForecast) *jobforecast.LongRunning {
+	if waitMs := qf.longestWait.Milliseconds(); waitMs > 0 && waitMs >= qf.queue.LatencyTargetMs {
+		return &jobforecast.LongRunning{Room: m.longRunningRoom(qf.queue.Service), WaitMs: waitMs}
+	}
+	return nil
+}
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -22,6 +22,7 @@
 	j := m.jobs.Get(ev.ID)
 	if j == nil {
 		j = m.addJob(ev.ID, ev.Record)
+		m.measureArrival(j)
 		m.emit(Note{Decision: joblog.MessageJobTakenIn, Job: ev.ID, Lag: m.since(ev.Record.AcceptedAtMs), Reason: fmt.Sprintf(
 			"queue %s, accepted %s ago under configuration %d", ev.Record.Queue.Name,
 			m.age(j), ev.Record.ConfigVersion)})
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -152,8 +152,9 @@
 	// lastLearnID is the id given last to an attempt in the interference learner.
 	lastLearnID uint64
 	// victims counts the serving tasks by the index of their image.
-	victims []int
-	effects effectCache
+	victims    []int
+	effects    effectCache
+	forecaster forecaster
 
 	now  time.Time
 	wall time.Time
@@ -294,6 +295,7 @@
 	if sweep {
 		m.sendThrottles()
 	}
+	m.forecastIfDue()
 	m.sendCommit()
 }
 
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -271,6 +271,7 @@
 	t.attempts = slices.DeleteFunc(t.attempts, func(other *attempt) bool { return other == a })
 	j.attempts--
 	j.tally.noteEnd(a, cause, m.now)
+	m.measureEnd(a, cause)
 	if j.state.Final() {
 		m.dropIfFinal(j)
 		return
--- a/core/jobsched/overload_test.go
+++ b/core/jobsched/overload_test.go
@@ -69,6 +69,13 @@
 
 // submitShort submits a job of one to four steps.
 func (c *cluster) submitShort(rnd *rand.Rand, number int) *shortJob {
+	j, steps := c.drawShort(rnd)
+	j.id = c.submit(number, "urgent", steps...)
+	return j
+}
+
+// drawShort draws a job of one to four steps.
+func (c *cluster) drawShort(rnd *rand.Rand) (*shortJob, []job.Step) {
 	j := &shortJob{at: c.now}
 	var steps []job.Step
 	for i := range max(int(drawLogNormal(rnd, 1.6, 0.4, 4)+0.5), 1) {
@@ -86,8 +93,7 @@
 	}
 	q := c.config.Queues["urgent"]
 	j.allowance = time.Duration(q.Stretch*float64(j.chain)) + time.Duration(q.LatencyTargetMs)*time.Millisecond
-	j.id = c.submit(number, "urgent", steps...)
-	return j
+	return j, steps
 }
 
 func (c *cluster) noteCompleted(jobs []*shortJob) {
--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -53,12 +53,17 @@
 	fleet *fleetView
 	// tombstones limits the cancels of unknown jobs, each of which writes.
 	tombstones *rate.Limiter
+	// forecasts is nil unless jobs are rejected by forecast.
+	forecasts *forecastView
+	log       *logrus.Entry
+	metrics   *Metrics
 }
 
 // NewIntake returns an Intake.
 func NewIntake(store RecordStore, clock Clock, log *logrus.Logger, metrics *Metrics) *Intake {
-	fleet := &fleetView{log: log.WithField("component", "intake"), metrics: metrics}
-	return &Intake{store: store, clock: clock, fleet: fleet, tombstones: newTombstoneLimiter()}
+	entry := log.WithField("component", "intake")
+	fleet := &fleetView{log: entry, metrics: metrics}
+	return &Intake{store: store, clock: clock, fleet: fleet, tombstones: newTombstoneLimiter(), log: entry, metrics: metrics}
 }
 
 const (
@@ -79,7 +84,8 @@
 // Submit validates a job and stores it for a queue, as the queue is defined in a
 // version of the configuration. The error is a *job.InvalidError, a
 // *job.UnstorableError for a job whose progress could not be stored, a
-// *job.InfeasibleError for one that no worker could ever run, or one of Accept's.
+// *job.InfeasibleError for one that no worker could ever run, an *OverloadedError for
+// one that could not be served in time, or one of Accept's.
 func (in *Intake) Submit(ctx context.Context, id job.ID, spec *job.Spec, q *job.Queue, configVersion uint64) error {
 	if err := spec.Check(); err != nil {
 		return err
@@ -87,6 +93,9 @@
 	if err := in.checkServable(ctx, id, spec, q); err != nil {
 		return err
 	}
+	if err := in.checkLoad(ctx, id, spec, q); err != nil {
+		return err
+	}
 	return in.Accept(ctx, id, &job.Accepted{
 		Spec: *spec, Queue: *q, ConfigVersion: configVersion, AcceptedAtMs: in.clock.Wall().UnixMilli(),
 	})
@@ -131,16 +140,25 @@
 	changes := []port.Op{{Key: acceptedKey(id), Value: record.Encode()}}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	result, err := in.store.Txn(ctx, unknownJob(id), changes)
-	switch {
-	case err == nil && result.Succeeded:
-		return nil
-	case err == nil:
-		return in.checkAccepted(ctx, id)
-	case IsNotDone(err):
-		return &UnavailableError{Cause: err}
+	rejection := int64(0)
+	for {
+		result, err := in.store.Txn(ctx, unacceptedJob(id, rejection), changes)
+		switch {
+		case err == nil && result.Succeeded:
+			return nil
+		case IsNotDone(err):
+			return &UnavailableError{Cause: err}
+		case err != nil:
+			return &UncertainError{Cause: err}
+		}
+		if rejection, err = in.rejection(ctx, id); err != nil {
+			return err
+		}
+		if rejection == 0 {
+			return in.checkAccepted(ctx, id)
+		}
+		changes = append(changes[:1], rejectionRemoval(id)...)
 	}
-	return &UncertainError{Cause: err}
 }
 
 // checkAccepted returns nil for a job whose id is taken, whether by this attempt, by
--- a/jobservice/metrics.go
+++ b/jobservice/metrics.go
@@ -51,6 +51,7 @@
 	configAge         atomic.Pointer[func() time.Duration]
 	configFailures    *prometheus.CounterVec
 	configWastedBytes prometheus.Counter
+	overload          overloadMetrics
 }
 
 const namespace = "guavarill"
@@ -130,6 +131,7 @@
 	r.MustRegister(m.refusedCommits, m.requests, m.requestTime, m.orders, m.orderTime, m.decisions, m.commitTime, m.terms,
 		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.trialsRunning, m.trialsWaiting, m.longestWait, m.storeLost, m.cordonedZones, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
 		m.entriesUnusable, m.entryChanges, m.configVersion, m.configFailures, m.configWastedBytes, configAge)
+	m.overload = newOverloadMetrics(r)
 	m.setEntries(jobsched.EntryCounts{})
 	return m
 }
--- a/jobservice/tombstone.go
+++ b/jobservice/tombstone.go
@@ -29,6 +29,10 @@
 	// Submitted is set once the job has been submitted. It is shown as canceled from
 	// then on, and as unknown before.
 	Submitted bool `json:"submitted,omitempty"`
+	// Rejected is set for a job that was not canceled but rejected for want of room. It
+	// keeps acceptances that are under way from succeeding, and the caller may submit the
+	// job again.
+	Rejected bool `json:"rejected,omitempty"`
 }
 
 func newTombstone(canceledAtMs int64) *tombstone {
@@ -91,18 +95,20 @@
 	if err != nil {
 		return false, &UncertainError{Cause: err}
 	}
-	if kv.ModRevision != 0 {
+	s := tombstoneIn(kv.Value)
+	rejected := s != nil && s.Rejected
+	if kv.ModRevision != 0 && !rejected {
 		// The job has ended or has a tombstone, unless it was accepted and begun since
 		// its accepted record was read.
 		accepted, _, err := in.accepted(ctx, id)
 		return err == nil && accepted == nil, err
 	}
-	if !in.tombstones.Allow() {
+	if !rejected && !in.tombstones.Allow() {
 		return false, &UnavailableError{Cause: &TooManyUnknownJobsError{ID: id}}
 	}
 	changes := newTombstone(in.clock.Wall().UnixMilli()).changes(id)
 	for {
-		result, err := in.store.Txn(ctx, unknownJob(id), changes)
+		result, err := in.store.Txn(ctx, unacceptedJob(id, kv.ModRevision), changes)
 		switch {
 		case err == nil:
 			return result.Succeeded, nil
@@ -112,11 +118,12 @@
 	}
 }
 
-// unknownJob returns the conditions that a job is not known.
-func unknownJob(id job.ID) []port.Condition {
+// unacceptedJob returns the conditions that a job is not accepted and that its progress
+// has the given revision, which is 0 for a job that is not known.
+func unacceptedJob(id job.ID, progress int64) []port.Condition {
 	return []port.Condition{
 		{Key: acceptedKey(id), Kind: port.CompareModRevision},
-		{Key: progressKey(id), Kind: port.CompareModRevision},
+		{Key: progressKey(id), Kind: port.CompareModRevision, Revision: progress},
 	}
 }
 
@@ -137,7 +144,7 @@
 	}
 	s := tombstoneIn(kv.Value)
 	switch {
-	case kv.ModRevision == 0:
+	case kv.ModRevision == 0 || s != nil && s.Rejected:
 		return &UncertainError{Cause: &RecordsChangedError{ID: id}}
 	case s == nil || s.Submitted:
 		return nil
--- a/jobservice/tombstones.go
+++ b/jobservice/tombstones.go
@@ -90,18 +90,22 @@
 		}
 		kv := progress.items[id]
 		if s := tombstoneIn(kv.Value); s != nil {
-			t.addTombstone(id, kv.ModRevision, s.FinalAtMs)
+			t.addTombstone(id, kv.ModRevision, s)
 			delete(progress.byID, id)
 		}
 	}
 }
 
 // addTombstone adds the tombstone of a job. The time that has passed counts, because
-// tombstones would never be removed if it began anew while leaders change quickly.
-func (t *term) addTombstone(id job.ID, revision, finalAtMs int64) {
+// tombstones would never be removed if it began anew while leaders change quickly. That of
+// a rejected job, which nobody is shown, only has to outlast late writes.
+func (t *term) addTombstone(id job.ID, revision int64, s *tombstone) {
 	o := &t.leader.o
-	passed := max(o.Clock.Wall().Sub(time.UnixMilli(finalAtMs))-tombstoneClockError, 0)
+	passed := max(o.Clock.Wall().Sub(time.UnixMilli(s.FinalAtMs))-tombstoneClockError, 0)
 	left := max(o.Machine.KeepFinal-passed, minTombstoneTime)
+	if s.Rejected {
+		left = minTombstoneTime
+	}
 	t.tombstones.add(id, revision, o.Clock.Now().Add(left))
 }
 
@@ -139,7 +143,7 @@
 			t.leader.o.Metrics.ReportUnreadable(t.leader.log, kindTombstone, kv, err, "the tombstone is removed after the next take-over")
 			continue
 		}
-		t.addTombstone(id, kv.ModRevision, s.FinalAtMs)
+		t.addTombstone(id, kv.ModRevision, s)
 	}
 	return nil
 }
--- a/jobservice/tombstones_test.go
+++ b/jobservice/tombstones_test.go
@@ -85,7 +85,7 @@
 func bury(t *testing.T, store *memStore, wall time.Time, ids ...job.ID) {
 	t.Helper()
 	for _, id := range ids {
-		result, err := store.Txn(t.Context(), unknownJob(id), newTombstone(wall.UnixMilli()).changes(id))
+		result, err := store.Txn(t.Context(), unacceptedJob(id, 0), newTombstone(wall.UnixMilli()).changes(id))
 		if err != nil || !result.Succeeded {
 			t.Fatalf("the tombstone of %s is not stored: %v", id, err)
 		}
