--- a/core/jobsched/forecast_test.go
+++ b/core/jobsched/forecast_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/jobforecast"
+	"github.com/guavarill/guavarill/core/joblog"
 	"github.com/guavarill/guavarill/core/model"
 )
 
@@ -25,7 +26,9 @@
 	view   *jobforecast.Forecast
 	viewAt time.Time
 	frozen bool
-	jobs   []*burstJob
+	// abandoned is set once callers whose jobs were rejected no longer come back.
+	abandoned bool
+	jobs      []*burstJob
 }
 
 // burstJob is a job that callers hand in. first is when it was handed in first.
@@ -86,6 +89,9 @@
 
 // handIn hands a job in; a caller whose job is rejected comes back when it is told to.
 func (p *burstPlay) handIn(j *burstJob) {
+	if p.abandoned && j.tries > 0 {
+		return
+	}
 	j.tries++
 	j.at = p.now
 	if d := p.decide(j); d.Reject {
@@ -185,25 +191,184 @@
 	return j, steps
 }
 
-func TestTrial(t *testing.T) {
-	for _, reject := range []bool{false, true} {
-		for seed := range uint64(2) {
-			p := newBurstPlay(t, seed+1, 96, reject)
-			jobs := p.burst(20, 80)
-			l := largestTenth(jobs)
-			t.Logf("urgent %t: in time %.3f work %.0f, largest %.3f", reject, inTimeShare(jobs), workInTime(jobs), inTimeShare(l))
-			p = newBurstPlay(t, seed+1, 24, reject)
-			p.queue, p.draw = "batch", (*cluster).drawBestEffort
-			jobs = p.burst(4, 16)
-			l = largestTenth(jobs)
-			w := 0.0
-			for _, j := range jobs { w += j.coreSeconds}
-			t.Logf("batch %t: in time %.3f work %.0f of %.0f, largest %.3f rejected %d", reject, inTimeShare(jobs), workInTime(jobs), w, inTimeShare(l), p.rejected(testEpoch, p.now))
-			for _, n := range p.notes {
-				if n.Decision == "queue begins to reject jobs" || n.Decision == "queue accepts all jobs again" {
-					t.Log(n.Decision, n.Reason)
-				}
-			}
+// acceptedOf returns the jobs that were accepted.
+func (p *burstPlay) acceptedOf(jobs []*shortJob) []*shortJob {
+	accepted := make(map[*shortJob]bool)
+	for _, j := range p.jobs {
+		accepted[j.shortJob] = j.accepted
+	}
+	return slices.DeleteFunc(slices.Clone(jobs), func(j *shortJob) bool { return !accepted[j] })
+}
+
+// burstOutcome sums up several plays of a burst.
+type burstOutcome struct{ inTime, acceptedInTime, work, largest float64 }
+
+func (o *burstOutcome) add(p *burstPlay, jobs []*shortJob) {
+	o.inTime += inTimeShare(jobs)
+	o.acceptedInTime += inTimeShare(p.acceptedOf(jobs))
+	o.work += workInTime(jobs)
+	o.largest += inTimeShare(largestTenth(jobs))
+}
+
+// checkBurst checks that a burst is served better with rejections than without: more
+// work of use to callers, most accepted jobs in time, and large jobs as well.
+func checkBurst(t *testing.T, play func(seed uint64, reject bool) (*burstPlay, []*shortJob)) {
+	const seeds = 2
+	var without, with burstOutcome
+	for seed := range uint64(seeds) {
+		without.add(play(seed+1, false))
+		with.add(play(seed+1, true))
+	}
+	t.Logf("without: %+v; with: %+v", without, with)
+	if with.acceptedInTime < 0.6*seeds {
+		t.Errorf("%.2f of the accepted jobs are in time, want 0.6", with.acceptedInTime/seeds)
+	}
+	if with.work < without.work {
+		t.Errorf("%.0f core-s of jobs are in time, %.0f without rejections", with.work, without.work)
+	}
+	if with.largest < with.inTime/2 {
+		t.Errorf("%.2f of the largest tenth are in time, %.2f of all", with.largest/seeds, with.inTime/seeds)
+	}
+}
+
+// Guards against accepting, when callers of short jobs ask for four times as much as
+// usual, what cannot be served: most of the room goes to jobs that are done too late.
+func TestBurstOfShortJobs(t *testing.T) {
+	checkBurst(t, func(seed uint64, reject bool) (*burstPlay, []*shortJob) {
+		p := newBurstPlay(t, seed, 96, reject)
+		return p, p.burst(20, 80)
+	})
+}
+
+// Guards against the same for best-effort jobs, which use the idle processors of
+// long-running tasks.
+func TestBurstOfBestEffortJobs(t *testing.T) {
+	checkBurst(t, func(seed uint64, reject bool) (*burstPlay, []*shortJob) {
+		p := newBurstPlay(t, seed, 24, reject)
+		p.queue, p.draw = "batch", (*cluster).drawBestEffort
+		return p, p.burst(4, 16)
+	})
+}
+
+// limitNotes returns the notes on when jobs were rejected.
+func (p *burstPlay) limitNotes(decision string) int {
+	n := 0
+	for _, note := range p.notes {
+		if note.Decision == decision {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against jobs that are rejected where there is room for them.
+func TestNoRejectionInCalmTimes(t *testing.T) {
+	p := newBurstPlay(t, 1, 96, true)
+	p.play(10*time.Second, 10)
+	if n := p.rejected(testEpoch, p.now); n > 0 {
+		t.Errorf("%d of %d jobs were rejected", n, len(p.jobs))
+	}
+	if f := p.machine.Forecast(); f != nil {
+		t.Errorf("there is a forecast: %+v", f)
+	}
+}
+
+// Guards against rejections that go on after the load has ended.
+func TestRejectionsEndWithTheLoad(t *testing.T) {
+	p := newBurstPlay(t, 1, 96, true)
+	p.play(6*time.Second, 80)
+	if f := p.summary.Forecast; f == nil || f.Queues["urgent"].Share > 0.8 {
+		t.Fatalf("jobs are not rejected in the burst: %+v", f)
+	}
+	p.abandoned = true
+	p.play(4*time.Second, 5)
+	from := p.now
+	p.play(4*time.Second, 5)
+	if n := p.rejected(from, p.now); n > 0 {
+		t.Errorf("%d of %d jobs were rejected from 4 s after the burst on", n, len(p.between(from, p.now)))
+	}
+	if limited, free := p.limitNotes(joblog.MessageQueueLimited), p.limitNotes(joblog.MessageQueueAcceptsAll); limited == 0 || limited != free {
+		t.Errorf("%d notes that jobs are rejected, %d that they no longer are", limited, free)
+	}
+}
+
+// Guards against a wave of rejections after a take-over amid a burst, by a leader that
+// has measured nothing, and against none at all from then on.
+func TestTakeOverInABurst(t *testing.T) {
+	p := newBurstPlay(t, 1, 96, true)
+	p.play(4*time.Second, 80)
+	p.replaceLeader()
+	for end := p.now.Add(forecastDelay); p.now.Before(end); {
+		p.play(50*time.Millisecond, 80)
+		if f := p.machine.Forecast(); f != nil {
+			t.Fatalf("%s after the take-over there is a forecast: %+v", p.now.Sub(p.machine.recoveredAt), f)
 		}
 	}
+	p.play(3*time.Second, 80)
+	f := p.summary.Forecast
+	if f == nil || f.Epoch != p.epoch || f.Queues["urgent"].Share > 0.8 {
+		t.Errorf("4 s after the take-over: %+v", f)
+	}
+	if n := p.rejected(testEpoch, p.now); n == 0 || n == len(p.jobs) {
+		t.Errorf("%d of %d jobs were rejected", n, len(p.jobs))
+	}
+}
+
+// Guards against jobs that are rejected by a forecast that is no longer renewed: the
+// store is silent, or a daemon cannot read it.
+func TestOldForecastRejectsNothing(t *testing.T) {
+	for name, fail := range map[string]func(*burstPlay){
+		"store silent":   func(p *burstPlay) { p.storeDown = true },
+		"daemon cut off": func(p *burstPlay) { p.frozen = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newBurstPlay(t, 1, 96, true)
+			p.play(5*time.Second, 80)
+			fail(p)
+			p.play(jobforecast.MaxAge+forecastReadInterval, 80)
+			from := p.now
+			p.play(time.Second, 80)
+			if n := p.rejected(from, p.now); n > 0 {
+				t.Errorf("%d of %d jobs were rejected", n, len(p.between(from, p.now)))
+			}
+		})
+	}
+}
+
+// Guards against jobs that are rejected, and an order that changes, without the policy.
+func TestNoForecastWithoutThePolicy(t *testing.T) {
+	p := newBurstPlay(t, 1, 48, false)
+	p.play(4*time.Second, 60)
+	if p.machine.Forecast() != nil || p.summary.Forecast != nil {
+		t.Error("there is a forecast")
+	}
+	if exponent := p.machine.sizeExponent("batch"); exponent != minSizeExponent {
+		t.Errorf("the order of sizes begins at %f", exponent)
+	}
+}
+
+// Guards against long-running jobs that are accepted while their tasks have found no
+// room for longer than such jobs may wait, and against rejecting them where there is
+// room.
+func TestLongRunningJobsWithoutRoom(t *testing.T) {
+	c := newCluster(t, 1, 4)
+	c.options.Policies.RejectHopeless = true
+	c.replaceLeader()
+	c.run(2 * time.Second)
+	job1 := &job.Spec{Steps: []job.Step{longRunning(4, 12000)}}
+	q := c.config.Queues["urgent"]
+	c.submit(1, "urgent", job1.Steps...)
+	c.run(2 * time.Second)
+	if d := c.summary.Forecast.Decide(c.wall, q, job1, "1"); d.Reject {
+		t.Errorf("before any wait: %s", d)
+	}
+	c.submit(2, "urgent", job1.Steps...)
+	c.run(2 * time.Second)
+	if d := c.summary.Forecast.Decide(c.wall, q, job1, "1"); !d.Reject || d.RetryAfter < time.Second {
+		t.Errorf("while one waits: %s, retry after %s", d, d.RetryAfter)
+	}
+	small := &job.Spec{Steps: []job.Step{longRunning(2, 3000)}}
+	if d := c.summary.Forecast.Decide(c.wall, q, small, "1"); d.Reject {
+		t.Errorf("a job for which there is room: %s", d)
+	}
 }
