--- a/core/jobforecast/decide.go
+++ b/core/jobforecast/decide.go
@@ -26,6 +26,8 @@
 	// ReasonHopeless and ReasonNoRoom are the reasons of rejections.
 	ReasonHopeless Reason = "would miss its objective"
 	ReasonNoRoom   Reason = "no room for long-running tasks"
+	// ReasonRejectedMeanwhile is for a job that another daemon has rejected.
+	ReasonRejectedMeanwhile Reason = "rejected at another daemon meanwhile"
 )
 
 // Decision is the decision on a job that is handed in.
--- a/core/joblog/explain.go
+++ b/core/joblog/explain.go
@@ -28,6 +28,7 @@
 const (
 	outcomeNoTrace  = "no trace"
 	outcomeRefused  = "refused"
+	outcomeRejected = "rejected"
 	outcomeInvalid  = "invalid"
 	outcomeAccepted = "accepted"
 	outcomeUnknown  = "state not told"
--- a/core/joblog/explain_answers.go
+++ b/core/joblog/explain_answers.go
@@ -8,9 +8,11 @@
 	"time"
 )
 
-// The HTTP statuses of answers to callers: a refusal without effect, an unknown
-// outcome, and the lowest status for failures that the request did not cause.
+// The HTTP statuses of answers to callers: a rejection for want of room, a refusal
+// without effect, an unknown outcome, and the lowest status for failures that the request
+// did not cause.
 const (
+	statusOverloaded   = 429
 	statusUnavailable  = 503
 	statusUnknown      = 504
 	lowestServerStatus = 500
@@ -19,11 +21,14 @@
 // outcomeFromAnswers returns the outcome of a job for which there are only lines
 // about answers to callers.
 func (e *explainer) outcomeFromAnswers() string {
-	worst := 0
+	worst, last := 0, 0
 	for _, l := range e.withMessage(MessageRequestRefused) {
-		worst = max(worst, l.Status)
+		worst, last = max(worst, l.Status), l.Status
 	}
 	switch {
+	case last == statusOverloaded:
+		// An acceptance by an earlier request that got no response was ruled out.
+		return outcomeRejected
 	case worst == statusUnknown:
 		return outcomeUnknown
 	case worst >= lowestServerStatus:
@@ -76,6 +81,8 @@
 func (e *explainer) answerText(group []Line) string {
 	meaning := fmt.Sprintf("answered with %d", group[0].Status)
 	switch group[0].Status {
+	case statusOverloaded:
+		meaning = "rejected for want of room"
 	case statusUnavailable:
 		meaning = "refused, with nothing done"
 	case statusUnknown:
--- a/core/joblog/joblog_test.go
+++ b/core/joblog/joblog_test.go
@@ -174,3 +174,24 @@
 		t.Errorf("gaps: %s", gaps)
 	}
 }
+
+// Guards against a rejected job whose answer does not say why it was rejected, and against
+// one that is shown as rejected although it was accepted later.
+func TestExplainReportsRejection(t *testing.T) {
+	log := `{"daemon":"host-1","msg":"request refused","job":"38794a2fe1bc1e9c","status":504,"error":"not known: timeout","time":"2026-05-01T02:07:20Z"}
+{"daemon":"host-2","msg":"request refused","job":"38794a2fe1bc1e9c","status":429,"error":"queue q is overloaded: share 0.25","time":"2026-05-01T02:07:21Z"}
+`
+	accepted := `{"daemon":"host-3","msg":"job accepted","job":"38794a2fe1bc1e9c","queue":"q","time":"2026-05-01T02:07:25Z"}
+`
+	for text, want := range map[string]string{log: "rejected", log + accepted: "accepted"} {
+		lines, _ := Parse([]byte(text), "")
+		e := Explain(lines, refusedJob)
+		if e.Outcome != want {
+			t.Errorf("outcome %q, want %q", e.Outcome, want)
+		}
+		const finding = "rejected for want of room at 02:07:21.000 by host-2: queue q is overloaded: share 0.25"
+		if !slices.Contains(e.Findings, finding) {
+			t.Errorf("findings %q, want one of them to be %q", e.Findings, finding)
+		}
+	}
+}
--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -87,6 +87,7 @@
 // *job.InfeasibleError for one that no worker could ever run, an *OverloadedError for
 // one that could not be served in time, or one of Accept's.
 func (in *Intake) Submit(ctx context.Context, id job.ID, spec *job.Spec, q *job.Queue, configVersion uint64) error {
+	arrived := in.clock.Wall()
 	if err := spec.Check(); err != nil {
 		return err
 	}
@@ -97,7 +98,7 @@
 		return err
 	}
 	return in.Accept(ctx, id, &job.Accepted{
-		Spec: *spec, Queue: *q, ConfigVersion: configVersion, AcceptedAtMs: in.clock.Wall().UnixMilli(),
+		Spec: *spec, Queue: *q, ConfigVersion: configVersion, AcceptedAtMs: arrived.UnixMilli(),
 	})
 }
 
@@ -131,8 +132,8 @@
 }
 
 // Accept stores a job under its id unless a job is already stored there. The error is
-// an *UnavailableError if the job is not stored and will not be, and an
-// *UncertainError if it may be.
+// an *UnavailableError or an *OverloadedError if the job is not stored and will not be,
+// and an *UncertainError if it may be.
 //
 // An attempt whose response was lost may still take effect, but not in addition to
 // another one, because all of them require the id to be free.
@@ -151,12 +152,16 @@
 		case err != nil:
 			return &UncertainError{Cause: err}
 		}
-		if rejection, err = in.rejection(ctx, id); err != nil {
+		rejected, err := in.rejection(ctx, id)
+		switch {
+		case err != nil:
 			return err
-		}
-		if rejection == 0 {
+		case rejected == nil:
 			return in.checkAccepted(ctx, id)
+		case rejected.atMs >= record.AcceptedAtMs:
+			return rejectedMeanwhile(record.Queue.Name)
 		}
+		rejection = rejected.revision
 		changes = append(changes[:1], rejectionRemoval(id)...)
 	}
 }
--- a/jobservice/overload.go
+++ b/jobservice/overload.go
@@ -62,7 +62,7 @@
 
 // ruleOutAcceptance makes all acceptances of a job that are under way fail, and reports
 // whether that is certain. An acceptance of an earlier request that got no response may
-// otherwise succeed after the rejection was answered. The job's next submission is
+// otherwise succeed after the rejection was answered. A later submission of the job is
 // accepted on condition that the record of the rejection is unchanged.
 func (in *Intake) ruleOutAcceptance(ctx context.Context, id job.ID) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, rejectTimeout)
@@ -86,17 +86,33 @@
 	return s != nil && s.Rejected
 }
 
-// rejection returns the revision of the record of a job's rejection, 0 if there is none.
-// The error is an *UncertainError.
-func (in *Intake) rejection(ctx context.Context, id job.ID) (int64, error) {
+// rejectionRecord is the stored record of a job's rejection.
+type rejectionRecord struct {
+	revision int64
+	// atMs is when the job was rejected, by the clock of the daemon that did, as Unix time
+	// in milliseconds.
+	atMs int64
+}
+
+// rejection returns the record of a job's rejection, nil if there is none. The error is
+// an *UncertainError.
+func (in *Intake) rejection(ctx context.Context, id job.ID) (*rejectionRecord, error) {
 	kv, err := in.store.Get(ctx, progressKey(id))
 	if err != nil {
-		return 0, &UncertainError{Cause: err}
+		return nil, &UncertainError{Cause: err}
 	}
 	if !isRejection(kv) {
-		return 0, nil
+		return nil, nil
 	}
-	return kv.ModRevision, nil
+	return &rejectionRecord{revision: kv.ModRevision, atMs: tombstoneIn(kv.Value).FinalAtMs}, nil
+}
+
+// rejectedMeanwhile returns the error for a submission during which the job was rejected
+// at another daemon: a submission that is older than a rejection must not undo it.
+func rejectedMeanwhile(queue string) *OverloadedError {
+	return &OverloadedError{Queue: queue, Decision: jobforecast.Decision{
+		Reject: true, Reason: jobforecast.ReasonRejectedMeanwhile, RetryAfter: time.Second,
+	}}
 }
 
 // rejectionRemoval returns the changes that remove the record of a job's rejection.
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -44,8 +44,10 @@
 	// crashing is whether its only task crashes each worker that starts it.
 	crashing bool
 
-	mu         sync.Mutex
-	fate       fate
+	mu   sync.Mutex
+	fate fate
+	// rejections counts the answers that the job was rejected for want of room.
+	rejections int
 	acceptedAt time.Time
 	canceledAt time.Time
 	// cancelSentAt is when the first cancel was sent, whatever its outcome.
@@ -147,6 +149,9 @@
 	case err == nil && status == http.StatusOK:
 		j.fate, j.acceptedAt = accepted, time.Now()
 	case err == nil && status == http.StatusServiceUnavailable:
+	case err == nil && status == http.StatusTooManyRequests:
+		// The earlier attempts are ruled out by this answer.
+		j.fate, j.rejections = refused, j.rejections+1
 	case err != nil && jobapi.NotSent(err):
 	default:
 		j.fate = unknown
