--- a/adapter/grpcrelay/records.go
+++ b/adapter/grpcrelay/records.go
@@ -42,8 +42,7 @@
 	return &relayv1.GetResponse{Value: kv.Value, Revision: kv.ModRevision}, nil
 }
 
-// Txn implements relayv1.RecordsServer. All conditions compare modification revisions,
-// and all changes are puts.
+// Txn implements relayv1.RecordsServer. All conditions compare modification revisions.
 func (r *RecordsServer) Txn(ctx context.Context, req *relayv1.TxnRequest) (*relayv1.TxnResponse, error) {
 	if !r.available() {
 		return nil, status.Error(codes.FailedPrecondition, "no access to the store")
@@ -52,9 +51,12 @@
 	for i, c := range req.Conditions {
 		conditions[i] = port.Condition{Key: c.Key, Kind: port.CompareModRevision, Revision: c.Revision}
 	}
-	changes := make([]port.Op, len(req.Puts))
-	for i, p := range req.Puts {
-		changes[i] = port.Op{Key: p.Key, Value: p.Value}
+	changes := make([]port.Op, 0, len(req.Puts)+len(req.RemovedKeys))
+	for _, p := range req.Puts {
+		changes = append(changes, port.Op{Key: p.Key, Value: p.Value})
+	}
+	for _, key := range req.RemovedKeys {
+		changes = append(changes, port.Op{Key: key, Delete: true})
 	}
 	result, err := r.store.Txn(ctx, conditions, changes)
 	if err != nil {
@@ -135,6 +137,10 @@
 		req.Conditions = append(req.Conditions, &relayv1.Condition{Key: c.Key, Revision: c.Revision})
 	}
 	for _, op := range changes {
+		if op.Delete {
+			req.RemovedKeys = append(req.RemovedKeys, op.Key)
+			continue
+		}
 		req.Puts = append(req.Puts, &relayv1.Put{Key: op.Key, Value: op.Value})
 	}
 	resp, err := relayv1.NewRecordsClient(conn).Txn(ctx, req)
--- a/core/jobforecast/meter_test.go
+++ b/core/jobforecast/meter_test.go
@@ -1,6 +1,7 @@
 package jobforecast
 
 import (
+	"encoding/json"
 	"math"
 	"testing"
 	"time"
@@ -107,3 +108,24 @@
 		t.Errorf("%d counts, want %d", len(free), maxFreeCounts)
 	}
 }
+
+// Guards against a forecast that makes the ledger large.
+func TestForecastIsSmall(t *testing.T) {
+	q := Queue{Share: 1.0 / 3, DelayMs: 1e7, AllowanceMs: 1e7, Arriving: 1e9, Finishing: 1e9, LongRunning: &LongRunning{Room: 1e9, WaitMs: 1e7}}
+	for i := range int64(100) {
+		q.Waiting = AddSmallest(q.Waiting, model.Resources{MilliCPU: 500_000 - i, MemoryMB: 500_000 + i, Accelerators: 8})
+	}
+	for i := range int64(maxFreeCounts) {
+		for range 99 {
+			q.Free.Add(i * freeUnit)
+			q.FreeBestEffort.Add(i * freeUnit)
+		}
+	}
+	data, err := json.Marshal(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(data) > 2048 {
+		t.Errorf("%d bytes", len(data))
+	}
+}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -83,6 +83,9 @@
 		if err != nil {
 			return d, err
 		}
+		if o.Overload {
+			p.flags = append(p.flags, rejectByForecast)
+		}
 		d.daemons = append(d.daemons, p)
 		if err := p.start(); err != nil {
 			return d, err
--- /dev/null
+++ b/soak/overload.go
@@ -0,0 +1,31 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+)
+
+// rejectByForecast is the flag with which daemons reject jobs that by the forecast cannot
+// be served in time.
+const rejectByForecast = "--reject-hopeless-jobs"
+
+const (
+	// floodLeast and floodMost bound the time between two jobs of a flood, in
+	// milliseconds: together several times as many as the workers can run.
+	floodLeast, floodMost = 5, 25
+)
+
+// flood submits more jobs than the workers can run until ctx ends, and polls the states
+// of those that are accepted until calling ends.
+func (c *caller) flood(ctx, calling context.Context) {
+	var following sync.WaitGroup
+	for ctx.Err() == nil {
+		j := c.draw()
+		c.jobs = append(c.jobs, j)
+		seed := c.rnd.Uint64()
+		following.Go(func() { c.follow(calling, j, rand.New(rand.NewPCG(seed, 0))) })
+		pause(ctx, between(c.rnd, floodLeast, floodMost))
+	}
+	following.Wait()
+}
--- a/soak/process.go
+++ b/soak/process.go
@@ -19,6 +19,7 @@
 type process struct {
 	name     string
 	binary   string
+	flags    []string
 	file     string
 	settings *platform.Settings
 	log      *os.File
@@ -49,7 +50,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &process{name: name, binary: binary, file: file, settings: parsed, log: log, failure: -1}, nil
+	return &process{name: name, binary: binary, file: file, settings: parsed, log: log, failure: -1,
+		flags: []string{"--metrics-port=9464", "--api-port=9465"}}, nil
 }
 
 // start starts the process, unless it runs.
@@ -59,7 +61,7 @@
 	if p.command != nil {
 		return nil
 	}
-	c := exec.Command(p.binary, "--metrics-port=9464", "--api-port=9465")
+	c := exec.Command(p.binary, p.flags...)
 	c.Env = append(os.Environ(), platform.SettingsEnv+"="+p.file, raceOptions())
 	c.Stdout, c.Stderr = p.log, p.log
 	if err := c.Start(); err != nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -32,6 +32,9 @@
 	// Large puts every other daemon behind a slow link to the store, and makes the
 	// configuration grow and shrink by thousands of queues.
 	Large bool
+	// Overload makes daemons reject jobs by forecast, and adds a caller who submits more
+	// jobs than the workers can run.
+	Overload bool
 }
 
 // linger is how long long-running jobs stay after the last fault: until each of
@@ -63,7 +66,9 @@
 	// Jobs counts the submitted jobs, Accepted and Completed those of them that were
 	// accepted and completed. Starts counts the attempts that workers started, Faults
 	// the injected faults by name.
+	// Rejections counts the answers that a job was rejected for want of room.
 	Jobs, Accepted, Completed, Starts int
+	Rejections                        int
 	Faults                            map[string]int
 	// LongestWithout is the longest time for which a long-running task did not run
 	// although nothing excused it, LongestTask that task.
@@ -127,6 +132,10 @@
 	if o.Late {
 		callers.Go(func() { regretter.regret(ctx, calling) })
 	}
+	flooder := newCaller(d, o.Seed, callerCount+3)
+	if o.Overload {
+		callers.Go(func() { flooder.flood(ctx, calling) })
+	}
 	faulty.Wait()
 	d.calm()
 	if o.Large {
@@ -136,6 +145,7 @@
 	callers.Wait()
 	jobs := append(keeper.jobs, crasher.jobs...)
 	jobs = append(jobs, regretter.jobs...)
+	jobs = append(jobs, flooder.jobs...)
 	for _, c := range list {
 		jobs = append(jobs, c.jobs...)
 	}
@@ -214,6 +224,7 @@
 		if j.fate == accepted {
 			result.Accepted++
 		}
+		result.Rejections += j.rejections
 		if j.final == job.Completed {
 			result.Completed++
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,7 @@
 	large      = flag.Bool("large", false, "have large configurations in them, and slow links to the store")
 	restarting = flag.Bool("restarting", false, "have workers in them start again under their ids")
 	cordoning  = flag.Bool("cordoning", false, "have zones in them cordoned and reopened")
+	overload   = flag.Bool("overload", false, "have more jobs in them than workers can run, and daemons that reject some")
 	late       = flag.Bool("late", false, "have acceptances in them carried out late, and canceled before")
 	length     = flag.Duration("length", 20*time.Second, "how long faults come in each of them")
 	keep       = flag.String("keep", "", "folder that keeps the daemons' logs of seeds that failed")
@@ -83,6 +84,10 @@
 	for _, broken := range result.Broken {
 		t.Error(broken)
 	}
+	t.Logf("%d rejections for want of room", result.Rejections)
+	if o.Overload && result.Rejections == 0 {
+		t.Error("no job was rejected")
+	}
 	if result.Completed == 0 {
 		t.Error("no job was completed")
 	}
@@ -181,13 +186,23 @@
 	play(t, Options{Seed: 1, Length: ciLength, Late: true})
 }
 
+// TestOverload submits more jobs than the workers can run to daemons that reject some, with
+// acceptances carried out late and without a response, beside all other faults.
+//
+// It guards against jobs that run although their callers were told last that they were
+// rejected.
+func TestOverload(t *testing.T) {
+	t.Parallel()
+	play(t, Options{Seed: 1, Length: ciLength, Late: true, Overload: true})
+}
+
 // TestFresh plays seeds by hand.
 func TestFresh(t *testing.T) {
 	for i := range *freshSeeds {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, Options{Seed: seed, Length: *length, Planned: *planned, Crashing: *crashes, Large: *large, Restarting: *restarting, Cordoning: *cordoning, Late: *late})
+			play(t, Options{Seed: seed, Length: *length, Planned: *planned, Crashing: *crashes, Large: *large, Restarting: *restarting, Cordoning: *cordoning, Late: *late, Overload: *overload})
 		})
 	}
 }
