--- a/core/jobforecast/decide.go
+++ b/core/jobforecast/decide.go
@@ -102,7 +102,7 @@
 		if s.BestEffort {
 			free = q.FreeBestEffort
 		}
-		if len(s.After) == 0 && !isCovered(q.Waiting, s.Size) && free.fits(s.Count, s.Size.MilliCPU) {
+		if len(s.After) == 0 && !isCovered(q.Waiting, KindOf(s)) && free.fits(s.Count, s.Size.MilliCPU) {
 			return true
 		}
 	}
--- a/core/jobforecast/forecast.go
+++ b/core/jobforecast/forecast.go
@@ -29,7 +29,7 @@
 	Arriving  int64 `json:"arriving"`
 	Finishing int64 `json:"finishing"`
 	// Waiting holds the smallest tasks for which there is no room on any worker.
-	Waiting []model.Resources `json:"waiting,omitempty"`
+	Waiting []TaskKind `json:"waiting,omitempty"`
 	// Free and FreeBestEffort count the workers by what new tasks, and new best-effort
 	// tasks, find free there; empty if that is not known.
 	Free           FreeCounts `json:"free,omitempty"`
@@ -54,10 +54,10 @@
 	// of a core.
 	Held float64
 	// Ahead is the work of tasks that could start now if there were room, of jobs that
-	// can still meet their objective, in thousandths of a core times milliseconds.
+	// are still of use to their callers, in thousandths of a core times milliseconds.
 	Ahead float64
 	// Waiting, Free and FreeBestEffort are as in Queue.
-	Waiting              []model.Resources
+	Waiting              []TaskKind
 	Free, FreeBestEffort FreeCounts
 }
 
@@ -71,14 +71,14 @@
 	// delayPart is the part of the time that jobs have beyond their own run time that
 	// they are to spend waiting, on average: waits differ between jobs, and each step
 	// of a job waits.
-	delayPart = 0.25
+	delayPart = 0.4
 	// minSlackPart is the smallest time beyond its run time that a job is assumed to
 	// have, as a part of its allowance.
-	minSlackPart = 0.1
+	minSlackPart = 0.25
 	// maxExtraPart is the largest part of the admissible work that jobs beyond the share
 	// take from it: they are small ones that find room, and the large ones are to be
 	// served as well.
-	maxExtraPart = 0.5
+	maxExtraPart = 0.25
 	// fillTime is the time in which less work than wanted ahead is made up for: that
 	// after which a change of the share shows at the leader.
 	fillTime = 500 * time.Millisecond
--- a/core/jobsched/forecastdemand.go
+++ b/core/jobsched/forecastdemand.go
@@ -48,11 +48,11 @@
 		}
 		return
 	}
-	if m.lateness(s.occurrence) == inTime {
+	if m.lateness(s.occurrence) != tooLate {
 		qf.demand.Ahead += float64(idle) * s.spec.TaskWork()
 	}
 	if waits && isUnconstrained(s.spec, qf.queue) {
-		qf.demand.Waiting = jobforecast.AddSmallest(qf.demand.Waiting, s.spec.Size)
+		qf.demand.Waiting = jobforecast.AddSmallest(qf.demand.Waiting, jobforecast.KindOf(s.spec))
 		qf.evidenceAt = m.now
 		qf.waitsForBestEffort = qf.waitsForBestEffort || s.spec.BestEffort
 		qf.waitsForCommitted = qf.waitsForCommitted || !s.spec.BestEffort
