--- a/core/jobforecast/forecast.go
+++ b/core/jobforecast/forecast.go
@@ -54,7 +54,7 @@
 	// of a core.
 	Held float64
 	// Ahead is the work of tasks that could start now if there were room, of jobs that
-	// are still of use to their callers, in thousandths of a core times milliseconds.
+	// can still meet their objective, in thousandths of a core times milliseconds.
 	Ahead float64
 	// Waiting, Free and FreeBestEffort are as in Queue.
 	Waiting              []TaskKind
--- a/core/jobforecast/meter_test.go
+++ b/core/jobforecast/meter_test.go
@@ -40,8 +40,8 @@
 	if math.Abs(q.Share-0.25) > 0.06 {
 		t.Errorf("share %.3f, want 0.25", q.Share)
 	}
-	if q.DelayMs != 250 || q.AllowanceMs != 2000 {
-		t.Errorf("delay %d ms of %d ms, want 250 of 2000", q.DelayMs, q.AllowanceMs)
+	if want := int64(delayPart * 1000); q.DelayMs != want || q.AllowanceMs != 2000 {
+		t.Errorf("delay %d ms of %d ms, want %d of 2000", q.DelayMs, q.AllowanceMs, want)
 	}
 	m, next = NewMeter(), 0
 	if q := feed(m, &next, 40, 10*time.Second, true, demand); q.Share < minShare || q.Share > 0.25 {
--- a/core/jobsched/forecast.go
+++ b/core/jobsched/forecast.go
@@ -44,9 +44,6 @@
 	// current is the forecast made last.
 	current jobforecast.Queue
 	demand  jobforecast.Demand
-	// committed is the processor capacity that is committed to the queue's tasks, without
-	// long-running ones, in thousandths of a core.
-	committed int64
 	// waitsForCommitted and waitsForBestEffort are whether a step of either kind finds no
 	// room.
 	waitsForCommitted, waitsForBestEffort bool
--- a/core/jobsched/forecastdemand.go
+++ b/core/jobsched/forecastdemand.go
@@ -9,15 +9,13 @@
 // wait for workers.
 func (m *Machine) measureDemand() {
 	for _, qf := range m.forecaster.queues {
-		qf.demand, qf.committed, qf.longestWait = jobforecast.Demand{}, 0, 0
+		qf.demand, qf.longestWait = jobforecast.Demand{}, 0
 		qf.waitsForCommitted, qf.waitsForBestEffort = false, false
 	}
 	for _, w := range m.workers.All() {
 		for _, a := range w.attempts.All() {
 			if s := a.step(); s != nil && !a.longRunning {
-				qf := m.queueForecast(m.queue(s.job()))
-				qf.demand.Held += float64(s.spec.Size.MilliCPU)
-				qf.committed += a.size.MilliCPU
+				m.queueForecast(m.queue(s.job())).demand.Held += float64(s.spec.Size.MilliCPU)
 			}
 		}
 	}
@@ -48,7 +46,7 @@
 		}
 		return
 	}
-	if m.lateness(s.occurrence) != tooLate {
+	if m.lateness(s.occurrence) == inTime {
 		qf.demand.Ahead += float64(idle) * s.spec.TaskWork()
 	}
 	if waits && isUnconstrained(s.spec, qf.queue) {
@@ -68,16 +66,15 @@
 // measureFree counts the workers by what is free there, for the kinds of tasks of the
 // queue that wait.
 func (m *Machine) measureFree(qf *queueForecast) {
-	committed := qf.waitsForCommitted && !m.mayPreempt(qf.queue)
-	if !committed && !qf.waitsForBestEffort {
+	if !qf.waitsForCommitted && !qf.waitsForBestEffort {
 		return
 	}
 	for _, w := range m.workers.All() {
 		if w.entry.Service != qf.queue.Service || !w.isUsable(m.now) || m.isCordoned(w) {
 			continue
 		}
-		if committed {
-			qf.demand.Free.Add(w.room().MilliCPU)
+		if qf.waitsForCommitted {
+			qf.demand.Free.Add(w.room().MilliCPU + m.preemptible(w, qf.queue))
 		}
 		if qf.waitsForBestEffort {
 			qf.demand.FreeBestEffort.Add(w.freeCPU())
@@ -85,14 +82,16 @@
 	}
 }
 
-// mayPreempt reports whether tasks of the queue may take the place of others.
-func (m *Machine) mayPreempt(q *job.Queue) bool {
-	for _, other := range m.forecaster.queues {
-		if other.queue.Priority > q.Priority && other.queue.Service == q.Service && other.committed > 0 {
-			return true
+// preemptible returns the processor capacity on a worker, in thousandths of a core, that
+// is committed to tasks of less urgent queues.
+func (m *Machine) preemptible(w *worker, q *job.Queue) int64 {
+	sum := int64(0)
+	for _, a := range w.attempts.All() {
+		if s := a.step(); s != nil && !a.longRunning && m.queue(s.job()).Priority > q.Priority {
+			sum += a.size.MilliCPU
 		}
 	}
-	return false
+	return sum
 }
 
 // forecastLongRunning returns the forecast for the long-running jobs of a queue, nil
