--- a/core/jobforecast/forecast.go
+++ b/core/jobforecast/forecast.go
@@ -82,6 +82,9 @@
 	// fillTime is the time in which less work than wanted ahead is made up for: that
 	// after which a change of the share shows at the leader.
 	fillTime = 500 * time.Millisecond
+	// maxFillPart bounds that, as a part of the work that workers finish. Where tasks run
+	// slower than estimated, jobs turn late before their work is seen to wait.
+	maxFillPart = 0.5
 	// drainTime is the shortest time in which more work than wanted ahead is drained.
 	drainTime = 1500 * time.Millisecond
 )
@@ -113,7 +116,7 @@
 	slackMs := max(m.meanSlackMs, minSlackPart*m.meanAllowanceMs)
 	missing := delayPart*slackMs*finishing - ahead
 	if missing > 0 {
-		return finishing + missing/float64(fillTime.Milliseconds())
+		return finishing + min(missing/float64(fillTime.Milliseconds()), maxFillPart*finishing)
 	}
 	return finishing + missing/max(slackMs, float64(drainTime.Milliseconds()))
 }
