--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -54,6 +54,8 @@
 	MessageTaskMoved            = "task moved"
 	MessageLeaderBehind         = "the leader is behind"
 	MessageLeaderCaughtUp       = "the leader has caught up"
+	MessageQueueLimited         = "queue begins to reject jobs"
+	MessageQueueAcceptsAll      = "queue accepts all jobs again"
 )
 
 // JobFinalMessage returns the message for a job that has reached the final state
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -46,8 +46,10 @@
 	// copyable is whether its tasks may run twice at a time.
 	copyable bool
 
-	mu         sync.Mutex
-	fate       fate
+	mu   sync.Mutex
+	fate fate
+	// rejections counts the answers that the job was rejected for want of room.
+	rejections int
 	acceptedAt time.Time
 	canceledAt time.Time
 	// cancelSentAt is when the first cancel was sent, whatever its outcome.
@@ -160,6 +162,9 @@
 	case err == nil && status == http.StatusOK:
 		j.fate, j.acceptedAt = accepted, time.Now()
 	case err == nil && status == http.StatusServiceUnavailable:
+	case err == nil && status == http.StatusTooManyRequests:
+		// The earlier attempts are ruled out by this answer.
+		j.fate, j.rejections = refused, j.rejections+1
 	case err != nil && jobapi.NotSent(err):
 	default:
 		j.fate = unknown
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -86,7 +86,10 @@
 			return d, err
 		}
 		if o.Copies {
-			p.env = []string{"GUAVARILL_COPY_STRAGGLERS=true"}
+			p.flags = append(p.flags, copyStragglers)
+		}
+		if o.Overload {
+			p.flags = append(p.flags, rejectByForecast)
 		}
 		d.daemons = append(d.daemons, p)
 		if err := p.start(); err != nil {
