core/jobsched: best-effort work stops in time beside tasks over their target

Work that is known to disturb is slowed first, in steps of 0.6 to 1 s, and other work only once that stands still: 2.5 to 3.2 s after tasks were over their target, other work still ran at 100% (worker i-383e5bb1eb at 24.9 s: pressure 1.31, known 0, other 100; i-dc2514ce11 at 70.8 s: 1.22, 0, 100). Meanwhile further best-effort work was placed on the same worker and began at full speed (i-fc4a0a7350 at 12.67 s: 3.1 s over, all at 0 and two new attempts at 100; i-a0ef76a6f5 at 37.2 s, 3.6 s over).

Two seconds after a task was first seen over its target, half of what the platform allows, all best-effort work beside it stands still. No best-effort work is placed beside a task over its target, unless its step is starving.

--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -95,10 +95,11 @@
 }
 
 // filterInterference keeps best-effort work off workers whose serving tasks lack
-// the latency headroom for it, unless the step is starving.
+// the latency headroom for it or are over their targets, unless the step is starving. It
+// would start at full speed.
 func filterInterference(m *Machine, t *task, w *worker) bool {
 	spec := t.step.spec
-	return !spec.BestEffort || m.withinHeadroom(w, spec.Image, spec.Size.MilliCPU) || m.starving(t.step)
+	return !spec.BestEffort || w.throttle.pressure <= 1 && m.withinHeadroom(w, spec.Image, spec.Size.MilliCPU) || m.starving(t.step)
 }
 
 // filterTicket restricts tasks of advised queues to workers with a valid ticket.
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -35,6 +35,10 @@
 	// time for several reductions. Those aim at sustainedOverAim.
 	sustainedOverTime = time.Second
 	sustainedOverAim  = 0.75
+	// longOverTime is how long a task may be above its target before all best-effort work
+	// beside it is stopped, known to disturb or not: half of what the platform allows.
+	// Readings come up to a second late.
+	longOverTime = 2 * time.Second
 	// throttleStep is by how much a share is raised at a time, in percent.
 	throttleStep = 25
 	// throttleFloor is the share, in percent, below which work is stopped
@@ -78,10 +82,15 @@
 	}
 }
 
+// isOverFor reports whether a task has been above its target for the given time.
+func (t *throttleState) isOverFor(now time.Time, duration time.Duration) bool {
+	return !t.overSince.IsZero() && now.Sub(t.overSince) >= duration
+}
+
 // limits returns the pressures above which known disturbing work and other
 // best-effort work are slowed, and the pressure that a reduction aims at.
 func (t *throttleState) limits(now time.Time) (disturbing, other, aim float64) {
-	if !t.overSince.IsZero() && now.Sub(t.overSince) >= sustainedOverTime {
+	if t.isOverFor(now, sustainedOverTime) {
 		return 1, 1, sustainedOverAim
 	}
 	return pressureHigh, pressureOver, pressureAim
@@ -91,6 +100,10 @@
 func (m *Machine) adjustThrottle(w *worker) {
 	m.measurePressure(w)
 	t := &w.throttle
+	if t.isOverFor(m.now, longOverTime) {
+		t.disturbingPercent, t.otherPercent = 0, 0
+		return
+	}
 	fitting := m.allowedShare(w)
 	t.disturbingPercent = min(t.disturbingPercent, fitting)
 	if m.now.Before(t.changeAt) {
