core/jobsched: a serving task within its target alone is protected on a slow worker

The slowness is one number for all images, and tails of some images grow more by it than those of others: a task that would be within its target alone was then left to the best-effort work beside it.

--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -101,6 +101,10 @@
 	// overSince is since when the reading has been above the target; zero if it is not.
 	// It is kept while the speeds of workers are learned.
 	overSince time.Time
+	// aloneSlowness is its last reading without best-effort work at work beside it, as a
+	// multiple of what was usual for its step; 0 if there was none. It is kept while the
+	// speeds of workers are learned.
+	aloneSlowness float64
 }
 
 // isReclaimable reports whether the attempt's room is being freed, or could be
--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -146,6 +146,8 @@
 	failAll, freeze bool
 	// slowness is how many times as long as elsewhere attempts take; 0 means 1.
 	slowness float64
+	// tails holds how many times as high as elsewhere the tails of images are; 0 means 1.
+	tails map[string]float64
 	// fault is the fault of its entry.
 	fault EntryFault
 }
--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -329,7 +329,7 @@
 		}
 		reading := a.step.Size.MilliCPU * int64(a.share) / 100
 		if a.step.LatencyTargetMs > 0 {
-			reading = int64(float64(a.step.LatencyTargetMs*w.c.tail/100) * cmp.Or(w.slowness, 1) * w.disturbed())
+			reading = int64(float64(a.step.LatencyTargetMs*w.c.tail/100) * cmp.Or(w.slowness, 1) * cmp.Or(w.tails[a.step.Image], 1) * w.disturbed())
 		}
 		report.Running = append(report.Running, RunningAttempt{
 			Key: a.key.task, Attempt: a.key.attempt, Percent: min(percent, 100), Reading: reading, Checkpoint: w.c.checkpointOf(a),
--- /dev/null
+++ b/core/jobsched/speedharm_test.go
@@ -0,0 +1,55 @@
+package jobsched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestTaskWithinItsTargetAloneIsProtectedOnASlowWorker guards against best-effort work
+// that harms a serving task for long, because the tails of other images on its worker
+// grow more by the slowness of the worker than its own.
+func TestTaskWithinItsTargetAloneIsProtectedOnASlowWorker(t *testing.T) {
+	const heavySteps, alone, disturbed = 5, 1.8, 4.5
+	c := newCluster(t, 1, 5)
+
+	c.options.Policies.WorkerSpeeds = true
+	c.replaceLeader()
+	c.run(200 * time.Millisecond)
+	for i := range heavySteps + 1 {
+		step := longRunning(5, 2500)
+		step.LatencyTargetMs, step.MaxUnavailable, step.MaxPerWorker, step.Image = 1000, 1, 1, "heavy"
+		if i == heavySteps {
+			step.Image = "light"
+		}
+		c.submit(1+i, "urgent", step)
+	}
+	c.run(8 * time.Second)
+	w := c.workers["w000"]
+	w.tails = map[string]float64{"heavy": 4, "light": alone}
+	c.run(3 * time.Second)
+	if slow := c.machine.SlowWorkers(); slow != 1 {
+		t.Fatalf("%d workers are slow, want 1", slow)
+	}
+	for i := range 5 {
+		c.submit(100+i, "batch", bestEffortStep(fmt.Sprint("unknown-", i), 14, 800))
+	}
+	var over, longest time.Duration
+	for range 3000 {
+		c.tick()
+		w.tails["light"], over = alone, over+clusterTick
+		for _, a := range w.sortedAttempts() {
+			if a.step.BestEffort && a.share > 0 {
+				w.tails["light"] = disturbed
+			}
+		}
+		if w.tails["light"] == alone {
+			over = 0
+		}
+		longest = max(longest, over)
+	}
+
+	if longest == 0 || longest > maxHarm/2 {
+		t.Errorf("a task was over its target for %s by best-effort work, want at most %s", longest, maxHarm/2)
+	}
+}
--- a/core/jobsched/speedreadings.go
+++ b/core/jobsched/speedreadings.go
@@ -32,6 +32,9 @@
 			continue
 		}
 		slowness := float64(a.reading) / usual
+		if evidence == workerspeed.Exact {
+			a.aloneSlowness = slowness
+		}
 		w.speed.learned.Observe(m.now, a.source(), slowness, evidence)
 		w.speed.suspected.Observe(m.now, a.source(), slowness, workerspeed.Exact)
 	}
@@ -103,12 +106,14 @@
 
 // missesTargetAlone reports whether the worker's slowness keeps the serving attempt from
 // its target by a margin, whatever runs beside it: what its step's undisturbed tasks show
-// elsewhere, times the slowness, is well above the target, and so is its own reading.
+// elsewhere, times the slowness, is well above the target, and so is its own reading. The
+// tails of some images grow more by a worker's slowness than those of others, so its own
+// last reading without best-effort work beside it has to show that slowness too.
 func (m *Machine) missesTargetAlone(a *attempt) bool {
 	if !a.worker.isSlow() || !a.serving() {
 		return false
 	}
-	alone := m.baselineReading(a.step()) * m.slownessOf(a.worker)
+	alone := m.baselineReading(a.step()) * min(m.slownessOf(a.worker), a.aloneSlowness)
 	limit := missesTargetFrom * float64(a.step().spec.LatencyTargetMs)
 	return alone >= limit && float64(a.reading) >= limit
 }
