core/jobsched: best-effort work that ended before a report counts for its readings

Whether there was any was looked at when a report arrived, after the ends in it: work that began and ended between two reports, or before a late one, was never seen, and tails that it caused passed for the worker's. The end of an attempt is now noted.

--- a/core/jobsched/speedharm_test.go
+++ b/core/jobsched/speedharm_test.go
@@ -53,3 +53,34 @@
 		t.Errorf("a task was over its target for %s by best-effort work, want at most %s", longest, maxHarm/2)
 	}
 }
+
+// TestShortBestEffortWorkCountsAsDisturbance guards against readings that pass for
+// undisturbed because the best-effort work beside them ended before the report arrived.
+func TestShortBestEffortWorkCountsAsDisturbance(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.options.Policies.WorkerSpeeds = true
+	c.replaceLeader()
+	c.run(200 * time.Millisecond)
+	serving := longRunning(1, 1000)
+	serving.LatencyTargetMs, serving.Image = 1000, "serving"
+	c.submit(1, "urgent", serving)
+	c.run(2 * time.Second)
+	for i := range 10 {
+		step := bestEffortStep("short", 1, 800)
+		step.EstimateMs = 100
+		id := c.submit(2+i, "batch", step)
+		for c.runningOf(id) == 0 {
+			c.tick()
+		}
+		for c.runningOf(id) > 0 {
+			c.tick()
+		}
+		c.run(readingSpan / 2)
+		for _, w := range c.machine.workers.All() {
+			if w.isUndisturbed(c.now) {
+				t.Errorf("job %d: the worker passes for undisturbed %s after its best-effort work", i, readingSpan/2)
+			}
+		}
+		c.run(2 * time.Second)
+	}
+}
--- a/core/jobsched/speedreadings.go
+++ b/core/jobsched/speedreadings.go
@@ -40,6 +40,14 @@
 	}
 }
 
+// noteBestEffortEnd notes that the attempt, if it is best-effort work, was at work until
+// now: it may have begun and ended between two reports.
+func (w *worker) noteBestEffortEnd(now time.Time, a *attempt) {
+	if a.bestEffortCPU > 0 && (a.throttle > 0 || a.throttleUnknown) {
+		w.speed.besideAt = now
+	}
+}
+
 // hasBestEffortAtWork reports whether a best-effort attempt on the worker is not throttled
 // to a share of 0.
 func (w *worker) hasBestEffortAtWork() bool {
