--- a/core/jobsched/speedreadings.go
+++ b/core/jobsched/speedreadings.go
@@ -32,11 +32,22 @@
 			continue
 		}
 		slowness := float64(a.reading) / usual
+		if evidence == workerspeed.Exact {
+			a.aloneSlowness = slowness
+		}
 		w.speed.learned.Observe(m.now, a.source(), slowness, evidence)
 		w.speed.suspected.Observe(m.now, a.source(), slowness, workerspeed.Exact)
 	}
 }
 
+// noteBestEffortEnd notes that the attempt, if it is best-effort work, was at work until
+// now: it may have begun and ended between two reports.
+func (w *worker) noteBestEffortEnd(now time.Time, a *attempt) {
+	if a.bestEffortCPU > 0 && (a.throttle > 0 || a.throttleUnknown) {
+		w.speed.besideAt = now
+	}
+}
+
 // hasBestEffortAtWork reports whether a best-effort attempt on the worker is not throttled
 // to a share of 0.
 func (w *worker) hasBestEffortAtWork() bool {
@@ -103,12 +114,14 @@
 
 // missesTargetAlone reports whether the worker's slowness keeps the serving attempt from
 // its target by a margin, whatever runs beside it: what its step's undisturbed tasks show
-// elsewhere, times the slowness, is well above the target, and so is its own reading.
+// elsewhere, times the slowness, is well above the target, and so is its own reading. The
+// tails of some images grow more by a worker's slowness than those of others, so its own
+// last reading without best-effort work beside it has to show that slowness too.
 func (m *Machine) missesTargetAlone(a *attempt) bool {
 	if !a.worker.isSlow() || !a.serving() {
 		return false
 	}
-	alone := m.baselineReading(a.step()) * m.slownessOf(a.worker)
+	alone := m.baselineReading(a.step()) * min(m.slownessOf(a.worker), a.aloneSlowness)
 	limit := missesTargetFrom * float64(a.step().spec.LatencyTargetMs)
 	return alone >= limit && float64(a.reading) >= limit
 }
