--- a/cmd/guavarill-platform/main.go
+++ b/cmd/guavarill-platform/main.go
@@ -55,7 +55,7 @@
 
 // policyOptions switches on the policies of jobsched.Policies.
 type policyOptions struct {
-	RejectHopeless bool `long:"reject-hopeless-jobs" env:"GUAVARILL_REJECT_HOPELESS_JOBS" description:"reject jobs that the forecast says cannot be served in time"`
+	RejectHopeless bool `long:"reject-hopeless-jobs" env:"GUAVARILL_REJECT_HOPELESS_JOBS" description:"reject jobs that by the forecast cannot be served while they are of use"`
 	ShareRoom      bool `long:"share-room" env:"GUAVARILL_SHARE_ROOM" description:"divide room among queues that want more than there is"`
 	WorkerSpeeds   bool `long:"worker-speeds" env:"GUAVARILL_WORKER_SPEEDS" description:"place and move tasks by the learned speed of workers"`
 	CopyStragglers bool `long:"copy-stragglers" env:"GUAVARILL_COPY_STRAGGLERS" description:"start second attempts of slow tasks of steps that allow them"`
