jobservice: one check for the record of a rejection

The check stood three times. The changes of a later acceptance are built from the acceptance instead of from a part of the earlier changes. Behaviour is unchanged.

--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -138,7 +138,8 @@
 // An attempt whose response was lost may still take effect, but not in addition to
 // another one, because all of them require the id to be free.
 func (in *Intake) Accept(ctx context.Context, id job.ID, record *job.Accepted) error {
-	changes := []port.Op{{Key: acceptedKey(id), Value: record.Encode()}}
+	acceptance := port.Op{Key: acceptedKey(id), Value: record.Encode()}
+	changes := []port.Op{acceptance}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	rejection := int64(0)
@@ -162,7 +163,7 @@
 			return rejectedMeanwhile(record.Queue.Name)
 		}
 		rejection = rejected.revision
-		changes = append(changes[:1], rejectionRemoval(id)...)
+		changes = append([]port.Op{acceptance}, rejectionRemoval(id)...)
 	}
 }
 
--- a/jobservice/tombstone.go
+++ b/jobservice/tombstone.go
@@ -95,8 +95,7 @@
 	if err != nil {
 		return false, &UncertainError{Cause: err}
 	}
-	s := tombstoneIn(kv.Value)
-	rejected := s != nil && s.Rejected
+	rejected := isRejection(kv)
 	if kv.ModRevision != 0 && !rejected {
 		// The job has ended or has a tombstone, unless it was accepted and begun since
 		// its accepted record was read.
@@ -144,7 +143,7 @@
 	}
 	s := tombstoneIn(kv.Value)
 	switch {
-	case kv.ModRevision == 0 || s != nil && s.Rejected:
+	case kv.ModRevision == 0 || isRejection(kv):
 		return &UncertainError{Cause: &RecordsChangedError{ID: id}}
 	case s == nil || s.Submitted:
 		return nil
