--- a/soak/callers.go
+++ b/soak/callers.go
@@ -82,15 +82,21 @@
 func (c *caller) run(ctx, calling context.Context) {
 	var following sync.WaitGroup
 	for ctx.Err() == nil {
-		j := c.draw()
-		c.jobs = append(c.jobs, j)
-		seed := c.rnd.Uint64()
-		following.Go(func() { c.follow(calling, j, rand.New(rand.NewPCG(seed, 0))) })
+		c.submitNext(calling, &following)
 		time.Sleep(between(c.rnd, 50, 500))
 	}
 	following.Wait()
 }
 
+// submitNext draws a job, and submits it and polls its states until calling ends, beside
+// the others of following.
+func (c *caller) submitNext(calling context.Context, following *sync.WaitGroup) {
+	j := c.draw()
+	c.jobs = append(c.jobs, j)
+	seed := c.rnd.Uint64()
+	following.Go(func() { c.follow(calling, j, rand.New(rand.NewPCG(seed, 0))) })
+}
+
 // nextID returns the id of the caller's next job.
 func (c *caller) nextID() string { return fmt.Sprintf("%04x%012x", c.prefix, len(c.jobs)+1) }
 
--- a/soak/overload.go
+++ b/soak/overload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 )
 
@@ -24,10 +23,7 @@
 func (c *caller) flood(ctx, calling context.Context) {
 	var following sync.WaitGroup
 	for ctx.Err() == nil {
-		j := c.draw()
-		c.jobs = append(c.jobs, j)
-		seed := c.rnd.Uint64()
-		following.Go(func() { c.follow(calling, j, rand.New(rand.NewPCG(seed, 0))) })
+		c.submitNext(calling, &following)
 		pause(ctx, between(c.rnd, floodLeast, floodMost))
 	}
 	following.Wait()
