--- a/core/jobsched/speedreadings.go
+++ b/core/jobsched/speedreadings.go
@@ -40,10 +40,16 @@
 	}
 }
 
+// isBestEffortAtWork reports whether the attempt is best-effort work that may work, since
+// it is not known to be throttled to a share of 0.
+func (a *attempt) isBestEffortAtWork() bool {
+	return a.bestEffortCPU > 0 && (a.throttle > 0 || a.throttleUnknown)
+}
+
 // noteBestEffortEnd notes that the attempt, if it is best-effort work, was at work until
 // now: it may have begun and ended between two reports.
 func (w *worker) noteBestEffortEnd(now time.Time, a *attempt) {
-	if a.bestEffortCPU > 0 && (a.throttle > 0 || a.throttleUnknown) {
+	if a.isBestEffortAtWork() {
 		w.speed.besideAt = now
 	}
 }
@@ -55,7 +61,7 @@
 		return false
 	}
 	for _, a := range w.attempts.All() {
-		if a.bestEffortCPU > 0 && (a.throttle > 0 || a.throttleUnknown) {
+		if a.isBestEffortAtWork() {
 			return true
 		}
 	}
