core/jobsched, jobservice: one name for the work of a room share, one allowance as duration

The words for short and long-running work stood in the note and in the metric, the conversion of the allowance in two files. Logged and exported words are unchanged.

--- a/core/jobsched/roomhold.go
+++ b/core/jobsched/roomhold.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/roomshares"
@@ -45,8 +44,7 @@
 // all did, a queue would get its share and all the rest a little later.
 func (m *Machine) mayExceedShare(c *roomClass, s *step) bool {
 	waited := !s.waitingSince.IsZero() && m.now.Sub(s.waitingSince) >= maxStartWait
-	interval := time.Duration(m.allowanceMs(s.occurrence)) * time.Millisecond
-	return (waited || m.hasWaitedBefore(s.job())) && m.now.Sub(c.exceededAt) >= interval
+	return (waited || m.hasWaitedBefore(s.job())) && m.now.Sub(c.exceededAt) >= m.allowance(s.occurrence)
 }
 
 // neverRan reports whether no attempt of the task has run, as far as is stored. After a
--- a/core/jobsched/roommeasure.go
+++ b/core/jobsched/roommeasure.go
@@ -50,6 +50,11 @@
 	r.listedUsed = r.listedUsed.Add(a.size)
 }
 
+// allowance returns how long the occurrence may take after it is due.
+func (m *Machine) allowance(o *occurrence) time.Duration {
+	return time.Duration(m.allowanceMs(o)) * time.Millisecond
+}
+
 // measureWaiting updates what waits, and the reserves of short work. What is too late to
 // be of use is not waited for.
 func (m *Machine) measureWaiting() {
@@ -65,7 +70,7 @@
 		if !waits[c] {
 			waits[c], c.allowance = true, 0
 		}
-		c.allowance = max(c.allowance, time.Duration(m.allowanceMs(s.occurrence))*time.Millisecond)
+		c.allowance = max(c.allowance, m.allowance(s.occurrence))
 		for _, t := range s.tasks {
 			if t.idle() && !m.isReserved(t) {
 				c.waiting = c.waiting.Add(s.spec.Committed())
--- a/core/jobsched/roomnote.go
+++ b/core/jobsched/roomnote.go
@@ -18,6 +18,14 @@
 	Used, Wanted, Share, Reserve float64
 }
 
+// Work names the kind of tasks: "long-running" or "short".
+func (s *RoomShare) Work() string {
+	if s.LongRunning {
+		return "long-running"
+	}
+	return "short"
+}
+
 // RoomShares returns the shares as of the last pass; none if room is not shared.
 func (m *Machine) RoomShares() []RoomShare {
 	shares := make([]RoomShare, len(m.shares.ordered))
@@ -63,12 +71,8 @@
 		if other.queue.Service != c.queue.Service || other.entitlement.Wanted == 0 {
 			continue
 		}
-		kind := "short"
-		if other.key.longRunning {
-			kind = "long-running"
-		}
 		v := other.view()
-		text += fmt.Sprintf("; %s %s: used %.2f, wanted %.2f, share %.2f, reserve %.2f", other.key.queue, kind, v.Used, v.Wanted, v.Share, v.Reserve)
+		text += fmt.Sprintf("; %s %s: used %.2f, wanted %.2f, share %.2f, reserve %.2f", v.Queue, v.Work(), v.Used, v.Wanted, v.Share, v.Reserve)
 	}
 	return text
 }
--- a/jobservice/roommetrics.go
+++ b/jobservice/roommetrics.go
@@ -20,11 +20,7 @@
 		m.roomShare.Reset()
 	}
 	for _, s := range shares {
-		work := "short"
-		if s.LongRunning {
-			work = "long-running"
-		}
-		set := func(kind string, value float64) { m.roomShare.WithLabelValues(s.Queue, work, kind).Set(value) }
+		set := func(kind string, value float64) { m.roomShare.WithLabelValues(s.Queue, s.Work(), kind).Set(value) }
 		set("used", s.Used)
 		set("wanted", s.Wanted)
 		set("share", s.Share)
