--- a/core/workerspeed/speed.go
+++ b/core/workerspeed/speed.go
@@ -53,12 +53,13 @@
 // safe for concurrent use.
 type Speed struct {
 	samples []sample
-	// slowness is the estimate by the samples, evidence the number of them that count,
-	// 0 for an unknown worker. Both are computed when they are asked for: observations
-	// come several at a time.
+	// slowness is the estimate by the samples, attempts the number of attempts that it is
+	// based on, 0 for an unknown worker. Both are computed when they are asked for:
+	// observations come several at a time.
 	slowness float64
-	evidence int
-	stale    bool
+	attempts int
+	// stale is whether observations came after the estimate.
+	stale bool
 	// latest is the time of the latest evidence, estimatedTo that of the latest in the
 	// estimate.
 	latest, estimatedTo time.Time
@@ -103,7 +104,7 @@
 
 // Assume takes over the slowness that another has learned of the worker.
 func (s *Speed) Assume(now time.Time, slowness float64) {
-	*s = Speed{slowness: min(max(slowness, 1), MaxSlowness), evidence: 1, latest: now, estimatedTo: now}
+	*s = Speed{slowness: min(max(slowness, 1), MaxSlowness), attempts: 1, latest: now, estimatedTo: now}
 }
 
 // oldest returns the index of the sample that was taken first.
@@ -126,9 +127,9 @@
 	assumed, weight := s.assumption()
 	s.stale, s.estimatedTo = false, s.latest
 	s.samples = slices.DeleteFunc(s.samples, func(x sample) bool { return s.latest.Sub(x.at) > sampleAge })
-	s.evidence = len(s.samples)
+	s.attempts = len(s.samples)
 	if assumed == 1 && (len(s.samples) < minSamples || s.steps() < minSteps) {
-		s.slowness, s.evidence = 1, 0
+		s.slowness, s.attempts = 1, 0
 		return
 	}
 	values := []weighted{{assumed, weight}}
@@ -149,7 +150,7 @@
 
 // fade returns what is left of the estimate at the given age of its latest evidence.
 func (s *Speed) fade(age time.Duration) float64 {
-	if s.evidence == 0 {
+	if s.attempts == 0 {
 		return 1
 	}
 	if age <= holdTime {
@@ -206,7 +207,7 @@
 // IsCurrent reports whether recent evidence shows the speed of the worker.
 func (s *Speed) IsCurrent(now time.Time) bool {
 	s.estimate()
-	return s.evidence > 0 && now.Sub(s.latest) <= holdTime
+	return s.attempts > 0 && now.Sub(s.latest) <= holdTime
 }
 
 // Confidence describes what the slowness is based on.
@@ -220,8 +221,8 @@
 // Confidence returns what the slowness is based on.
 func (s *Speed) Confidence(now time.Time) Confidence {
 	s.estimate()
-	if s.evidence == 0 || now.Sub(s.latest) >= forgetTime {
+	if s.attempts == 0 || now.Sub(s.latest) >= forgetTime {
 		return Confidence{}
 	}
-	return Confidence{Attempts: s.evidence, Age: now.Sub(s.latest)}
+	return Confidence{Attempts: s.attempts, Age: now.Sub(s.latest)}
 }
