--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -112,9 +112,10 @@
 	// baseline is the step's baseline reading, computed at baselineAt.
 	baseline   float64
 	baselineAt time.Time
-	// usual is the usual reading of its serving tasks, computed at usualAt.
-	usual   float64
-	usualAt time.Time
+	// usualReading is the usual reading of its serving tasks, in milliseconds, computed at
+	// usualReadingAt.
+	usualReading   float64
+	usualReadingAt time.Time
 	// maxSlowness is the slowness up to which workers are used for its tasks, computed
 	// at maxSlownessAt.
 	maxSlowness   float64
--- a/core/jobsched/speedreadings.go
+++ b/core/jobsched/speedreadings.go
@@ -88,10 +88,10 @@
 // disturbed, but where best-effort work is throttled to a share of 0 most are on slow
 // workers. It is 0 with too few readings.
 func (m *Machine) usualReading(s *step) float64 {
-	if m.now.Sub(s.usualAt) < usualReadingInterval {
-		return s.usual
+	if m.now.Sub(s.usualReadingAt) < usualReadingInterval {
+		return s.usualReading
 	}
-	s.usual, s.usualAt = 0, m.now
+	s.usualReading, s.usualReadingAt = 0, m.now
 	all, undisturbed := make([]int64, 0, len(s.tasks)), make([]int64, 0, len(s.tasks))
 	for _, t := range s.tasks {
 		for _, a := range t.attempts {
@@ -104,12 +104,12 @@
 		}
 	}
 	if len(all) >= minPeers {
-		s.usual = lowerQuartile(all)
+		s.usualReading = lowerQuartile(all)
 	}
 	if len(undisturbed) >= minPeers {
-		s.usual = min(s.usual, lowerQuartile(undisturbed))
+		s.usualReading = min(s.usualReading, lowerQuartile(undisturbed))
 	}
-	return s.usual
+	return s.usualReading
 }
 
 // lowerQuartile returns the lower quartile of the readings, which it sorts.
