--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -58,7 +58,7 @@
 	// passedTrial is set once the attempt has been counted as a passed isolated trial.
 	passedTrial bool
 	size        model.Resources
-	// class is the claimant that the size counts for; nil if it counts for none.
+	// class is the class of work that the size counts for; nil if it counts for none.
 	class *roomClass
 	// bestEffortCPU is the processor use of a best-effort task, in thousandths of a
 	// core. It is not part of the committed size.
--- a/core/jobsched/roomclass.go
+++ b/core/jobsched/roomclass.go
@@ -9,14 +9,14 @@
 	"github.com/guavarill/guavarill/core/roomshares"
 )
 
-// roomClassKey identifies a claimant of room: the long-running tasks of a queue, or the
+// roomClassKey identifies a class of work: the long-running tasks of a queue, or the
 // other ones that have processors committed to them.
 type roomClassKey struct {
 	queue       string
 	longRunning bool
 }
 
-// roomClass is what the leader knows of a claimant of room.
+// roomClass is what the leader knows of a class of work.
 type roomClass struct {
 	key roomClassKey
 	// queue is the last known settings of the queue.
--- a/core/jobsched/roomshare.go
+++ b/core/jobsched/roomshare.go
@@ -79,12 +79,12 @@
 	m.noteBindingShares()
 }
 
-// divideRoomOf divides a service's room between its claimants. What tasks of no class
-// take is not divided.
+// divideRoomOf divides a service's room between its classes of work. What tasks of no
+// class take is not divided.
 func (m *Machine) divideRoomOf(service string) {
 	room := m.shares.service(service)
 	divided := room.usable.Sub(room.used).Sub(room.reserved)
-	classes := m.claimants(service)
+	classes := m.sharingClasses(service)
 	claims := make([]roomshares.Claim, len(classes))
 	for i, c := range classes {
 		claims[i] = roomshares.Claim{Weight: m.roomWeight(c), Wanted: c.wanted()}
@@ -99,10 +99,10 @@
 	}
 }
 
-// claimants returns the classes of a service between which room is divided: the
+// sharingClasses returns the classes of a service between which room is divided: the
 // long-running ones, and the short ones at least as urgent as one of these. Without any
 // long-running work these are all.
-func (m *Machine) claimants(service string) []*roomClass {
+func (m *Machine) sharingClasses(service string) []*roomClass {
 	leastUrgent, found := math.MaxInt, false
 	for _, c := range m.shares.ordered {
 		if !c.key.longRunning || c.queue.Service != service || c.wanted() == (model.Resources{}) {
