Doc comments that were missing or told of something else

filterShare keeps nothing from starting, it tells the reason; learned slowness is by bounding evidence too; ShareRoom also reserves room for large tasks; an unreadable forecast does not leave the copy as it is.

--- a/core/jobsched/copyends.go
+++ b/core/jobsched/copyends.go
@@ -54,8 +54,8 @@
 	m.noteAttempt(joblog.MessageCopyWon, copied, reason)
 }
 
-// endCopy counts an attempt that has ended and was a copy, or that was beaten by the
-// other attempt of its task.
+// endCopy stops tracking an attempt that has ended, and counts it as of no use if it was a
+// copy that did not end as done, or was beaten by the other attempt of its task.
 func (m *Machine) endCopy(a *attempt, cause EndCause) {
 	m.speculation.attempts.Delete(a)
 	m.speculation.copies.Delete(a)
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -41,7 +41,8 @@
 	// means DefaultStartsInFlight. A leader with a fraction of a core gets that
 	// fraction of the default.
 	StartsInFlight int
-	Policies       Policies
+	// Policies are the decisions under load that are switched on.
+	Policies Policies
 }
 
 // Machine is the scheduling state of the daemon that leads. It is not safe for
--- a/core/jobsched/policies.go
+++ b/core/jobsched/policies.go
@@ -7,8 +7,9 @@
 	// RejectHopeless is whether the leader publishes a forecast by which daemons reject
 	// jobs that cannot be served while they are of use to their callers.
 	RejectHopeless bool
-	// ShareRoom is whether queues that want more than there is get shares of it, and
-	// new long-running tasks leave room for short urgent work.
+	// ShareRoom is whether queues that want more than there is get shares of it, new
+	// long-running tasks leave room for short urgent work, and room is reserved for short
+	// tasks that are too large for the gaps between others.
 	ShareRoom bool
 	// WorkerSpeeds is whether the speed of each worker is learned and used to place and
 	// move tasks.
--- a/core/jobsched/roomhold.go
+++ b/core/jobsched/roomhold.go
@@ -89,8 +89,8 @@
 	return c != nil && c.key.longRunning && t.neverRan() && !c.fits(startSize(t.step))
 }
 
-// filterShare keeps tasks from starting while the share of their queue is used up. It
-// depends on the step alone.
+// filterShare tells why a step waits whose new tasks the share of its queue keeps from
+// starting; isHeldByShare keeps them. It depends on the step alone.
 func filterShare(m *Machine, t *task, _ *worker) bool {
 	isNew := func(t *task) bool { return t.idle() && t.neverRan() }
 	return !m.holdsNewTasks(t.step) || !slices.ContainsFunc(t.step.tasks, isNew)
--- a/core/jobsched/slowness.go
+++ b/core/jobsched/slowness.go
@@ -10,8 +10,9 @@
 
 // workerSpeed is what is learned of the speed of a worker.
 type workerSpeed struct {
-	// learned is by evidence that other work on the worker did not influence. slow is
-	// whether the worker counts as slow by it.
+	// learned is by evidence that other work on the worker did not influence, and by such
+	// that shows a lower slowness in spite of other work. slow is whether the worker
+	// counts as slow by it.
 	learned workerspeed.Speed
 	slow    bool
 	// unproven is set once the worker no longer counts as slow only because nothing has
--- a/core/jobsched/speculate.go
+++ b/core/jobsched/speculate.go
@@ -117,7 +117,7 @@
 }
 
 // copyMatters reports whether a copy of a task of the step matters to its job. It sets
-// the times that the job leaves for the task.
+// the candidate's Objective and Useful.
 func (m *Machine) copyMatters(s *step, c *speculation.Candidate) bool {
 	rest := m.runTimes.of(m.queue(s.job()).Name) * float64(s.pathAfterMs())
 	left := m.objectiveMs(s.occurrence) - m.wall.UnixMilli() - int64(rest)
--- a/core/speculation/budget.go
+++ b/core/speculation/budget.go
@@ -48,6 +48,7 @@
 type Rank struct {
 	// Last is whether the step waits for nothing but slow tasks.
 	Last bool
+	// Gain is how much earlier the copy is expected to end than the attempt.
 	Gain time.Duration
 }
 
--- a/core/speculation/usual.go
+++ b/core/speculation/usual.go
@@ -15,10 +15,10 @@
 	estimateDoubt = 2
 )
 
-// Usual returns how long a task of a step takes on a usual worker. runs holds how long
-// other tasks of the step took, or are expected to take as they advance; the function
-// sorts it. estimate is the run time by the caller's estimate, 0 without one. The result
-// is 0 if nothing is known.
+// Usual returns how long a task of a step takes on a usual worker: the median of runs if
+// there are minPeers of them. runs holds how long other tasks of the step took, or are
+// expected to take as they advance; the function sorts it. estimate is the run time by
+// the caller's estimate, 0 without one. The result is 0 if nothing is known.
 func Usual(runs []time.Duration, estimate time.Duration) time.Duration {
 	switch n := len(runs); {
 	case n >= minPeers:
--- a/jobservice/forecastview.go
+++ b/jobservice/forecastview.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// refresh reads the forecast. When that fails the copy stays, and is not used for longer
-// than its age allows.
+// refresh reads the forecast. When the store does not answer the copy stays, and is not
+// used for longer than its age allows. A forecast that cannot be decoded counts as none.
 func (v *forecastView) refresh(done chan<- struct{}) {
 	defer close(done)
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
--- a/jobservice/roommetrics.go
+++ b/jobservice/roommetrics.go
@@ -6,6 +6,7 @@
 	"github.com/guavarill/guavarill/core/jobsched"
 )
 
+// newRoomShareGauge returns the metric that setRoomShares updates.
 func newRoomShareGauge() *prometheus.GaugeVec {
 	return prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "room_share",
--- a/soak/run.go
+++ b/soak/run.go
@@ -69,10 +69,10 @@
 	// Jobs counts the submitted jobs, Accepted and Completed those of them that were
 	// accepted and completed. Starts counts the attempts that workers started, Faults
 	// the injected faults by name.
-	// Rejections counts the answers that a job was rejected for want of room.
 	Jobs, Accepted, Completed, Starts int
-	Rejections                        int
 	Faults                            map[string]int
+	// Rejections counts the answers that a job was rejected for want of room.
+	Rejections int
 	// LongestWithout is the longest time for which a long-running task did not run
 	// although nothing excused it, LongestTask that task.
 	LongestWithout time.Duration
