--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -51,8 +51,8 @@
 	// which workers fell silent together.
 	SilentFor time.Duration `json:",omitempty"`
 	// Slowness is how many times as long as elsewhere tasks take on the worker, or took
-	// before it was forgotten; 0 if it does not count as slow. A new leader cannot always learn it: an earlier one may
-	// have moved all work that shows it.
+	// before it was forgotten; 0 if it does not count as slow. A new leader cannot always
+	// learn it: an earlier one may have moved all work that shows it.
 	Slowness float64 `json:",omitempty"`
 }
 
--- a/core/jobsched/speedreadings.go
+++ b/core/jobsched/speedreadings.go
@@ -84,9 +84,9 @@
 
 // usualReading returns the reading, in milliseconds, that is usual for the step's serving
 // tasks now on workers that are not known to be slow: the lower quartile, since some may
-// be slow nevertheless. It is taken from all of them, or from those without best-effort work beside them if these are faster: most may be
-// disturbed, but where best-effort work is throttled to a share of 0 most are on slow
-// workers. It is 0 with too few readings.
+// be slow nevertheless. It is taken from all of them, or from those without best-effort
+// work beside them if these are faster: most may be disturbed, but where best-effort work
+// is throttled to a share of 0 most are on slow workers. It is 0 with too few readings.
 func (m *Machine) usualReading(s *step) float64 {
 	if m.now.Sub(s.usualReadingAt) < usualReadingInterval {
 		return s.usualReading
--- a/core/jobsched/unevenworkers_test.go
+++ b/core/jobsched/unevenworkers_test.go
@@ -348,9 +348,9 @@
 	return false
 }
 
-// longestHarm plays the load and more best-effort work for a while, and returns for how long on end the serving
-// tasks of a worker were over their target and would not have been without the
-// best-effort work beside them.
+// longestHarm plays the load and more best-effort work for a while, and returns for how
+// long on end the serving tasks of a worker were over their target and would not have
+// been without the best-effort work beside them.
 func (d *unevenDay) longestHarm(duration time.Duration) time.Duration {
 	longest := time.Duration(0)
 	since := make(map[model.WorkerID]time.Time)
