--- a/soak/overload.go
+++ b/soak/overload.go
@@ -5,13 +5,6 @@
 	"sync"
 )
 
-// The flags of daemons that reject jobs which by the forecast cannot be served in time,
-// and that start copies of slow tasks.
-const (
-	rejectByForecast = "--reject-hopeless-jobs"
-	copyStragglers   = "--copy-stragglers"
-)
-
 const (
 	// floodLeast and floodMost bound the time between two jobs of a flood, in
 	// milliseconds: together several times as many as the workers can run.
--- a/soak/process.go
+++ b/soak/process.go
@@ -14,6 +14,13 @@
 	"github.com/guavarill/guavarill/platform"
 )
 
+// The flags of daemons that reject jobs which by the forecast cannot be served in time,
+// and that start copies of slow tasks.
+const (
+	rejectByForecast = "--reject-hopeless-jobs"
+	copyStragglers   = "--copy-stragglers"
+)
+
 // process is one daemon: its settings, which last, and its operating system
 // process, which comes and goes.
 type process struct {
