core/jobsched: names that tell what is recorded

note is kept for what is logged. bestEffortAt is when best-effort work was at work, and mayMoveInVain tells of a possibility, not of a fact.

--- a/core/jobsched/copyruns.go
+++ b/core/jobsched/copyruns.go
@@ -57,8 +57,8 @@
 	return runs
 }
 
-// noteRun takes in how long an attempt took that is done.
-func (m *Machine) noteRun(a *attempt) {
+// recordRun records how long an attempt took that is done.
+func (m *Machine) recordRun(a *attempt) {
 	if s := a.step(); m.allowsCopies(s) && !a.adopted && !a.startedAt.IsZero() {
 		s.runs.ended = append(s.runs.ended, m.now.Sub(a.startedAt))
 		s.runs.usualAt = time.Time{}
--- a/core/jobsched/interference.go
+++ b/core/jobsched/interference.go
@@ -93,7 +93,7 @@
 
 // learnStop reports to the learner that an attempt is gone.
 func (m *Machine) learnStop(a *attempt) {
-	a.worker.noteBestEffortEnd(m.now, a)
+	a.worker.recordBestEffortEnd(m.now, a)
 	if a.learnKey.Generation != 0 {
 		m.learner.TaskStopped(m.now, a.worker.learnID(), a.learnKey)
 	}
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -307,7 +307,7 @@
 	case EndDone:
 		a.worker.health.recordSuccess()
 		m.observeWholeRun(a)
-		m.noteRun(a)
+		m.recordRun(a)
 		m.decideCopy(t, a)
 		m.taskEndedDone(t)
 	case EndFailed:
--- a/core/jobsched/slowness.go
+++ b/core/jobsched/slowness.go
@@ -25,8 +25,8 @@
 	suspected    workerspeed.Speed
 	suspicious   bool
 	refutedUntil time.Time
-	// besideAt is when best-effort work was last seen at work on the worker.
-	besideAt time.Time
+	// bestEffortAt is when best-effort work was last seen at work on the worker.
+	bestEffortAt time.Time
 }
 
 const (
@@ -56,7 +56,9 @@
 
 // isUndisturbed reports whether no best-effort work was at work on the worker in the time
 // that its last readings cover.
-func (w *worker) isUndisturbed(now time.Time) bool { return now.Sub(w.speed.besideAt) > readingSpan }
+func (w *worker) isUndisturbed(now time.Time) bool {
+	return now.Sub(w.speed.bestEffortAt) > readingSpan
+}
 
 // SlowWorkers returns the number of workers that are known to be slow.
 func (m *Machine) SlowWorkers() int { return m.slowWorkers }
--- a/core/jobsched/speedreadings.go
+++ b/core/jobsched/speedreadings.go
@@ -15,7 +15,7 @@
 		return
 	}
 	if w.hasBestEffortAtWork() {
-		w.speed.besideAt = m.now
+		w.speed.bestEffortAt = m.now
 	}
 	evidence := workerspeed.AtMost
 	if w.isUndisturbed(m.now) {
@@ -46,11 +46,11 @@
 	return a.bestEffortCPU > 0 && (a.throttle > 0 || a.throttleUnknown)
 }
 
-// noteBestEffortEnd notes that the attempt, if it is best-effort work, was at work until
+// recordBestEffortEnd records that the attempt, if it is best-effort work, was at work until
 // now: it may have begun and ended between two reports.
-func (w *worker) noteBestEffortEnd(now time.Time, a *attempt) {
+func (w *worker) recordBestEffortEnd(now time.Time, a *attempt) {
 	if a.isBestEffortAtWork() {
-		w.speed.besideAt = now
+		w.speed.bestEffortAt = now
 	}
 }
 
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -189,16 +189,16 @@
 			if share := m.wantedShare(a); share != a.throttle || a.throttleUnknown && unknown >= 0 {
 				a.throttlePending = true
 				m.emit(Throttle{Order: m.order(w), Key: a.key.task, Attempt: a.key.attempt, Percent: share})
-			} else if share == 0 && m.now.Sub(a.throttledAt) > moveAfter && !m.isVainMove(a) && m.movable(a, &searches) {
+			} else if share == 0 && m.now.Sub(a.throttledAt) > moveAfter && !m.mayMoveInVain(a) && m.movable(a, &searches) {
 				m.requestStop(a, stopDisturbing, "it slows down the tasks beside it")
 			}
 		}
 	}
 }
 
-// isVainMove reports whether it is not known yet if the tasks beside the attempt are slow
-// because of their worker: then they stay so without it.
-func (m *Machine) isVainMove(a *attempt) bool {
+// mayMoveInVain reports whether to move the attempt may help nobody, since it is not
+// known yet if the tasks beside it are slow because of their worker.
+func (m *Machine) mayMoveInVain(a *attempt) bool {
 	return a.worker.maybeSlow(m.now) && m.now.Sub(a.throttledAt) <= moveAfter+suspicionTime
 }
 
