core/jobsched: the slowness behind stall limits is called stallSlowness

A worker had two: slowness(), by its slowest attempt, and slownessOf, which is learned. maxSlowness was its bound, and beside that a limit of steps. Behaviour is unchanged.

--- a/core/jobsched/longtasks_test.go
+++ b/core/jobsched/longtasks_test.go
@@ -336,7 +336,7 @@
 	tests := []struct {
 		took time.Duration
 		want float64
-	}{{time.Second, 1}, {500 * time.Millisecond, 1}, {6500 * time.Millisecond, 6.5}, {time.Minute, maxSlowness}}
+	}{{time.Second, 1}, {500 * time.Millisecond, 1}, {6500 * time.Millisecond, 6.5}, {time.Minute, maxStallSlowness}}
 	for _, test := range tests {
 		c := newCluster(t, 1, 1)
 		c.run(200 * time.Millisecond)
@@ -347,7 +347,7 @@
 			a.pace.own = paceSum{percents: 10, took: test.took}
 			a.step().pace.sum = paceSum{percents: 100, took: 10 * time.Second}
 		}
-		if got := w.slowness(); got != test.want {
+		if got := w.stallSlowness(); got != test.want {
 			t.Errorf("10 percents in %s instead of 1s: slowness %.2f, want %.2f", test.took, got, test.want)
 		}
 	}
--- a/core/jobsched/stalllimit.go
+++ b/core/jobsched/stalllimit.go
@@ -16,8 +16,8 @@
 	estimatedPercents = 25
 	// maxStallLimit keeps products within a time.Duration.
 	maxStallLimit = 365 * 24 * time.Hour
-	// maxSlowness bounds how many times as long a slow worker is assumed to take.
-	maxSlowness = 10
+	// maxStallSlowness bounds how many times as long a slow worker is assumed to take.
+	maxStallSlowness = 10
 )
 
 // stallLimit returns for how much working time the attempt may make no progress. It is
@@ -44,16 +44,16 @@
 		return observedPercents * a.pace.slowest
 	}
 	if perPercent := s.pace.sum.perPercent(); perPercent > 0 {
-		return scale(observedPercents*perPercent, a.worker.slowness())
+		return scale(observedPercents*perPercent, a.worker.stallSlowness())
 	}
 	estimated := estimatedPercent(s.spec)
 	if estimated == 0 {
 		return least
 	}
 	if ratio, known := m.imagePaces[s.spec.Image]; known {
-		return scale(observedPercents*estimated, ratio*a.worker.slowness())
+		return scale(observedPercents*estimated, ratio*a.worker.stallSlowness())
 	}
-	return scale(estimatedPercents*estimated, a.worker.slowness())
+	return scale(estimatedPercents*estimated, a.worker.stallSlowness())
 }
 
 // doublingsOfPace returns how often the stall limit that follows from the estimate has to
@@ -67,6 +67,7 @@
 	return max(0, int(math.Ceil(math.Log2(float64(wanted)/float64(from)))))
 }
 
+// scale returns d times factor, at most maxStallLimit.
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(min(float64(d)*factor, float64(maxStallLimit)))
 }
@@ -80,9 +81,10 @@
 	return a.pace.doublings
 }
 
-// slowness returns how many times as long as elsewhere the attempts on the worker take,
-// by the one that is slowest against its step.
-func (w *worker) slowness() float64 {
+// stallSlowness returns how many times as long as elsewhere the attempts on the worker
+// take, by the one that is slowest against its step. It only lengthens stall limits, which
+// must not be too short; what else depends on the speed of a worker uses slownessOf.
+func (w *worker) stallSlowness() float64 {
 	slowest := 1.0
 	for _, a := range w.attempts.All() {
 		if a.task == nil || a.pace.own.percents == 0 {
@@ -92,5 +94,5 @@
 			slowest = max(slowest, float64(a.pace.own.perPercent())/float64(usual))
 		}
 	}
-	return min(slowest, maxSlowness)
+	return min(slowest, maxStallSlowness)
 }
