--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -182,6 +182,16 @@
 
 var testEpoch = time.UnixMilli(1_700_000_000_000)
 
+// newClusterWith returns a cluster whose leader has the given policies and has led for
+// 200 ms.
+func newClusterWith(t testing.TB, seed uint64, workers int, p Policies) *cluster {
+	c := newCluster(t, seed, workers)
+	c.options.Policies = p
+	c.replaceLeader()
+	c.run(200 * time.Millisecond)
+	return c
+}
+
 func newCluster(t testing.TB, seed uint64, workers int) *cluster {
 	c := &cluster{
 		t: t, tail: 33, rnd: rand.New(rand.NewPCG(seed, 1)), now: testEpoch, wall: testEpoch, options: testOptions(), epoch: 1,
--- a/core/jobsched/largetask_test.go
+++ b/core/jobsched/largetask_test.go
@@ -11,10 +11,7 @@
 // 14 of the 16 cores of a worker. It returns how long that one waits for its start, or 8 s.
 func playSmallTasks(t *testing.T, share bool) time.Duration {
 	const played = 8 * time.Second
-	c := newCluster(t, 1, 4)
-	c.options.Policies.ShareRoom = share
-	c.replaceLeader()
-	c.run(200 * time.Millisecond)
+	c := newClusterWith(t, 1, 4, Policies{ShareRoom: share})
 	number := 100
 	submit := func() {
 		c.submit(number, "urgent", makeStep(1, 2000, time.Second))
--- a/core/jobsched/roomshare_test.go
+++ b/core/jobsched/roomshare_test.go
@@ -66,12 +66,14 @@
 	return f
 }
 
+// submitLong submits a long-running job that its caller cancels after the given time.
 func (f *longFlood) submitLong(life time.Duration) {
 	j := &longJob{at: f.c.now, cancelAt: f.c.now.Add(life), absent: make(absences)}
 	j.id = f.c.submit(100_000+len(f.long), "urgent", longRunning(longTasks, longCPU))
 	f.long = append(f.long, j)
 }
 
+// play runs the flood for floodTime, and then lets the short jobs of it end.
 func (f *longFlood) play() {
 	nextLong, nextShort := f.c.now, f.c.now
 	for end := f.c.now.Add(floodTime); f.c.now.Before(end); {
@@ -88,6 +90,7 @@
 	}
 }
 
+// interval draws the time between two jobs that arrive at the given rate a second.
 func (f *longFlood) interval(rate float64) time.Duration {
 	return time.Duration(f.rnd.ExpFloat64() / rate * float64(time.Second))
 }
@@ -107,6 +110,8 @@
 	}
 }
 
+// watch cancels a long-running job when it is time, and until then records when all its
+// tasks ran first and for how long one did not run since.
 func (f *longFlood) watch(j *longJob) {
 	switch {
 	case f.c.accepted[j.id] == nil:
@@ -211,10 +216,7 @@
 // heldLongRunning returns a cluster with room for three more tasks like all of its tasks.
 // Short tasks have lately used it, and long-running ones have the half that is theirs.
 func heldLongRunning(t *testing.T) *cluster {
-	c := newCluster(t, 1, 4)
-	c.options.Policies.ShareRoom = true
-	c.replaceLeader()
-	c.run(200 * time.Millisecond)
+	c := newClusterWith(t, 1, 4, Policies{ShareRoom: true})
 	c.submit(1, "urgent", makeStep(5, 4000, time.Minute))
 	c.submit(2, "urgent", makeStep(3, 4000, 2*time.Second))
 	c.submit(3, "urgent", longRunning(8, 4000))
@@ -265,10 +267,7 @@
 // TestSharesHoldNothingWhileHalfIsFree guards against a job without a running task
 // although less than half of the capacity is in use: its queue has a third of the weight.
 func TestSharesHoldNothingWhileHalfIsFree(t *testing.T) {
-	c := newCluster(t, 1, 4)
-	c.options.Policies.ShareRoom = true
-	c.replaceLeader()
-	c.run(200 * time.Millisecond)
+	c := newClusterWith(t, 1, 4, Policies{ShareRoom: true})
 	c.submit(1, "urgent", makeStep(40, 2000, time.Second))
 	c.run(3 * time.Second)
 	id := c.submit(2, "batch", longRunning(7, 4000))
@@ -316,10 +315,7 @@
 // TestHeldTasksMakeRoomOnceForTheSameShare guards against held tasks which all find that
 // one more of them keeps to the share, and each stop short work to make room for itself.
 func TestHeldTasksMakeRoomOnceForTheSameShare(t *testing.T) {
-	c := newCluster(t, 1, 4)
-	c.options.Policies.ShareRoom = true
-	c.replaceLeader()
-	c.run(200 * time.Millisecond)
+	c := newClusterWith(t, 1, 4, Policies{ShareRoom: true})
 	c.submit(1, "urgent", longRunning(6, 4000))
 	small := []job.ID{c.submit(2, "urgent", longRunning(1, 3000)), c.submit(3, "urgent", longRunning(1, 3000))}
 	c.run(time.Second)
--- a/core/jobsched/speedharm_test.go
+++ b/core/jobsched/speedharm_test.go
@@ -11,11 +11,7 @@
 // grow more by the slowness of the worker than its own.
 func TestTaskWithinItsTargetAloneIsProtectedOnASlowWorker(t *testing.T) {
 	const heavySteps, alone, disturbed = 5, 1.8, 4.5
-	c := newCluster(t, 1, 5)
-
-	c.options.Policies.WorkerSpeeds = true
-	c.replaceLeader()
-	c.run(200 * time.Millisecond)
+	c := newClusterWith(t, 1, 5, Policies{WorkerSpeeds: true})
 	for i := range heavySteps + 1 {
 		step := longRunning(5, 2500)
 		step.LatencyTargetMs, step.MaxUnavailable, step.MaxPerWorker, step.Image = 1000, 1, 1, "heavy"
@@ -57,10 +53,7 @@
 // TestShortBestEffortWorkCountsAsDisturbance guards against readings that pass for
 // undisturbed because the best-effort work beside them ended before the report arrived.
 func TestShortBestEffortWorkCountsAsDisturbance(t *testing.T) {
-	c := newCluster(t, 1, 1)
-	c.options.Policies.WorkerSpeeds = true
-	c.replaceLeader()
-	c.run(200 * time.Millisecond)
+	c := newClusterWith(t, 1, 1, Policies{WorkerSpeeds: true})
 	serving := longRunning(1, 1000)
 	serving.LatencyTargetMs, serving.Image = 1000, "serving"
 	c.submit(1, "urgent", serving)
