--- a/core/jobsched/copychecks_test.go
+++ b/core/jobsched/copychecks_test.go
@@ -42,6 +42,7 @@
 	}
 }
 
+// allowSome makes each step allow copies with a probability of one half.
 func (l *copyLoad) allowSome(steps []job.Step) {
 	for i := range steps {
 		if l.allowing != nil && !steps[i].LongRunning {
@@ -61,6 +62,7 @@
 	return d
 }
 
+// noteCanceled records when a job was canceled first.
 func (l *copyLoad) noteCanceled(id job.ID, now time.Time) {
 	if l.canceledAt == nil {
 		l.canceledAt = make(map[job.ID]time.Time)
--- a/core/jobsched/copydays_test.go
+++ b/core/jobsched/copydays_test.go
@@ -15,7 +15,7 @@
 // and for slow attempts.
 const copyStream, slowStream = 31, 32
 
-// shortCopyDays is how many of these days a brief run plays.
+// shortCopyDays is how many of the days of TestCopiesUnderFaults a brief run plays.
 const shortCopyDays = 12
 
 // TestCopiesUnderFaults plays random jobs of which half of the steps allow copies, with a
--- a/core/jobsched/overload_test.go
+++ b/core/jobsched/overload_test.go
@@ -28,6 +28,12 @@
 	return !j.completed.IsZero() && j.completed.Sub(j.at) <= lateFactor*j.allowance
 }
 
+// allowanceOf returns the time within which a job of the queue must complete whose longest
+// chain of steps takes the given time.
+func allowanceOf(q *job.Queue, chain time.Duration) time.Duration {
+	return time.Duration(q.Stretch*float64(chain)) + time.Duration(q.LatencyTargetMs)*time.Millisecond
+}
+
 // playShortage plays 20 s of short urgent jobs on 48 workers with 64 cores each, of
 // which long-running tasks leave 4 free. Widths, run times and the spread of sizes
 // are those of a day of the hotels deployment.
@@ -92,7 +98,7 @@
 		steps = append(steps, step)
 	}
 	q := c.config.Queues["urgent"]
-	j.allowance = time.Duration(q.Stretch*float64(j.chain)) + time.Duration(q.LatencyTargetMs)*time.Millisecond
+	j.allowance = allowanceOf(q, j.chain)
 	return j, steps
 }
 
--- a/core/jobsched/speculate_test.go
+++ b/core/jobsched/speculate_test.go
@@ -33,8 +33,7 @@
 		j.chain += runTime
 		steps = append(steps, step)
 	}
-	q := c.config.Queues["urgent"]
-	j.allowance = time.Duration(q.Stretch*float64(j.chain)) + time.Duration(q.LatencyTargetMs)*time.Millisecond
+	j.allowance = allowanceOf(c.config.Queues["urgent"], j.chain)
 	j.id = c.submit(number, "urgent", steps...)
 	return j
 }
@@ -111,8 +110,8 @@
 	}
 }
 
-// slowFirst makes the first attempt of the next job's only task take seven times as long,
-// waits until it has a copy, and returns the job.
+// slowFirst submits a job whose tasks' first attempts take seven times as long, waits until
+// one of them has a copy, and returns the job.
 func (c *cluster) slowFirst(t *testing.T) job.ID {
 	c.keepNotes = true
 	step := makeStep(3, 1000, time.Second)
--- a/core/jobsched/unevenworkers_test.go
+++ b/core/jobsched/unevenworkers_test.go
@@ -112,8 +112,7 @@
 	step := makeStep(6, 1000, time.Duration(600+d.rnd.IntN(400))*time.Millisecond)
 	step.Image = fmt.Sprint("short-", d.number%2)
 	chain := time.Duration(step.EstimateMs) * time.Millisecond
-	queue := d.config.Queues["urgent"]
-	allowance := time.Duration(queue.Stretch*float64(chain)) + time.Duration(queue.LatencyTargetMs)*time.Millisecond
+	allowance := allowanceOf(d.config.Queues["urgent"], chain)
 	j := &shortJob{at: d.now, chain: chain, allowance: allowance, id: d.submit(d.number, "urgent", step)}
 	if measured {
 		d.short = append(d.short, j)
