--- a/core/jobsched/slowness.go
+++ b/core/jobsched/slowness.go
@@ -18,12 +18,12 @@
 	// unproven is set once the worker no longer counts as slow only because nothing has
 	// shown its speed for long, until something does.
 	unproven bool
-	// suspected is by all readings of serving tasks, whatever runs beside them;
-	// suspicious is whether the worker would be slow by it. refutedUntil is until when
+	// apparent is by all readings of serving tasks, whatever runs beside them;
+	// seemsSlow is whether the worker would be slow by it. refutedUntil is until when
 	// that does not count, after the readings became normal once best-effort work beside
 	// them had stood still: it had been that work.
-	suspected    workerspeed.Speed
-	suspicious   bool
+	apparent     workerspeed.Speed
+	seemsSlow    bool
 	refutedUntil time.Time
 	// bestEffortAt is when best-effort work was last seen at work on the worker.
 	bestEffortAt time.Time
@@ -33,7 +33,7 @@
 	// readingSpan is how long after best-effort work has stopped a reading may still
 	// cover time in which it worked.
 	readingSpan = renewWait + readingDelay
-	// refutationTime is how long a refuted suspicion does not count again.
+	// refutationTime is how long a refuted apparent slowness does not count again.
 	refutationTime = 10 * time.Second
 )
 
@@ -51,7 +51,7 @@
 // maybeSlow reports whether the worker is slow, or its serving tasks suggest so and it
 // has not been seen yet whether best-effort work beside them is the cause.
 func (w *worker) maybeSlow(now time.Time) bool {
-	return w.speed.slow || w.speed.suspicious && !now.Before(w.speed.refutedUntil)
+	return w.speed.slow || w.speed.seemsSlow && !now.Before(w.speed.refutedUntil)
 }
 
 // isUndisturbed reports whether no best-effort work was at work on the worker in the time
@@ -83,11 +83,11 @@
 // judgeSpeed decides whether the worker is slow.
 func (m *Machine) judgeSpeed(w *worker) {
 	speed := &w.speed
-	suspicious := speed.suspected.Slowness(m.now) >= workerspeed.SlowFrom
-	if speed.suspicious && !suspicious && !speed.slow && w.isUndisturbed(m.now) {
+	seemsSlow := speed.apparent.Slowness(m.now) >= workerspeed.SlowFrom
+	if speed.seemsSlow && !seemsSlow && !speed.slow && w.isUndisturbed(m.now) {
 		speed.refutedUntil = m.now.Add(refutationTime)
 	}
-	speed.suspicious = suspicious
+	speed.seemsSlow = seemsSlow
 	speed.unproven = speed.unproven && !speed.learned.IsCurrent(m.now)
 	switch slowness := m.slownessOf(w); {
 	case !speed.slow && slowness >= workerspeed.SlowFrom:
--- a/core/jobsched/speedreadings.go
+++ b/core/jobsched/speedreadings.go
@@ -36,7 +36,7 @@
 			a.aloneSlowness = slowness
 		}
 		w.speed.learned.Observe(m.now, a.source(), slowness, evidence)
-		w.speed.suspected.Observe(m.now, a.source(), slowness, workerspeed.Exact)
+		w.speed.apparent.Observe(m.now, a.source(), slowness, workerspeed.Exact)
 	}
 }
 
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -199,12 +199,12 @@
 // mayMoveInVain reports whether to move the attempt may help nobody, since it is not
 // known yet if the tasks beside it are slow because of their worker.
 func (m *Machine) mayMoveInVain(a *attempt) bool {
-	return a.worker.maybeSlow(m.now) && m.now.Sub(a.throttledAt) <= moveAfter+suspicionTime
+	return a.worker.maybeSlow(m.now) && m.now.Sub(a.throttledAt) <= moveAfter+maybeSlowMoveDelay
 }
 
-// suspicionTime is how long disturbing work at a share of 0 stays on a worker that may be
-// slow itself: readings without it arrive, and enough of them to tell.
-const suspicionTime = 2 * time.Second
+// maybeSlowMoveDelay is how long disturbing work at a share of 0 stays on a worker that
+// may be slow itself: readings without it arrive, and enough of them to tell.
+const maybeSlowMoveDelay = 2 * time.Second
 
 // moveRetry is the time between two searches for another worker for such an
 // attempt: each checks all workers.
