--- a/core/jobsched/speedreadings.go
+++ b/core/jobsched/speedreadings.go
@@ -15,7 +15,7 @@
 		return
 	}
 	if w.hasBestEffortAtWork() {
-		w.speed.besideAt = m.now
+		w.speed.bestEffortAt = m.now
 	}
 	evidence := workerspeed.AtMost
 	if w.isUndisturbed(m.now) {
@@ -36,15 +36,21 @@
 			a.aloneSlowness = slowness
 		}
 		w.speed.learned.Observe(m.now, a.source(), slowness, evidence)
-		w.speed.suspected.Observe(m.now, a.source(), slowness, workerspeed.Exact)
+		w.speed.apparent.Observe(m.now, a.source(), slowness, workerspeed.Exact)
 	}
 }
 
-// noteBestEffortEnd notes that the attempt, if it is best-effort work, was at work until
+// isBestEffortAtWork reports whether the attempt is best-effort work that may work, since
+// it is not known to be throttled to a share of 0.
+func (a *attempt) isBestEffortAtWork() bool {
+	return a.bestEffortCPU > 0 && (a.throttle > 0 || a.throttleUnknown)
+}
+
+// recordBestEffortEnd records that the attempt, if it is best-effort work, was at work until
 // now: it may have begun and ended between two reports.
-func (w *worker) noteBestEffortEnd(now time.Time, a *attempt) {
-	if a.bestEffortCPU > 0 && (a.throttle > 0 || a.throttleUnknown) {
-		w.speed.besideAt = now
+func (w *worker) recordBestEffortEnd(now time.Time, a *attempt) {
+	if a.isBestEffortAtWork() {
+		w.speed.bestEffortAt = now
 	}
 }
 
@@ -55,7 +61,7 @@
 		return false
 	}
 	for _, a := range w.attempts.All() {
-		if a.bestEffortCPU > 0 && (a.throttle > 0 || a.throttleUnknown) {
+		if a.isBestEffortAtWork() {
 			return true
 		}
 	}
@@ -78,14 +84,14 @@
 
 // usualReading returns the reading, in milliseconds, that is usual for the step's serving
 // tasks now on workers that are not known to be slow: the lower quartile, since some may
-// be slow nevertheless. It is taken from all of them, or from those without best-effort work beside them if these are faster: most may be
-// disturbed, but where best-effort work is throttled to a share of 0 most are on slow
-// workers. It is 0 with too few readings.
+// be slow nevertheless. It is taken from all of them, or from those without best-effort
+// work beside them if these are faster: most may be disturbed, but where best-effort work
+// is throttled to a share of 0 most are on slow workers. It is 0 with too few readings.
 func (m *Machine) usualReading(s *step) float64 {
-	if m.now.Sub(s.usualAt) < usualReadingInterval {
-		return s.usual
+	if m.now.Sub(s.usualReadingAt) < usualReadingInterval {
+		return s.usualReading
 	}
-	s.usual, s.usualAt = 0, m.now
+	s.usualReading, s.usualReadingAt = 0, m.now
 	all, undisturbed := make([]int64, 0, len(s.tasks)), make([]int64, 0, len(s.tasks))
 	for _, t := range s.tasks {
 		for _, a := range t.attempts {
@@ -98,12 +104,12 @@
 		}
 	}
 	if len(all) >= minPeers {
-		s.usual = lowerQuartile(all)
+		s.usualReading = lowerQuartile(all)
 	}
 	if len(undisturbed) >= minPeers {
-		s.usual = min(s.usual, lowerQuartile(undisturbed))
+		s.usualReading = min(s.usualReading, lowerQuartile(undisturbed))
 	}
-	return s.usual
+	return s.usualReading
 }
 
 // lowerQuartile returns the lower quartile of the readings, which it sorts.
--- a/core/jobsched/unevenworkers_test.go
+++ b/core/jobsched/unevenworkers_test.go
@@ -112,8 +112,7 @@
 	step := makeStep(6, 1000, time.Duration(600+d.rnd.IntN(400))*time.Millisecond)
 	step.Image = fmt.Sprint("short-", d.number%2)
 	chain := time.Duration(step.EstimateMs) * time.Millisecond
-	queue := d.config.Queues["urgent"]
-	allowance := time.Duration(queue.Stretch*float64(chain)) + time.Duration(queue.LatencyTargetMs)*time.Millisecond
+	allowance := allowanceOf(d.config.Queues["urgent"], chain)
 	j := &shortJob{at: d.now, chain: chain, allowance: allowance, id: d.submit(d.number, "urgent", step)}
 	if measured {
 		d.short = append(d.short, j)
@@ -348,9 +347,9 @@
 	return false
 }
 
-// longestHarm plays the load and more best-effort work for a while, and returns for how long on end the serving
-// tasks of a worker were over their target and would not have been without the
-// best-effort work beside them.
+// longestHarm plays the load and more best-effort work for a while, and returns for how
+// long on end the serving tasks of a worker were over their target and would not have
+// been without the best-effort work beside them.
 func (d *unevenDay) longestHarm(duration time.Duration) time.Duration {
 	longest := time.Duration(0)
 	since := make(map[model.WorkerID]time.Time)
