--- a/core/jobsched/forecast.go
+++ b/core/jobsched/forecast.go
@@ -79,7 +79,10 @@
 	_, work := spec.Work()
 	path, qf := spec.CriticalPathMs(), m.queueForecast(q)
 	qf.meter.Arrived(jobforecast.Job{
-		ID: j.id, Work: work, AllowanceMs: float64(allowanceMs(q, path)), OfUseMs: float64(lateFactor * allowanceMs(q, path)), RunMs: m.runTimes.of(q.Name) * float64(path),
+		ID: j.id, Work: work,
+		AllowanceMs: float64(allowanceMs(q, path)),
+		OfUseMs:     float64(lateFactor * allowanceMs(q, path)),
+		RunMs:       m.runTimes.of(q.Name) * float64(path),
 	})
 }
 
--- a/core/jobsched/forecastdemand.go
+++ b/core/jobsched/forecastdemand.go
@@ -26,7 +26,8 @@
 	}
 }
 
-// measureWaitingStep adds the step's tasks that wait for a worker to the demand of its queue.
+// measureWaitingStep adds the step's tasks that wait for a worker to the demand of its
+// queue.
 func (m *Machine) measureWaitingStep(s *step) {
 	idle := 0
 	for _, t := range s.tasks {
