The leader tells what its time goes to, and where jobs lose theirs

What callers saw: urgent jobs of the large agency are late under a leader short of processor time. The log has their first start and the time without a worker, which are short; nothing tells where the second after that goes.

The line about a job's end now tells how long its steps took until their last attempt was started, from there until their last end was known, and for how much of that the worker was not asked. The leader logs each second what its control goroutine is busy with and how long events wait for it; both are metrics too. No decision changes.

--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -54,6 +54,7 @@
 	MessageTaskMoved            = "task moved"
 	MessageLeaderBehind         = "the leader is behind"
 	MessageLeaderCaughtUp       = "the leader has caught up"
+	MessageLeaderLoad           = "load of the leader"
 	MessageQueueLimited         = "queue begins to reject jobs"
 	MessageQueueAcceptsAll      = "queue accepts all jobs again"
 )
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -83,6 +83,7 @@
 	j.occurrences[j.next] = o
 	j.next++
 	for _, s := range o.steps {
+		s.times.readyAt = m.now
 		for _, t := range s.tasks {
 			t.last = gap
 		}
@@ -237,8 +238,12 @@
 func (m *Machine) markDone(t *task) {
 	o := t.step.occurrence
 	for _, s := range o.taskDone(t) {
+		s.times.readyAt = m.now
 		m.pending.Set(s, struct{}{})
 	}
+	if t.step.left == 0 {
+		o.job.tally.noteStepDone(t.step, m.now)
+	}
 	m.markDirty(o.job)
 	m.changed = true
 	m.finishOccurrence(o)
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -107,6 +107,7 @@
 	waitedSince time.Time
 	// waitReason is what ruled out the most workers when the wait was last noted.
 	waitReason WaitReason
+	times      stepTimes
 	advice     advice
 	pace       stepPace
 	runs       stepRuns
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -44,6 +44,8 @@
 	StartsInFlight int
 	// Policies are the decisions under load that are switched on.
 	Policies Policies
+	// OnPart is called when a part of the machine's work begins; it may be nil.
+	OnPart func(Part)
 }
 
 // Machine is the scheduling state of the daemon that leads. It is not safe for
@@ -294,31 +296,39 @@
 	if !m.deposed {
 		m.advance()
 	}
+	m.begin(PartOther)
 	effects := m.out
 	m.out = nil
 	return effects
 }
 
 func (m *Machine) advance() {
+	m.begin(PartOther)
 	m.expireWorkers()
 	m.beginDueOccurrences()
 	sweep := m.now.Sub(m.sweptAt) >= sweepInterval
 	if sweep {
+		m.begin(PartSweep)
 		m.sweptAt = m.now
 		m.checkAttempts()
 		m.judgeSpeeds()
 		m.moveOffSlowWorkers()
 	}
 	m.sendStops()
+	m.begin(PartPlacement)
 	m.scheduleIfDue()
 	if sweep {
 		m.copyStragglers()
 	}
+	m.begin(PartRenewals)
 	m.sendRenewals()
 	if sweep {
+		m.begin(PartShares)
 		m.sendThrottles()
 	}
+	m.begin(PartForecast)
 	m.forecastIfDue()
+	m.begin(PartCommit)
 	m.sendCommit()
 }
 
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -94,6 +94,7 @@
 	t.known = true
 	m.noteSentRestart(t, number)
 	t.step.occurrence.noteStart(m.now)
+	t.step.times.lastStartAt = m.now
 	m.noteAttempt(joblog.MessageAttemptStarted, a, reason)
 	m.noteResumed(t.step.job())
 	m.emit(Start{
@@ -306,6 +307,7 @@
 	switch cause {
 	case EndDone:
 		a.worker.health.recordSuccess()
+		t.step.times.unaskedFor = a.unaskedFor()
 		m.observeWholeRun(a)
 		m.recordRun(a)
 		m.decideCopy(t, a)
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -107,12 +107,17 @@
 
 // processReport applies a worker's report, which was requested at sentAt.
 func (m *Machine) processReport(w *worker, sentAt time.Time, r Report) {
+	m.begin(PartReports)
+	defer m.begin(PartOther)
+	w.reportBeforeAt, w.requestedAt = w.lastReportAt, sentAt
 	m.markReachable(w)
 	w.sampleClock(m.now, r.ClockMs)
 	m.processEnds(w, r.Ended)
 	m.reconcile(w, sentAt, r)
+	m.begin(PartLearning)
 	m.learnSpeedFromReadings(w)
 	m.learnFromReport(w)
+	m.begin(PartShares)
 	m.adjustThrottle(w)
 	w.renewAt = m.nextRenewal(w)
 	if len(r.Ended) > 0 && r.Ended[0].Number <= w.sentAckedEnd {
--- a/core/jobsched/tally.go
+++ b/core/jobsched/tally.go
@@ -40,6 +40,36 @@
 	// waited sums, over the steps, the time in which no worker was found for a part
 	// of the step.
 	waited time.Duration
+	// starting, ending and unasked sum the times of the steps that are done.
+	starting, ending, unasked time.Duration
+}
+
+// stepTimes tells where a step's time went.
+type stepTimes struct {
+	// readyAt is when the step could start, lastStartAt when the last of its attempts
+	// was started.
+	readyAt, lastStartAt time.Time
+	// unaskedFor is how long the worker of its last done attempt was not asked for a
+	// report before it told that end.
+	unaskedFor time.Duration
+}
+
+// unaskedFor returns how long, while the attempt ran, its worker was not asked for the
+// report that told its end.
+func (a *attempt) unaskedFor() time.Duration {
+	w := a.worker
+	return max(w.requestedAt.Sub(later(w.reportBeforeAt, a.startedAt)), 0)
+}
+
+// noteStepDone counts the times of a step whose tasks are all done now.
+func (t *jobTally) noteStepDone(s *step, now time.Time) {
+	if s.times.lastStartAt.IsZero() {
+		// An earlier leader started its attempts.
+		return
+	}
+	t.starting += max(s.times.lastStartAt.Sub(s.times.readyAt), 0)
+	t.ending += now.Sub(s.times.lastStartAt)
+	t.unasked += s.times.unaskedFor
 }
 
 func (t *jobTally) noteStart(now time.Time) {
@@ -78,8 +108,9 @@
 	q := m.queue(j)
 	allowed := time.Duration(allowanceMs(q, spec.CriticalPathMs())) * time.Millisecond
 	tasks, work := spec.Work()
-	return fmt.Sprintf("; queue %s, allowed %s, %d tasks of %.1f core-s; %s; waited %s for workers; %d starts, %d failed, stopped: %s; %.1f core-s lost",
+	return fmt.Sprintf("; queue %s, allowed %s, %d tasks of %.1f core-s; %s; waited %s for workers; steps started in %s, ended in %s, of which workers were not asked for %s; %d starts, %d failed, stopped: %s; %.1f core-s lost",
 		q.Name, allowed, tasks, coreSeconds(work), m.describeFirstStart(j), t.waited.Round(time.Millisecond),
+		t.starting.Round(time.Millisecond), t.ending.Round(time.Millisecond), t.unasked.Round(time.Millisecond),
 		t.starts, t.failures, t.describeStops(), coreSeconds(float64(t.lostCPUMs))) + t.describeCopies()
 }
 
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -44,10 +44,11 @@
 	// unreachableSince is when the first of the unanswered calls was sent; zero if
 	// the last call was answered.
 	unreachableSince time.Time
-	// lastReportAt is when its last report arrived.
-	lastReportAt time.Time
-	renewing     bool
-	renewAt      time.Time
+	// lastReportAt is when its last report arrived, requestedAt when that one was
+	// requested, reportBeforeAt when the one before it arrived.
+	lastReportAt, requestedAt, reportBeforeAt time.Time
+	renewing                                  bool
+	renewAt                                   time.Time
 	// lastSeenEnd is the number of the last processed end, lastAckedEnd that of the
 	// last acknowledged one, which the worker may forget. unackedEnds lists the
 	// ends between the two.
--- a/jobservice/campaign.go
+++ b/jobservice/campaign.go
@@ -11,7 +11,6 @@
 
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/joblog"
-	"github.com/guavarill/guavarill/core/jobsched"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/port"
 )
@@ -249,7 +248,8 @@
 	}
 	t := &term{
 		leader: l, lease: lease, epoch: model.Epoch(revision), ledger: revision,
-		unreadableJobs: newUnreadableJobs(), tombstones: newTombstones(), events: make(chan jobsched.Event, eventBuffer), storeEvents: make(chan jobsched.Event, eventBuffer),
+		unreadableJobs: newUnreadableJobs(), tombstones: newTombstones(), events: make(chan queuedEvent, eventBuffer), storeEvents: make(chan queuedEvent, eventBuffer),
+		load: newLoadMonitor(l.o.Metrics),
 	}
 	renewing, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/jobservice/leader.go
+++ b/jobservice/leader.go
@@ -96,7 +96,9 @@
 	machine *jobsched.Machine
 	// events receives the responses to the leader's orders and commits, storeEvents
 	// the events read from the store.
-	events, storeEvents chan jobsched.Event
+	events, storeEvents chan queuedEvent
+	// load measures what the control goroutine's time goes to.
+	load *loadMonitor
 	// ledger is the revision of ledgerKey after the last commit of the term.
 	ledger int64
 	// pending is the commit in flight, or nil.
--- a/jobservice/metrics.go
+++ b/jobservice/metrics.go
@@ -44,7 +44,11 @@
 	// when a caller's request was stored to the decision that follows from it.
 	stepTime      prometheus.Histogram
 	eventsWaiting prometheus.Gauge
-	lag           *prometheus.HistogramVec
+	// partTime is the control goroutine's time by part of its work, eventWait how long
+	// events wait for it.
+	partTime  *prometheus.CounterVec
+	eventWait prometheus.Histogram
+	lag       *prometheus.HistogramVec
 	// unreadable is shared by all parts of the daemon that read records.
 	unreadable *unreadableRecords
 	// entriesUnusable and entryChanges describe the platform's list of workers.
@@ -100,6 +104,11 @@
 			Namespace: namespace, Name: "leader_step_seconds", Help: "Time of a step of the leader's control goroutine.",
 			Buckets: latencyBuckets,
 		}),
+		partTime: counter("leader_seconds_total", "Time of the leader's control goroutine by part of its work.", "part"),
+		eventWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "leader_event_wait_seconds", Help: "Time that events waited for the leader's control goroutine.",
+			Buckets: latencyBuckets,
+		}),
 		eventsWaiting: gauge("leader_events_waiting", "Events that waited when the leader's last step began."),
 		lag:           histogram("decision_lag_seconds", "Time from a job's, or its cancel's, being stored, or from a take-over, to the leader's decision.", "decision"),
 		entriesUnusable: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -136,7 +145,7 @@
 	})
 	m.unreadable = newUnreadableRecords(counter("unreadable_records_total", "Changes of stored records that left them unreadable, by kind.", "kind"))
 	r.MustRegister(m.refusedCommits, m.requests, m.requestTime, m.orders, m.orderTime, m.decisions, m.commitTime, m.terms,
-		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.trialsRunning, m.trialsWaiting, m.slowWorkers, m.longestWait, m.roomShare, m.storeLost, m.cordonedZones, m.stepTime, m.eventsWaiting, m.lag, m.unreadable.count,
+		m.leading, m.jobs, m.attempts, m.unansweredWorkers, m.trialsRunning, m.trialsWaiting, m.slowWorkers, m.longestWait, m.roomShare, m.storeLost, m.cordonedZones, m.stepTime, m.eventsWaiting, m.partTime, m.eventWait, m.lag, m.unreadable.count,
 		m.entriesUnusable, m.entryChanges, m.configVersion, m.configFailures, m.configWastedBytes, configAge)
 	m.overload = newOverloadMetrics(r)
 	m.copies = newCopyMetrics(r)
--- a/jobservice/orders.go
+++ b/jobservice/orders.go
@@ -28,7 +28,7 @@
 func (t *term) dispatch(ctx context.Context, e jobsched.Effect) {
 	go func() {
 		ev := t.send(context.WithoutCancel(ctx), e)
-		t.events <- ev
+		t.events <- newQueuedEvent(ev)
 	}()
 }
 
--- a/jobservice/recover.go
+++ b/jobservice/recover.go
@@ -28,7 +28,9 @@
 	if err := t.recoverJobs(ctx, &r); err != nil {
 		return err
 	}
-	t.machine = jobsched.New(l.o.Clock.Now(), t.epoch, l.o.Machine, r)
+	options := l.o.Machine
+	options.OnPart = t.load.begin
+	t.machine = jobsched.New(l.o.Clock.Now(), t.epoch, options, r)
 	l.log.WithFields(logrus.Fields{
 		"epoch": t.epoch, "jobs": len(r.Accepted), "records": len(r.Progress), "setAside": len(r.Unreadable),
 		"rosterStands": r.RosterValid, "took": l.o.Clock.Now().Sub(began).String(),
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -21,22 +21,26 @@
 		t.sendCommit(ctx, *t.pending)
 	}
 	clock := t.leader.o.Clock
-	monitor := stepMonitor{log: t.leader.log.WithField("epoch", t.epoch), metrics: t.leader.o.Metrics}
+	log := t.leader.log.WithField("epoch", t.epoch)
+	monitor := stepMonitor{log: log, metrics: t.leader.o.Metrics}
+	t.load.start(log)
 	for {
-		var ev jobsched.Event
+		var arrived queuedEvent
 		select {
 		case <-ctx.Done():
 			return false
 		case <-timer.C:
 		case query := <-t.leader.queries:
 			query(t.machine)
-		case ev = <-t.storeEvents:
-		case ev = <-t.events:
+		case arrived = <-t.storeEvents:
+		case arrived = <-t.events:
 		}
-		if ev != nil {
-			if t.handle(ev) {
+		if arrived.event != nil {
+			t.load.begin(jobsched.PartOther)
+			if t.handle(arrived) {
 				return true
 			}
+			t.load.begin(partIdle)
 			// Events that arrive within gatherTime are handled in one step, because a
 			// step costs far more than handling an event.
 			time.Sleep(gatherTime)
@@ -44,6 +48,7 @@
 		began, waiting := clock.Now(), len(t.events)+len(t.storeEvents)
 		over, deposed := t.runStep(ctx)
 		monitor.record(began, clock.Now(), waiting)
+		t.load.recordStep()
 		if over {
 			return deposed
 		}
@@ -55,6 +60,7 @@
 // reports whether the term has ended, deposed whether it ended because a later leader
 // was seen.
 func (t *term) runStep(ctx context.Context) (over, deposed bool) {
+	t.load.begin(jobsched.PartOther)
 	if t.drain() {
 		return true, true
 	}
@@ -62,9 +68,12 @@
 	if !l.mayAct() {
 		return true, false
 	}
-	if t.execute(ctx, t.machine.Advance(l.o.Clock.Now(), l.o.Clock.Wall())) {
+	effects := t.machine.Advance(l.o.Clock.Now(), l.o.Clock.Wall())
+	t.load.begin(partEffects)
+	if t.execute(ctx, effects) {
 		return true, true
 	}
+	t.load.begin(jobsched.PartOther)
 	jobs, attempts := t.machine.Jobs()
 	l.o.Metrics.jobs.Set(float64(jobs))
 	l.o.Metrics.attempts.Set(float64(attempts))
@@ -86,11 +95,11 @@
 	return t.drainFrom(t.storeEvents) || t.drainFrom(t.events)
 }
 
-func (t *term) drainFrom(events <-chan jobsched.Event) bool {
+func (t *term) drainFrom(events <-chan queuedEvent) bool {
 	for range eventBatch {
 		select {
-		case ev := <-events:
-			if t.handle(ev) {
+		case arrived := <-events:
+			if t.handle(arrived) {
 				return true
 			}
 		default:
@@ -104,7 +113,21 @@
 // leader has written the ledger.
 type commitSuperseded struct{ jobsched.Committed }
 
-func (t *term) handle(ev jobsched.Event) (over bool) {
+// queuedEvent is an event for the control goroutine, and when it arrived.
+type queuedEvent struct {
+	event jobsched.Event
+	at    time.Time
+}
+
+// newQueuedEvent returns an event that arrives now.
+func newQueuedEvent(ev jobsched.Event) queuedEvent { return queuedEvent{event: ev, at: time.Now()} }
+
+func (t *term) handle(arrived queuedEvent) (over bool) {
+	t.load.recordEvent(time.Since(arrived.at))
+	return t.handleEvent(arrived.event)
+}
+
+func (t *term) handleEvent(ev jobsched.Event) (over bool) {
 	switch ev := ev.(type) {
 	case commitSuperseded:
 		return true
@@ -308,7 +331,7 @@
 		return true
 	}
 	ev := t.storeCommit(ctx, *t.pending, t.ledger)
-	return ev != nil && !t.handle(ev)
+	return ev != nil && !t.handleEvent(ev)
 }
 
 // post passes the outcome of a commit to the control goroutine.
@@ -318,9 +341,9 @@
 func (t *term) postStored(ctx context.Context, ev jobsched.Event) { deliver(ctx, t.storeEvents, ev) }
 
 // deliver sends an event on a channel unless ctx ends first.
-func deliver(ctx context.Context, events chan<- jobsched.Event, ev jobsched.Event) {
+func deliver(ctx context.Context, events chan<- queuedEvent, ev jobsched.Event) {
 	select {
-	case events <- ev:
+	case events <- newQueuedEvent(ev):
 	case <-ctx.Done():
 	}
 }
