--- a/core/jobsched/commit.go
+++ b/core/jobsched/commit.go
@@ -230,6 +230,22 @@
 	c.clearSent()
 }
 
+// UnstoredJobs returns the number of jobs with changes that wait to be stored.
+func (m *Machine) UnstoredJobs() int { return m.dirty.Len() }
+
+// UnacknowledgedWorkers returns the number of workers with ends that they may not forget
+// yet. Such a worker answers at once when it is asked, and tells a later end only when it
+// is asked again.
+func (m *Machine) UnacknowledgedWorkers() int {
+	count := 0
+	for _, w := range m.workers.All() {
+		if len(w.unackedEnds) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // restartsIn returns the restarts in the given records.
 func restartsIn(records []ProgressRecord) map[job.ID]job.Restarts {
 	found := make(map[job.ID]job.Restarts)
--- a/jobservice/loadmonitor.go
+++ b/jobservice/loadmonitor.go
@@ -46,11 +46,14 @@
 	// present is the part that began at since.
 	present jobsched.Part
 	since   time.Time
-	// times, steps, events and longestWait are those since the last line, at loggedAt.
+	// times and what follows are those since the last line, at loggedAt.
 	times         [numParts]time.Duration
 	steps, events int
 	longestWait   time.Duration
-	loggedAt      time.Time
+	// commits counts the commits, mostUnstored is the most jobs with changes that waited
+	// to be stored at the end of a step.
+	commits, mostUnstored int
+	loggedAt              time.Time
 }
 
 func newLoadMonitor(m *Metrics) *loadMonitor {
@@ -84,9 +87,15 @@
 	l.longestWait = max(l.longestWait, waited)
 }
 
-// recordStep counts a step, and logs the load each loadInterval.
-func (l *loadMonitor) recordStep() {
+// recordCommit counts a commit.
+func (l *loadMonitor) recordCommit() { l.commits++ }
+
+// recordStep counts a step, after which the changes of so many jobs wait to be stored and
+// so many workers tell ends that they may not forget yet. It logs the load each
+// loadInterval.
+func (l *loadMonitor) recordStep(unstored, unacked int) {
 	l.steps++
+	l.mostUnstored = max(l.mostUnstored, unstored)
 	l.begin(partIdle)
 	passed := l.since.Sub(l.loggedAt)
 	if passed < loadInterval {
@@ -96,9 +105,10 @@
 		l.log.WithFields(logrus.Fields{
 			"busyPercent": int(100 * float64(passed-l.times[partIdle]) / float64(passed)), "ms": l.describe(),
 			"steps": l.steps, "events": l.events, "longestWait": l.longestWait.Round(time.Millisecond).String(),
+			"commits": l.commits, "jobsUnstored": l.mostUnstored, "workersUnacknowledged": unacked,
 		}).Info(joblog.MessageLeaderLoad)
 	}
-	l.times, l.steps, l.events, l.longestWait, l.loggedAt = [numParts]time.Duration{}, 0, 0, 0, l.since
+	l.times, l.steps, l.events, l.longestWait, l.commits, l.mostUnstored, l.loggedAt = [numParts]time.Duration{}, 0, 0, 0, 0, 0, l.since
 }
 
 // describe lists the milliseconds of each part.
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -48,7 +48,7 @@
 		began, waiting := clock.Now(), len(t.events)+len(t.storeEvents)
 		over, deposed := t.runStep(ctx)
 		monitor.record(began, clock.Now(), waiting)
-		t.load.recordStep()
+		t.load.recordStep(t.machine.UnstoredJobs(), t.machine.UnacknowledgedWorkers())
 		if over {
 			return deposed
 		}
@@ -154,6 +154,7 @@
 			deposed = true
 		case jobsched.Commit:
 			t.pending = &e
+			t.load.recordCommit()
 			t.sendCommit(ctx, e)
 		default:
 			t.dispatch(ctx, e)
