A test of urgent jobs under a busy leader, red

What callers saw: urgent jobs of the large agency end late (SHORT) where the leader has little processor time. The tests' leader could be slow in checks of workers only.

--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -361,7 +361,7 @@
 	effects := c.machine.Advance(c.now, c.wall)
 	c.machineTime += time.Since(began)
 	if c.slow != nil {
-		c.slow.end(c)
+		c.slow.end(c, effects)
 	}
 	if c.checkRounds && c.machine.scheduledAt.Equal(c.now) {
 		c.checkRound()
--- a/core/jobsched/slowleader_test.go
+++ b/core/jobsched/slowleader_test.go
@@ -15,6 +15,13 @@
 	checks, maxChecks int
 	busyUntil         time.Time
 	waiting           []Event
+	// checkCost, eventCost and startCost are the times of a check of a worker for a
+	// task, an event and a start, pause that between two steps. spent is what else this
+	// step has taken.
+	checkCost, eventCost, startCost, pause, spent time.Duration
+	parts                                         [NumParts]time.Duration
+	steps                                         int
+	total                                         time.Duration
 }
 
 const (
@@ -28,7 +35,7 @@
 
 // newSlowLeader returns a slow leader that counts the checks until the test ends.
 func newSlowLeader(t testing.TB) *slowLeader {
-	l := new(slowLeader)
+	l := &slowLeader{checkCost: checkCost}
 	count := func(*Machine, *task, *worker) bool {
 		l.checks++
 		return true
@@ -52,13 +59,22 @@
 		c.machine.Handle(c.now, ev)
 	}
 	l.waiting = l.waiting[n:]
-	l.checks = 0
+	l.spent += time.Duration(n) * l.eventCost
 	return true
 }
 
-func (l *slowLeader) end(c *cluster) {
+func (l *slowLeader) end(c *cluster, effects []Effect) {
 	l.maxChecks = max(l.maxChecks, l.checks)
-	l.busyUntil = c.now.Add(time.Duration(l.checks) * checkCost)
+	l.spent += time.Duration(l.checks) * l.checkCost
+	for _, e := range effects {
+		if _, ok := e.(Start); ok {
+			l.spent += l.startCost
+		}
+	}
+	l.steps++
+	l.total += l.spent
+	l.busyUntil = c.now.Add(l.spent + l.pause)
+	l.checks, l.spent = 0, 0
 }
 
 // fullCluster returns 350 workers that are almost filled with long-running tasks,
