The leader learns from a bounded number of readings in each step

What callers saw: urgent jobs of the large agency end late (SHORT) under a leader short of processor time.

Cause: each report of each worker was learned from at once, for each of its serving tasks, within the step that handles it. The time of a step grew with the reports that waited for it, up to 1,024, and with it the time of all that takes a whole number of steps: answers to starts, ends, the steps that follow them, outcomes of commits. Reports come sooner than readings renew, so that most of them told again what the last one had told, and counted as evidence of its own.

Now a step learns from at most 300 readings on a whole core, the workers first that have waited longest, after its orders and its commit; a worker's readings are learned from each 0.4 s at most, and who was beside a victim is looked up once for all victims of a worker. Work that can wait no longer grows with what waits.

--- a/core/interference/model.go
+++ b/core/interference/model.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/guavarill/guavarill/core/model"
@@ -81,6 +80,8 @@
 	intensity map[model.TaskKey]*term
 	variances *variances
 	version   uint64
+	// aggressors holds those of the last measurement, so that the next one reuses it.
+	aggressors []Resident
 }
 
 // New returns a model without observations, which predicts its priors.
@@ -141,9 +142,13 @@
 	if !known {
 		return TooOld
 	}
-	aggressors := slices.DeleteFunc(residents, func(p Resident) bool {
-		return p.Key == o.Victim || p.Share <= 0
-	})
+	aggressors := m.aggressors[:0]
+	for _, p := range residents {
+		if p.Key != o.Victim && p.Share > 0 {
+			aggressors = append(aggressors, p)
+		}
+	}
+	m.aggressors = aggressors
 	if len(aggressors) == 0 {
 		return NoAggressor
 	}
--- a/core/interference/residency.go
+++ b/core/interference/residency.go
@@ -44,6 +44,18 @@
 type Residency struct {
 	retain  time.Duration
 	workers map[model.WorkerID]*workerSpans
+	// last is the last result of At, which holds until a record changes: all victims on
+	// a worker are measured at the same time.
+	last lookup
+}
+
+// lookup is a result of At.
+type lookup struct {
+	worker    model.WorkerID
+	at        time.Time
+	residents []Resident
+	// current is set as long as no record has changed since.
+	current bool
 }
 
 // NewResidency returns an empty record that keeps tasks for the time retain after
@@ -76,6 +88,7 @@
 	if !ok {
 		return
 	}
+	r.last.current = false
 	if i := ws.openSpan(key); i >= 0 {
 		ws.spans[i].to = now
 	}
@@ -84,23 +97,31 @@
 }
 
 // DropWorker drops the record of a worker that is gone.
-func (r *Residency) DropWorker(w model.WorkerID) { delete(r.workers, w) }
+func (r *Residency) DropWorker(w model.WorkerID) {
+	r.last.current = false
+	delete(r.workers, w)
+}
 
-// At returns the tasks that were on a worker at a time, in the order of their keys.
-// The second result is false if the record does not cover that time.
+// At returns the tasks that were on a worker at a time, in the order of their keys. The
+// second result is false if the record does not cover that time. The slice belongs to the
+// Residency, and is valid until the next call.
 func (r *Residency) At(w model.WorkerID, at time.Time) ([]Resident, bool) {
 	ws, ok := r.workers[w]
 	if !ok || at.Before(ws.since) {
 		return nil, false
 	}
-	var found []Resident
+	if r.last.current && r.last.worker == w && r.last.at.Equal(at) {
+		return r.last.residents, true
+	}
+	found := r.last.residents[:0]
 	for i := range ws.spans {
-		if ws.spans[i].covers(at) {
-			presence := ws.spans[i].Resident
-			presence.StillRunning = ws.openSpan(presence.Key) >= 0
+		if s := &ws.spans[i]; s.covers(at) {
+			presence := s.Resident
+			presence.StillRunning = s.to.IsZero() || ws.openSpan(presence.Key) >= 0
 			found = append(found, presence)
 		}
 	}
+	r.last = lookup{worker: w, at: at, residents: found, current: true}
 	slices.SortFunc(found, func(a, b Resident) int {
 		if a.Key.Less(b.Key) {
 			return -1
@@ -111,6 +132,7 @@
 }
 
 func (r *Residency) change(now time.Time, w model.WorkerID, p Resident) {
+	r.last.current = false
 	ws, ok := r.workers[w]
 	if !ok {
 		ws = &workerSpans{since: now, latest: make(map[model.TaskKey]time.Time)}
--- a/core/jobsched/busyleader_test.go
+++ b/core/jobsched/busyleader_test.go
@@ -11,7 +11,7 @@
 // partCosts are the processor times of a leader of 1,100 workers by part of its work, on
 // a whole core.
 var partCosts = [NumParts]time.Duration{
-	PartReports: 19 * time.Microsecond, PartLearning: 36 * time.Microsecond, PartShares: 8 * time.Microsecond,
+	PartReports: 19 * time.Microsecond, PartSpeeds: 5 * time.Microsecond, PartLearning: 31 * time.Microsecond, PartShares: 8 * time.Microsecond,
 	PartSweep: 1900 * time.Microsecond, PartRenewals: 400 * time.Microsecond,
 	PartForecast: 50 * time.Microsecond, PartCommit: 250 * time.Microsecond,
 }
@@ -37,6 +37,7 @@
 	}
 	c.machine.options.RoundBudget = int(DefaultRoundBudget * cores)
 	c.machine.options.StartsInFlight = int(DefaultStartsInFlight * cores)
+	c.machine.options.LearnBudget = int(DefaultLearnBudget * cores)
 	return l
 }
 
--- a/core/jobsched/interference.go
+++ b/core/jobsched/interference.go
@@ -99,27 +99,6 @@
 	}
 }
 
-// learnFromReport passes the readings of a worker's report to the learner.
-func (m *Machine) learnFromReport(w *worker) {
-	if w.maybeSlow(m.now) {
-		// The work beside its serving tasks would be blamed for the worker.
-		return
-	}
-	for _, a := range w.attempts.All() {
-		if !a.serving() || a.learnKey.Generation == 0 {
-			continue
-		}
-		calm := m.baselineReading(a.step())
-		if calm == 0 {
-			continue
-		}
-		m.learner.Observe(m.now, interference.Observation{
-			Worker: w.learnID(), Victim: a.learnKey, Class: a.step().spec.Image, MeasuredAt: m.now.Add(-readingDelay),
-			Slowdown: max(float64(a.reading)/calm, 1),
-		})
-	}
-}
-
 // serving reports whether the attempt is serving users' requests and has a reading.
 func (a *attempt) serving() bool {
 	s := a.step()
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -42,6 +42,10 @@
 	// means DefaultStartsInFlight. A leader with a fraction of a core gets that
 	// fraction of the default.
 	StartsInFlight int
+	// LearnBudget bounds the readings from which a step learns; 0 means
+	// DefaultLearnBudget. A leader with a fraction of a core gets that fraction of the
+	// default.
+	LearnBudget int
 	// Policies are the decisions under load that are switched on.
 	Policies Policies
 	// OnPart is called when a part of the machine's work begins; it may be nil.
@@ -167,6 +171,8 @@
 	// sizeBalances holds the balance between small and large jobs by queue.
 	sizeBalances joborder.Balances
 	learner      *interference.Model
+	// unlearned holds the workers with readings that have not been learned from.
+	unlearned ordered.Map[*worker, struct{}]
 	// lastLearnID is the id given last to an attempt in the interference learner.
 	lastLearnID uint64
 	// victims counts the serving tasks by the index of their image.
@@ -216,6 +222,7 @@
 	m.options.MaxLease = cmp.Or(o.MaxLease, o.Lease)
 	m.options.RoundBudget = cmp.Or(o.RoundBudget, DefaultRoundBudget)
 	m.options.StartsInFlight = cmp.Or(o.StartsInFlight, DefaultStartsInFlight)
+	m.options.LearnBudget = cmp.Or(o.LearnBudget, DefaultLearnBudget)
 	m.unseenCrash = r.UnseenCrash
 	m.learner.Import(now, r.Learned)
 	for _, id := range slices.Sorted(maps.Keys(r.Progress)) {
@@ -330,6 +337,7 @@
 	m.forecastIfDue()
 	m.begin(PartCommit)
 	m.sendCommit()
+	m.learnFromReadings()
 }
 
 // scheduleIfDue runs a placement round when something has changed, and every
--- a/core/jobsched/part.go
+++ b/core/jobsched/part.go
@@ -9,6 +9,8 @@
 	PartOther Part = iota
 	// PartReports: the ends and the attempts in workers' reports.
 	PartReports
+	// PartSpeeds: what reports show of the speeds of workers.
+	PartSpeeds
 	// PartLearning: what is learned from the readings in reports.
 	PartLearning
 	// PartShares: the shares of best-effort work.
@@ -27,7 +29,7 @@
 	NumParts
 )
 
-var partNames = [NumParts]string{"other", "reports", "learning", "shares", "sweep", "placement", "renewals", "forecast", "commit"}
+var partNames = [NumParts]string{"other", "reports", "speeds", "learning", "shares", "sweep", "placement", "renewals", "forecast", "commit"}
 
 // String returns the part's name.
 func (p Part) String() string {
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -114,9 +114,11 @@
 	w.sampleClock(m.now, r.ClockMs)
 	m.processEnds(w, r.Ended)
 	m.reconcile(w, sentAt, r)
-	m.begin(PartLearning)
+	m.begin(PartSpeeds)
 	m.learnSpeedFromReadings(w)
-	m.learnFromReport(w)
+	if w.hasServingTasks() && m.now.Sub(w.learnedAt) >= learnInterval {
+		m.unlearned.Set(w, struct{}{})
+	}
 	m.begin(PartShares)
 	m.adjustThrottle(w)
 	w.renewAt = m.nextRenewal(w)
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -96,6 +96,8 @@
 	throttle throttleState
 	tails    tailCache
 	speed    workerSpeed
+	// learnedAt is when its readings were last learned from.
+	learnedAt time.Time
 }
 
 func newWorker(e WorkerEntry) *worker {
--- a/jobservice/leader.go
+++ b/jobservice/leader.go
@@ -51,6 +51,9 @@
 	if o.Machine.StartsInFlight == 0 && o.Processors > 0 {
 		o.Machine.StartsInFlight = max(int(jobsched.DefaultStartsInFlight*min(o.Processors, 1)), minStartsInFlight)
 	}
+	if o.Machine.LearnBudget == 0 && o.Processors > 0 {
+		o.Machine.LearnBudget = max(int(jobsched.DefaultLearnBudget*min(o.Processors, 1)), minLearnBudget)
+	}
 	return &Leader{
 		o: o, log: o.Log.WithField("component", "leader"), routineLimiter: newRoutineLimiter(o.Processors),
 		queries: make(chan func(*jobsched.Machine)),
--- a/jobservice/options.go
+++ b/jobservice/options.go
@@ -86,6 +86,8 @@
 	// minStartsInFlight keeps some 1,000 starts a second possible for the smallest
 	// daemon.
 	minStartsInFlight = 40
+	// minLearnBudget lets the smallest daemon learn from some workers in each step.
+	minLearnBudget = 30
 	// routineLines is how many lines of routine decisions a leader with half a core
 	// or more writes a second, with a burst of twice as many for a takeover. A busy
 	// leader of today's sites makes about 500 such decisions a second at its peak. A
