The next commit does not wait for the leader's step to end

What callers saw: urgent jobs of the large agency end late (SHORT) under a leader short of processor time.

Cause: the outcome of a commit stood in one queue with the reports of all workers, and the next commit was sent at the end of a step, at least 20 ms after the last one. One is under way at a time, with at most 27 records, and some hundred jobs have ends to be stored at any moment. So commits became as rare as steps, and an end waited for several of them. A worker whose ends are not acknowledged tells a later one only when it is asked again, after 200 ms: the longer a step took, the more workers were deaf, and the later the steps began that wait for the last of their tasks.

Now the outcome of a commit is handled between any two events, the next one is sent with it, at once if there are records to fill it, and workers whose ends it acknowledges are asked again at once.

TestFullCommitsFollowEachOther: 130 ms before, 100 allowed. TestOutcomeOfACommitIsHandledFirst: the outcome was handled after the reports.

--- a/core/jobsched/commit.go
+++ b/core/jobsched/commit.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// commitInterval is the minimum time between two commits: ends that arrive
-	// within it share a call to the store.
+	// commitInterval is the minimum time between two commits that do not fill up: ends
+	// that arrive within it share a call to the store.
 	commitInterval = 20 * time.Millisecond
 	// summaryInterval is the time between commits made only to refresh the summary;
 	// readers accept a summary that is up to 2 s old.
@@ -71,7 +71,8 @@
 func (m *Machine) sendCommit() {
 	c := &m.commit
 	m.expireFinal()
-	if c.inFlight || m.now.Sub(c.sentAt) < commitInterval || m.now.Before(c.retryAt) {
+	gathering := m.now.Sub(c.sentAt) < commitInterval && m.dirty.Len() < maxCommitEntries
+	if c.inFlight || gathering || m.now.Before(c.retryAt) {
 		return
 	}
 	if c.search.isOn() {
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -303,6 +303,27 @@
 	if !m.deposed {
 		m.advance()
 	}
+	return m.takeEffects()
+}
+
+// AdvanceCommit returns the effects to carry out now that a commit has ended: the next
+// commit, if one is due, and calls of the workers whose ends are acknowledged. A daemon
+// calls it between two calls of Advance, so that the rate of commits does not fall as its
+// steps take longer: a worker whose ends wait for a commit tells later ones only when it
+// is asked again.
+func (m *Machine) AdvanceCommit(now, wall time.Time) []Effect {
+	m.now, m.wall = now, wall
+	if !m.deposed {
+		m.begin(PartCommit)
+		m.sendCommit()
+		m.begin(PartRenewals)
+		m.sendRenewals()
+	}
+	return m.takeEffects()
+}
+
+// takeEffects returns the effects that were emitted since it was last called.
+func (m *Machine) takeEffects() []Effect {
 	m.begin(PartOther)
 	effects := m.out
 	m.out = nil
--- a/jobservice/campaign.go
+++ b/jobservice/campaign.go
@@ -248,7 +248,8 @@
 	}
 	t := &term{
 		leader: l, lease: lease, epoch: model.Epoch(revision), ledger: revision,
-		unreadableJobs: newUnreadableJobs(), tombstones: newTombstones(), events: make(chan queuedEvent, eventBuffer), storeEvents: make(chan queuedEvent, eventBuffer),
+		unreadableJobs: newUnreadableJobs(), tombstones: newTombstones(), events: make(chan queuedEvent, eventBuffer),
+		commitOutcomes: make(chan queuedEvent, 1), storeEvents: make(chan queuedEvent, eventBuffer),
 		load: newLoadMonitor(l.o.Metrics),
 	}
 	renewing, cancel := context.WithCancel(ctx)
--- a/jobservice/leader.go
+++ b/jobservice/leader.go
@@ -97,9 +97,9 @@
 	// epoch is the store revision at which the daemon became leader.
 	epoch   model.Epoch
 	machine *jobsched.Machine
-	// events receives the responses to the leader's orders and commits, storeEvents
-	// the events read from the store.
-	events, storeEvents chan queuedEvent
+	// events receives the responses to the leader's orders, commitOutcomes those to its
+	// commits, storeEvents the events read from the store.
+	events, commitOutcomes, storeEvents chan queuedEvent
 	// load measures what the control goroutine's time goes to.
 	load *loadMonitor
 	// ledger is the revision of ledgerKey after the last commit of the term.
--- a/jobservice/term.go
+++ b/jobservice/term.go
@@ -32,6 +32,12 @@
 		case <-timer.C:
 		case query := <-t.leader.queries:
 			query(t.machine)
+		case outcome := <-t.commitOutcomes:
+			if t.handleOutcome(ctx, outcome) {
+				return true
+			}
+			t.load.begin(partIdle)
+			continue
 		case arrived = <-t.storeEvents:
 		case arrived = <-t.events:
 		}
@@ -61,7 +67,7 @@
 // was seen.
 func (t *term) runStep(ctx context.Context) (over, deposed bool) {
 	t.load.begin(jobsched.PartOther)
-	if t.drain() {
+	if t.drain(func(outcome queuedEvent) bool { return t.handleOutcome(ctx, outcome) }) {
 		return true, true
 	}
 	l := t.leader
@@ -88,15 +94,38 @@
 	return false, false
 }
 
+// handleOutcome handles the outcome of a commit, after which the next one can be sent,
+// and reports whether the machine has been deposed.
+func (t *term) handleOutcome(ctx context.Context, outcome queuedEvent) (deposed bool) {
+	if t.handle(outcome) {
+		return true
+	}
+	l := t.leader
+	if !l.mayAct() {
+		return false
+	}
+	deposed = t.execute(ctx, t.machine.AdvanceCommit(l.o.Clock.Now(), l.o.Clock.Wall()))
+	t.load.begin(jobsched.PartOther)
+	return deposed
+}
+
 // drain handles the pending events and reports whether the term is over. Events read
 // from the store come first, so that cancellations do not queue behind the responses
-// of hundreds of workers.
-func (t *term) drain() bool {
-	return t.drainFrom(t.storeEvents) || t.drainFrom(t.events)
+// of hundreds of workers. The outcome of a commit is passed to onOutcome before any other
+// event, and not at the end of the batch.
+func (t *term) drain(onOutcome func(queuedEvent) (over bool)) bool {
+	return t.drainFrom(t.storeEvents, onOutcome) || t.drainFrom(t.events, onOutcome)
 }
 
-func (t *term) drainFrom(events <-chan queuedEvent) bool {
+func (t *term) drainFrom(events <-chan queuedEvent, onOutcome func(queuedEvent) (over bool)) bool {
 	for range eventBatch {
+		select {
+		case outcome := <-t.commitOutcomes:
+			if onOutcome(outcome) {
+				return true
+			}
+		default:
+		}
 		select {
 		case arrived := <-events:
 			if t.handle(arrived) {
@@ -305,7 +334,7 @@
 func (t *term) storeFinalCommit() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), t.leader.o.LeaderTTL)
 	defer cancel()
-	if t.drain() || !t.resolvePending(ctx) {
+	if t.drain(t.handle) || !t.resolvePending(ctx) {
 		return false
 	}
 	clock := t.leader.o.Clock
@@ -336,7 +365,7 @@
 }
 
 // post passes the outcome of a commit to the control goroutine.
-func (t *term) post(ctx context.Context, ev jobsched.Event) { deliver(ctx, t.events, ev) }
+func (t *term) post(ctx context.Context, ev jobsched.Event) { deliver(ctx, t.commitOutcomes, ev) }
 
 // postStored passes an event read from the store to the control goroutine.
 func (t *term) postStored(ctx context.Context, ev jobsched.Event) { deliver(ctx, t.storeEvents, ev) }
