core/jobsched: less work for each report, with the same predictions

What callers saw: as before, urgent jobs that end late under a leader short of processor time.

The undisturbed tail of each step was computed again each 50 ms, from readings that cover half a second and are up to a second old; now each 0.2 s, like the usual reading. Predicted tails of a worker went over its attempts once for each image there, and looked images up by name; now once, by index. A report no longer builds a set of what it lists.

--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -53,8 +53,10 @@
 	// adopted is set when an earlier leader started the attempt, at an unknown
 	// time.
 	adopted bool
-	// listed is set once a report of its worker has listed the attempt.
-	listed bool
+	// listed is set once a report of its worker has listed the attempt, listedIn is the
+	// number of the last such report.
+	listed   bool
+	listedIn uint64
 	// passedTrial is set once the attempt has been counted as a passed isolated trial.
 	passedTrial bool
 	size        model.Resources
--- a/core/jobsched/headroom.go
+++ b/core/jobsched/headroom.go
@@ -32,7 +32,7 @@
 	// maxTailAge is how long predicted tails are cached: a tenth of the time that
 	// each of the underlying readings covers. A placement round needs them once for
 	// each kind of waiting task.
-	maxTailAge = baselineInterval
+	maxTailAge = 50 * time.Millisecond
 )
 
 // tail is the predicted tail latency of a worker's serving tasks of one image.
@@ -68,39 +68,57 @@
 		return c.tails
 	}
 	c.at, c.stale = m.now, false
-	c.tails = c.tails[:0]
+	c.tails = m.predictTails(w, c.tails[:0])
+	return c.tails
+}
+
+// predictTails appends the predicted tails of the worker's serving tasks to tails.
+func (m *Machine) predictTails(w *worker, tails []tail) []tail {
 	for image, count := range w.victims {
 		if count > 0 {
-			c.tails = append(c.tails, m.predictTail(w, image))
+			tails = append(tails, tail{image: image})
 		}
 	}
-	return c.tails
-}
-
-// predictTail predicts the tail of the worker's serving tasks of one image.
-func (m *Machine) predictTail(w *worker, image int) tail {
-	t := tail{image: image}
+	aggressors := m.aggressors[:0]
 	for _, a := range w.attempts.All() {
 		switch s := a.step(); {
 		case s == nil:
 		case a.bestEffortCPU > 0:
-			m.addEffect(&t, a)
-		case s.spec.LatencyTargetMs > 0 && m.effects.imageIndex(s.spec.Image) == image:
-			t.baseline = max(t.baseline, m.baselinePart(s))
+			aggressors = append(aggressors, a)
+		case s.spec.LatencyTargetMs > 0:
+			m.addBaseline(tails, s)
+		}
+	}
+	m.aggressors = aggressors
+	for _, a := range aggressors {
+		m.addEffects(tails, a)
+	}
+	return tails
+}
+
+// addBaseline adds a serving task of the step to the tail of its image.
+func (m *Machine) addBaseline(tails []tail, s *step) {
+	image := m.imageOf(s)
+	for i := range tails {
+		if tails[i].image == image {
+			tails[i].baseline = max(tails[i].baseline, m.baselinePart(s))
 		}
 	}
-	return t
 }
 
-// addEffect adds the effect of a best-effort attempt to a tail.
-func (m *Machine) addEffect(t *tail, a *attempt) {
-	effect := m.effect(t.image, a.step().spec.Image).Mean
-	present := effect * a.presentWeight()
-	t.present += present
-	if m.disturbs(a) {
-		t.disturbing += effect * a.effectWeight()
-	} else {
-		t.harmless += present
+// addEffects adds the effects of a best-effort attempt to the tails.
+func (m *Machine) addEffects(tails []tail, a *attempt) {
+	image, disturbs := m.imageOf(a.step()), m.disturbs(a)
+	for i := range tails {
+		t := &tails[i]
+		effect := m.effect(t.image, image).Mean
+		present := effect * a.presentWeight()
+		t.present += present
+		if disturbs {
+			t.disturbing += effect * a.effectWeight()
+		} else {
+			t.harmless += present
+		}
 	}
 }
 
@@ -114,10 +132,10 @@
 }
 
 // withinHeadroom reports whether the serving tasks on a worker have the headroom
-// for one more best-effort task of the given image and processor use. The effect of
+// for one more best-effort task of the image with the given index and of the given processor use. The effect of
 // a single task is small compared to the target; it is the sum of the effects that
 // takes tails over it, and at peak load sooner than at other times.
-func (m *Machine) withinHeadroom(w *worker, aggressor string, milliCPU int64) bool {
+func (m *Machine) withinHeadroom(w *worker, aggressor int, milliCPU int64) bool {
 	weight := w.effectWeight(milliCPU)
 	for _, t := range m.tails(w) {
 		effect := m.effect(t.image, aggressor)
--- a/core/jobsched/interference.go
+++ b/core/jobsched/interference.go
@@ -83,7 +83,7 @@
 	}
 	m.lastLearnID++
 	image := a.step().spec.Image
-	a.image = m.effects.imageIndex(image)
+	a.image = m.imageOf(a.step())
 	a.learnKey = model.TaskKey{Workload: image, Generation: m.lastLearnID}
 	m.learner.TaskStarted(m.now, a.worker.learnID(), a.learnKey, image)
 	// Serving tasks have no weight: if they were blamed for each other's tails,
@@ -112,10 +112,10 @@
 	excess  float64
 }
 
-// baselineInterval is how long a baseline reading is cached: a tenth of the time
-// that each of the underlying readings covers. Otherwise every report of every
+// baselineInterval is how long a baseline reading is cached. The underlying readings
+// cover half a second, and are up to a second old. Otherwise every report of every
 // worker would compute it again for each of the step's tasks there.
-const baselineInterval = 50 * time.Millisecond
+const baselineInterval = usualReadingInterval
 
 // baselineReading returns the step's baseline reading, or 0 if it is unknown.
 func (m *Machine) baselineReading(s *step) float64 {
@@ -223,7 +223,7 @@
 	if s == nil || s.spec.LatencyTargetMs == 0 {
 		return
 	}
-	image := m.effects.imageIndex(s.spec.Image)
+	image := m.imageOf(s)
 	for len(m.victims) <= image {
 		m.victims = append(m.victims, 0)
 	}
@@ -236,9 +236,10 @@
 	w.servingTasks += by
 }
 
-// worstEffect predicts the worst slowdown, above 1, that best-effort work of an
-// image with the given processor use causes for the serving tasks of a worker.
-func (m *Machine) worstEffect(w *worker, aggressor string, milliCPU int64) float64 {
+// worstEffect predicts the worst slowdown, above 1, that best-effort work of the image
+// with the given index and of the given processor use causes for the serving tasks of a
+// worker.
+func (m *Machine) worstEffect(w *worker, aggressor int, milliCPU int64) float64 {
 	if w.servingTasks == 0 {
 		return 0
 	}
@@ -251,10 +252,17 @@
 	return worst * w.effectWeight(milliCPU)
 }
 
-// effect predicts the slowdown, above 1, that one effectUnit of best-effort work of
-// an image causes for serving tasks of the image with the given index.
-func (m *Machine) effect(victim int, aggressor string) interference.Estimate {
-	a := m.effects.imageIndex(aggressor)
+// effect predicts the slowdown, above 1, that one effectUnit of best-effort work of an
+// image causes for serving tasks of another, given their indexes.
+func (m *Machine) effect(victim, aggressor int) interference.Estimate {
 	m.refreshEffects()
-	return m.effects.effects[victim][a]
+	return m.effects.effects[victim][aggressor]
+}
+
+// imageOf returns the index of the step's image.
+func (m *Machine) imageOf(s *step) int {
+	if !s.imageKnown {
+		s.image, s.imageKnown = m.effects.imageIndex(s.spec.Image), true
+	}
+	return s.image
 }
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -173,11 +173,15 @@
 	learner      *interference.Model
 	// unlearned holds the workers with readings that have not been learned from.
 	unlearned ordered.Map[*worker, struct{}]
+	// lastReport is the number of the last report of any worker.
+	lastReport uint64
 	// lastLearnID is the id given last to an attempt in the interference learner.
 	lastLearnID uint64
 	// victims counts the serving tasks by the index of their image.
-	victims    []int
-	effects    effectCache
+	victims []int
+	effects effectCache
+	// aggressors holds those of the last predicted tails, so that the next ones reuse it.
+	aggressors []*attempt
 	forecaster forecaster
 
 	now  time.Time
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -234,15 +234,14 @@
 // reconcile compares the attempts in a worker's report, which was requested at
 // sentAt, with those that the machine knows.
 func (m *Machine) reconcile(w *worker, sentAt time.Time, report Report) {
-	listed := make(map[attemptKey]struct{}, len(report.Running))
+	m.lastReport++
 	for i := range report.Running {
 		r := &report.Running[i]
-		key := attemptKey{task: r.Key, attempt: r.Attempt}
-		listed[key] = struct{}{}
-		a := w.attempts.Get(key)
+		a := w.attempts.Get(attemptKey{task: r.Key, attempt: r.Attempt})
 		if a == nil {
 			a = m.adoptRunning(w, r)
 		}
+		a.listedIn = m.lastReport
 		m.observe(a, r)
 	}
 	if len(report.Ended) >= maxReportedEnds {
@@ -251,7 +250,7 @@
 		return
 	}
 	for _, a := range w.attempts.All() {
-		if _, ok := listed[a.key]; !ok && a.isOverBy(sentAt) {
+		if a.listedIn != m.lastReport && a.isOverBy(sentAt) {
 			m.noteAttempt(joblog.MessageAttemptMissing, a, "not in the worker's report")
 			if a.previousWorker != nil {
 				m.countAttemptCrash(a, a.previousWorker)
--- a/core/jobsched/score.go
+++ b/core/jobsched/score.go
@@ -96,22 +96,22 @@
 	spec := t.step.spec
 	switch {
 	case spec.BestEffort && w.hasServingTasks():
-		return servingScore * (w.throttle.pressure + m.worstEffect(w, spec.Image, spec.Size.MilliCPU))
+		return servingScore * (w.throttle.pressure + m.worstEffect(w, m.imageOf(t.step), spec.Size.MilliCPU))
 	case spec.LatencyTargetMs > 0:
-		return sameImageScore * m.imageShare(w, spec.Image)
+		return sameImageScore * m.imageShare(w, m.imageOf(t.step))
 	}
 	return 0
 }
 
-// imageShare returns the fraction of the worker's serving tasks that run the image
+// imageShare returns the fraction of the worker's serving tasks that run the image with the given index
 // minus the fraction that run others, from -1 to 1. It is 0 without serving tasks.
-func (m *Machine) imageShare(w *worker, image string) float64 {
+func (m *Machine) imageShare(w *worker, image int) float64 {
 	if w.servingTasks == 0 {
 		return 0
 	}
 	same := 0
-	if i := m.effects.imageIndex(image); i < len(w.victims) {
-		same = w.victims[i]
+	if image < len(w.victims) {
+		same = w.victims[image]
 	}
 	return float64(2*same-w.servingTasks) / float64(w.servingTasks)
 }
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -155,7 +155,7 @@
 	if a.bestEffortCPU == 0 || a.task == nil {
 		return false
 	}
-	return m.worstEffect(a.worker, a.step().spec.Image, a.bestEffortCPU) > harmfulEffect
+	return m.worstEffect(a.worker, m.imageOf(a.step()), a.bestEffortCPU) > harmfulEffect
 }
 
 // wantedShare returns the share, in percent, at which an attempt should run.
