--- a/core/jobsched/counters_test.go
+++ b/core/jobsched/counters_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/workerhealth"
 )
 
 // quickTask returns a step of one task that takes a tenth of a second.
@@ -66,7 +67,7 @@
 func TestFailingWorkerStaysClosedOverChangesOfTheLead(t *testing.T) {
 	alone := failuresAt(t, nil, 0)
 	for name, change := range map[string]func(*cluster){"planned": (*cluster).handOver, "lost": (*cluster).replaceLeader} {
-		if n := failuresAt(t, change, 2*time.Second); n > alone+quarantineAfter {
+		if n := failuresAt(t, change, 2*time.Second); n > alone+workerhealth.QuarantineAfter {
 			t.Errorf("%s: %d attempts fail on the worker, %d while one daemon leads", name, n, alone)
 		}
 	}
@@ -88,7 +89,7 @@
 	for c.state(id) != job.Failed {
 		c.run(clusterTick)
 		for _, w := range c.machine.workers.All() {
-			blamed = max(blamed, w.health.failures)
+			blamed = max(blamed, w.health.Failures())
 		}
 	}
 	if blamed > 0 {
--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -83,11 +83,11 @@
 
 // filterProbation gives a worker on probation one new task at a time.
 func filterProbation(m *Machine, t *task, w *worker) bool {
-	if !w.health.isOnProbation(m.now) {
+	if !w.health.IsOnProbation(m.now) {
 		return true
 	}
 	for _, a := range w.attempts.All() {
-		if a.phase == phaseStarting || a.startedAt.After(w.health.failedAt) {
+		if a.phase == phaseStarting || a.startedAt.After(w.health.FailedAt()) {
 			return false
 		}
 	}
--- a/core/jobsched/longtasks_test.go
+++ b/core/jobsched/longtasks_test.go
@@ -59,7 +59,7 @@
 func (c *cluster) closedWorkers() int {
 	n := 0
 	for _, w := range c.machine.workers.All() {
-		if !w.health.isAvailable(c.now) {
+		if !w.health.IsAvailable(c.now) {
 			n++
 		}
 	}
@@ -246,7 +246,7 @@
 			for begun := c.now; c.closedWorkers() == 0 && c.now.Sub(begun) < limit; {
 				c.tick()
 			}
-			if w := c.machine.worker(c.workers["w000"].entry.Incarnation); w.health.isAvailable(c.now) {
+			if w := c.machine.worker(c.workers["w000"].entry.Incarnation); w.health.IsAvailable(c.now) {
 				t.Errorf("the worker is not quarantined after %s", limit)
 			}
 			if n := c.closedWorkers(); n > 1 {
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -306,7 +306,7 @@
 func (m *Machine) applyEnd(t *task, a *attempt, cause EndCause) {
 	switch cause {
 	case EndDone:
-		a.worker.health.recordSuccess()
+		a.worker.health.RecordSuccess()
 		t.step.times.unaskedFor = a.unaskedFor()
 		m.observeWholeRun(a)
 		m.recordRun(a)
@@ -330,7 +330,7 @@
 func (m *Machine) blame(s *step, w *worker) {
 	if !s.blamed {
 		s.blamed = true
-		w.health.recordFailure(m.now)
+		w.health.RecordFailure(m.now)
 	}
 }
 
--- a/core/jobsched/quarantine_test.go
+++ b/core/jobsched/quarantine_test.go
@@ -5,40 +5,6 @@
 	"time"
 )
 
-// TestFailuresFarApartDoNotQuarantineAWorker guards against failures that are
-// counted, however far apart, until a task completes on the worker. A worker with
-// only long-running tasks, which never complete, was quarantined after two of them
-// failed by themselves half a minute apart, and a long-running task waited for 20 s
-// although the worker had room.
-func TestFailuresFarApartDoNotQuarantineAWorker(t *testing.T) {
-	var h health
-	h.recordFailure(testEpoch)
-	later := testEpoch.Add(30 * time.Second)
-	h.recordFailure(later)
-	if !h.isAvailable(later) || h.isOnProbation(later) {
-		t.Error("the worker is quarantined")
-	}
-}
-
-// TestQuarantineDoublesWithEachFailedProbation checks that the quarantine of a
-// worker that fails its probation doubles each time, up to maxQuarantine.
-func TestQuarantineDoublesWithEachFailedProbation(t *testing.T) {
-	var h health
-	now := testEpoch
-	h.recordFailure(now)
-	h.recordFailure(now)
-	for _, pause := range []time.Duration{firstQuarantine, 2 * firstQuarantine, 4 * firstQuarantine, maxQuarantine} {
-		if h.isAvailable(now.Add(pause-time.Millisecond)) || !h.isAvailable(now.Add(pause)) {
-			t.Errorf("not quarantined for exactly %s", pause)
-		}
-		now = now.Add(pause + time.Second)
-		if !h.isOnProbation(now) {
-			t.Error("not on probation")
-		}
-		h.recordFailure(now)
-	}
-}
-
 // TestFailingWorkerLeavesQuarantine guards against a worker that stays on probation
 // because it runs long-running tasks: it gets one task at a time until one is done,
 // and long-running tasks are never done.
@@ -81,7 +47,7 @@
 	}
 	quarantined := 0
 	for _, w := range c.machine.workers.All() {
-		if !w.health.isAvailable(c.now) {
+		if !w.health.IsAvailable(c.now) {
 			quarantined++
 		}
 	}
--- a/core/jobsched/recoverroster.go
+++ b/core/jobsched/recoverroster.go
@@ -1,6 +1,7 @@
 package jobsched
 
 import (
+	"github.com/guavarill/guavarill/core/workerhealth"
 	"slices"
 	"time"
 )
@@ -16,8 +17,8 @@
 		w.lastReportAt = m.recoveredAt.Add(-e.SilentFor - age)
 	}
 	if valid {
-		w.health = recoveredHealth(e.Health, m.recoveredAt.Add(-age))
-		w.rosterStatus.failures = w.health.failures
+		w.health = workerhealth.Recover(e.Health, m.recoveredAt.Add(-age))
+		w.rosterStatus.failures = w.health.Failures()
 		m.recoverSpeed(w, e.Slowness)
 		w.rosterStatus.slow, w.rosterStatus.unproven = w.speed.slow, w.speed.unproven
 	}
--- a/core/jobsched/roster.go
+++ b/core/jobsched/roster.go
@@ -8,6 +8,7 @@
 
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/workerhealth"
 	"github.com/guavarill/guavarill/core/workerspeed"
 )
 
@@ -41,7 +42,7 @@
 	// zero if it equals Capacity.
 	Full model.Resources `json:",omitzero"`
 	// Health is set if the worker is on probation.
-	Health *WorkerHealth `json:",omitempty"`
+	Health *workerhealth.Record `json:",omitempty"`
 	// LeaseLeft is the maximum time until the leases there end, from the moment of
 	// writing; negative if they have ended. It is nil if leases may be renewed, so
 	// that their end is not bounded.
@@ -157,8 +158,8 @@
 func (m *Machine) rosterStatusOf(w *worker) rosterStatus {
 	status := m.startStatusOf(w)
 	status.failures, status.slow, status.unproven = 0, w.speed.slow, w.speed.unproven
-	if w.health.isOnProbation(m.now) {
-		status.failures = w.health.failures
+	if w.health.IsOnProbation(m.now) {
+		status.failures = w.health.Failures()
 	}
 	return status
 }
@@ -292,7 +293,7 @@
 		if w.ended && w.attempts.Len() == 0 {
 			continue
 		}
-		l := rosterLine{worker: w, status: statusOf(w), entry: RosterEntry{WorkerEntry: w.entry, Health: w.health.handoverRecord(m.now)}}
+		l := rosterLine{worker: w, status: statusOf(w), entry: RosterEntry{WorkerEntry: w.entry, Health: w.health.Record(m.now)}}
 		if w.full != w.entry.Capacity {
 			l.entry.Full = w.full
 		}
--- a/core/jobsched/stall.go
+++ b/core/jobsched/stall.go
@@ -25,7 +25,7 @@
 		m.noteHoldingAttempts(w)
 		for _, a := range w.attempts.All() {
 			if a.phase == phaseRunning && w.unreachableSince.IsZero() && a.showsLife() {
-				w.health.recordSurvival(a.startedAt, m.now)
+				w.health.RecordSurvival(a.startedAt, m.now)
 			}
 			if m.isStalled(a) {
 				m.stopStalledAttempt(a)
--- a/core/jobsched/suspectworker.go
+++ b/core/jobsched/suspectworker.go
@@ -1,6 +1,7 @@
 package jobsched
 
 import (
+	"github.com/guavarill/guavarill/core/workerhealth"
 	"slices"
 	"time"
 )
@@ -22,7 +23,7 @@
 func (m *Machine) suspectWorker(a *attempt) {
 	p := &a.step().pace
 	if p.lastOutside(a.worker).After(a.lastAdvance()) && contradicts(p.sum.perPercent(), a.pace.stood) {
-		a.worker.health.recordFailure(m.now)
+		a.worker.health.RecordFailure(m.now)
 		return
 	}
 	p.suspects = slices.DeleteFunc(p.suspects, func(s suspectWorker) bool { return !s.counts(m.now) })
@@ -36,7 +37,9 @@
 }
 
 // counts reports whether a failure of that time still counts against the worker.
-func (s *suspectWorker) counts(now time.Time) bool { return now.Sub(s.at) <= failureRetention }
+func (s *suspectWorker) counts(now time.Time) bool {
+	return now.Sub(s.at) <= workerhealth.FailureRetention
+}
 
 // judgeSuspects decides on the step's suspects after an attempt on the given worker has
 // advanced.
@@ -46,7 +49,7 @@
 			return false
 		}
 		if suspect.counts(m.now) && contradicts(perPercent, suspect.stood) {
-			suspect.worker.health.recordFailure(m.now)
+			suspect.worker.health.RecordFailure(m.now)
 		}
 		return true
 	})
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -6,6 +6,7 @@
 
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/ordered"
+	"github.com/guavarill/guavarill/core/workerhealth"
 )
 
 // worker is the machine's state of one incarnation of a worker.
@@ -92,7 +93,7 @@
 	noStartsUntil time.Time
 	// reserved holds the reservations of room on the worker.
 	reserved []reservation
-	health   health
+	health   workerhealth.Health
 	throttle throttleState
 	tails    tailCache
 	speed    workerSpeed
@@ -206,5 +207,5 @@
 func (w *worker) isUsable(now time.Time) bool {
 	allowed := w.listed && w.onRoster && !w.closed && !w.bounded && !w.entry.Draining && !w.ended && !w.isContested()
 	healthy := w.answered && w.unreachableSince.IsZero() && !w.clockAt.IsZero() && len(w.unackedEnds) < maxUnackedEnds
-	return allowed && healthy && !now.Before(w.noStartsUntil) && w.health.isAvailable(now)
+	return allowed && healthy && !now.Before(w.noStartsUntil) && w.health.IsAvailable(now)
 }
