Workers with short tasks are asked sooner for ends beside unacknowledged ones

Cause: a worker with ends that wait to be stored tells later ones only when it is asked again, after 0.2 s, or once they are acknowledged. A step waits for the last of its 13 tasks, each on a worker of its own, so that it waits for most of that time wherever a quarter of the workers has such ends.

TestEndIsToldBesideUnacknowledgedOnes: up to 185 ms before, 114 allowed.

Tried and taken back (trials): to ask when the next end is expected from its progress.

--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -16,8 +16,11 @@
 	// has no lease to renew.
 	idleInterval = 2 * time.Second
 	// unackedEndsInterval is the time between calls while ends wait to be stored: a
-	// worker with unacknowledged ends answers without delay.
-	unackedEndsInterval = 200 * time.Millisecond
+	// worker with unacknowledged ends answers without delay. It is
+	// unackedShortEndsInterval on workers with short tasks that have processors
+	// committed to them: the next steps of urgent jobs wait for their ends.
+	unackedEndsInterval      = 200 * time.Millisecond
+	unackedShortEndsInterval = 100 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay between calls to an
 	// unreachable worker.
 	minRetryDelay = 100 * time.Millisecond
@@ -139,13 +142,22 @@
 func (m *Machine) nextRenewal(w *worker) time.Time {
 	switch {
 	case w.lastSeenEnd > w.lastAckedEnd:
-		return m.now.Add(unackedEndsInterval)
+		return m.now.Add(w.unackedEndsInterval())
 	case w.attempts.Len() == 0:
 		return m.now.Add(idleInterval)
 	}
 	return m.now
 }
 
+// unackedEndsInterval returns the time between calls while ends of the worker wait to be
+// stored.
+func (w *worker) unackedEndsInterval() time.Duration {
+	if w.committed.MilliCPU > w.longRunningCPU {
+		return unackedShortEndsInterval
+	}
+	return unackedEndsInterval
+}
+
 // depose ends the machine after a worker has seen a later leader.
 func (m *Machine) depose(w *worker) {
 	if m.deposed {
