--- a/core/jobsched/busyleader_test.go
+++ b/core/jobsched/busyleader_test.go
@@ -31,17 +31,14 @@
 	l := newSlowLeader(c.t)
 	scaled := func(d time.Duration) time.Duration { return time.Duration(float64(d) / cores) }
 	l.checkCost, l.eventCost, l.startCost, l.pause = scaled(checkTime), scaled(eventTime), scaled(startTime), stepPause
-	c.machine.options.OnPart = func(p Part) {
-		l.spent += scaled(partCosts[p])
-		l.parts[p] += scaled(partCosts[p])
-	}
+	c.machine.options.OnPart = func(p Part) { l.spent += scaled(partCosts[p]) }
 	c.machine.options.RoundBudget = int(DefaultRoundBudget * cores)
 	c.machine.options.StartsInFlight = int(DefaultStartsInFlight * cores)
 	c.machine.options.LearnBudget = int(DefaultLearnBudget * cores)
 	return l
 }
 
-// urgentAndBatch submits the load of a large cluster: urgent jobs of one or two steps, and
+// urgentAndBatch submits the load of a large cluster: urgent jobs of one to four steps, and
 // batch jobs whose tasks use the processors that serving tasks leave.
 type urgentAndBatch struct {
 	c      *cluster
--- a/core/jobsched/renew.go
+++ b/core/jobsched/renew.go
@@ -142,16 +142,15 @@
 func (m *Machine) nextRenewal(w *worker) time.Time {
 	switch {
 	case w.lastSeenEnd > w.lastAckedEnd:
-		return m.now.Add(w.unackedEndsInterval())
+		return m.now.Add(w.endsInterval())
 	case w.attempts.Len() == 0:
 		return m.now.Add(idleInterval)
 	}
 	return m.now
 }
 
-// unackedEndsInterval returns the time between calls while ends of the worker wait to be
-// stored.
-func (w *worker) unackedEndsInterval() time.Duration {
+// endsInterval returns the time between calls while ends of the worker wait to be stored.
+func (w *worker) endsInterval() time.Duration {
 	if w.committed.MilliCPU > w.longRunningCPU {
 		return unackedShortEndsInterval
 	}
--- a/core/jobsched/slowleader_test.go
+++ b/core/jobsched/slowleader_test.go
@@ -18,9 +18,8 @@
 	waiting               []Event
 	// checkCost, eventCost and startCost are the times of a check of a worker for a
 	// task, an event and a start, pause that between two steps. spent is what else this
-	// step has taken.
+	// step has taken, total what all steps have.
 	checkCost, eventCost, startCost, pause, spent time.Duration
-	parts                                         [NumParts]time.Duration
 	steps                                         int
 	total                                         time.Duration
 }
