jobservice: the load of an interval is a type of its own

It was reset field by field. A test's processor times stand once, and a comment of the worker's health loses its story. Behaviour and bounds stay.

--- a/core/jobsched/busyleader_test.go
+++ b/core/jobsched/busyleader_test.go
@@ -17,7 +17,9 @@
 }
 
 const (
-	// eventTime is what an event takes, with what the connection to its worker needs.
+	// eventTime, startTime and checkTime are what an event, a start and a check of a
+	// worker for a task take on a whole core; an event with what the connection to its
+	// worker needs.
 	eventTime = 25 * time.Microsecond
 	startTime = 12 * time.Microsecond
 	checkTime = 320 * time.Nanosecond
--- a/core/jobsched/slowleader_test.go
+++ b/core/jobsched/slowleader_test.go
@@ -25,9 +25,9 @@
 }
 
 const (
-	// checkCost is the time of a check of a worker for a task: 0.32 us of a core,
-	// measured over rounds of 600 waiting gangs, on a leader with a fifth of a core.
-	checkCost = 1600 * time.Nanosecond
+	// checkCost is the time of a check of a worker for a task on a leader with a fifth
+	// of a core.
+	checkCost = 5 * checkTime
 	// leaderBatch is how many events the daemon handles before it advances the
 	// machine.
 	leaderBatch = 1024
--- a/core/workerhealth/health.go
+++ b/core/workerhealth/health.go
@@ -24,7 +24,7 @@
 	// themselves, so that two in a row are rare on a healthy worker.
 	QuarantineAfter = 2
 	// firstQuarantine is the length of the first quarantine; it doubles up to
-	// maxQuarantine. Faulty workers in the users' reports recover after 4 to 8 s.
+	// maxQuarantine. Faulty workers recover after 4 to 8 s.
 	firstQuarantine = 2 * time.Second
 	maxQuarantine   = 8 * time.Second
 	// probationRunTime is how long an attempt must have run since the last failure
--- a/jobservice/commitoutcome_test.go
+++ b/jobservice/commitoutcome_test.go
@@ -25,10 +25,10 @@
 	term.commitOutcomes <- newQueuedEvent(committedAt{revision: 7})
 	handledBefore := -1
 	term.drain(func(queuedEvent) bool {
-		handledBefore = term.load.events
+		handledBefore = term.load.load.events
 		return false
 	})
-	if handledBefore != 0 || term.load.events != reports {
-		t.Errorf("the outcome of a commit was handled after %d of %d reports, want before any", handledBefore, term.load.events)
+	if handledBefore != 0 || term.load.load.events != reports {
+		t.Errorf("the outcome of a commit was handled after %d of %d reports, want before any", handledBefore, term.load.load.events)
 	}
 }
--- a/jobservice/loadmonitor.go
+++ b/jobservice/loadmonitor.go
@@ -46,14 +46,19 @@
 	// present is the part that began at since.
 	present jobsched.Part
 	since   time.Time
-	// times and what follows are those since the last line, at loggedAt.
-	times         [numParts]time.Duration
-	steps, events int
-	longestWait   time.Duration
-	// commits counts the commits, mostUnstored is the most jobs with changes that waited
-	// to be stored at the end of a step.
-	commits, mostUnstored int
-	loggedAt              time.Time
+	// load is that since the last line, at loggedAt.
+	load     leaderLoad
+	loggedAt time.Time
+}
+
+// leaderLoad is the load of the leader in an interval.
+type leaderLoad struct {
+	times                  [numParts]time.Duration
+	steps, events, commits int
+	// longestWait is the longest wait of an event, mostUnstored the most jobs with
+	// changes that waited to be stored at the end of a step.
+	longestWait  time.Duration
+	mostUnstored int
 }
 
 func newLoadMonitor(m *Metrics) *loadMonitor {
@@ -74,7 +79,7 @@
 	now := l.now()
 	if !l.since.IsZero() {
 		passed := now.Sub(l.since)
-		l.times[l.present] += passed
+		l.load.times[l.present] += passed
 		l.counters[l.present].Add(passed.Seconds())
 	}
 	l.present, l.since = p, now
@@ -82,20 +87,20 @@
 
 // recordEvent counts an event that has waited for the control goroutine for so long.
 func (l *loadMonitor) recordEvent(waited time.Duration) {
-	l.events++
+	l.load.events++
 	l.eventWait.Observe(waited.Seconds())
-	l.longestWait = max(l.longestWait, waited)
+	l.load.longestWait = max(l.load.longestWait, waited)
 }
 
 // recordCommit counts a commit.
-func (l *loadMonitor) recordCommit() { l.commits++ }
+func (l *loadMonitor) recordCommit() { l.load.commits++ }
 
 // recordStep counts a step, after which the changes of so many jobs wait to be stored and
 // so many workers tell ends that they may not forget yet. It logs the load each
 // loadInterval.
 func (l *loadMonitor) recordStep(unstored, unacked int) {
-	l.steps++
-	l.mostUnstored = max(l.mostUnstored, unstored)
+	l.load.steps++
+	l.load.mostUnstored = max(l.load.mostUnstored, unstored)
 	l.begin(partIdle)
 	passed := l.since.Sub(l.loggedAt)
 	if passed < loadInterval {
@@ -103,19 +108,19 @@
 	}
 	if !l.loggedAt.IsZero() {
 		l.log.WithFields(logrus.Fields{
-			"busyPercent": int(100 * float64(passed-l.times[partIdle]) / float64(passed)), "ms": l.describe(),
-			"steps": l.steps, "events": l.events, "longestWait": l.longestWait.Round(time.Millisecond).String(),
-			"commits": l.commits, "jobsUnstored": l.mostUnstored, "workersUnacknowledged": unacked,
+			"busyPercent": int(100 * float64(passed-l.load.times[partIdle]) / float64(passed)), "ms": l.describe(),
+			"steps": l.load.steps, "events": l.load.events, "longestWait": l.load.longestWait.Round(time.Millisecond).String(),
+			"commits": l.load.commits, "jobsUnstored": l.load.mostUnstored, "workersUnacknowledged": unacked,
 		}).Info(joblog.MessageLeaderLoad)
 	}
-	l.times, l.steps, l.events, l.longestWait, l.commits, l.mostUnstored, l.loggedAt = [numParts]time.Duration{}, 0, 0, 0, 0, 0, l.since
+	l.load, l.loggedAt = leaderLoad{}, l.since
 }
 
 // describe lists the milliseconds of each part.
 func (l *loadMonitor) describe() string {
 	parts := make([]string, 0, numParts)
 	for p := range numParts {
-		if ms := l.times[p].Milliseconds(); ms > 0 && p != partIdle {
+		if ms := l.load.times[p].Milliseconds(); ms > 0 && p != partIdle {
 			parts = append(parts, fmt.Sprintf("%s %d", partName(p), ms))
 		}
 	}
