--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,6 +26,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*rig){
 	"unsized": unsizedTasks,
+	"counts":  largeCounts,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
