--- a/review/rig/audit.go
+++ b/review/rig/audit.go
@@ -14,11 +14,13 @@
 	mu      sync.Mutex
 	running map[string][]*taskRun
 	noticed map[string]time.Time
+	// lastEnd is when the last run of each task has ended.
+	lastEnd map[string]time.Time
 	broken  []string
 }
 
 func newAudit(r *rig) *audit {
-	return &audit{rig: r, running: make(map[string][]*taskRun), noticed: make(map[string]time.Time)}
+	return &audit{rig: r, running: make(map[string][]*taskRun), noticed: make(map[string]time.Time), lastEnd: make(map[string]time.Time)}
 }
 
 // breaks records that a rule is broken.
@@ -69,10 +71,18 @@
 		}
 	}
 	a.running[run.task] = rest
+	a.lastEnd[run.task] = time.Now()
 	a.mu.Unlock()
 	a.rig.note("worker %s ends %s run %d: %s", run.worker.id, run.task, run.number, how)
 }
 
+// runs reports whether a task runs, and when its last run has ended.
+func (a *audit) runs(task string) (bool, time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.running[task]) > 0, a.lastEnd[task]
+}
+
 // noted records that an end was taken note of.
 func (a *audit) noted(task string, run int, how, worker string) {
 	a.rig.note("the end of %s run %d on %s is taken note of", task, run, worker)
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -16,8 +16,10 @@
 	Count       int   `json:"count"`
 	CPU         int   `json:"cpu,omitempty"`
 	MemMB       int   `json:"memMb,omitempty"`
+	GPUs        int   `json:"gpus,omitempty"`
 	EstimatedMs int   `json:"estimatedMs,omitempty"`
 	After       []int `json:"after,omitempty"`
+	LongRunning bool  `json:"longRunning,omitempty"`
 }
 
 // clientJob is a job as its client knows it.
@@ -33,7 +35,7 @@
 // newJob makes a job for a queue. Its specification tells how the tasks of each step behave.
 func (r *rig) newJob(q queue, steps []step, specs []taskSpec) *clientJob {
 	for i, s := range steps {
-		specs[i].Need = capacity{CPU: s.CPU, MemMB: s.MemMB}
+		specs[i].Need = capacity{CPU: s.CPU, MemMB: s.MemMB, GPUs: s.GPUs}
 	}
 	text, err := json.Marshal(specs)
 	r.must(err)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,8 @@
 var cases = map[string]func(*rig){
 	"unsized": unsizedTasks,
 	"counts":  largeCounts,
+	"flap":    flappingWorker,
+	"crash":   crashingWorker,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -30,7 +31,7 @@
 // taskSpec is how the tasks of one step behave. The specification of a job is a JSON list
 // of them, one for each step: a worker learns of a task no more than that text.
 type taskSpec struct {
-	// Ms is how long a run of the first task takes.
+	// Ms is how long a run of the first task takes; 0 if it lasts until it is stopped.
 	Ms int `json:"ms"`
 	// StaggerMs is how much longer a run of each task takes than one of the task before.
 	StaggerMs int      `json:"staggerMs,omitempty"`
@@ -40,7 +41,9 @@
 // worker is one boot of a worker. It follows the pages: leases, fencing tokens, run
 // numbers, numbered ends, admission by capacity.
 type worker struct {
-	id       string
+	id string
+	// machine is the machine of which the worker is one life.
+	machine  string
 	rig      *rig
 	room     capacity
 	labels   []string
@@ -57,6 +60,8 @@
 	ends   []taskEnd
 	number int64
 	ended  chan struct{}
+	// down is set once the worker has crashed.
+	down bool
 }
 
 type taskRun struct {
@@ -84,10 +89,15 @@
 
 // startWorker starts a worker and enters it in the store.
 func (r *rig) startWorker(id string, room capacity, labels ...string) *worker {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return r.startWorkerAt("127.0.0.1:0", "m-"+id, id, room, labels...)
+}
+
+// startWorkerAt starts a life of a machine at an address.
+func (r *rig) startWorkerAt(address, machine, id string, room capacity, labels ...string) *worker {
+	l, err := net.Listen("tcp", address)
 	r.must(err)
 	w := &worker{
-		id: id, rig: r, room: room, labels: labels, listener: l, began: time.Now(),
+		id: id, machine: machine, rig: r, room: room, labels: labels, listener: l, began: time.Now(),
 		runs: make(map[string]*taskRun), barred: make(map[string]int), ended: make(chan struct{}),
 	}
 	w.server = &http.Server{Handler: w}
@@ -95,12 +105,36 @@
 	r.workers = append(r.workers, w)
 	r.store.Put("servers/"+id, map[string]any{
 		"service": poolName, "address": l.Addr().String(), "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready",
-		"coldRemainingMs": 0, "clockMs": w.clock(), "sequence": 1, "capacity": room, "labels": labels, "machine": "m-" + id,
+		"coldRemainingMs": 0, "clockMs": w.clock(), "sequence": 1, "capacity": room, "labels": labels, "machine": machine,
 	})
 	r.note("worker %s is up at %s", id, l.Addr())
 	return w
 }
 
+// entrySilence is after how long without a sign of life the entry of a worker is removed:
+// three ping intervals.
+const entrySilence = 4500 * time.Millisecond
+
+// crash ends the worker and all that it runs without a word. Its entry stays for a while.
+func (w *worker) crash() {
+	w.mu.Lock()
+	w.down = true
+	for _, run := range w.runs {
+		run.timer.Stop()
+		w.rig.audit.ended(run, "lost with its worker")
+	}
+	w.runs = nil
+	w.mu.Unlock()
+	_ = w.server.Close()
+	w.rig.note("worker %s has crashed", w.id)
+	time.AfterFunc(entrySilence, func() { w.rig.store.Delete("servers/" + w.id) })
+}
+
+// reboot starts the next life of the worker's machine, with another id at the same address.
+func (w *worker) reboot(id string) *worker {
+	return w.rig.startWorkerAt(w.listener.Addr().String(), w.machine, id, w.room, w.labels...)
+}
+
 // order is the body of every call to a worker.
 type order struct {
 	Task          string `json:"task"`
@@ -186,7 +220,7 @@
 func (w *worker) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if time.Now().Before(w.lease) {
+	if w.down || time.Now().Before(w.lease) {
 		return
 	}
 	for i := range w.ends {
@@ -210,6 +244,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	answer := reply{ClockMs: w.clock()}
+	if w.down {
+		return http.StatusServiceUnavailable, answer
+	}
 	if !w.admit(o.FencingToken) {
 		answer.Reason = "fence"
 		return http.StatusConflict, answer
@@ -240,10 +277,14 @@
 	run := &taskRun{worker: w, task: o.Task, number: o.Run, spec: spec, began: time.Now()}
 	w.runs[o.Task] = run
 	w.rig.audit.started(run, o)
-	run.timer = time.AfterFunc(time.Duration(spec.Ms)*time.Millisecond, func() { w.finish(run, "done") })
+	life := time.Duration(spec.Ms) * time.Millisecond
+	run.timer = time.AfterFunc(cmp.Or(life, forever), func() { w.finish(run, "done") })
 	return http.StatusOK, answer
 }
 
+// forever is longer than any case.
+const forever = time.Hour
+
 // specOf returns how the task of a start behaves.
 func specOf(o order) (taskSpec, error) {
 	var specs []taskSpec
@@ -352,7 +393,10 @@
 func (w *worker) report() reply {
 	answer := reply{ClockMs: w.clock()}
 	for task, run := range w.runs {
-		percent := min(int(time.Since(run.began).Milliseconds())*100/run.spec.Ms, 99)
+		percent := 100
+		if run.spec.Ms > 0 {
+			percent = min(int(time.Since(run.began).Milliseconds())*100/run.spec.Ms, 99)
+		}
 		answer.Running = append(answer.Running, []any{task, run.number, "", percent, run.spec.Need.CPU})
 	}
 	for _, e := range w.ends[:min(len(w.ends), 500)] {
