review: case 8, a job under an id that another queue has used is lost

Callers would see: a job is answered with 200 and told as completed at once, while none of its tasks has run; the state is that of a job of another queue with the same id.

Nothing is fixed here.

--- a/review/rig/audit.go
+++ b/review/rig/audit.go
@@ -16,11 +16,13 @@
 	noticed map[string]time.Time
 	// lastEnd is when the last run of each task has ended.
 	lastEnd map[string]time.Time
-	broken  []string
+	// startsWith counts the starts by their specification.
+	startsWith map[string]int
+	broken     []string
 }
 
 func newAudit(r *rig) *audit {
-	return &audit{rig: r, running: make(map[string][]*taskRun), noticed: make(map[string]time.Time), lastEnd: make(map[string]time.Time)}
+	return &audit{rig: r, running: make(map[string][]*taskRun), noticed: make(map[string]time.Time), lastEnd: make(map[string]time.Time), startsWith: make(map[string]int)}
 }
 
 // breaks records that a rule is broken.
@@ -43,6 +45,7 @@
 	a.mu.Lock()
 	others := append([]*taskRun(nil), a.running[run.task]...)
 	a.running[run.task] = append(a.running[run.task], run)
+	a.startsWith[o.Specification]++
 	noticed, settled := a.noticed[run.task]
 	a.mu.Unlock()
 	a.rig.note("worker %s starts %s run %d (token %d)", run.worker.id, run.task, run.number, o.FencingToken)
@@ -83,6 +86,13 @@
 	return len(a.running[task]) > 0, a.lastEnd[task]
 }
 
+// startedWith returns how many starts had a specification.
+func (a *audit) startedWith(specification string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.startsWith[specification]
+}
+
 // noted records that an end was taken note of.
 func (a *audit) noted(task string, run int, how, worker string) {
 	a.rig.note("the end of %s run %d on %s is taken note of", task, run, worker)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,6 +29,7 @@
 	"counts":  largeCounts,
 	"flap":    flappingWorker,
 	"crash":   crashingWorker,
+	"sameid":  sameID,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
