--- a/review/rig/daemon.go
+++ b/review/rig/daemon.go
@@ -54,7 +54,9 @@
 	d.file = filepath.Join(r.dir, d.name+".yaml")
 	d.log = filepath.Join(r.dir, d.name+".log")
 	r.must(os.WriteFile(d.file, []byte(d.settings(r.storeAddress)), 0o600))
+	r.startMu.Lock()
 	r.daemons = append(r.daemons, d)
+	r.startMu.Unlock()
 	return d
 }
 
@@ -113,10 +115,15 @@
 `, d.name, d.ip, d.ip, d.ip, store)
 }
 
-// start starts the process.
+// start starts the process, unless the case is over.
 func (d *daemon) start() {
 	command, err := deployCommand()
 	d.rig.must(err)
+	d.rig.startMu.Lock()
+	defer d.rig.startMu.Unlock()
+	if d.rig.closed {
+		return
+	}
 	log, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	d.rig.must(err)
 	defer log.Close()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -2,14 +2,16 @@
 // separate processes between stand-ins of the platform, of workers and of clients, and
 // disturbs them.
 //
-// Usage: rig CASE FOLDER, from the repository's root. The record is written to the folder.
-// With TROUBLE=0 in the environment nothing is disturbed. Exit codes: 0 if the rule held,
-// 1 if it was broken, 2 if the case could not run.
+// Usage: rig CASE RECORD, from the repository's root. RECORD is the file to which what was
+// sent, answered and run is written. With TROUBLE=0 in the environment nothing is disturbed.
+// Exit codes: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 package main
 
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -36,41 +38,49 @@
 
 func play(args []string) (code int) {
 	if len(args) != 2 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		return exitNotRun
 	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
 	r, err := newRig(args[1])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
+	// All processes are ended whatever ends the case.
 	defer r.close()
-	defer func() {
-		if failure, ok := recover().(rigFailure); ok {
-			r.note("the case could not run: %v", failure.err)
-			fmt.Fprintln(os.Stderr, "the case could not run:", failure.err)
-			code = exitNotRun
-		}
-	}()
 	finished := make(chan any, 1)
 	go func() {
 		defer func() { finished <- recover() }()
 		cases[args[0]](r)
 	}()
+	var failure any
 	select {
-	case failure := <-finished:
-		if failure != nil {
-			panic(failure)
-		}
+	case failure = <-finished:
+	case s := <-interrupted:
+		failure = rigFailure{fmt.Errorf("ended by the signal %v", s)}
 	case <-time.After(limit):
-		panic(rigFailure{fmt.Errorf("not finished within %s", limit)})
+		failure = rigFailure{fmt.Errorf("not finished within %s", limit)}
+	}
+	if failure != nil {
+		r.note("the case could not run: %v", failure)
+		fmt.Fprintln(os.Stderr, "the case could not run:", failure)
+		return exitNotRun
 	}
-	for _, text := range r.audit.brokenRules() {
+	return verdict(r)
+}
+
+// verdict prints what was broken, and returns the exit code.
+func verdict(r *rig) int {
+	broken := r.audit.brokenRules()
+	for _, text := range broken {
 		fmt.Println("BROKEN", text)
-		code = exitBroken
 	}
-	if code == exitHeld {
-		fmt.Println("held")
+	if len(broken) > 0 {
+		return exitBroken
 	}
-	return code
+	r.note("held")
+	fmt.Println("held")
+	return exitHeld
 }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -31,14 +30,17 @@
 	workers      []*worker
 	daemons      []*daemon
 
+	// startMu is held while a daemon is added or started. closed is set once none may be.
+	startMu  sync.Mutex
+	closed   bool
 	recordMu sync.Mutex
 	mu       sync.Mutex
 	jobs     map[string]*clientJob
 }
 
-// newRig starts a platform without workers and daemons. Its record is written to a folder.
-func newRig(folder string) (*rig, error) {
-	record, err := os.Create(filepath.Join(folder, "record.txt"))
+// newRig starts a platform without workers and daemons. Its record is written to a file.
+func newRig(file string) (*rig, error) {
+	record, err := os.Create(file)
 	if err != nil {
 		return nil, err
 	}
@@ -72,6 +74,9 @@
 // rigFailure is the panic with which a case ends that cannot run.
 type rigFailure struct{ err error }
 
+// String returns the reason.
+func (f rigFailure) String() string { return f.err.Error() }
+
 // must ends the case if there is an error.
 func (r *rig) must(err error) {
 	if err != nil {
@@ -141,7 +146,11 @@
 
 // close ends all that the case has started.
 func (r *rig) close() {
-	for _, d := range r.daemons {
+	r.startMu.Lock()
+	r.closed = true
+	daemons := r.daemons
+	r.startMu.Unlock()
+	for _, d := range daemons {
 		d.kill()
 	}
 	for _, w := range r.workers {
