core/jobsched: a class of work counts its attempts on a worker, not only their sizes

The entry was removed when its sum reached zero. Tasks without a size leave the sum at zero, so the first end removed the entry and the second found none: index out of range [-1] in removeClassUse. Best-effort tasks, gangs and reservations were ruled out: best-effort tasks have no class, and reserved room is not counted here.

The entry counts its attempts and goes with the last one, whatever they take. A lookup that tolerates a missing entry would have left the sum of a sized attempt of the same class out of the account.

--- a/core/jobsched/clusterchecks_test.go
+++ b/core/jobsched/clusterchecks_test.go
@@ -141,6 +141,7 @@
 			reclaimable = reclaimable.Add(a.size)
 		}
 	}
+	c.checkClassUses(w)
 	if expected != w.expectedCPU {
 		c.t.Errorf("%s: %s expects its best-effort attempts to use %dm, but they add up to %dm", c.now.Sub(testEpoch), w.id, w.expectedCPU, expected)
 	}
@@ -149,3 +150,22 @@
 			c.now.Sub(testEpoch), w.id, w.committed, w.reclaimable, committed, reclaimable)
 	}
 }
+
+// checkClassUses checks the attempts and the room that a worker counts for each class.
+func (c *cluster) checkClassUses(w *worker) {
+	uses := make(map[*roomClass]classUse)
+	for _, a := range w.attempts.All() {
+		if a.class != nil {
+			u := uses[a.class]
+			uses[a.class] = classUse{class: a.class, attempts: u.attempts + 1, size: u.size.Add(a.size)}
+		}
+	}
+	if len(uses) != len(w.classUses) {
+		c.t.Errorf("%s: %s counts %d classes, its attempts have %d", c.now.Sub(testEpoch), w.id, len(w.classUses), len(uses))
+	}
+	for _, u := range w.classUses {
+		if u != uses[u.class] {
+			c.t.Errorf("%s: %s counts %v for a class, its attempts have %v", c.now.Sub(testEpoch), w.id, u, uses[u.class])
+		}
+	}
+}
--- a/core/jobsched/roomclass.go
+++ b/core/jobsched/roomclass.go
@@ -62,10 +62,12 @@
 	return c
 }
 
-// classUse is the room that the attempts of a class take on one worker.
+// classUse is the room that the attempts of a class take on one worker. The size is zero
+// if none of their tasks requests anything.
 type classUse struct {
-	class *roomClass
-	size  model.Resources
+	class    *roomClass
+	attempts int
+	size     model.Resources
 }
 
 // addClassUse counts the attempt's size for its class.
@@ -75,9 +77,10 @@
 	}
 	i := slices.IndexFunc(w.classUses, func(u classUse) bool { return u.class == a.class })
 	if i < 0 {
-		w.classUses = append(w.classUses, classUse{class: a.class, size: a.size})
-		return
+		i = len(w.classUses)
+		w.classUses = append(w.classUses, classUse{class: a.class})
 	}
+	w.classUses[i].attempts++
 	w.classUses[i].size = w.classUses[i].size.Add(a.size)
 }
 
@@ -87,8 +90,9 @@
 		return
 	}
 	i := slices.IndexFunc(w.classUses, func(u classUse) bool { return u.class == a.class })
+	w.classUses[i].attempts--
 	w.classUses[i].size = w.classUses[i].size.Sub(a.size)
-	if w.classUses[i].size == (model.Resources{}) {
+	if w.classUses[i].attempts == 0 {
 		w.classUses = slices.Delete(w.classUses, i, i+1)
 	}
 }
