adapter/jobapi: a record that cannot be read is answered with 504, not 400

What callers saw: the stored record of a job that was accepted cannot be read, and each GET and DELETE is answered with "invalid" (400), as if the request were wrong.

Cause: the error "not known" wraps the reason why the record cannot be read, which is an invalid field. The answer went by the first type that was found, and looked for the inner one first. An uncertain outcome now goes first, whatever its cause.

Before: TestUnreadableRecordIsNotTheCallersFault: 400 invalid, want 504 and uncertain.

--- a/adapter/jobapi/messages.go
+++ b/adapter/jobapi/messages.go
@@ -128,11 +128,15 @@
 	var unavailable *jobservice.UnavailableError
 	var infeasible *job.InfeasibleError
 	var unstorable *job.UnstorableError
+	var uncertain *jobservice.UncertainError
 	var stale *jobservice.StaleSummaryError
 	var follower *jobservice.NotLeadingError
 	var overloaded *jobservice.OverloadedError
 	var routing *echo.HTTPError
 	switch {
+	case errors.As(err, &uncertain):
+		// Its cause may be of any of the other types.
+		return http.StatusGatewayTimeout, ProblemUncertain
 	case errors.As(err, &overloaded):
 		return http.StatusTooManyRequests, ProblemOverloaded
 	case errors.As(err, &invalid):
