core/job: estimates, due times and settings of queues are in range before they are added

What callers would see: a job whose estimates are the largest number has an objective in the past or in the far future, which decides its order and whether it is rejected; an occurrence whose due time wraps begins at once (ORDER); a gang with a very large bound on tasks of a worker is refused as one that no worker can run.

Cause: arithmetic in 64 bits on what callers and operators send, of any size and sign. They don't rule a job out: a task with a wrong estimate can be carried out. A due time is calculated so that it cannot wrap.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -206,6 +206,7 @@
 	if err := a.check(); err != nil {
 		return nil, &RecordError{Kind: kindAccepted, Cause: err}
 	}
+	a.bound()
 	return a, nil
 }
 
--- a/core/job/spec.go
+++ b/core/job/spec.go
@@ -49,8 +49,16 @@
 	Repetitions int `json:"repetitions"`
 }
 
-// Due returns when repetition k is due, counted from 0.
+// Due returns when repetition k is due, counted from 0. A time before 1970 or after the
+// year 9999 counts as the nearest time in between.
 func (s *Schedule) Due(k int) time.Time {
+	due := float64(s.StartMs) + float64(k)*float64(s.IntervalMs)
+	switch {
+	case due < 0:
+		return time.UnixMilli(0)
+	case due > maxTimeMs:
+		return time.UnixMilli(maxTimeMs)
+	}
 	return time.UnixMilli(s.StartMs + int64(k)*s.IntervalMs)
 }
 
--- a/core/jobsched/waitingorder.go
+++ b/core/jobsched/waitingorder.go
@@ -73,7 +73,7 @@
 // allowanceMs returns how long a job of the queue with the given critical path may
 // take, in milliseconds.
 func allowanceMs(q *job.Queue, criticalPathMs int64) int64 {
-	return int64(q.Stretch*float64(criticalPathMs)) + q.LatencyTargetMs
+	return int64(min(q.Stretch*float64(criticalPathMs)+float64(q.LatencyTargetMs), job.MaxAllowanceMs))
 }
 
 // objectiveMs returns the time by which the occurrence should be done, as Unix time in
--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -96,7 +96,8 @@
 )
 
 // Submit validates a job and stores it for a queue, as the queue is defined in a
-// version of the configuration. The error is a *job.InvalidError, a
+// version of the configuration. It bounds the estimates of spec. The error is a
+// *job.InvalidError, a
 // *job.UnstorableError for a job whose progress could not be stored, a
 // *job.InfeasibleError for one that no worker could ever run, an *OverloadedError for
 // one that could not be served in time, or one of accept's.
@@ -108,6 +109,7 @@
 	if err := spec.Check(); err != nil {
 		return err
 	}
+	spec.Bound()
 	if err := in.checkServable(ctx, id, spec, q); err != nil {
 		return err
 	}
