core/job: each count of a job is checked, and a stored job beyond the limits ends

Cause: Spec.Check compared the sum of the counts with MaxTasks, and no count by itself; the sum wraps, to -2 here, to 4 for four counts of 2^62+1. The size of the largest record followed from the same sum. newStep then made a slice of that many tasks. Once the record is stored each next leader reads it. gpus had no limit at all.

CheckLimits looks at each count before it adds it, and at gpus. It is not a part of what makes a record readable: an earlier version has stored such jobs and answered 200. They are queued, can be canceled, and the next leader ends them as failed with the limit in its log; before, the record would have been answered with 504 for ever and nobody could have canceled it. Nothing of such a job can have run: leaders ended as they took it in.

A declaration beyond a limit gets 503 now, as one that no worker can run; one that has no meaning (no tasks, a cycle) still 400. Both answers are given only once no acceptance of an earlier submission of that id can succeed.

--- a/adapter/jobapi/messages.go
+++ b/adapter/jobapi/messages.go
@@ -32,8 +32,8 @@
 	ProblemUnknownQueue ProblemKind = "unknown queue"
 	// ProblemNotDone: the request was not carried out and will not be.
 	ProblemNotDone ProblemKind = "not done"
-	// ProblemUnservable: the job was not accepted, because none of the present workers
-	// could ever run it.
+	// ProblemUnservable: the job was not accepted, because it exceeds a limit, or none of
+	// the present workers could ever run it.
 	ProblemUnservable ProblemKind = "unservable"
 	// ProblemOverloaded: the job was not accepted, because it could not be served in time.
 	// It may be submitted again after the time in the Retry-After header.
@@ -98,8 +98,8 @@
 	// It is short because outages of the store last seconds, and because other daemons
 	// may serve the request at once.
 	defaultRetryAfter = "1"
-	// infeasibleRetryAfter is the same for a job that cannot be stored, or that no worker
-	// can run, because larger workers are not added within seconds.
+	// infeasibleRetryAfter is the same for a job that exceeds a limit, that cannot be stored,
+	// or that no worker can run, because larger workers are not added within seconds.
 	infeasibleRetryAfter = "60"
 )
 
@@ -108,11 +108,12 @@
 func RetryAfterSeconds(err error) string {
 	var infeasible *job.InfeasibleError
 	var unstorable *job.UnstorableError
+	var limit *job.LimitError
 	var overloaded *jobservice.OverloadedError
 	if errors.As(err, &overloaded) {
 		return strconv.Itoa(int(overloaded.Decision.RetryAfter.Seconds()))
 	}
-	if errors.As(err, &infeasible) || errors.As(err, &unstorable) {
+	if errors.As(err, &infeasible) || errors.As(err, &unstorable) || errors.As(err, &limit) {
 		return infeasibleRetryAfter
 	}
 	return defaultRetryAfter
@@ -128,6 +129,7 @@
 	var unavailable *jobservice.UnavailableError
 	var infeasible *job.InfeasibleError
 	var unstorable *job.UnstorableError
+	var limit *job.LimitError
 	var uncertain *jobservice.UncertainError
 	var stale *jobservice.StaleSummaryError
 	var follower *jobservice.NotLeadingError
@@ -149,7 +151,7 @@
 		return http.StatusNotFound, ProblemUnknownJob
 	case errors.As(err, &follower):
 		return http.StatusConflict, ProblemNotLeading
-	case errors.As(err, &infeasible), errors.As(err, &unstorable):
+	case errors.As(err, &infeasible), errors.As(err, &unstorable), errors.As(err, &limit):
 		return http.StatusServiceUnavailable, ProblemUnservable
 	case errors.As(err, &unavailable), errors.As(err, &stale):
 		return http.StatusServiceUnavailable, ProblemNotDone
--- a/adapter/jobapi/messages_test.go
+++ b/adapter/jobapi/messages_test.go
@@ -20,3 +20,16 @@
 		t.Errorf("%d %s, want 504 and %s", status, problem, ProblemUncertain)
 	}
 }
+
+// TestDeclarationBeyondTheLimitsIsNotAccepted guards against an answer that does not tell
+// callers that their job never runs.
+func TestDeclarationBeyondTheLimitsIsNotAccepted(t *testing.T) {
+	refusal := (&job.Spec{Steps: []job.Step{{Count: job.MaxTasks + 1}}}).CheckLimits()
+	status, problem := ProblemOf(refusal)
+	if status != http.StatusServiceUnavailable || problem != ProblemUnservable {
+		t.Errorf("%d %s, want 503 and %s", status, problem, ProblemUnservable)
+	}
+	if after := RetryAfterSeconds(refusal); after != infeasibleRetryAfter {
+		t.Errorf("Retry-After %s, want %s", after, infeasibleRetryAfter)
+	}
+}
--- a/cli/jobcommands.go
+++ b/cli/jobcommands.go
@@ -67,7 +67,7 @@
 }
 
 // readJob reads a job's declaration from a JSON file and validates it with the
-// same check as the daemons.
+// same checks as the daemons.
 func readJob(path string) (*job.Spec, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -77,8 +77,10 @@
 	if err := json.Unmarshal(text, spec); err != nil {
 		return nil, &Error{Code: ExitRefused, Text: path, Cause: err}
 	}
-	if err := spec.Check(); err != nil {
-		return nil, &Error{Code: ExitRefused, Text: path, Cause: err}
+	for _, check := range []func() error{spec.Check, spec.CheckLimits} {
+		if err := check(); err != nil {
+			return nil, &Error{Code: ExitRefused, Text: path, Cause: err}
+		}
 	}
 	return spec, nil
 }
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -197,7 +197,8 @@
 
 // DecodeAccepted decodes the record of an accepted job. It returns a
 // *RecordError if the data cannot be decoded or describes a job that cannot have
-// been accepted, for example because another writer has changed parts of it.
+// been accepted, for example because another writer has changed parts of it. A job that
+// an earlier version accepted may exceed the limits of Spec.CheckLimits.
 func DecodeAccepted(data []byte) (*Accepted, error) {
 	a := new(Accepted)
 	if err := DecodeRecord(kindAccepted, data, a); err != nil {
--- a/core/job/spec.go
+++ b/core/job/spec.go
@@ -2,23 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/guavarill/guavarill/core/model"
 )
 
-// The limits of a declaration. They bound the memory that one job can take in a
-// daemon. The users' largest jobs have 5 steps of 36 tasks.
-const (
-	MaxPayloadBytes = 4000
-	MaxSteps        = 256
-	MaxTasks        = 20000
-	// maxMilliCPU and maxMemoryMB exceed the capacity of any available VM type.
-	maxMilliCPU = 1024 * 1000
-	maxMemoryMB = 64 * 1024 * 1024
-)
-
 // InvalidError reports an invalid field of a declaration or a stored record.
 // Reason completes a sentence that begins with Field.
 type InvalidError struct {
@@ -123,23 +113,20 @@
 	return slices.ContainsFunc(s.Steps, func(step Step) bool { return step.LongRunning })
 }
 
-// Check returns an *InvalidError for the first invalid field of the declaration.
+// Check returns an *InvalidError for the first field of the declaration whose value has no
+// meaning. A declaration that it accepts may exceed what guavarill carries out, see
+// CheckLimits.
 func (s *Spec) Check() error {
 	if len(s.Payload) > MaxPayloadBytes {
 		return &InvalidError{Field: "payload", Reason: fmt.Sprintf("must have at most %d bytes", MaxPayloadBytes)}
 	}
-	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+	if len(s.Steps) == 0 {
 		return &InvalidError{Field: "steps", Reason: fmt.Sprintf("must be 1 to %d", MaxSteps)}
 	}
-	tasks := 0
 	for i := range s.Steps {
 		if err := s.Steps[i].check(i); err != nil {
 			return err
 		}
-		tasks += s.Steps[i].Count
-	}
-	if tasks > MaxTasks {
-		return &InvalidError{Field: "steps", Reason: fmt.Sprintf("must have at most %d tasks together", MaxTasks)}
 	}
 	if s.Schedule != nil && (s.Schedule.Repetitions < 1 || s.Schedule.IntervalMs < 0) {
 		return &InvalidError{Field: "schedule", Reason: "must repeat at least once and forwards in time"}
@@ -150,25 +137,25 @@
 // check returns an *InvalidError if the step, which has number i, is not valid.
 // A step may only depend on steps with lower numbers, which rules out cycles.
 func (s *Step) check(i int) error {
-	field := fmt.Sprintf("steps[%d]", i)
 	switch size := s.Size; {
 	case s.Count < 1:
-		return &InvalidError{Field: field + ".count", Reason: "must be at least 1"}
+		return &InvalidError{Field: stepField(i, "count"), Reason: "must be at least 1"}
 	case size.MilliCPU < 0 || size.MemoryMB < 0 || size.Accelerators < 0:
-		return &InvalidError{Field: field + ".size", Reason: "must not be negative"}
-	case size.MilliCPU > maxMilliCPU || size.MemoryMB > maxMemoryMB:
-		return &InvalidError{Field: field + ".size", Reason: "is larger than any worker"}
+		return &InvalidError{Field: stepField(i, "size"), Reason: "must not be negative"}
 	case s.MaxPerWorker < 0 || s.MaxUnavailable < 0:
-		return &InvalidError{Field: field, Reason: "must not have negative bounds"}
+		return &InvalidError{Field: stepField(i, "bounds"), Reason: "must not be negative"}
 	}
 	for _, earlier := range s.After {
 		if earlier < 0 || earlier >= i {
-			return &InvalidError{Field: field + ".after", Reason: "must name earlier steps"}
+			return &InvalidError{Field: stepField(i, "after"), Reason: "must name earlier steps"}
 		}
 	}
 	return nil
 }
 
+// stepField returns the name of a field of step i in errors.
+func stepField(i int, name string) string { return fmt.Sprintf("steps[%d].%s", i, name) }
+
 // CriticalPathMs returns the length of the critical path in milliseconds: the
 // largest sum of the estimates of steps that depend on one another.
 func (s *Spec) CriticalPathMs() int64 {
@@ -198,12 +185,12 @@
 	return float64(max(s.EstimateMs, 1)) * float64(max(s.Size.MilliCPU, 1))
 }
 
-// Work returns the number of tasks of one repetition, and their estimated work in
-// thousandths of a core times milliseconds.
+// Work returns the number of tasks of one repetition, at most math.MaxInt32, and their
+// estimated work in thousandths of a core times milliseconds.
 func (s *Spec) Work() (tasks int, work float64) {
 	for i := range s.Steps {
 		step := &s.Steps[i]
-		tasks += step.Count
+		tasks = min(tasks+min(step.Count, math.MaxInt32), math.MaxInt32)
 		work += float64(step.Count) * step.TaskWork()
 	}
 	return tasks, work
--- a/core/jobsched/forecast.go
+++ b/core/jobsched/forecast.go
@@ -74,7 +74,7 @@
 // measureArrival counts a job that was accepted just now.
 func (m *Machine) measureArrival(j *jobState) {
 	spec, q := &j.record.Spec, m.queue(j)
-	if !m.options.Policies.RejectHopeless || spec.UntilCanceled() || spec.Schedule != nil {
+	if !m.options.Policies.RejectHopeless || j.state.Final() || spec.UntilCanceled() || spec.Schedule != nil {
 		return
 	}
 	_, work := spec.Work()
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -23,10 +23,11 @@
 	j := m.jobs.Get(ev.ID)
 	if j == nil {
 		j = m.addJob(ev.ID, ev.Record)
-		m.measureArrival(j)
 		m.emit(Note{Decision: joblog.MessageJobTakenIn, Job: ev.ID, Lag: m.since(ev.Record.AcceptedAtMs), Reason: fmt.Sprintf(
 			"queue %s, accepted %s ago under configuration %d", ev.Record.Queue.Name,
 			m.age(j), ev.Record.ConfigVersion)})
+		m.concludeIfBeyondLimits(j)
+		m.measureArrival(j)
 	}
 	if ev.Record.Canceled && !j.state.Final() {
 		m.cancel(j, ev.Record)
@@ -36,16 +37,35 @@
 
 func (m *Machine) addJob(id job.ID, record *job.Accepted) *jobState {
 	j := &jobState{id: id, record: record, takenInAt: m.now, state: job.Queued, occurrences: make(map[int]*occurrence)}
-	j.openLimit = record.Spec.OpenOccurrences(record.Queue.MaxAttempts)
 	m.jobs.Set(id, j)
 	return j
 }
 
+// concludeIfBeyondLimits ends a job that exceeds the limits of a declaration, which an
+// earlier version may have accepted: it can never be carried out. For any other job it
+// determines how many occurrences may be open.
+func (m *Machine) concludeIfBeyondLimits(j *jobState) {
+	spec := &j.record.Spec
+	err := spec.CheckLimits()
+	switch {
+	case err == nil:
+		j.openLimit = spec.OpenOccurrences(j.record.Queue.MaxAttempts)
+	case j.record.Canceled:
+		m.cancel(j, j.record)
+	default:
+		m.conclude(j, job.Failed, "it can never be carried out: "+err.Error(), 0)
+	}
+}
+
 // recoverJob adds a job in the state that an earlier leader recorded. progress is
 // nil if no progress was recorded.
 func (m *Machine) recoverJob(id job.ID, record *job.Accepted, progress *job.Progress) {
 	j := m.addJob(id, record)
 	j.recovered = true
+	m.concludeIfBeyondLimits(j)
+	if j.state.Final() {
+		return
+	}
 	if progress != nil {
 		j.state = progress.State
 		j.begun = progress.State == job.Running
--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -97,7 +97,7 @@
 
 // Submit validates a job and stores it for a queue, as the queue is defined in a
 // version of the configuration. It bounds the estimates of spec. The error is a
-// *job.InvalidError, a
+// *job.InvalidError, a *job.LimitError for a job that exceeds a limit of guavarill, a
 // *job.UnstorableError for a job whose progress could not be stored, a
 // *job.InfeasibleError for one that no worker could ever run, an *OverloadedError for
 // one that could not be served in time, or one of accept's.
@@ -107,7 +107,7 @@
 		return &UncertainError{Cause: &SuspendedError{Length: length}}
 	}
 	if err := spec.Check(); err != nil {
-		return err
+		return in.Refuse(ctx, id, err)
 	}
 	spec.Bound()
 	if err := in.checkServable(ctx, id, spec, q); err != nil {
@@ -121,11 +121,14 @@
 	})
 }
 
-// checkServable rejects a job whose progress could not be stored or that no worker
-// could ever run, unless the job was accepted before: then the caller has to learn that
+// checkServable rejects a job that exceeds a limit, whose progress could not be stored or
+// that no worker could ever run, unless the job was accepted before: then the caller has to learn that
 // it was.
 func (in *Intake) checkServable(ctx context.Context, id job.ID, spec *job.Spec, q *job.Queue) error {
-	refusal := spec.CheckRecord(q.MaxAttempts)
+	refusal := spec.CheckLimits()
+	if refusal == nil {
+		refusal = spec.CheckRecord(q.MaxAttempts)
+	}
 	if refusal == nil {
 		refusal = in.fleet.check(ctx, in.store, in.clock.Now(), q.Service, spec)
 	}
