jobservice: a job is known at its own queue only

Cause: checkAccepted took any record under the id, also a final one, for an acceptance of the job that was submitted; State and Cancel did not look at the queue.

What is stored of a job tells its queue by a fingerprint of fixed length, since records are bounded in size. The name, or host and prefix, have to agree, so that a queue that a configuration renames or moves keeps its jobs. Records of earlier versions match any queue, as before.

--- a/adapter/jobapi/messages.go
+++ b/adapter/jobapi/messages.go
@@ -32,8 +32,8 @@
 	ProblemUnknownQueue ProblemKind = "unknown queue"
 	// ProblemNotDone: the request was not carried out and will not be.
 	ProblemNotDone ProblemKind = "not done"
-	// ProblemUnservable: the job was not accepted, because it exceeds a limit, or none of
-	// the present workers could ever run it.
+	// ProblemUnservable: the job was not accepted, because it exceeds a limit, none of the
+	// present workers could ever run it, or a job of another queue has its id.
 	ProblemUnservable ProblemKind = "unservable"
 	// ProblemOverloaded: the job was not accepted, because it could not be served in time.
 	// It may be submitted again after the time in the Retry-After header.
@@ -99,7 +99,7 @@
 	// may serve the request at once.
 	defaultRetryAfter = "1"
 	// infeasibleRetryAfter is the same for a job that exceeds a limit, that cannot be stored,
-	// or that no worker can run, because larger workers are not added within seconds.
+	// that no worker can run or whose id is taken: that does not change within seconds.
 	infeasibleRetryAfter = "60"
 )
 
@@ -109,11 +109,12 @@
 	var infeasible *job.InfeasibleError
 	var unstorable *job.UnstorableError
 	var limit *job.LimitError
+	var taken *jobservice.IDTakenError
 	var overloaded *jobservice.OverloadedError
 	if errors.As(err, &overloaded) {
 		return strconv.Itoa(int(overloaded.Decision.RetryAfter.Seconds()))
 	}
-	if errors.As(err, &infeasible) || errors.As(err, &unstorable) || errors.As(err, &limit) {
+	if errors.As(err, &infeasible) || errors.As(err, &unstorable) || errors.As(err, &limit) || errors.As(err, &taken) {
 		return infeasibleRetryAfter
 	}
 	return defaultRetryAfter
@@ -130,6 +131,7 @@
 	var infeasible *job.InfeasibleError
 	var unstorable *job.UnstorableError
 	var limit *job.LimitError
+	var taken *jobservice.IDTakenError
 	var uncertain *jobservice.UncertainError
 	var stale *jobservice.StaleSummaryError
 	var follower *jobservice.NotLeadingError
@@ -151,7 +153,7 @@
 		return http.StatusNotFound, ProblemUnknownJob
 	case errors.As(err, &follower):
 		return http.StatusConflict, ProblemNotLeading
-	case errors.As(err, &infeasible), errors.As(err, &unstorable), errors.As(err, &limit):
+	case errors.As(err, &infeasible), errors.As(err, &unstorable), errors.As(err, &limit), errors.As(err, &taken):
 		return http.StatusServiceUnavailable, ProblemUnservable
 	case errors.As(err, &unavailable), errors.As(err, &stale):
 		return http.StatusServiceUnavailable, ProblemNotDone
--- a/adapter/jobapi/server.go
+++ b/adapter/jobapi/server.go
@@ -105,7 +105,7 @@
 	if !errors.As(err, &unavailable) {
 		return err
 	}
-	if err := s.o.Intake.Refuse(c.Request().Context(), id, err); err != nil {
+	if err := s.o.Intake.Refuse(c.Request().Context(), nil, id, err); err != nil {
 		return err
 	}
 	return c.JSON(http.StatusOK, JobState{ID: id, State: job.Queued})
@@ -156,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	state, err := s.o.Intake.State(c.Request().Context(), id)
+	state, err := s.o.Intake.State(c.Request().Context(), nil, id)
 	if err != nil {
 		return err
 	}
@@ -168,7 +168,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.o.Intake.Cancel(c.Request().Context(), id); err != nil {
+	if err := s.o.Intake.Cancel(c.Request().Context(), nil, id); err != nil {
 		return err
 	}
 	s.log.WithField("job", id).Info(joblog.MessageCancelRequested)
--- a/core/job/queue.go
+++ b/core/job/queue.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"fmt"
+	"hash/fnv"
 	"strings"
 	"time"
 )
@@ -28,6 +30,37 @@
 	Advised bool `json:"advised,omitempty"`
 }
 
+// QueueFingerprint identifies the queue of a job in the record of its progress. It has a
+// fixed length, as the size of a record is bounded. It is empty in records of earlier
+// versions.
+type QueueFingerprint string
+
+// Fingerprint returns the queue's fingerprint: a hash of its name, and one of its host and
+// prefix.
+func (q *Queue) Fingerprint() QueueFingerprint {
+	return QueueFingerprint(hashOf(q.Name) + hashOf(strings.ToLower(q.Host)+" "+q.Prefix))
+}
+
+// hashLength is the number of digits that hashOf returns.
+const hashLength = 8
+
+func hashOf(text string) string {
+	h := fnv.New32a()
+	h.Write([]byte(text))
+	return fmt.Sprintf("%0*x", hashLength, h.Sum32())
+}
+
+// Matches reports whether the fingerprint may be that of the queue: the name is the same,
+// or callers reach it by the same host and prefix, one of which a configuration may have
+// changed since.
+func (f QueueFingerprint) Matches(q *Queue) bool {
+	if len(f) != 2*hashLength {
+		return true
+	}
+	own := q.Fingerprint()
+	return f[:hashLength] == own[:hashLength] || f[hashLength:] == own[hashLength:]
+}
+
 // Service is a pool of workers.
 type Service struct {
 	Name string
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -60,6 +60,8 @@
 // job's state is final.
 type Progress struct {
 	State State `json:"state"`
+	// Queue identifies the job's queue. Jobs of different queues do not share an id.
+	Queue QueueFingerprint `json:"queue,omitempty"`
 	// FinalAtMs is when the job reached its final state, by the leader's clock,
 	// as Unix time in milliseconds; 0 if the state is not final or the time is
 	// unknown.
--- a/core/job/recordsize.go
+++ b/core/job/recordsize.go
@@ -58,7 +58,7 @@
 	// have room in it.
 	stepBytes = len(`{"done":"","tasks":{}},`) + 64
 	// fixedBytes is a record without occurrences and restarts of open ones.
-	fixedBytes = len(encode(Progress{State: Completed, FinalAtMs: math.MaxInt64, Begun: math.MaxInt})) +
+	fixedBytes = len(encode(Progress{State: Completed, Queue: (&Queue{}).Fingerprint(), FinalAtMs: math.MaxInt64, Begun: math.MaxInt})) +
 		len(`,"occurrences":{},"restarts":{}`) + maxListedDone*doneBytes + MaxDoneRestarts*restartBytes
 )
 
--- a/core/job/recordsize_test.go
+++ b/core/job/recordsize_test.go
@@ -55,7 +55,7 @@
 // largestRecord returns a record in which every task of every occurrence that may be
 // open has had all the trouble that can be recorded.
 func largestRecord(rnd *rand.Rand, spec *Spec, maxAttempts int) *Progress {
-	p := &Progress{State: Running, Occurrences: make(map[int]OccurrenceProgress), Restarts: make(Restarts)}
+	p := &Progress{State: Running, Queue: (&Queue{Name: "q"}).Fingerprint(), Occurrences: make(map[int]OccurrenceProgress), Restarts: make(Restarts)}
 	const id = "0123456789abcdef"
 	open, done := 1, 0
 	if spec.Schedule != nil {
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -303,7 +303,7 @@
 
 // progress returns the job's progress without its restarts.
 func (j *jobState) progress() *job.Progress {
-	p := &job.Progress{State: j.state}
+	p := &job.Progress{State: j.state, Queue: j.record.Queue.Fingerprint()}
 	if j.state.Final() {
 		p.FinalAtMs = j.overAtMs
 		return p
--- a/jobservice/damage_test.go
+++ b/jobservice/damage_test.go
@@ -201,7 +201,7 @@
 func (d *deployment) awaitCompleted(id job.ID) {
 	d.t.Helper()
 	d.eventually("job "+string(id)+" completed", func() bool {
-		state, err := d.intake.State(d.t.Context(), id)
+		state, err := d.intake.State(d.t.Context(), nil, id)
 		return err == nil && state == job.Completed
 	})
 }
@@ -313,10 +313,10 @@
 func (d *deployment) checkUncertain(key string) {
 	d.t.Helper()
 	ctx, q := d.t.Context(), testQueue()
-	_, state := d.intake.State(ctx, damagedJob)
+	_, state := d.intake.State(ctx, nil, damagedJob)
 	answers := map[string]error{"state": state, "hand in": d.intake.Submit(ctx, damagedJob, testSpec(), &q, 1)}
 	if key == acceptedKey(damagedJob) {
-		answers["cancel"] = d.intake.Cancel(ctx, damagedJob)
+		answers["cancel"] = d.intake.Cancel(ctx, nil, damagedJob)
 	}
 	for call, err := range answers {
 		var uncertain *UncertainError
@@ -335,11 +335,11 @@
 	d.store.write(port.Op{Key: progressKey(damagedJob), Value: []byte("7")})
 	d.lead()
 	d.awaitCompleted(intactJob)
-	if err := d.intake.Cancel(t.Context(), damagedJob); err != nil {
+	if err := d.intake.Cancel(t.Context(), nil, damagedJob); err != nil {
 		t.Fatal(err)
 	}
 	d.eventually("canceled", func() bool {
-		state, err := d.intake.State(t.Context(), damagedJob)
+		state, err := d.intake.State(t.Context(), nil, damagedJob)
 		return err == nil && state == job.Canceled
 	})
 	if n := d.worker.startsOf(damagedJob); n != 0 {
--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -100,14 +100,15 @@
 // *job.InvalidError, a *job.LimitError for a job that exceeds a limit of guavarill, a
 // *job.UnstorableError for a job whose progress could not be stored, a
 // *job.InfeasibleError for one that no worker could ever run, an *OverloadedError for
-// one that could not be served in time, or one of accept's.
+// one that could not be served in time, an *IDTakenError for one whose id a job of another
+// queue has, or one of accept's.
 func (in *Intake) Submit(ctx context.Context, id job.ID, spec *job.Spec, q *job.Queue, configVersion uint64) error {
 	arrived := in.arrive()
 	if length := in.suspensions.last(arrived.at); length > 0 {
 		return &UncertainError{Cause: &SuspendedError{Length: length}}
 	}
 	if err := spec.Check(); err != nil {
-		return in.Refuse(ctx, id, err)
+		return in.Refuse(ctx, q, id, err)
 	}
 	spec.Bound()
 	if err := in.checkServable(ctx, id, spec, q); err != nil {
@@ -135,14 +136,15 @@
 	if refusal == nil {
 		return nil
 	}
-	return in.Refuse(ctx, id, refusal)
+	return in.Refuse(ctx, q, id, refusal)
 }
 
 // Refuse returns the answer to a submission that is refused: refusal once no acceptance
 // of the job that is under way can succeed any more, nil if the job was accepted before,
 // and an *UncertainError if neither is certain. An earlier submission that got no
-// response may otherwise be accepted after its caller was told that the job never runs.
-func (in *Intake) Refuse(ctx context.Context, id job.ID, refusal error) error {
+// response may otherwise be accepted after its caller was told that the job never runs. q is
+// nil if the job's queue is not known; with it, a job of another queue does not count.
+func (in *Intake) Refuse(ctx context.Context, q *job.Queue, id job.ID, refusal error) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	ruledOut, err := in.ruleOutAcceptance(ctx, id)
@@ -152,7 +154,11 @@
 	case ruledOut:
 		return refusal
 	}
-	return in.checkAccepted(ctx, id)
+	var taken *IDTakenError
+	if err := in.checkAccepted(ctx, q, id); !errors.As(err, &taken) {
+		return err
+	}
+	return refusal
 }
 
 // AcceptedFields returns the fields of the log line about an accepted job.
@@ -213,7 +219,7 @@
 		case err != nil:
 			return err
 		case rejected == 0:
-			return in.checkAccepted(ctx, id)
+			return in.checkAccepted(ctx, &record.Queue, id)
 		case rejected > arrived.revision:
 			return rejectedMeanwhile(record.Queue.Name)
 		}
@@ -226,30 +232,39 @@
 // another one, by a job that has ended since, or by a cancel that came before. It
 // returns an *UncertainError if a record under the id cannot be decoded, because it is
 // then unknown whether the job will run, and a caller who is told that it was accepted
-// would not submit it again.
-func (in *Intake) checkAccepted(ctx context.Context, id job.ID) error {
+// would not submit it again. It returns an *IDTakenError if the id is that of a job of
+// another queue than q, which is nil if the queue is not known.
+func (in *Intake) checkAccepted(ctx context.Context, q *job.Queue, id job.ID) error {
 	progress, err := in.progress(ctx, id)
-	if err != nil || progress != nil && progress.State.Final() {
+	switch {
+	case err != nil:
 		return err
+	case progress != nil && progress.State.Final():
+		return checkID(id, progress.Queue, q)
 	}
 	accepted, _, err := in.accepted(ctx, id)
-	if err != nil || accepted != nil {
+	switch {
+	case err != nil:
 		return err
+	case accepted != nil:
+		return checkID(id, accepted.Queue.Fingerprint(), q)
 	}
 	return in.markSubmitted(ctx, id)
 }
 
-// State returns the state of a job. The error is an *UnknownJobError or an
-// *UncertainError.
-func (in *Intake) State(ctx context.Context, id job.ID) (job.State, error) {
+// State returns the state of a job of queue q, or of any queue if q is nil. The error is an
+// *UnknownJobError or an *UncertainError.
+func (in *Intake) State(ctx context.Context, q *job.Queue, id job.ID) (job.State, error) {
 	progress, err := in.progress(ctx, id)
 	if err != nil || progress != nil {
-		return stateOf(progress), err
+		return stateOf(progress, q, id, err)
 	}
 	accepted, _, err := in.accepted(ctx, id)
 	switch {
 	case err != nil:
 		return "", err
+	case accepted != nil && !isOf(accepted.Queue.Fingerprint(), q):
+		return "", &UnknownJobError{ID: id}
 	case accepted != nil && accepted.Canceled:
 		return job.Canceled, nil
 	case accepted != nil:
@@ -258,22 +273,27 @@
 	// The job may have started and ended between the two reads.
 	progress, err = in.progress(ctx, id)
 	if err != nil || progress != nil {
-		return stateOf(progress), err
+		return stateOf(progress, q, id, err)
 	}
 	return "", &UnknownJobError{ID: id}
 }
 
-func stateOf(p *job.Progress) job.State {
-	if p == nil {
-		return ""
+// stateOf returns the state in a progress record that was read with the given error.
+func stateOf(p *job.Progress, q *job.Queue, id job.ID, err error) (job.State, error) {
+	switch {
+	case err != nil:
+		return "", err
+	case !isOf(p.Queue, q):
+		return "", &UnknownJobError{ID: id}
 	}
-	return p.State
+	return p.State, nil
 }
 
-// Cancel marks a job as canceled. The error is an *UnknownJobError if there is no
-// such job or it has ended, an *UncertainError or an *UnavailableError. After an
-// *UnknownJobError no acceptance of the job that is under way succeeds any more.
-func (in *Intake) Cancel(ctx context.Context, id job.ID) error {
+// Cancel marks a job of queue q as canceled, or one of any queue if q is nil. The error is
+// an *UnknownJobError if there is no such job or it has ended, an *UncertainError or an
+// *UnavailableError. After an *UnknownJobError no acceptance of the job that is under way
+// succeeds any more.
+func (in *Intake) Cancel(ctx context.Context, q *job.Queue, id job.ID) error {
 	for {
 		accepted, revision, err := in.accepted(ctx, id)
 		switch {
@@ -288,6 +308,8 @@
 				return &UnknownJobError{ID: id}
 			}
 			continue
+		case !isOf(accepted.Queue.Fingerprint(), q):
+			return &UnknownJobError{ID: id}
 		case accepted.Canceled:
 			return nil
 		}
--- a/jobservice/lateorders_test.go
+++ b/jobservice/lateorders_test.go
@@ -186,7 +186,7 @@
 		if cancel {
 			ctx, end := context.WithTimeout(context.Background(), 3*time.Second)
 			defer end()
-			err = in.Cancel(ctx, lateJob)
+			err = in.Cancel(ctx, nil, lateJob)
 		} else {
 			err = submitWithObjective(context.Background(), in, lateJob)
 		}
--- a/jobservice/limits_test.go
+++ b/jobservice/limits_test.go
@@ -46,20 +46,20 @@
 			t.Parallel()
 			d, q := newDeployment(t), testQueue()
 			d.storeAsBefore(damagedJob, spec)
-			if state, err := d.intake.State(t.Context(), damagedJob); state != job.Queued || err != nil {
+			if state, err := d.intake.State(t.Context(), nil, damagedJob); state != job.Queued || err != nil {
 				t.Errorf("before a leader has seen it: %s, %v", state, err)
 			}
 			d.lead()
 			d.awaitCompleted(intactJob)
 			d.eventually("failed", func() bool {
-				state, err := d.intake.State(t.Context(), damagedJob)
+				state, err := d.intake.State(t.Context(), nil, damagedJob)
 				return state == job.Failed && err == nil
 			})
 			if err := d.intake.Submit(t.Context(), damagedJob, spec, &q, 1); err != nil {
 				t.Errorf("submitted again, though it was accepted: %v", err)
 			}
 			var unknown *UnknownJobError
-			if err := d.intake.Cancel(t.Context(), damagedJob); !errors.As(err, &unknown) {
+			if err := d.intake.Cancel(t.Context(), nil, damagedJob); !errors.As(err, &unknown) {
 				t.Errorf("canceled after its end: %v", err)
 			}
 			if n := d.unreadable(kindAccepted); n > 0 {
@@ -74,12 +74,12 @@
 	for name, spec := range beyondLimits() {
 		d := newDeployment(t)
 		d.storeAsBefore(damagedJob, spec)
-		if err := d.intake.Cancel(t.Context(), damagedJob); err != nil {
+		if err := d.intake.Cancel(t.Context(), nil, damagedJob); err != nil {
 			t.Errorf("%s: %v", name, err)
 		}
 		d.lead()
 		d.awaitCompleted(intactJob)
-		if state, err := d.intake.State(t.Context(), damagedJob); state != job.Canceled || err != nil {
+		if state, err := d.intake.State(t.Context(), nil, damagedJob); state != job.Canceled || err != nil {
 			t.Errorf("%s: %s, %v", name, state, err)
 		}
 	}
--- a/jobservice/overload_test.go
+++ b/jobservice/overload_test.go
@@ -80,7 +80,7 @@
 			t.Error("the late acceptance of the retry succeeded")
 		}
 	}
-	_, err := in.State(t.Context(), lateJob)
+	_, err := in.State(t.Context(), nil, lateJob)
 	wantUnknown(t, "state", err)
 }
 
@@ -99,7 +99,7 @@
 	if err := submitWithObjective(t.Context(), rejectingIntake(d.store), lateJob); err != nil {
 		t.Fatal(err)
 	}
-	if state, err := d.intake.State(t.Context(), lateJob); err != nil || state != job.Queued {
+	if state, err := d.intake.State(t.Context(), nil, lateJob); err != nil || state != job.Queued {
 		t.Errorf("state %q, %v", state, err)
 	}
 	if _, left := d.store.items[tombstoneKey(lateJob)]; left {
@@ -140,7 +140,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	wantUnknown(t, "cancel", in.Cancel(t.Context(), lateJob))
+	wantUnknown(t, "cancel", in.Cancel(t.Context(), nil, lateJob))
 	changes := []port.Op{{Key: acceptedKey(lateJob), Value: []byte("{}")}}
 	if result, err := store.Txn(t.Context(), unacceptedJob(lateJob, kv.ModRevision), changes); err != nil || result.Succeeded {
 		t.Errorf("the late acceptance: %+v, %v", result, err)
@@ -149,7 +149,7 @@
 	if err := submitWithObjective(t.Context(), in, lateJob); err != nil {
 		t.Fatal(err)
 	}
-	if state, err := in.State(t.Context(), lateJob); err != nil || state != job.Canceled {
+	if state, err := in.State(t.Context(), nil, lateJob); err != nil || state != job.Canceled {
 		t.Errorf("state %q, %v", state, err)
 	}
 }
@@ -307,6 +307,6 @@
 	earlier := &job.Accepted{Spec: *testSpec(), Queue: testQueue(), ConfigVersion: 1, AcceptedAtMs: arrived.wall.Add(time.Minute).UnixMilli()}
 	wantRejected(t, submitWithObjective(t.Context(), rejectingIntake(d.store), lateJob))
 	wantRejected(t, d.intake.accept(t.Context(), lateJob, arrived, earlier))
-	_, err := d.intake.State(t.Context(), lateJob)
+	_, err := d.intake.State(t.Context(), nil, lateJob)
 	wantUnknown(t, "state", err)
 }
--- a/jobservice/recordsize_test.go
+++ b/jobservice/recordsize_test.go
@@ -27,7 +27,7 @@
 	if !errors.As(err, &unstorable) {
 		t.Errorf("%v, want an UnstorableError", err)
 	}
-	if _, err := d.intake.State(t.Context(), damagedJob); err == nil {
+	if _, err := d.intake.State(t.Context(), nil, damagedJob); err == nil {
 		t.Error("the job is there")
 	}
 	record := job.Accepted{Spec: *spec, Queue: q, ConfigVersion: 1}
--- a/jobservice/refusal_test.go
+++ b/jobservice/refusal_test.go
@@ -72,16 +72,16 @@
 	store := newMemStore()
 	late := submitLate(t, store, lateJob)
 	stale := &UnavailableError{Cause: &StaleConfigurationError{Version: 1, Age: time.Minute}}
-	if err := newTestIntake(store).Refuse(t.Context(), lateJob, stale); err != stale {
+	if err := newTestIntake(store).Refuse(t.Context(), nil, lateJob, stale); err != stale {
 		t.Errorf("%v, want the refusal", err)
 	}
 	carryOutLate(t, late)
 	var uncertain *UncertainError
-	if err := newTestIntake(readOnlyStore{store}).Refuse(t.Context(), lateJob, stale); !errors.As(err, &uncertain) {
+	if err := newTestIntake(readOnlyStore{store}).Refuse(t.Context(), nil, lateJob, stale); !errors.As(err, &uncertain) {
 		t.Errorf("%v, want an UncertainError", err)
 	}
 	d := newDeployment(t)
-	if err := d.intake.Refuse(t.Context(), intactJob, stale); err != nil {
+	if err := d.intake.Refuse(t.Context(), nil, intactJob, stale); err != nil {
 		t.Errorf("a job that was accepted: %v", err)
 	}
 }
--- a/jobservice/refusedcommit_test.go
+++ b/jobservice/refusedcommit_test.go
@@ -48,7 +48,7 @@
 			d.lead(func(o *Options) { o.Store = &refusingStore{memStore: d.store, id: refusedJob, kind: kind} })
 			d.awaitCompleted(intactJob)
 			d.eventually("the job at fault failed", func() bool {
-				state, err := d.intake.State(t.Context(), refusedJob)
+				state, err := d.intake.State(t.Context(), nil, refusedJob)
 				return err == nil && state == job.Failed
 			})
 			d.submit(damagedJob)
--- a/jobservice/suspensions_test.go
+++ b/jobservice/suspensions_test.go
@@ -59,12 +59,12 @@
 	for name, meanwhile := range map[string]func(*memStore, *setClock){
 		"canceled": func(store *memStore, clock *setClock) {
 			in := intakeWithClock(store, clock)
-			wantUnknown(t, "cancel", in.Cancel(t.Context(), lateJob))
+			wantUnknown(t, "cancel", in.Cancel(t.Context(), nil, lateJob))
 		},
 		"refused": func(store *memStore, clock *setClock) {
 			in := intakeWithClock(store, clock)
 			refusal := &job.InfeasibleError{}
-			if err := in.Refuse(t.Context(), lateJob, refusal); err != refusal {
+			if err := in.Refuse(t.Context(), nil, lateJob, refusal); err != refusal {
 				t.Fatal(err)
 			}
 		},
--- a/jobservice/tombstone_test.go
+++ b/jobservice/tombstone_test.go
@@ -73,14 +73,14 @@
 func TestLateAcceptanceOfACanceledJobFails(t *testing.T) {
 	d := newDeployment(t)
 	late := submitLate(t, d.store, lateJob)
-	wantUnknown(t, "cancel", d.intake.Cancel(t.Context(), lateJob))
-	wantUnknown(t, "cancel again", d.intake.Cancel(t.Context(), lateJob))
+	wantUnknown(t, "cancel", d.intake.Cancel(t.Context(), nil, lateJob))
+	wantUnknown(t, "cancel again", d.intake.Cancel(t.Context(), nil, lateJob))
 	for _, carryOut := range late.held {
 		if carryOut().Succeeded {
 			t.Error("the late acceptance succeeded")
 		}
 	}
-	_, err := d.intake.State(t.Context(), lateJob)
+	_, err := d.intake.State(t.Context(), nil, lateJob)
 	wantUnknown(t, "state", err)
 	d.lead()
 	d.awaitCompleted(intactJob)
@@ -94,7 +94,7 @@
 func TestLateAcceptanceAfterATakeOverFails(t *testing.T) {
 	d := newDeployment(t)
 	late := submitLate(t, d.store, lateJob)
-	wantUnknown(t, "cancel", d.intake.Cancel(t.Context(), lateJob))
+	wantUnknown(t, "cancel", d.intake.Cancel(t.Context(), nil, lateJob))
 	d.lead()
 	d.awaitCompleted(intactJob)
 	for _, carryOut := range late.held {
@@ -102,7 +102,7 @@
 			t.Error("the late acceptance succeeded")
 		}
 	}
-	_, err := d.intake.State(t.Context(), lateJob)
+	_, err := d.intake.State(t.Context(), nil, lateJob)
 	wantUnknown(t, "state", err)
 }
 
@@ -110,16 +110,16 @@
 func TestSubmissionAfterACancelThatFoundNothing(t *testing.T) {
 	d := newDeployment(t)
 	d.lead()
-	wantUnknown(t, "cancel", d.intake.Cancel(t.Context(), lateJob))
+	wantUnknown(t, "cancel", d.intake.Cancel(t.Context(), nil, lateJob))
 	for range 2 {
 		if err := submitTo(t, d.intake, lateJob); err != nil {
 			t.Fatal(err)
 		}
-		if state, err := d.intake.State(t.Context(), lateJob); err != nil || state != job.Canceled {
+		if state, err := d.intake.State(t.Context(), nil, lateJob); err != nil || state != job.Canceled {
 			t.Errorf("state %q, %v, want %q", state, err, job.Canceled)
 		}
 	}
-	wantUnknown(t, "cancel again", d.intake.Cancel(t.Context(), lateJob))
+	wantUnknown(t, "cancel again", d.intake.Cancel(t.Context(), nil, lateJob))
 	d.awaitCompleted(intactJob)
 	if n := d.worker.startsOf(lateJob); n != 0 {
 		t.Errorf("%d tasks of the canceled job were started", n)
@@ -130,7 +130,7 @@
 // it.
 func TestSubmissionAfterAStateThatFoundNothing(t *testing.T) {
 	d := newDeployment(t)
-	_, err := d.intake.State(t.Context(), lateJob)
+	_, err := d.intake.State(t.Context(), nil, lateJob)
 	wantUnknown(t, "state", err)
 	d.submit(lateJob)
 	d.lead()
@@ -155,7 +155,7 @@
 			in := newTestIntake(store)
 			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 			defer cancel()
-			err := in.Cancel(ctx, lateJob)
+			err := in.Cancel(ctx, nil, lateJob)
 			var unknown *UnknownJobError
 			if err == nil || errors.As(err, &unknown) {
 				t.Errorf("cancel: %v, want an error that leaves the outcome open", err)
@@ -170,7 +170,7 @@
 	began, refused := time.Now(), 0
 	for n := range 20 * tombstoneBurst {
 		var busy *TooManyUnknownJobsError
-		if err := d.intake.Cancel(t.Context(), numberedJob(n)); errors.As(err, &busy) {
+		if err := d.intake.Cancel(t.Context(), nil, numberedJob(n)); errors.As(err, &busy) {
 			refused++
 		} else {
 			wantUnknown(t, "cancel", err)
@@ -187,7 +187,7 @@
 		t.Errorf("%d tombstones are stored, want at most %d", len(stored), most)
 	}
 	// A job that was accepted can be canceled all the same.
-	if err := d.intake.Cancel(t.Context(), intactJob); err != nil {
+	if err := d.intake.Cancel(t.Context(), nil, intactJob); err != nil {
 		t.Errorf("cancel of an accepted job: %v", err)
 	}
 }
@@ -215,7 +215,7 @@
 						callersDone.Go(func() {
 							id, end := numberedJob(d*callers+n), time.Now().Add(ackTime)
 							var unknown *UnknownJobError
-							for !errors.As(in.Cancel(t.Context(), id), &unknown) {
+							for !errors.As(in.Cancel(t.Context(), nil, id), &unknown) {
 								time.Sleep(repeatAfter)
 							}
 							if !time.Now().After(end) {
@@ -244,7 +244,7 @@
 			in := intakeWithClock(store, bubbleClock{})
 			in.ShareStoreWrites(writesPerSecond, func() int { return daemons })
 			for n := 0; ctx.Err() == nil; n++ {
-				if in.Cancel(ctx, numberedJob(d*1000+n)) == nil {
+				if in.Cancel(ctx, nil, numberedJob(d*1000+n)) == nil {
 					t.Fatal("an unknown job is canceled")
 				}
 				time.Sleep(duration / 1000)
@@ -308,7 +308,7 @@
 				store.write(op)
 			}
 			in := newTestIntake(store)
-			err := in.Cancel(t.Context(), lateJob)
+			err := in.Cancel(t.Context(), nil, lateJob)
 			if name != "accepted" {
 				wantUnknown(t, "cancel", err)
 			} else if err != nil {
--- a/jobservice/tombstones_test.go
+++ b/jobservice/tombstones_test.go
@@ -179,7 +179,7 @@
 func TestTombstoneOfASubmittedJob(t *testing.T) {
 	store, clock := newMemStore(), testClock()
 	in := NewIntake(store, clock, logsink.NewLogger(t.Output()), NewMetrics(prometheus.NewRegistry()))
-	wantUnknown(t, "cancel", in.Cancel(t.Context(), lateJob))
+	wantUnknown(t, "cancel", in.Cancel(t.Context(), nil, lateJob))
 	tt := newTombstoneTerm(t, store, clock)
 	tt.sweep()
 	clock.pass(testKeepFinal - time.Second)
@@ -189,7 +189,7 @@
 	tt.sweep()
 	clock.pass(testKeepFinal - time.Second)
 	tt.sweep()
-	if state, err := in.State(t.Context(), lateJob); err != nil || state != job.Canceled {
+	if state, err := in.State(t.Context(), nil, lateJob); err != nil || state != job.Canceled {
 		t.Errorf("state %q, %v, want %q", state, err, job.Canceled)
 	}
 	clock.pass(time.Second)
@@ -198,7 +198,7 @@
 	if err := submitTo(t, in, lateJob); err != nil {
 		t.Fatal(err)
 	}
-	if state, err := in.State(t.Context(), lateJob); err != nil || state != job.Queued {
+	if state, err := in.State(t.Context(), nil, lateJob); err != nil || state != job.Queued {
 		t.Errorf("a new job under the id: state %q, %v, want %q", state, err, job.Queued)
 	}
 }
@@ -279,11 +279,11 @@
 	clock := &setClock{now: time.Unix(1000, 0), wall: time.Unix(1_700_000_000, 0)}
 	store := newMemStore()
 	in, leader := intakeWithClock(store, clock), newTombstoneTerm(t, store, clock)
-	wantUnknown(t, "cancel", in.Cancel(t.Context(), lateJob))
+	wantUnknown(t, "cancel", in.Cancel(t.Context(), nil, lateJob))
 	leader.sweep()
 	clock.pass(testKeepFinal)
 	late := submitLate(t, store, lateJob)
-	wantUnknown(t, "cancel again", in.Cancel(t.Context(), lateJob))
+	wantUnknown(t, "cancel again", in.Cancel(t.Context(), nil, lateJob))
 	leader.sweep()
 	clock.pass(time.Second)
 	leader.sweep()
