core/jobsched: a long-running task runs again within 6 s, also after five crashes

Cause: crashPause, 10 s for each further trial after five crashes without another possible cause, counted from when the crash was noticed. The pause keeps a task that crashes its workers from taking one after the other; its length was our own. It is what the 6 s leave now, less what the trial's record and start take, and counted from when the worker was last heard, so that a crash which is noticed late is not paid for twice.

--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -17,10 +17,13 @@
 // workers end one after the other, each shortly after a start of the same task.
 
 const (
-	// crashPause is how long a long-running task waits for its next trial once it has
-	// crashes.Most crashes without another possible cause. It is never given up, and
-	// would otherwise crash one worker after the other.
-	crashPause = 10 * time.Second
+	// crashPause is how long after its last run a long-running task waits for its next
+	// trial once it has crashes.Most crashes without another possible cause. It is never
+	// given up, and would otherwise crash one worker after the other.
+	crashPause = maxLongRunningGap - trialStartTime - time.Second
+	// maxLongRunningGap is the time after its last run in which a long-running task is to
+	// run again where there is room.
+	maxLongRunningGap = 6 * time.Second
 	// stableRunTime is the run time after which the end of an attempt is not
 	// attributed to its start.
 	stableRunTime = crashes.StableRunTime
@@ -134,7 +137,16 @@
 		Attempt: a.key.attempt, ObservedRunMs: a.observedRunTimeMs(), Correlated: m.isMassCrash(a.step(), on),
 		Uncertain: a.startedAt.IsZero() && !a.inherited || leaves || a.mayHaveStartedElsewhere(on),
 		Shared:    a.isIsolatedTrial() && m.hadSharedTrial(on),
-	})
+	}, m.lastHeard(on))
+}
+
+// lastHeard returns when a worker was last heard. One that this leader has never heard, or
+// does not know, was heard before it took over.
+func (m *Machine) lastHeard(w *worker) time.Time {
+	if w == nil || w.lastReportAt.IsZero() {
+		return m.recoveredAt
+	}
+	return w.lastReportAt
 }
 
 // mayHaveStartedElsewhere reports whether another incarnation than the one that has
@@ -146,8 +158,8 @@
 
 // countCrash counts a worker crash against a task, once for each attempt, and fails
 // the job if there are too many. A long-running task has to be started again however
-// its attempts end.
-func (m *Machine) countCrash(t *task, c job.Crash) {
+// its attempts end. lastHeard is when the worker was.
+func (m *Machine) countCrash(t *task, c job.Crash, lastHeard time.Time) {
 	j := t.step.job()
 	if j.state.Final() || m.isCrashCounted(t, c) {
 		return
@@ -164,18 +176,19 @@
 	})
 	switch {
 	case t.step.spec.LongRunning:
-		m.pauseTrials(t)
+		m.pauseTrials(t, lastHeard)
 	case t.crashes.TooMany():
 		m.conclude(j, job.Failed, fmt.Sprintf("task %s crashes its workers: %s", t.key(), t.crashes), 0)
 	}
 }
 
 // pauseTrials delays the next trial of a long-running task that has crashed too many
-// workers. Only its last crashes.Most crashes are kept.
-func (m *Machine) pauseTrials(t *task) {
+// workers. It counts from when the last of them was heard, since its crash may be noticed
+// seconds later. Only the last crashes.Most crashes are kept.
+func (m *Machine) pauseTrials(t *task, lastHeard time.Time) {
 	t.crashes = t.crashes.Latest()
 	if t.crashes.Suspicious() >= crashes.Most {
-		t.trialsPausedUntil = m.now.Add(crashPause)
+		t.trialsPausedUntil = lastHeard.Add(crashPause)
 	}
 }
 
--- a/core/jobsched/crash_test.go
+++ b/core/jobsched/crash_test.go
@@ -278,3 +278,34 @@
 		t.Errorf("%d tasks run once none crashes its worker, want 2", n)
 	}
 }
+
+// TestLongRunningTaskRunsSoonAfterItsWorkerIsWell guards against a long-running task that
+// waits for seconds beside the one worker that may run it, which has crashed some times
+// and is well again.
+func TestLongRunningTaskRunsSoonAfterItsWorkerIsWell(t *testing.T) {
+	for _, down := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 4 * time.Second} {
+		t.Run(down.String(), func(t *testing.T) {
+			c := newCluster(t, 1, 3)
+			c.restartTime = down
+			only := c.addWorker(3)
+			only.entry.Labels = append(only.entry.Labels, "only")
+			c.run(600 * time.Millisecond)
+			spec := longRunning(1, 1000)
+			spec.Label = "only"
+			id := c.submit(1, "urgent", spec)
+			c.run(2 * time.Second)
+			for range 2 * crashes.Most {
+				crashedAt := c.now
+				c.restart(c.workers[c.firstWorkerOf(id)])
+				for c.runningOf(id) == 0 && c.now.Sub(crashedAt) < 30*time.Second {
+					c.tick()
+				}
+				// A worker that is back later than a task has to run again is waited for.
+				if took, most := c.now.Sub(crashedAt), max(maxLongRunningGap, down+3*time.Second); took > most {
+					t.Errorf("the task runs again %s after its last run, want %s", took, most)
+				}
+				c.run(2 * time.Second)
+			}
+		})
+	}
+}
--- a/core/jobsched/sharedtrial_test.go
+++ b/core/jobsched/sharedtrial_test.go
@@ -102,7 +102,7 @@
 		t.Fatalf("%d isolated trials are permitted after some passed, want 3 or more", n)
 	}
 	task := c.machine.task(job.TaskKey{Job: id, Index: 7})
-	c.machine.countCrash(task, job.Crash{Attempt: 3, Shared: true})
+	c.machine.countCrash(task, job.Crash{Attempt: 3, Shared: true}, c.now)
 	if n := c.machine.maxIsolatedTrials(); n != 1 {
 		t.Errorf("%d isolated trials are permitted after a worker crashed under one, want 1", n)
 	}
--- a/core/jobsched/trial.go
+++ b/core/jobsched/trial.go
@@ -100,7 +100,7 @@
 		m.countCrash(t, job.Crash{
 			Attempt: t.trial.number, ObservedRunMs: job.ObservedRunUnknown, Uncertain: !named,
 			Correlated: m.wasAmidMassCrash(t.step, w, named),
-		})
+		}, m.lastHeard(w))
 		return
 	}
 	t.trial = trial{}
