core/workerentry: the tracker of damaged entries leaves core/jobsched

The faults of entries in the platform's list of workers, and what became of them from one list to the next, had a state of their own in the machine, with one call in and one out. They are a package now; the machine tells it which workers it knows and turns what it returns into notes.

--- a/core/jobsched/cluster_test.go
+++ b/core/jobsched/cluster_test.go
@@ -10,6 +10,7 @@
 	"github.com/guavarill/guavarill/core/interference"
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/workerentry"
 )
 
 // cluster simulates workers, a store and callers around a Machine in virtual time,
@@ -151,7 +152,7 @@
 	// tails holds how many times as high as elsewhere the tails of images are; 0 means 1.
 	tails map[string]float64
 	// fault is the fault of its entry.
-	fault EntryFault
+	fault workerentry.Fault
 }
 
 // fakeEnd is an end that the worker keeps until it is acknowledged.
--- a/core/jobsched/entry.go
+++ b/core/jobsched/entry.go
@@ -3,83 +3,20 @@
 import (
 	"slices"
 
+	"github.com/guavarill/guavarill/core/joblog"
 	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/workerentry"
 )
 
-// EntryFault is the reason why an entry of the platform's list does not describe a
-// usable worker.
-type EntryFault int
-
-// The faults. Entries are written by workers and by anyone else with access to the
-// list, so every field is validated.
-const (
-	// EntryValid means that the entry has no fault.
-	EntryValid EntryFault = iota
-	// EntryUnreadable: the value is not a JSON object.
-	EntryUnreadable
-	// EntryWrongType: a field without a fault of its own has the wrong type.
-	EntryWrongType
-	// EntryIncomplete: a required field without a fault of its own is missing.
-	EntryIncomplete
-	// EntryBadID: the id is empty or cannot be sent in a header.
-	EntryBadID
-	EntryNoService
-	// EntryBadAddress: the address is not host:port.
-	EntryBadAddress
-	// EntryUnknownState: the state is neither that of an active worker nor that of
-	// a leaving one.
-	EntryUnknownState
-	// EntryNoCapacity: processor or memory is not positive, or the number of
-	// accelerators is negative.
-	EntryNoCapacity
-	// EntryNoLabels: there is no label, or one of them is empty.
-	EntryNoLabels
-	// EntryUnnamedService: the configuration does not contain the service.
-	EntryUnnamedService
-	// EntryNoStartTime: the start time is missing although workers in this cluster
-	// report it.
-	EntryNoStartTime
-)
-
-// entryFaultNames are the names in log lines and metrics.
-var entryFaultNames = [...]string{
-	"sound", "unreadable", "wrong type", "incomplete", "bad id", "no service", "bad address", "unknown state", "no capacity",
-	"no labels", "unnamed service", "no start",
-}
-
-// String returns the fault's name.
-func (f EntryFault) String() string {
-	if f < 0 || int(f) >= len(entryFaultNames) {
-		return "invalid fault"
-	}
-	return entryFaultNames[f]
-}
-
-// EntryFaults returns all faults, without EntryValid.
-func EntryFaults() []EntryFault {
-	faults := make([]EntryFault, 0, len(entryFaultNames)-1)
-	for f := EntryUnreadable; int(f) < len(entryFaultNames); f++ {
-		faults = append(faults, f)
-	}
-	return faults
-}
-
-// UnusableEntry is an entry of the platform's list that does not describe a usable
-// worker.
-type UnusableEntry struct {
-	ID    model.WorkerID
-	Fault EntryFault
-}
-
 // classifyEntries splits a list into usable and unusable entries. Entries that are
 // valid by themselves may still be unusable because of the configuration or of the
 // reports of other workers.
-func (m *Machine) classifyEntries(list WorkersListed) ([]WorkerEntry, []UnusableEntry) {
+func (m *Machine) classifyEntries(list WorkersListed) ([]WorkerEntry, []workerentry.Unusable) {
 	fault := m.entryClassifier()
 	usable, unusable := make([]WorkerEntry, 0, len(list.Workers)), slices.Clip(list.Unusable)
 	for _, e := range list.Workers {
-		if f := fault(e); f != EntryValid {
-			unusable = append(unusable, UnusableEntry{ID: e.ID, Fault: f})
+		if f := fault(e); f != workerentry.Valid {
+			unusable = append(unusable, workerentry.Unusable{ID: e.ID, Fault: f})
 		} else {
 			usable = append(usable, e)
 		}
@@ -91,19 +28,19 @@
 // to the configuration and to whether workers report their start times. That they
 // do is only inferred from reports, because anyone may write an entry with a start
 // time.
-func (m *Machine) entryClassifier() func(WorkerEntry) EntryFault {
+func (m *Machine) entryClassifier() func(WorkerEntry) workerentry.Fault {
 	var named map[string]struct{}
 	if m.config != nil && len(m.config.Services) > 0 {
 		named = m.namedServices()
 	}
-	return func(e WorkerEntry) EntryFault {
+	return func(e WorkerEntry) workerentry.Fault {
 		if _, ok := named[e.Service]; named != nil && !ok {
-			return EntryUnnamedService
+			return workerentry.UnnamedService
 		}
 		if m.startTimesReported && e.StartedMs == 0 {
-			return EntryNoStartTime
+			return workerentry.NoStartTime
 		}
-		return EntryValid
+		return workerentry.Valid
 	}
 }
 
@@ -122,3 +59,28 @@
 	}
 	return named
 }
+
+// trackEntries takes in the unusable entries of a list after the usable ones have been
+// applied.
+func (m *Machine) trackEntries(unusable []workerentry.Unusable) {
+	for _, n := range m.entries.Update(m.now, unusable, m.isKnownWorker, m.isListedWorker) {
+		m.emit(Note{Decision: entryMessages[n.Change], Worker: model.Incarnation{ID: n.Worker}, Reason: n.Reason})
+	}
+}
+
+// entryMessages are the log messages about changes of entries.
+var entryMessages = map[workerentry.Change]string{
+	workerentry.BecameUnusable: joblog.MessageEntryUnusable,
+	workerentry.Repaired:       joblog.MessageEntryRepaired,
+	workerentry.Gone:           joblog.MessageEntryGone,
+}
+
+func (m *Machine) isKnownWorker(id model.WorkerID) bool { return m.latestIncarnation(id) != nil }
+
+func (m *Machine) isListedWorker(id model.WorkerID) bool {
+	w := m.latestIncarnation(id)
+	return w != nil && w.listed
+}
+
+// TakeEntryCounts returns the counts of the workers' entries and resets those of changes.
+func (m *Machine) TakeEntryCounts() workerentry.Counts { return m.entries.TakeCounts() }
--- a/core/jobsched/entry_test.go
+++ b/core/jobsched/entry_test.go
@@ -15,21 +15,22 @@
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/joblog"
 	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/workerentry"
 )
 
 // unnamedService is a service that is not in the configuration of a cluster.
 const unnamedService = "elsewhere"
 
 // add adds an entry with a fault, in the form that the platform's list yields.
-func (l *WorkersListed) add(e WorkerEntry, fault EntryFault) {
+func (l *WorkersListed) add(e WorkerEntry, fault workerentry.Fault) {
 	switch fault {
-	case EntryValid:
+	case workerentry.Valid:
 		l.Workers = append(l.Workers, e)
-	case EntryUnnamedService:
+	case workerentry.UnnamedService:
 		e.Service = unnamedService
 		l.Workers = append(l.Workers, e)
 	default:
-		l.Unusable = append(l.Unusable, UnusableEntry{ID: e.ID, Fault: fault})
+		l.Unusable = append(l.Unusable, workerentry.Unusable{ID: e.ID, Fault: fault})
 	}
 }
 
@@ -37,8 +38,8 @@
 type entryDamage struct{ rnd *rand.Rand }
 
 // randomFault returns a random fault.
-func (d *entryDamage) randomFault() EntryFault {
-	faults := EntryFaults()
+func (d *entryDamage) randomFault() workerentry.Fault {
+	faults := workerentry.Faults()
 	return faults[d.rnd.IntN(len(faults))]
 }
 
@@ -77,8 +78,8 @@
 
 // forEachFault runs a test with a fault that the decoder detects, and with one that
 // depends on the configuration.
-func forEachFault(t *testing.T, test func(t *testing.T, fault EntryFault)) {
-	for _, fault := range []EntryFault{EntryUnreadable, EntryUnnamedService} {
+func forEachFault(t *testing.T, test func(t *testing.T, fault workerentry.Fault)) {
+	for _, fault := range []workerentry.Fault{workerentry.Unreadable, workerentry.UnnamedService} {
 		t.Run(fault.String(), func(t *testing.T) { test(t, fault) })
 	}
 }
@@ -88,7 +89,7 @@
 // address where no worker answers and is on the roster, the next leader waits for
 // that worker: it started nothing for seven seconds.
 func TestTakeoverDoesNotWaitForDamagedEntries(t *testing.T) {
-	forEachFault(t, func(t *testing.T, fault EntryFault) {
+	forEachFault(t, func(t *testing.T, fault workerentry.Fault) {
 		c := newCluster(t, 1, 4)
 		c.addWorker(9)
 		c.workers["w009"].dead = true
@@ -113,7 +114,7 @@
 // its entry is damaged for longer than any lease, that nothing new is started there,
 // and that the worker is used as before once its entry is repaired.
 func TestDamagedEntryOfAKnownWorker(t *testing.T) {
-	forEachFault(t, func(t *testing.T, fault EntryFault) {
+	forEachFault(t, func(t *testing.T, fault workerentry.Fault) {
 		c := newCluster(t, 1, 2)
 		c.run(200 * time.Millisecond)
 		spread := longRunning(4, 2000)
@@ -131,7 +132,7 @@
 		if n := c.runningOf(wide); n != 6 {
 			t.Errorf("%d tasks run on the other worker, want 6", n)
 		}
-		w.fault = EntryValid
+		w.fault = workerentry.Valid
 		c.run(time.Second)
 		if n := c.runningOf(wide); n != 8 {
 			t.Errorf("%d tasks run once the entry is repaired, want 8", n)
@@ -145,7 +146,7 @@
 // TestDrainingWorkerWithADamagedEntry checks that a draining worker whose entry is
 // damaged afterwards gets no tasks again.
 func TestDrainingWorkerWithADamagedEntry(t *testing.T) {
-	forEachFault(t, func(t *testing.T, fault EntryFault) {
+	forEachFault(t, func(t *testing.T, fault workerentry.Fault) {
 		c := newCluster(t, 1, 2)
 		c.run(200 * time.Millisecond)
 		id := c.submit(1, "urgent", longRunning(2, 10000))
@@ -171,7 +172,7 @@
 // entry is damaged is forgotten like one without an entry, and its tasks start
 // elsewhere.
 func TestSilentWorkerWithADamagedEntry(t *testing.T) {
-	forEachFault(t, func(t *testing.T, fault EntryFault) {
+	forEachFault(t, func(t *testing.T, fault workerentry.Fault) {
 		c := newCluster(t, 1, 3)
 		c.run(200 * time.Millisecond)
 		id := c.submit(1, "urgent", longRunning(6, 2000))
@@ -214,14 +215,14 @@
 	c := newCluster(t, 1, 2)
 	c.keepNotes = true
 	c.run(time.Second)
-	c.addWorker(9).fault = EntryNoLabels
-	c.workers["w001"].fault = EntryUnnamedService
+	c.addWorker(9).fault = workerentry.NoLabels
+	c.workers["w001"].fault = workerentry.UnnamedService
 	c.run(3 * time.Second)
 	want := "worker entry unusable worker=w009: no labels\nworker entry unusable worker=w001: unnamed service"
 	if got := strings.Join(c.entryNotes(), "\n"); got != want {
 		t.Errorf("noted:\n%s\nwant:\n%s", got, want)
 	}
-	c.workers["w001"].fault = EntryValid
+	c.workers["w001"].fault = workerentry.Valid
 	c.workers["w009"].listed = false
 	c.run(3 * time.Second)
 	want = "worker entry gone worker=w009: was no labels\nworker entry good again worker=w001: was unnamed service"
@@ -241,10 +242,10 @@
 	list := func(number int) WorkersListed {
 		var l WorkersListed
 		for i := range flood {
-			l.add(WorkerEntry{Incarnation: model.Incarnation{ID: model.WorkerID(fmt.Sprintf("x%d-%d", number, i))}}, EntryUnreadable)
+			l.add(WorkerEntry{Incarnation: model.Incarnation{ID: model.WorkerID(fmt.Sprintf("x%d-%d", number, i))}}, workerentry.Unreadable)
 		}
-		l.add(c.workers["w000"].entry, EntryValid)
-		l.add(c.workers["w001"].entry, EntryNoLabels)
+		l.add(c.workers["w000"].entry, workerentry.Valid)
+		l.add(c.workers["w001"].entry, workerentry.NoLabels)
 		return l
 	}
 	c.machine.Advance(c.now, c.wall)
@@ -263,18 +264,18 @@
 				unknownNotes++
 			}
 		}
-		if n := c.machine.entries.tracked.Len(); n != maxTrackedUnknown+1 {
-			t.Errorf("%d entries are tracked, want %d", n, maxTrackedUnknown+1)
+		if n := c.machine.entries.Tracked(); n != workerentry.MaxTrackedUnknown+1 {
+			t.Errorf("%d entries are tracked, want %d", n, workerentry.MaxTrackedUnknown+1)
 		}
 	}
-	if unknownNotes != unknownNotesPerWindow || workerNotes != 1 {
-		t.Errorf("%d notes on unknown workers and %d on a known worker, want %d and 1", unknownNotes, workerNotes, unknownNotesPerWindow)
+	if unknownNotes != workerentry.UnknownNotesPerWindow || workerNotes != 1 {
+		t.Errorf("%d notes on unknown workers and %d on a known worker, want %d and 1", unknownNotes, workerNotes, workerentry.UnknownNotesPerWindow)
 	}
 	counts := c.machine.TakeEntryCounts()
-	if counts.Unusable[EntryUnreadable] != flood || counts.Unusable[EntryNoLabels] != 1 {
+	if counts.Unusable[workerentry.Unreadable] != flood || counts.Unusable[workerentry.NoLabels] != 1 {
 		t.Errorf("counted: %v", counts.Unusable)
 	}
-	if unusable, gone := counts.Changes[EntryBecameUnusable], counts.Changes[EntryGone]; unusable != lists*maxTrackedUnknown+1 || gone != (lists-1)*maxTrackedUnknown {
+	if unusable, gone := counts.Changes[workerentry.BecameUnusable], counts.Changes[workerentry.Gone]; unusable != lists*workerentry.MaxTrackedUnknown+1 || gone != (lists-1)*workerentry.MaxTrackedUnknown {
 		t.Errorf("%d entries became unusable and %d are gone", unusable, gone)
 	}
 }
--- a/core/jobsched/event.go
+++ b/core/jobsched/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/workerentry"
 )
 
 // Event is an input of the machine.
@@ -17,7 +18,7 @@
 type WorkersListed struct {
 	Workers []WorkerEntry
 	// Unusable holds the entries that do not describe a usable worker.
-	Unusable []UnusableEntry
+	Unusable []workerentry.Unusable
 	// RequestedAt is when the list was requested: it contains at least all that was
 	// written before.
 	RequestedAt time.Time
--- a/core/jobsched/incarnation_test.go
+++ b/core/jobsched/incarnation_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/joblog"
+	"github.com/guavarill/guavarill/core/workerentry"
 )
 
 // TestEndsOfAWorkerThatStartedAgain guards against ends that are skipped because a
@@ -204,7 +205,7 @@
 	stranger.ID = "stranger"
 	c.workers["stranger"] = &fakeWorker{c: c, entry: stranger, listed: true, dead: true}
 	c.run(time.Second)
-	if n := c.machine.TakeEntryCounts().Unusable[EntryNoStartTime]; n != 2 {
+	if n := c.machine.TakeEntryCounts().Unusable[workerentry.NoStartTime]; n != 2 {
 		t.Errorf("%d entries are unusable because they have no start time, want 2", n)
 	}
 	for _, e := range c.roster {
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -12,6 +12,7 @@
 	"github.com/guavarill/guavarill/core/joborder"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/ordered"
+	"github.com/guavarill/guavarill/core/workerentry"
 	"github.com/guavarill/guavarill/core/workerspeed"
 )
 
@@ -99,7 +100,7 @@
 	cordons      cordon.View
 	cordonLimits cordon.Limits
 	// entries tracks the unusable entries of the platform's list.
-	entries entryTracker
+	entries workerentry.Tracker
 	deposed bool
 	// restarts records the tasks that were started again although an earlier
 	// attempt may have completed without the leader receiving its end.
--- a/jobservice/entrycounts.go
+++ b/jobservice/entrycounts.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/guavarill/guavarill/core/jobsched"
+	"github.com/guavarill/guavarill/core/workerentry"
 )
 
 // exportEntryCounts updates the metrics of the workers' entries. If the leader is too
@@ -11,7 +12,7 @@
 func (t *term) exportEntryCounts(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listInterval)
 	defer cancel()
-	var counts jobsched.EntryCounts
+	var counts workerentry.Counts
 	if err := t.leader.query(ctx, func(m *jobsched.Machine) { counts = m.TakeEntryCounts() }); err != nil {
 		t.leader.log.WithError(err).Debug("entries not counted; retrying with the next list")
 		return
@@ -20,8 +21,8 @@
 }
 
 // setEntries updates the metrics from a leader's counts.
-func (m *Metrics) setEntries(counts jobsched.EntryCounts) {
-	for _, fault := range jobsched.EntryFaults() {
+func (m *Metrics) setEntries(counts workerentry.Counts) {
+	for _, fault := range workerentry.Faults() {
 		m.entriesUnusable.WithLabelValues(fault.String()).Set(float64(counts.Unusable[fault]))
 	}
 	for change, count := range counts.Changes {
--- a/jobservice/follow.go
+++ b/jobservice/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/jobsched"
+	"github.com/guavarill/guavarill/core/workerentry"
 	"github.com/guavarill/guavarill/port"
 )
 
@@ -93,7 +94,7 @@
 
 // pollWorkers periodically reads the platform's list of workers.
 func (t *term) pollWorkers(ctx context.Context) {
-	defer t.leader.o.Metrics.setEntries(jobsched.EntryCounts{})
+	defer t.leader.o.Metrics.setEntries(workerentry.Counts{})
 	defer t.leader.o.Metrics.setLongestWaits(nil)
 	defer t.leader.o.Metrics.setRoomShares(nil)
 	defer t.leader.o.Metrics.copies.set(jobsched.CopyCounts{})
--- a/jobservice/metrics.go
+++ b/jobservice/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/guavarill/guavarill/core/jobsched"
+	"github.com/guavarill/guavarill/core/workerentry"
 )
 
 // Metrics holds the metrics of one daemon.
@@ -149,7 +150,7 @@
 		m.entriesUnusable, m.entryChanges, m.configVersion, m.configFailures, m.configWastedBytes, configAge)
 	m.overload = newOverloadMetrics(r)
 	m.copies = newCopyMetrics(r)
-	m.setEntries(jobsched.EntryCounts{})
+	m.setEntries(workerentry.Counts{})
 	return m
 }
 
