--- a/core/job/bounds.go
+++ b/core/job/bounds.go
@@ -5,9 +5,9 @@
 const (
 	maxEstimateMs = 30 * 24 * 60 * 60 * 1000
 	// MaxAllowanceMs bounds how long a job may take, in milliseconds.
-	MaxAllowanceMs = 10 * 365 * 24 * 60 * 60 * 1000
-	maxStretch     = 1e6
-	maxMaxAttempts = 1 << 20
+	MaxAllowanceMs   = 10 * 365 * 24 * 60 * 60 * 1000
+	maxStretch       = 1e6
+	maxQueueAttempts = 1 << 20
 	// maxTimeMs is the end of the year 9999, as Unix time in milliseconds.
 	maxTimeMs = 253_402_300_799_999
 )
@@ -27,7 +27,7 @@
 
 // Bound does for the settings of a queue what Spec.Bound does for a declaration.
 func (q *Queue) Bound() {
-	q.MaxAttempts = min(max(q.MaxAttempts, 1), maxMaxAttempts)
+	q.MaxAttempts = min(max(q.MaxAttempts, 1), maxQueueAttempts)
 	q.Stretch = min(max(q.Stretch, 0), maxStretch)
 	q.LatencyTargetMs = min(max(q.LatencyTargetMs, 0), maxEstimateMs)
 }
--- a/core/job/bounds_test.go
+++ b/core/job/bounds_test.go
@@ -20,13 +20,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	// lateFactor is at least how many times its allowance any decision reckons with.
+	const lateFactor = 4
 	path := read.Spec.CriticalPathMs()
 	if path != MaxSteps*maxEstimateMs || time.Duration(path)*time.Millisecond <= 0 {
 		t.Errorf("a path of %d ms", path)
 	}
-	const factor = 4
-	if allowed := time.Duration(factor*MaxAllowanceMs) * time.Millisecond; allowed <= 0 {
-		t.Errorf("the largest allowance, %d times: %s", factor, allowed)
+	if late := time.Duration(lateFactor*MaxAllowanceMs) * time.Millisecond; late <= 0 {
+		t.Errorf("%d times the largest allowance is %s", lateFactor, late)
 	}
 	record.Spec.Steps[0].EstimateMs = math.MinInt64
 	if read, err = DecodeAccepted(record.Encode()); err != nil || read.Spec.Steps[0].EstimateMs != 0 {
--- a/core/job/limits_test.go
+++ b/core/job/limits_test.go
@@ -34,7 +34,7 @@
 		if err := spec.CheckLimits(); !errors.As(err, &limit) {
 			t.Errorf("%s: %v, want a LimitError", name, err)
 		}
-		if size := spec.LargestRecord(maxMaxAttempts); size < 0 {
+		if size := spec.LargestRecord(maxQueueAttempts); size < 0 {
 			t.Errorf("%s: a record of %d bytes", name, size)
 		}
 	}
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -158,7 +158,7 @@
 
 // countCrash counts a worker crash against a task, once for each attempt, and fails
 // the job if there are too many. A long-running task has to be started again however
-// its attempts end. lastHeard is when the worker was.
+// its attempts end. lastHeard is when the crashed worker was last heard.
 func (m *Machine) countCrash(t *task, c job.Crash, lastHeard time.Time) {
 	j := t.step.job()
 	if j.state.Final() || m.isCrashCounted(t, c) {
