platform: a worker's entry with a capacity that no VM has is unusable

What callers would see: one entry with a cpu of 2^63-1, as a faulty writer may leave it, and the sums over the workers of its service wrap: the room that is shared is negative, and tasks of its queues are held back, or more is started than there is.

Such an entry gets the fault "no capacity", as one whose capacity is not positive. The bound is far above any VM, and sums over all workers have room.

--- a/core/workerentry/fault.go
+++ b/core/workerentry/fault.go
@@ -25,8 +25,8 @@
 	// UnknownState: the state is neither that of an active worker nor that of
 	// a leaving one.
 	UnknownState
-	// NoCapacity: processor or memory is not positive, or the number of
-	// accelerators is negative.
+	// NoCapacity: processor or memory is not positive, the number of accelerators is
+	// negative, or one of them is larger than any VM has.
 	NoCapacity
 	// NoLabels: there is no label, or one of them is empty.
 	NoLabels
