--- a/adapter/jobapi/messages.go
+++ b/adapter/jobapi/messages.go
@@ -106,20 +106,25 @@
 // RetryAfterSeconds returns the value of the Retry-After header for an error that means
 // that the request was not carried out.
 func RetryAfterSeconds(err error) string {
-	var infeasible *job.InfeasibleError
-	var unstorable *job.UnstorableError
-	var limit *job.LimitError
-	var taken *jobservice.IDTakenError
 	var overloaded *jobservice.OverloadedError
 	if errors.As(err, &overloaded) {
 		return strconv.Itoa(int(overloaded.Decision.RetryAfter.Seconds()))
 	}
-	if errors.As(err, &infeasible) || errors.As(err, &unstorable) || errors.As(err, &limit) || errors.As(err, &taken) {
+	if isUnservable(err) {
 		return infeasibleRetryAfter
 	}
 	return defaultRetryAfter
 }
 
+// isUnservable reports whether a job was not accepted for a reason that lasts.
+func isUnservable(err error) bool {
+	var infeasible *job.InfeasibleError
+	var unstorable *job.UnstorableError
+	var limit *job.LimitError
+	var taken *jobservice.IDTakenError
+	return errors.As(err, &infeasible) || errors.As(err, &unstorable) || errors.As(err, &limit) || errors.As(err, &taken)
+}
+
 // ProblemOf returns the HTTP status and the kind of problem for an error of a request. An
 // error of an unknown type counts as uncertain.
 func ProblemOf(err error) (int, ProblemKind) {
@@ -128,10 +133,6 @@
 	var queue *jobservice.UnknownQueueError
 	var unknown *jobservice.UnknownJobError
 	var unavailable *jobservice.UnavailableError
-	var infeasible *job.InfeasibleError
-	var unstorable *job.UnstorableError
-	var limit *job.LimitError
-	var taken *jobservice.IDTakenError
 	var uncertain *jobservice.UncertainError
 	var stale *jobservice.StaleSummaryError
 	var follower *jobservice.NotLeadingError
@@ -153,7 +154,7 @@
 		return http.StatusNotFound, ProblemUnknownJob
 	case errors.As(err, &follower):
 		return http.StatusConflict, ProblemNotLeading
-	case errors.As(err, &infeasible), errors.As(err, &unstorable), errors.As(err, &limit), errors.As(err, &taken):
+	case isUnservable(err):
 		return http.StatusServiceUnavailable, ProblemUnservable
 	case errors.As(err, &unavailable), errors.As(err, &stale):
 		return http.StatusServiceUnavailable, ProblemNotDone
--- a/jobservice/intake.go
+++ b/jobservice/intake.go
@@ -123,8 +123,8 @@
 }
 
 // checkServable rejects a job that exceeds a limit, whose progress could not be stored or
-// that no worker could ever run, unless the job was accepted before: then the caller has to learn that
-// it was.
+// that no worker could ever run, unless the job was accepted before: then the caller has to
+// learn that it was.
 func (in *Intake) checkServable(ctx context.Context, id job.ID, spec *job.Spec, q *job.Queue) error {
 	refusal := spec.CheckLimits()
 	if refusal == nil {
