--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -36,7 +36,10 @@
 }
 
 func (m *Machine) addJob(id job.ID, record *job.Accepted) *jobState {
-	j := &jobState{id: id, record: record, takenInAt: m.now, state: job.Queued, occurrences: make(map[int]*occurrence)}
+	j := &jobState{
+		id: id, record: record, fingerprint: record.Queue.Fingerprint(), takenInAt: m.now, state: job.Queued,
+		occurrences: make(map[int]*occurrence),
+	}
 	m.jobs.Set(id, j)
 	return j
 }
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -14,7 +14,9 @@
 type jobState struct {
 	id     job.ID
 	record *job.Accepted
-	state  job.State
+	// fingerprint is that of its queue, as it was accepted.
+	fingerprint job.QueueFingerprint
+	state       job.State
 	// overAtMs is as in job.Progress.
 	overAtMs int64
 	// begun is set once a task has started; until then the job counts as waiting.
@@ -303,7 +305,7 @@
 
 // progress returns the job's progress without its restarts.
 func (j *jobState) progress() *job.Progress {
-	p := &job.Progress{State: j.state, Queue: j.record.Queue.Fingerprint()}
+	p := &job.Progress{State: j.state, Queue: j.fingerprint}
 	if j.state.Final() {
 		p.FinalAtMs = j.overAtMs
 		return p
