core/jobsched, core/job: names and a message that stopped a reader

The margin in the pause of long-running trials has a name, applyLimits says what its function does, and the error about negative bounds names the step as it did before.

--- a/core/job/spec.go
+++ b/core/job/spec.go
@@ -143,7 +143,7 @@
 	case size.MilliCPU < 0 || size.MemoryMB < 0 || size.Accelerators < 0:
 		return &InvalidError{Field: stepField(i, "size"), Reason: "must not be negative"}
 	case s.MaxPerWorker < 0 || s.MaxUnavailable < 0:
-		return &InvalidError{Field: stepField(i, "bounds"), Reason: "must not be negative"}
+		return &InvalidError{Field: fmt.Sprintf("steps[%d]", i), Reason: "must not have negative bounds"}
 	}
 	for _, earlier := range s.After {
 		if earlier < 0 || earlier >= i {
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -20,7 +20,9 @@
 	// crashPause is how long after its last run a long-running task waits for its next
 	// trial once it has crashes.Most crashes without another possible cause. It is never
 	// given up, and would otherwise crash one worker after the other.
-	crashPause = maxLongRunningGap - trialStartTime - time.Second
+	crashPause = maxLongRunningGap - trialStartTime - crashPauseMargin
+	// crashPauseMargin is for a leader that is busy when the pause ends.
+	crashPauseMargin = time.Second
 	// maxLongRunningGap is the time after its last run in which a long-running task is to
 	// run again where there is room.
 	maxLongRunningGap = 6 * time.Second
--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -26,7 +26,7 @@
 		m.emit(Note{Decision: joblog.MessageJobTakenIn, Job: ev.ID, Lag: m.since(ev.Record.AcceptedAtMs), Reason: fmt.Sprintf(
 			"queue %s, accepted %s ago under configuration %d", ev.Record.Queue.Name,
 			m.age(j), ev.Record.ConfigVersion)})
-		m.concludeIfBeyondLimits(j)
+		m.applyLimits(j)
 		m.measureArrival(j)
 	}
 	if ev.Record.Canceled && !j.state.Final() {
@@ -44,10 +44,10 @@
 	return j
 }
 
-// concludeIfBeyondLimits ends a job that exceeds the limits of a declaration, which an
-// earlier version may have accepted: it can never be carried out. For any other job it
-// determines how many occurrences may be open.
-func (m *Machine) concludeIfBeyondLimits(j *jobState) {
+// applyLimits determines how many occurrences of a job may be open. It ends a job that
+// exceeds the limits of a declaration, which an earlier version may have accepted: it can
+// never be carried out.
+func (m *Machine) applyLimits(j *jobState) {
 	spec := &j.record.Spec
 	err := spec.CheckLimits()
 	switch {
@@ -65,7 +65,7 @@
 func (m *Machine) recoverJob(id job.ID, record *job.Accepted, progress *job.Progress) {
 	j := m.addJob(id, record)
 	j.recovered = true
-	m.concludeIfBeyondLimits(j)
+	m.applyLimits(j)
 	if j.state.Final() {
 		return
 	}
