--- a/core/job/record.go
+++ b/core/job/record.go
@@ -280,10 +280,7 @@
 	if p.State.Final() {
 		return nil
 	}
-	repetitions := 1
-	if spec.Schedule != nil {
-		repetitions = spec.Schedule.Repetitions
-	}
+	repetitions := spec.Repetitions()
 	if p.Begun > repetitions {
 		return &RecordError{Kind: kindProgress, Cause: &InvalidError{
 			Field: "begun", Reason: fmt.Sprintf("must be at most %d, the job's repetitions", repetitions),
--- a/core/job/spec.go
+++ b/core/job/spec.go
@@ -107,6 +107,14 @@
 	return size
 }
 
+// Repetitions returns how often the steps run, 1 for a job without a schedule.
+func (s *Spec) Repetitions() int {
+	if s.Schedule == nil {
+		return 1
+	}
+	return s.Schedule.Repetitions
+}
+
 // UntilCanceled reports whether the job runs until it is canceled, because a step has
 // long-running tasks.
 func (s *Spec) UntilCanceled() bool {
--- a/core/jobsched/clusterchecks_test.go
+++ b/core/jobsched/clusterchecks_test.go
@@ -43,17 +43,21 @@
 		return
 	}
 	limit := c.config.Queues[record.Queue.Name].MaxAttempts
-	for number := range record.Spec.Steps {
-		step := &record.Spec.Steps[number]
-		gang := make(map[int]struct{})
-		for index := range step.Count {
-			failed := c.task(job.TaskKey{Job: id, Step: number, Index: index}).failed
-			if len(failed) >= limit {
-				return
+	gangs := make(map[string]map[int]struct{})
+	for key, truth := range c.truth {
+		if key.Job != id {
+			continue
+		}
+		failed := truth.failed
+		if record.Spec.Steps[key.Step].Gang {
+			name := key.StepName()
+			if gangs[name] == nil {
+				gangs[name] = make(map[int]struct{})
 			}
-			maps.Copy(gang, failed)
+			maps.Copy(gangs[name], failed)
+			failed = gangs[name]
 		}
-		if step.Gang && len(gang) >= limit {
+		if len(failed) >= limit {
 			return
 		}
 	}
@@ -65,11 +69,13 @@
 	if record == nil {
 		return
 	}
-	for number := range record.Spec.Steps {
-		for index := range record.Spec.Steps[number].Count {
-			key := job.TaskKey{Job: id, Step: number, Index: index}
-			if !c.task(key).done {
-				c.t.Errorf("job %s is completed, but %s is not done", id, key)
+	for occurrence := range record.Spec.Repetitions() {
+		for number := range record.Spec.Steps {
+			for index := range record.Spec.Steps[number].Count {
+				key := job.TaskKey{Job: id, Occurrence: occurrence, Step: number, Index: index}
+				if !c.task(key).done {
+					c.t.Errorf("job %s is completed, but %s is not done", id, key)
+				}
 			}
 		}
 	}
@@ -85,12 +91,19 @@
 }
 
 // checkRound checks that a placement round has left no task waiting that fits on a
-// worker, whatever the round skipped to save time.
+// worker and may start, whatever the round skipped to save time. A round that has to
+// leave the rest of its pass to the next must have used up its bounds.
 func (c *cluster) checkRound() {
 	m := c.machine
 	for _, w := range m.workers.All() {
 		c.checkSums(w)
 	}
+	if m.pass.open {
+		if !m.pass.isExhausted() && m.starting < m.options.StartsInFlight {
+			c.t.Errorf("%s: the pass is not ended, with a budget of %d left and %d starts in flight", c.now.Sub(testEpoch), m.pass.budget, m.starting)
+		}
+		return
+	}
 	for s := range m.pending.All() {
 		if !s.ready() || m.startsHeldBack(s, m.now) {
 			continue
@@ -100,7 +113,7 @@
 			continue
 		}
 		for _, t := range s.tasks {
-			if !t.idle() || m.needsRestartRecord(t) || m.waitsForTrial(t) {
+			if !t.idle() || m.needsRestartRecord(t) || m.waitsForTrial(t) || m.waitsForShare(t) {
 				// A restart of a task that may be done waits for its stored record, a trial
 				// also for other trials.
 				continue
@@ -113,12 +126,18 @@
 	}
 }
 
+// waitsForShare reports whether the round has held the task back because the share of its
+// queue is used up. Unlike isHeldByShare it changes nothing.
+func (m *Machine) waitsForShare(t *task) bool {
+	return m.holdsNewTasks(t.step) && t.neverRan() && !m.isReserved(t)
+}
+
 // checkGang checks that a gang without any attempts does not fit, ignoring what the
 // round remembers as unplaceable.
 func (c *cluster) checkGang(s *step) {
 	m := c.machine
 	for _, t := range s.tasks {
-		if len(t.attempts) > 0 || m.needsRestartRecord(t) || m.waitsForTrial(t) {
+		if len(t.attempts) > 0 || m.needsRestartRecord(t) || m.waitsForTrial(t) || m.waitsForShare(t) {
 			return
 		}
 	}
--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -270,7 +270,7 @@
 	}
 	for _, earlier := range step.After {
 		for index := range c.specOf(s.Key.Job).Steps[earlier].Count {
-			if !c.task(job.TaskKey{Job: s.Key.Job, Step: earlier, Index: index}).done {
+			if !c.task(job.TaskKey{Job: s.Key.Job, Occurrence: s.Key.Occurrence, Step: earlier, Index: index}).done {
 				c.t.Errorf("%s: %s is started before step %d is done", at, s.Key, earlier)
 			}
 		}
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -51,12 +51,7 @@
 }
 
 // total returns the number of occurrences.
-func (j *jobState) total() int {
-	if s := j.record.Spec.Schedule; s != nil {
-		return s.Repetitions
-	}
-	return 1
-}
+func (j *jobState) total() int { return j.record.Spec.Repetitions() }
 
 // occurrence is one repetition of a job's steps.
 type occurrence struct {
--- a/core/jobsched/roomshare_test.go
+++ b/core/jobsched/roomshare_test.go
@@ -217,6 +217,7 @@
 // Short tasks have lately used it, and long-running ones have the half that is theirs.
 func heldLongRunning(t *testing.T) *cluster {
 	c := newClusterWith(t, 1, 4, Policies{ShareRoom: true})
+	c.checkRounds = true
 	c.submit(1, "urgent", makeStep(5, 4000, time.Minute))
 	c.submit(2, "urgent", makeStep(3, 4000, 2*time.Second))
 	c.submit(3, "urgent", longRunning(8, 4000))
