core/crashes: a job is not given up before five workers crashed under a task

The job is told as failed after the third crash, or the fourth; no run has failed.

Cause: crashes.Evidence.TooMany gave up after three crashes at the same run time, or four without another cause.

Mended: five starts end a job, no fewer.

Two tests held bounds that follow from the old rule, not from a contract, and hold those of the new one: TestTaskThatCrashesItsWorkersIsGivenUp (three workers, now crashes.Most) and TestCrashingTaskIsFoundAmongSharedTrials ("as many as when it is tried alone", now Most - 2). The cluster's check of two starts after three crashes is as it was.

--- a/core/crashes/evidence.go
+++ b/core/crashes/evidence.go
@@ -11,12 +11,10 @@
 const (
 	// Most is how many workers may crash under a task. The platform's contract
 	// tolerates two more starts after the third crash.
-	Most = 5
-	// mostUnexplained is the same if a crash may not have been counted, or if none of
-	// the crashes has another possible cause.
-	mostUnexplained = 4
-	// mostAtSameTime is the same for crashes at the same run time.
-	mostAtSameTime = 3
+	Most = mostTolerated + mostFurtherStarts
+	// mostTolerated is the number of crashes after which the contract bounds the starts, and
+	// mostFurtherStarts that bound.
+	mostTolerated, mostFurtherStarts = 3, 2
 	// minCertain is how many attempts must certainly have been running when their
 	// workers crashed, unless there are Most.
 	minCertain = 2
@@ -51,29 +49,52 @@
 	return append(slices.Clone(e), c)
 }
 
+// AddOtherEnd returns the evidence with one more attempt, which has ended otherwise than
+// with its worker and before it had run for StableRunTime.
+func (e Evidence) AddOtherEnd() Evidence {
+	if len(e) == 0 {
+		return e
+	}
+	e = slices.Clone(e)
+	e[len(e)-1].Followed = true
+	return e
+}
+
 // Latest returns the last Most crashes.
 func (e Evidence) Latest() Evidence { return e[max(len(e)-Most, 0):] }
 
-// TooMany reports whether a task with these crashes must be given up.
+// TooMany reports whether a task with these crashes must be given up. It is not given up
+// earlier, whatever the crashes have in common: a worker that crashes is no failure of the
+// tasks that run there.
 func (e Evidence) TooMany() bool {
-	n := len(e)
-	sure := 0
+	return len(e) >= Most || e.certain() >= minCertain && e.furtherStarts() >= mostFurtherStarts
+}
+
+// certain returns in how many of the crashes the attempt was certainly running.
+func (e Evidence) certain() int {
+	n := 0
 	for _, c := range e {
 		if !c.Uncertain {
-			sure++
+			n++
 		}
 	}
-	switch {
-	case n >= Most:
-		return true
-	case sure < minCertain:
-		return false
-	case n >= mostUnexplained:
-		return e.mayMissOne() || !slices.ContainsFunc(e, isCorrelated)
-	case n >= mostAtSameTime:
-		return e[n-mostAtSameTime:].AllAtSameRunTime()
+	return n
+}
+
+// furtherStarts returns how many starts may have followed the last tolerated crash. A
+// crash that may not have been counted counts as the first.
+func (e Evidence) furtherStarts() int {
+	tolerated := mostTolerated
+	if e.mayMissOne() {
+		tolerated--
+	}
+	starts := len(e) - tolerated
+	for i, c := range e {
+		if c.Followed && i >= tolerated-1 {
+			starts++
+		}
 	}
-	return false
+	return starts
 }
 
 // mayMissOne reports whether a crash of the task may not have been counted: only a
@@ -152,6 +173,9 @@
 		if c.Shared {
 			text += " beside other trials"
 		}
+		if c.Followed {
+			text += ", then one that ended otherwise"
+		}
 	}
 	return text
 }
@@ -161,8 +185,6 @@
 	return !hasOtherCause(c) && !isVague(c) && c.ObservedRunMs < StableRunTime.Milliseconds()
 }
 
-func isCorrelated(c job.Crash) bool { return c.Correlated }
-
 // hasOtherCause reports whether something other than the task may have caused the
 // crash.
 func hasOtherCause(c job.Crash) bool { return c.Correlated || c.Shared }
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -161,6 +161,9 @@
 	// CountsAnew is whether crashes before it were counted and dropped, so that none
 	// that was not counted precedes it.
 	CountsAnew bool `json:"anew,omitempty"`
+	// Followed is whether a later attempt, before the next crash, ended otherwise than
+	// with its worker and before it had run for long.
+	Followed bool `json:"followed,omitempty"`
 }
 
 // ObservedRunUnknown is the value of Crash.ObservedRunMs if the leader that
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -159,8 +159,7 @@
 }
 
 // countCrash counts a worker crash against a task, once for each attempt, and fails
-// the job if there are too many. A long-running task has to be started again however
-// its attempts end. lastHeard is when the crashed worker was last heard.
+// the job if there are too many. lastHeard is when the crashed worker was last heard.
 func (m *Machine) countCrash(t *task, c job.Crash, lastHeard time.Time) {
 	j := t.step.job()
 	if j.state.Final() || m.isCrashCounted(t, c) {
@@ -176,12 +175,20 @@
 		Decision: joblog.MessageCrashCounted, Job: j.id, Task: t.key().String(), Attempt: c.Attempt, Routine: true,
 		Reason: "its worker ended with it; crashes since its last long run: " + t.crashes.String(),
 	})
-	switch {
-	case t.step.spec.LongRunning:
+	if t.step.spec.LongRunning {
 		m.pauseTrials(t, lastHeard)
-	case t.crashes.TooMany():
-		m.conclude(j, job.Failed, fmt.Sprintf("task %s crashes its workers: %s", t.key(), t.crashes), 0)
 	}
+	m.giveUpAfterCrashes(t)
+}
+
+// giveUpAfterCrashes fails the job of a task under which too many workers have crashed. A
+// long-running task has to be started again however its attempts end.
+func (m *Machine) giveUpAfterCrashes(t *task) {
+	j := t.step.job()
+	if t.step.spec.LongRunning || t.done || j.state.Final() || !t.crashes.TooMany() {
+		return
+	}
+	m.conclude(j, job.Failed, fmt.Sprintf("task %s crashes its workers: %s", t.key(), t.crashes), 0)
 }
 
 // pauseTrials delays the next trial of a long-running task that has crashed too many
--- a/core/jobsched/isolation.go
+++ b/core/jobsched/isolation.go
@@ -160,7 +160,7 @@
 		return trialHoldPause
 	case t.needsIsolation() && !m.hasRequestedTrial(t) && !m.hasTrialPlace(t):
 		return trialHoldIsolated
-	case !t.step.spec.Gang && t.crashes.Suspicious() > 0 && t.step.hasOtherTrial(t):
+	case !t.step.spec.Gang && t.crashes.Suspicious() > 0 && m.hasOtherTrial(t):
 		return trialHoldStep
 	}
 	return trialHoldNone
@@ -169,9 +169,9 @@
 // hasOtherTrial reports whether another suspect task of the step is on trial while
 // no task of the step has run for trialTime. If all tasks of a step crash their
 // workers, one of them is enough to find out.
-func (s *step) hasOtherTrial(t *task) bool {
+func (m *Machine) hasOtherTrial(t *task) bool {
 	found := false
-	for _, other := range s.tasks {
+	for _, other := range t.step.tasks {
 		if other.done {
 			return false
 		}
@@ -180,7 +180,8 @@
 				return false
 			}
 		}
-		about := len(other.attempts) > 0 || other.index < t.index && other.trial.isAwaitingRecord()
+		awaitsRecord := other.trial.isAwaitingRecord() || m.needsRestartRecord(other)
+		about := len(other.attempts) > 0 || other.index < t.index && awaitsRecord
 		found = found || other != t && about && other.crashes.Suspicious() > 0
 	}
 	return found
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -297,6 +297,7 @@
 	}
 	m.endTrial(t, a, cause)
 	m.applyEnd(t, a, cause)
+	m.giveUpAfterCrashes(t)
 	if !j.state.Final() && !t.done {
 		m.pending.Set(t.step, struct{}{})
 	}
--- a/core/jobsched/trial.go
+++ b/core/jobsched/trial.go
@@ -236,8 +236,11 @@
 	if ofTrial {
 		t.trial = trial{}
 	}
-	if crashesCleared {
+	switch {
+	case crashesCleared:
 		t.crashes = nil
+	case cause != endLost && cause != EndDone:
+		t.crashes = t.crashes.AddOtherEnd()
 	}
 	if ofTrial || crashesCleared {
 		m.markDirty(t.step.job())
--- a/core/jobsched/triallimit.go
+++ b/core/jobsched/triallimit.go
@@ -29,7 +29,7 @@
 
 // mayShareTrial reports whether an isolated trial of the task may share its worker with
 // others of that kind. A crash of the worker then counts against all of them, so a task
-// shares only while one crash more, alone on its worker, would not suffice to give it up.
+// shares only while few workers have crashed under it, at different times of its runs.
 func (t *task) mayShareTrial() bool {
 	return len(t.crashes) <= isolateAfterSuspicious && !t.crashes.AllAtSameRunTime()
 }
