core/minimalsizes: the sizes that fit nowhere leave core/jobsched

What could not be placed in a round, and what waits for the room that copies might take, are kept as the smallest sizes of each kind of demand: a set of its own with two methods, used by three callers. No behaviour changes.

--- a/core/jobsched/copyroom.go
+++ b/core/jobsched/copyroom.go
@@ -1,7 +1,7 @@
 package jobsched
 
 import (
-	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/minimalsizes"
 	"github.com/guavarill/guavarill/core/speculation"
 )
 
@@ -12,16 +12,16 @@
 	budgets map[string]*speculation.Budget
 	// waiting holds the sizes of the tasks that wait for room, the smallest of each
 	// demand.
-	waiting map[placementDemand][]model.Resources
+	waiting minimalsizes.Set[placementDemand]
 }
 
 // newCopyRoom returns the room for copies. Best-effort work that waits does not restrict
 // it: it gets what others leave.
 func (m *Machine) newCopyRoom() *copyRoom {
-	r := &copyRoom{m: m, budgets: make(map[string]*speculation.Budget), waiting: make(map[placementDemand][]model.Resources)}
+	r := &copyRoom{m: m, budgets: make(map[string]*speculation.Budget), waiting: make(minimalsizes.Set[placementDemand])}
 	for s := range m.pending.All() {
 		if s.ready() && !s.spec.BestEffort && !s.waitingSince.IsZero() {
-			addMinimalSize(r.waiting, m.placementDemand(s), s.spec.Committed())
+			r.waiting.Add(m.placementDemand(s), s.spec.Committed())
 		}
 	}
 	return r
@@ -78,9 +78,9 @@
 // isWaitedFor reports whether a task that waits would fit on the worker, now or once the
 // attempts there that could be preempted have ended.
 func (r *copyRoom) isWaitedFor(w *worker) bool {
-	for d, sizes := range r.waiting {
+	for d := range r.waiting {
 		here := d.service == w.entry.Service && (d.label == "" || w.hasLabel(d.label))
-		if here && anyFitsIn(sizes, w.room().Add(w.reclaimable)) {
+		if here && r.waiting.AnyFitsIn(d, w.room().Add(w.reclaimable)) {
 			return true
 		}
 	}
--- a/core/jobsched/unplaceable.go
+++ b/core/jobsched/unplaceable.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/guavarill/guavarill/core/minimalsizes"
 	"github.com/guavarill/guavarill/core/model"
 )
 
@@ -40,9 +41,9 @@
 // unplaceable remembers, by demand, the sizes that could not be placed in this
 // round.
 type unplaceable struct {
-	tasks       map[placementDemand][]model.Resources
+	tasks       minimalsizes.Set[placementDemand]
 	gangs       map[placementDemand][]gangSize
-	preemptions map[preemptionDemand][]model.Resources
+	preemptions minimalsizes.Set[preemptionDemand]
 }
 
 // gangSize is the size of a gang's members and their number.
@@ -52,9 +53,9 @@
 }
 
 func (u *unplaceable) reset() {
-	u.tasks = make(map[placementDemand][]model.Resources)
+	u.tasks = make(minimalsizes.Set[placementDemand])
 	u.gangs = make(map[placementDemand][]gangSize)
-	u.preemptions = make(map[preemptionDemand][]model.Resources)
+	u.preemptions = make(minimalsizes.Set[preemptionDemand])
 }
 
 // isUnrestricted reports whether only demand and size restrict where the step's
@@ -85,7 +86,7 @@
 // isUnplaceable reports whether it is known that no worker has room for a task of
 // the step.
 func (m *Machine) isUnplaceable(s *step) bool {
-	return anyFitsIn(m.unplaceable.tasks[m.placementDemand(s)], s.spec.Size)
+	return m.unplaceable.tasks.AnyFitsIn(m.placementDemand(s), s.spec.Size)
 }
 
 // recordUnplaceable records that a task was not placed, unless only its own
@@ -93,7 +94,7 @@
 func (m *Machine) recordUnplaceable(t *task) {
 	s := t.step
 	if m.isUnrestricted(s) && !t.needsIsolation() || !m.roomAnywhere(t) {
-		addMinimalSize(m.unplaceable.tasks, m.placementDemand(s), s.spec.Size)
+		m.unplaceable.tasks.Add(m.placementDemand(s), s.spec.Size)
 	}
 }
 
@@ -131,24 +132,13 @@
 // isPreemptionFutile reports whether it is known that preemption cannot make room
 // for the task.
 func (m *Machine) isPreemptionFutile(t *task) bool {
-	return anyFitsIn(m.unplaceable.preemptions[m.preemptionDemand(t)], t.step.spec.Committed())
+	return m.unplaceable.preemptions.AnyFitsIn(m.preemptionDemand(t), t.step.spec.Committed())
 }
 
 // recordFutilePreemption records that preemption cannot make room for the task,
 // whatever its restrictions.
 func (m *Machine) recordFutilePreemption(t *task) {
 	if s := t.step; !m.queue(s.job()).Advised {
-		addMinimalSize(m.unplaceable.preemptions, m.preemptionDemand(t), s.spec.Committed())
+		m.unplaceable.preemptions.Add(m.preemptionDemand(t), s.spec.Committed())
 	}
 }
-
-// anyFitsIn reports whether one of the sizes is no larger than size.
-func anyFitsIn(sizes []model.Resources, size model.Resources) bool {
-	return slices.ContainsFunc(sizes, func(known model.Resources) bool { return known.Fits(size) })
-}
-
-// addMinimalSize adds a size and drops those that are at least as large.
-func addMinimalSize[K comparable](sizes map[K][]model.Resources, key K, size model.Resources) {
-	kept := slices.DeleteFunc(sizes[key], func(known model.Resources) bool { return size.Fits(known) })
-	sizes[key] = append(kept, size)
-}
