core/placementpass: the budget of placement rounds leaves core/jobsched

The tasks found waiting for their trial, which the pass only carried, are a field of the machine. No behaviour changes.

--- a/core/jobsched/candidates.go
+++ b/core/jobsched/candidates.go
@@ -47,7 +47,7 @@
 
 // newCandidates checks and scores all workers for the task.
 func (m *Machine) newCandidates(t *task) *candidates {
-	m.pass.spend(m.workers.Len())
+	m.pass.Spend(m.workers.Len())
 	c := &candidates{m: m, task: t}
 	for _, w := range m.workers.All() {
 		if m.isFeasible(t, w) {
--- a/core/jobsched/clusterchecks_test.go
+++ b/core/jobsched/clusterchecks_test.go
@@ -98,9 +98,9 @@
 	for _, w := range m.workers.All() {
 		c.checkSums(w)
 	}
-	if m.pass.open {
-		if !m.pass.isExhausted() && m.starting < m.options.StartsInFlight {
-			c.t.Errorf("%s: the pass is not ended, with a budget of %d left and %d starts in flight", c.now.Sub(testEpoch), m.pass.budget, m.starting)
+	if m.pass.IsOpen() {
+		if !m.pass.IsExhausted() && m.starting < m.options.StartsInFlight {
+			c.t.Errorf("%s: the pass is not ended, with budget left and %d starts in flight", c.now.Sub(testEpoch), m.starting)
 		}
 		return
 	}
--- a/core/jobsched/gang.go
+++ b/core/jobsched/gang.go
@@ -55,7 +55,7 @@
 		return nil, false
 	}
 	if s.spec.SameRack {
-		m.pass.spend(m.workers.Len())
+		m.pass.Spend(m.workers.Len())
 		for _, rack := range m.racks() {
 			if placed, ok := m.placeGangOn(s, rack.workers); ok {
 				return placed, true
@@ -85,7 +85,7 @@
 		}
 	}()
 	for _, t := range s.tasks {
-		m.pass.spend(len(workers))
+		m.pass.Spend(len(workers))
 		w := m.bestOf(t, slices.Values(workers))
 		if w == nil {
 			return nil, false
@@ -104,7 +104,7 @@
 // hasRoomForGang reports whether the workers together have room for all members of
 // a gang.
 func (m *Machine) hasRoomForGang(s *step, workers []*worker) bool {
-	m.pass.spend(len(workers))
+	m.pass.Spend(len(workers))
 	t := s.tasks[0]
 	left := len(s.tasks)
 	for _, w := range workers {
--- a/core/jobsched/hold.go
+++ b/core/jobsched/hold.go
@@ -79,7 +79,7 @@
 // reachable workers have answered by then. Without this note a step that is held
 // back looks in the log like one that no daemon knows of.
 func (m *Machine) noteHeld(s *step) {
-	if m.now.Sub(m.recoveredAt) < waitNoteDelay || m.now.Before(s.nextNoteAt) || !m.pass.takeNote() {
+	if m.now.Sub(m.recoveredAt) < waitNoteDelay || m.now.Before(s.nextNoteAt) || !m.pass.TakeNote() {
 		return
 	}
 	s.nextNoteAt = m.now.Add(waitNoteInterval)
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -12,6 +12,7 @@
 	"github.com/guavarill/guavarill/core/joborder"
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/ordered"
+	"github.com/guavarill/guavarill/core/placementpass"
 	"github.com/guavarill/guavarill/core/workerentry"
 	"github.com/guavarill/guavarill/core/workerspeed"
 )
@@ -125,6 +126,8 @@
 	passedTrials, usableWorkers int
 	// trialWorkers counts the workers with isolated trials.
 	trialWorkers int
+	// heldTrials holds the tasks found waiting for their trial in the current pass.
+	heldTrials map[*task]struct{}
 	// trialsWaiting counts the tasks that waited for their trial in the last pass,
 	// unsharedTrialsWaiting those of them whose trials do not share workers.
 	trialsWaiting, unsharedTrialsWaiting int
@@ -153,7 +156,7 @@
 	// pass is the current pass over all pending steps. saturated is set if a pass
 	// left tasks without a worker. unplaceable remembers what could not be placed
 	// in this round.
-	pass        pass
+	pass        placementpass.Pass
 	saturated   bool
 	unplaceable unplaceable
 	// longestWaits holds the longest waits of steps at the end of the last pass.
@@ -373,11 +376,11 @@
 		return
 	}
 	since := m.now.Sub(m.scheduledAt)
-	due := m.pass.open || m.changed && (!m.saturated || since >= saturatedInterval)
+	due := m.pass.IsOpen() || m.changed && (!m.saturated || since >= saturatedInterval)
 	if !due && since < scheduleInterval {
 		return
 	}
-	if !m.pass.open {
+	if !m.pass.IsOpen() {
 		// Changes made during the pass trigger the next pass.
 		m.changed = false
 	}
--- a/core/jobsched/pass_test.go
+++ b/core/jobsched/pass_test.go
@@ -19,7 +19,7 @@
 	}
 	c.tick()
 	c.tick()
-	if !c.machine.pass.open {
+	if !c.machine.pass.IsOpen() {
 		t.Fatal("the pass over ten steps ended after one round with a budget for two checks of all workers")
 	}
 	placed := c.starts
@@ -70,16 +70,16 @@
 // later.
 func TestChangeInAnOpenPassBringsTheNext(t *testing.T) {
 	c := manyRounds(t)
-	for !c.machine.pass.open {
+	for !c.machine.pass.IsOpen() {
 		c.tick()
 	}
 	c.machine.changed = true
-	for c.machine.pass.open {
+	for c.machine.pass.IsOpen() {
 		c.tick()
 	}
-	number := c.machine.pass.number
+	number := c.machine.pass.Number()
 	c.run(saturatedInterval + 2*clusterTick)
-	if c.machine.pass.number == number {
+	if c.machine.pass.Number() == number {
 		t.Errorf("no pass began within %s of one in which something changed", saturatedInterval)
 	}
 }
@@ -105,7 +105,7 @@
 		c.submit(10+i, "batch", s)
 	}
 	c.run(time.Second)
-	if !c.machine.pass.open {
+	if !c.machine.pass.IsOpen() {
 		t.Fatal("no pass is open")
 	}
 	w := c.workers[c.firstWorkerOf(lasting)]
--- a/core/jobsched/preempt.go
+++ b/core/jobsched/preempt.go
@@ -129,7 +129,7 @@
 // cheapestPreemption returns the worker on which making room for a task loses the
 // least work, and the attempts to stop there. The worker is nil if there is none.
 func (m *Machine) cheapestPreemption(t *task) (*worker, []*attempt) {
-	m.pass.spend(m.workers.Len())
+	m.pass.Spend(m.workers.Len())
 	var best *worker
 	var victims []*attempt
 	lost, anywhere := 0.0, false
--- a/core/jobsched/schedule.go
+++ b/core/jobsched/schedule.go
@@ -11,24 +11,25 @@
 		m.startReserved(w)
 	}
 	m.measureRoom()
-	if m.pass.begin(m.options.RoundBudget) {
+	if m.pass.Begin(m.options.RoundBudget) {
 		m.saturated = false
+		m.heldTrials = make(map[*task]struct{})
 		m.divideRoom()
 	}
 	m.unplaceable.reset()
 	m.measureUtilization()
 	steps := m.pendingSteps()
 	started := m.startMostUrgent(steps)
-	m.pass.beginSecondHalf()
+	m.pass.BeginSecondHalf()
 	for _, p := range steps[started:] {
-		if p.lastPass == m.pass.number {
+		if p.lastPass == m.pass.Number() {
 			continue
 		}
 		if !m.startPending(p) {
 			return
 		}
 	}
-	m.pass.open = false
+	m.pass.End()
 	m.countWaitingTrials()
 	m.measureWaits()
 	m.reserveForLargeTasks()
@@ -49,7 +50,7 @@
 // budget does not suffice.
 func (m *Machine) startPending(p pendingStep) bool {
 	s := p.step
-	if m.pass.isExhausted() {
+	if m.pass.IsExhausted() {
 		return false
 	}
 	switch {
@@ -64,7 +65,7 @@
 	case !m.startStep(s):
 		return false
 	}
-	s.lastPass = m.pass.number
+	s.lastPass = m.pass.Number()
 	return true
 }
 
@@ -114,7 +115,7 @@
 		if !wanted(t) {
 			continue
 		}
-		if m.pass.isExhausted() || m.starting >= m.options.StartsInFlight {
+		if m.pass.IsExhausted() || m.starting >= m.options.StartsInFlight {
 			return startBudgetSpent
 		}
 		if m.isHeldByShare(t) {
@@ -126,7 +127,7 @@
 			continue
 		}
 		if !m.mayStartAfterCrashes(t) {
-			m.pass.heldTrials[t] = struct{}{}
+			m.heldTrials[t] = struct{}{}
 			m.dropTrialOnWorker(t)
 			result = startFoundNoWorker
 			continue
@@ -156,7 +157,7 @@
 // or if a record has to be stored first. places holds the candidates for tasks of
 // the step; it points to nil until they have been computed.
 func (m *Machine) startOnBest(t *task, places **candidates) bool {
-	m.pass.spend(startCost)
+	m.pass.Spend(startCost)
 	if t.trial.isAwaitingRecord() {
 		return false
 	}
@@ -198,7 +199,7 @@
 
 // bestWorker returns the best worker for the task, or nil if there is none.
 func (m *Machine) bestWorker(t *task) *worker {
-	m.pass.spend(m.workers.Len())
+	m.pass.Spend(m.workers.Len())
 	return m.bestOf(t, m.everyWorker())
 }
 
--- a/core/jobsched/speculate.go
+++ b/core/jobsched/speculate.go
@@ -47,7 +47,7 @@
 // copyStragglers starts copies of slow tasks in room that nobody waits for. It runs after
 // a placement round that has seen all changes: only then is it known which steps wait.
 func (m *Machine) copyStragglers() {
-	if !m.options.Policies.CopyStragglers || m.pass.open || m.changed || m.speculation.attempts.Len() == 0 {
+	if !m.options.Policies.CopyStragglers || m.pass.IsOpen() || m.changed || m.speculation.attempts.Len() == 0 {
 		return
 	}
 	found := m.stragglers()
--- a/core/jobsched/speedmove.go
+++ b/core/jobsched/speedmove.go
@@ -127,7 +127,7 @@
 // normalWorkers iterates over the workers that are known or assumed to be at normal speed
 // and whose own serving tasks are within their targets.
 func (m *Machine) normalWorkers() iter.Seq[*worker] {
-	m.pass.spend(m.workers.Len())
+	m.pass.Spend(m.workers.Len())
 	return func(yield func(*worker) bool) {
 		for _, w := range m.workers.All() {
 			if w.maybeSlow(m.now) || m.slownessOf(w) >= workerspeed.NormalBelow || w.throttle.pressure > 1 {
--- a/core/jobsched/trialwait.go
+++ b/core/jobsched/trialwait.go
@@ -28,8 +28,8 @@
 
 // countWaitingTrials counts the tasks that waited for their trial in the pass that ends.
 func (m *Machine) countWaitingTrials() {
-	m.trialsWaiting, m.unsharedTrialsWaiting = len(m.pass.heldTrials), 0
-	for t := range m.pass.heldTrials {
+	m.trialsWaiting, m.unsharedTrialsWaiting = len(m.heldTrials), 0
+	for t := range m.heldTrials {
 		if t.needsIsolation() && !t.mayShareTrial() {
 			m.unsharedTrialsWaiting++
 		}
--- a/core/jobsched/unplaceable.go
+++ b/core/jobsched/unplaceable.go
@@ -120,7 +120,7 @@
 // roomAnywhere reports whether any worker has room for a task, whether or not the
 // task is allowed there.
 func (m *Machine) roomAnywhere(t *task) bool {
-	m.pass.spend(m.workers.Len())
+	m.pass.Spend(m.workers.Len())
 	for _, w := range m.workers.All() {
 		if filterRoom(m, t, w) {
 			return true
--- a/core/jobsched/waitnote.go
+++ b/core/jobsched/waitnote.go
@@ -35,7 +35,7 @@
 	case s.waitingSince.IsZero():
 		s.waitingSince = m.now
 		s.occurrence.waited = true
-	case m.now.Sub(s.waitingSince) >= waitNoteDelay && !m.now.Before(s.nextNoteAt) && m.pass.takeNote():
+	case m.now.Sub(s.waitingSince) >= waitNoteDelay && !m.now.Before(s.nextNoteAt) && m.pass.TakeNote():
 		s.nextNoteAt = m.now.Add(waitNoteInterval)
 		counts := m.countRuledOut(s)
 		s.waitReason = mostFrequentReason(counts)
--- a/core/jobsched/waitreason.go
+++ b/core/jobsched/waitreason.go
@@ -37,7 +37,7 @@
 // countRuledOut counts the workers that cannot take the step's first task, by the index
 // of the first filter that rejects each of them.
 func (m *Machine) countRuledOut(s *step) []int {
-	m.pass.spend(m.workers.Len())
+	m.pass.Spend(m.workers.Len())
 	counts := make([]int, len(namedFilters))
 	for _, w := range m.workers.All() {
 		for i, f := range namedFilters {
