--- a/core/jobsched/fakeworker_test.go
+++ b/core/jobsched/fakeworker_test.go
@@ -36,7 +36,7 @@
 		case w.c.now.After(w.lease):
 			w.end(a, EndExpired)
 		case w.freeze || !a.stopping.IsZero():
-		case a.step.Gang && len(w.c.members(a.key)) < a.step.Count:
+		case a.step.Gang && len(w.c.members(a)) < a.step.Count:
 			if a.waited += d; a.waited >= gangWait {
 				w.end(a, EndIncomplete)
 			}
@@ -69,16 +69,18 @@
 	attempt *fakeAttempt
 }
 
-// members returns the running attempts of a gang that have the given attempt number.
-func (c *cluster) members(key attemptKey) []member {
+// members returns the running attempts of the gang of a that have its attempt number.
+func (c *cluster) members(a *fakeAttempt) []member {
 	var found []member
 	for _, id := range c.workerIDs() {
 		w := c.workers[id]
-		for _, a := range w.sortedAttempts() {
-			same := a.key.task
-			same.Index = key.task.Index
-			if same == key.task && a.key.attempt == key.attempt && a.stopping.IsZero() {
-				found = append(found, member{w, a})
+		if len(w.attempts) == 0 {
+			continue
+		}
+		key := a.key
+		for key.task.Index = range a.step.Count {
+			if other := w.attempts[key]; other != nil && other.stopping.IsZero() {
+				found = append(found, member{w, other})
 			}
 		}
 	}
@@ -95,7 +97,7 @@
 		w.endOne(a, cause)
 		return
 	}
-	others := w.c.members(a.key)
+	others := w.c.members(a)
 	w.endOne(a, cause)
 	for _, m := range others {
 		switch {
