core/crashes: an attempt with number 1 has no crash before it that may be missing

What callers would see: a job is told as failed after three crashes counted under one of its tasks, one of which was no start that had reached its worker, while two of its runs had failed of the three that are allowed (LOST: "shown as failed [...] without cause").

Cause: counts starts that follow the last tolerated crash, the third, or the second if a crash may be missing. It took any crash at a time not known for a sign of that.

Only a crash that may be missing before the first moves the last tolerated one now. A time that is not known still adds a start, as before.

Before: TestFurtherStartsAreBounded: "three from the first attempt on, the first at a time not known, another between: given up true, want false".

--- a/core/crashes/evidence.go
+++ b/core/crashes/evidence.go
@@ -82,15 +82,19 @@
 }
 
 // furtherStarts returns how many starts may have followed the last tolerated crash. A
-// crash that may not have been counted counts as the first.
+// crash that may not have been counted adds one. Only one that came before the first makes
+// an earlier of the counted crashes the last tolerated one.
 func (e Evidence) furtherStarts() int {
-	tolerated := mostTolerated
+	starts := len(e) - mostTolerated
 	if e.mayMissOne() {
-		tolerated--
+		starts++
+	}
+	lastTolerated := mostTolerated - 1
+	if e.mayMissEarlier() {
+		lastTolerated--
 	}
-	starts := len(e) - tolerated
 	for i, c := range e {
-		if c.Followed && i >= tolerated-1 {
+		if c.Followed && i >= lastTolerated {
 			starts++
 		}
 	}
@@ -103,9 +107,12 @@
 // also if that crash has been dropped.
 func (e Evidence) mayMissOne() bool {
 	unknown := func(c job.Crash) bool { return c.ObservedRunMs == job.ObservedRunUnknown }
-	return e[0].Attempt > 1 && !e[0].CountsAnew || slices.ContainsFunc(e, unknown)
+	return e.mayMissEarlier() || slices.ContainsFunc(e, unknown)
 }
 
+// mayMissEarlier reports whether a crash before the first that was counted may be missing.
+func (e Evidence) mayMissEarlier() bool { return e[0].Attempt > 1 && !e[0].CountsAnew }
+
 // Suspicious returns how many of the crashes are suspicious.
 func (e Evidence) Suspicious() int {
 	n := 0
--- a/core/crashes/evidence_test.go
+++ b/core/crashes/evidence_test.go
@@ -52,6 +52,8 @@
 		"four, another start after the second":     {Evidence{crash(1, 0), followed(crash(18, 0)), crash(52, 0), crash(69, 0)}, false},
 		"three and another start":                  {Evidence{crash(1, 0), crash(18, 0), followed(crash(35, 0))}, false},
 		"three that may miss one, another between": {Evidence{crash(18, 0), followed(crash(35, 0)), crash(69, 0)}, true},
+		"three from the first attempt on, the first at a time not known, another between": {Evidence{
+			crash(1, job.ObservedRunUnknown), followed(crash(35, 0)), uncertain(crash(69, 0))}, false},
 		"four, three of them uncertain": {Evidence{
 			uncertain(crash(18, 0)), uncertain(crash(35, 0)), uncertain(crash(52, 0)), crash(69, 0)}, false},
 	} {
