core/jobsched: the log tells by which clock leases were granted, and who answered a start

Now 'worker silent' says until when leases may last and how old the reading of the clock is, 'attempt lost' says when its start was sent and whether it was answered, and an answer whose clock has gone back is noted as that of another incarnation. No decision changes.

--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -41,6 +41,7 @@
 	MessageWorkerSilent         = "worker silent"
 	MessageWorkerCrashed        = "worker crashed"
 	MessageWorkerRestarted      = "worker started again"
+	MessageOtherClock           = "start answered by another incarnation"
 	MessageCrashCounted         = "crash counted"
 	MessageSizeOrderChanged     = "order of sizes changed"
 	MessageZoneCordoned         = "zone cordoned"
--- a/core/jobsched/attempt.go
+++ b/core/jobsched/attempt.go
@@ -73,7 +73,9 @@
 	// copy is set for the second attempt of a slow task, and beaten for an attempt whose
 	// task the other one of the two has done.
 	copy, beaten bool
-	startedAt    time.Time
+	// sentAt is when its start was sent, zero if this leader did not send it; startedAt is
+	// when it was known to run.
+	sentAt, startedAt time.Time
 	// seenBefore is how long earlier leaders have seen the attempt running.
 	seenBefore time.Duration
 	// seenFromStart is set if an adopted attempt has been seen since its start.
--- a/core/jobsched/lostattempts.go
+++ b/core/jobsched/lostattempts.go
@@ -46,10 +46,23 @@
 		if a.mayHaveCrashed() || m.hasSuccessorOnVM(w) {
 			m.countAttemptCrash(a, w)
 		}
-		m.loseAttempt(a, "its lease ran out without an answer")
+		m.loseAttempt(a, "its lease ran out without an answer; "+a.describeStart(m.now))
 	}
 }
 
+// describeStart tells when this leader sent the attempt's start, and whether the worker has
+// confirmed it.
+func (a *attempt) describeStart(now time.Time) string {
+	switch {
+	case a.sentAt.IsZero():
+		return "an earlier leader started it"
+	case a.startedAt.IsZero():
+		return fmt.Sprintf("its start was sent %s ago and not answered", now.Sub(a.sentAt).Round(time.Millisecond))
+	}
+	return fmt.Sprintf("its start was sent %s ago and answered after %s", now.Sub(a.sentAt).Round(time.Millisecond),
+		a.startedAt.Sub(a.sentAt).Round(time.Millisecond))
+}
+
 // lossGrace returns how long beyond its lease the attempts on an unreachable worker
 // are kept.
 func (w *worker) lossGrace() time.Duration {
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -91,6 +91,7 @@
 	reason := because + fmt.Sprintf("room %s, report %s old, list %s old, configuration %d, score %.2f", w.room(),
 		m.now.Sub(w.clockAt).Round(time.Millisecond), m.now.Sub(m.listRequestedAt).Round(time.Millisecond), m.configVersion(), m.score(t, w))
 	a := m.addAttempt(t, w, number, phaseStarting)
+	a.sentAt = m.now
 	t.known = true
 	m.noteSentRestart(t, number)
 	t.step.occurrence.noteStart(m.now)
@@ -121,6 +122,7 @@
 	if a == nil {
 		return
 	}
+	m.noteOtherClock(w, a, ev.ClockMs)
 	w.sampleClock(m.now, ev.ClockMs)
 	if a.phase != phaseStarting && ev.Verdict != VerdictFenced {
 		return
@@ -158,6 +160,16 @@
 	m.endAttempt(a, endLost, "")
 }
 
+// noteOtherClock notes an answer to a start whose clock shows that another incarnation
+// gave it.
+func (m *Machine) noteOtherClock(w *worker, a *attempt, clockMs int64) {
+	if !w.isOtherClock(a.sentAt, clockMs) {
+		return
+	}
+	m.noteAttempt(joblog.MessageOtherClock, a, fmt.Sprintf("its answer tells %d ms; the clock was at %d ms, read %s before the start was sent",
+		clockMs, w.clockMs, a.sentAt.Sub(w.clockAt).Round(time.Millisecond)))
+}
+
 // acceptStart handles the verdict that a start was, or may have been, carried out.
 func (m *Machine) acceptStart(a *attempt, v Verdict) {
 	switch {
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -159,50 +159,6 @@
 	}
 }
 
-// sampleClock records a reading of the worker's clock.
-func (w *worker) sampleClock(now time.Time, clockMs int64) {
-	if clockMs > 0 {
-		w.clockMs, w.clockAt = clockMs, now
-	}
-}
-
-// until returns the end, on the worker's clock, of a lease that begins now, or 0 if
-// the worker's clock is unknown. It extends leaseBound to the time at which the
-// lease has certainly ended: the worker's clock may run slow, and may have fallen
-// behind since it was read.
-func (w *worker) until(now time.Time, lease time.Duration) int64 {
-	if w.clockAt.IsZero() {
-		return 0
-	}
-	since := now.Sub(w.clockAt)
-	bound := now.Add(lease + w.drift(since+lease) + leaseSlack)
-	if bound.After(w.leaseBound) {
-		w.leaseBound = bound
-	}
-	return w.clockMs + (since + lease).Milliseconds()
-}
-
-// drift returns how much longer than d it may take until d has passed on the worker's
-// clock, which may run slow.
-func (w *worker) drift(d time.Duration) time.Duration { return time.Duration(float64(d) * clockDrift) }
-
-// leaseWithin returns the longest lease that begins now and has certainly ended by
-// the given bound. It is the inverse of the bound in until, less a millisecond for
-// rounding.
-func (w *worker) leaseWithin(now, bound time.Time) time.Duration {
-	since := time.Duration(float64(now.Sub(w.clockAt)) * clockDrift)
-	return time.Duration(float64(bound.Sub(now)-leaseSlack-since)/(1+clockDrift)) - time.Millisecond
-}
-
-const (
-	// clockDrift is by how much a worker's clock may run slow: 2% by the platform's
-	// contract, plus a margin for rounding.
-	clockDrift = 0.025
-	// leaseSlack covers the worker's delay in ending attempts whose lease has
-	// expired.
-	leaseSlack = 200 * time.Millisecond
-)
-
 // isUsable reports whether any new task may be started on the worker.
 func (w *worker) isUsable(now time.Time) bool {
 	allowed := w.listed && w.onRoster && !w.closed && !w.bounded && !w.entry.Draining && !w.ended && !w.isContested()
--- a/core/jobsched/workers.go
+++ b/core/jobsched/workers.go
@@ -1,6 +1,7 @@
 package jobsched
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/guavarill/guavarill/core/joblog"
@@ -191,10 +192,20 @@
 func (m *Machine) markUnreachable(w *worker, sentAt time.Time) {
 	if w.unreachableSince.IsZero() {
 		w.unreachableSince = sentAt
-		m.emit(Note{Decision: joblog.MessageWorkerSilent, Worker: w.id, Reason: "no answer"})
+		m.emit(Note{Decision: joblog.MessageWorkerSilent, Worker: w.id, Reason: "no answer; " + m.describeLeases(w)})
 	}
 }
 
+// describeLeases tells until when leases on the worker may last, and by which reading of
+// its clock they were granted.
+func (m *Machine) describeLeases(w *worker) string {
+	text := fmt.Sprintf("leases end within %s", max(w.leaseBound.Sub(m.now), 0).Round(time.Millisecond))
+	if w.clockAt.IsZero() {
+		return text + ", its clock is not known"
+	}
+	return text + fmt.Sprintf(", its clock was at %d ms %s ago", w.clockMs, m.now.Sub(w.clockAt).Round(time.Millisecond))
+}
+
 // markReachable records that w has answered a Renew.
 func (m *Machine) markReachable(w *worker) {
 	if !w.unreachableSince.IsZero() {
