platform: an order reaches only the incarnation of its worker that it is for

Cause: a call names its worker by the id alone. A start for the incarnation that had crashed opened a connection, and the next incarnation was at its other end. It judged the end of the lease by its own clock, which begins anew, and granted the longest lease, 6 s; the leader reckoned with the 4.5 s that it had asked for. Class: a call whose meaning depends on a state that its receiver may have lost, as in docs/incidents/restarted-workers.md, where acknowledgements had it; starts, stops and leases had been left.

An order for another incarnation is not sent.

--- a/core/jobsched/event.go
+++ b/core/jobsched/event.go
@@ -97,10 +97,13 @@
 	// VerdictNotSent means that the daemon did not send the order because it may no
 	// longer be the leader.
 	VerdictNotSent
+	// VerdictOtherIncarnation means that the order was not sent because another
+	// incarnation of its worker is there.
+	VerdictOtherIncarnation
 )
 
 var verdictNames = [...]string{"unknown", "done", "no room", "superseded", "expired", "fenced",
-	"no ticket", "unhealthy", "other instance", "invalid", "unreachable", "not sent"}
+	"no ticket", "unhealthy", "other instance", "invalid", "unreachable", "not sent", "other incarnation"}
 
 // String returns the verdict's name.
 func (v Verdict) String() string {
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -14,7 +14,8 @@
 	// it has no room: its next report will show what occupies it.
 	roomPause = 600 * time.Millisecond
 	// unhealthyPause is how long a worker gets no starts after it reported that it
-	// is unhealthy, was unreachable, or did not answer a start.
+	// is unhealthy, was unreachable, did not answer a start, or had been replaced by
+	// another incarnation, which the next renewal shows.
 	unhealthyPause = time.Second
 	// invalidPause delays a step after a worker rejected its order as invalid.
 	invalidPause = 2 * time.Second
@@ -141,7 +142,7 @@
 	case VerdictExpired:
 		w.clockAt = time.Time{}
 		w.renewAt = m.now
-	case VerdictUnhealthy, VerdictUnreachable:
+	case VerdictUnhealthy, VerdictUnreachable, VerdictOtherIncarnation:
 		w.noStartsUntil = m.now.Add(unhealthyPause)
 	case VerdictOtherInstance:
 		defer m.endIncarnation(w)
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -118,6 +118,13 @@
 	return w.starts
 }
 
+// LeaseEnd returns when the lease of what runs ends.
+func (w *Worker) LeaseEnd() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lease
+}
+
 func (w *Worker) clock() int64 { return time.Since(w.began).Milliseconds() + 1 }
 
 func (w *Worker) admit(epoch int64) bool {
