core/jobsched: leases that the next incarnation grants, where an earlier version's daemon carried the order

Callers could see TWICE during an upgrade: a daemon of an earlier version opens its connections to whichever incarnation of a worker is there, so a start may still be carried out by the next one, with the longest lease, and be answered. The leader took the answer for that of the incarnation it had asked, and its clock too.

An answer whose clock has gone back is now taken for another incarnation's: leases may last for MaxLease from then on, the clock counts as unknown and a report is requested. After a takeover the bound that the later of two incarnations on the roster begins with is no longer lowered to the usual one, and orders of an earlier leader that may still act are counted.

--- a/core/jobsched/incarnation.go
+++ b/core/jobsched/incarnation.go
@@ -26,14 +26,16 @@
 type workerIncarnations struct{ all []*worker }
 
 // addIncarnation adds an incarnation of a worker. If others of the same id are
-// known, orders to them may have reached this one, with leases of up to MaxLease.
+// known, orders to them may have reached this one, with leases of up to MaxLease: a
+// daemon of an earlier version sends them to whichever incarnation is there, also for an
+// earlier leader that may still be acting.
 func (m *Machine) addIncarnation(w *worker) {
 	group := m.incarnations[w.id.ID]
 	if group == nil {
 		group = new(workerIncarnations)
 		m.incarnations[w.id.ID] = group
 	} else {
-		w.leaseBound = m.now.Add(m.options.MaxLease + w.drift(m.options.MaxLease) + leaseSlack)
+		w.extendLeaseBound(later(m.now, m.recoveredAt.Add(m.options.LeaderTTL)), m.options.MaxLease)
 	}
 	group.all = append(group.all, w)
 	w.siblings = group
@@ -225,6 +227,17 @@
 		w.id.StartedMs, w.lastSeenEnd, w.lastAckedEnd, len(r.Ended), first)})
 }
 
+// handleOtherClock handles an answer to a start that another incarnation than w gave, to a
+// daemon of an earlier version. It reckons the end of the lease by its own clock, so that it
+// may have granted MaxLease. Nothing is started before a report shows who is there.
+func (m *Machine) handleOtherClock(w *worker, a *attempt, clockMs int64) {
+	m.noteAttempt(joblog.MessageOtherClock, a, fmt.Sprintf("its answer tells %d ms; the clock was at %d ms, read %s before the start was sent",
+		clockMs, w.clockMs, a.sentAt.Sub(w.clockAt).Round(time.Millisecond)))
+	w.extendLeaseBound(m.now, m.options.MaxLease)
+	w.clockAt = time.Time{}
+	w.renewAt = m.now
+}
+
 // lists reports whether the report contains an attempt, as running or as ended.
 func (r *Report) lists(key attemptKey) bool {
 	for i := range r.Running {
--- a/core/jobsched/incarnation_test.go
+++ b/core/jobsched/incarnation_test.go
@@ -342,3 +342,52 @@
 		t.Error("starts are held, though the worker has told what it runs")
 	}
 }
+
+// TestStartAnsweredByTheNextIncarnation guards against a task that runs twice at a time: the
+// next incarnation of its worker has carried out and answered its start, with the longest
+// lease, and is cut off before any report tells of it.
+func TestStartAnsweredByTheNextIncarnation(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.keepIDs, c.options.MaxLease = true, maxLease
+	c.replaceLeader()
+	w := c.workers["w000"]
+	// The clock of the next one is behind.
+	w.clockAhead = otherClock
+	c.run(300 * time.Millisecond)
+	id := c.submit(1, "urgent", longRunning(1, 1000))
+	for c.starts == 0 {
+		c.tick()
+	}
+	w.crash()
+	c.restartUnderSameID(w)
+	c.run(20 * time.Millisecond)
+	next := c.workers["w000"]
+	if len(next.attempts) != 1 {
+		t.Fatalf("the next incarnation runs %d attempts, want 1", len(next.attempts))
+	}
+	next.partitioned = true
+	c.addWorker(1)
+	c.run(maxLease + 2*time.Second)
+	if n := len(c.workers["w001"].attempts); n != 1 {
+		t.Errorf("%d tasks of job %s run on the other worker after the lease, want 1", n, id)
+	}
+}
+
+// TestTakeoverKeepsTheBoundOfTheNextIncarnation guards against a task that runs twice at a
+// time after a takeover: the roster has two incarnations of a worker, and the later one may
+// have been granted the longest lease.
+func TestTakeoverKeepsTheBoundOfTheNextIncarnation(t *testing.T) {
+	entry := func(startedMs int64) RosterEntry {
+		return RosterEntry{WorkerEntry: WorkerEntry{
+			Incarnation: model.Incarnation{ID: "w", StartedMs: startedMs}, Service: "pool", Address: "a:1",
+			Capacity: model.Resources{MilliCPU: 16000, MemoryMB: 64000},
+		}}
+	}
+	options := testOptions()
+	options.MaxLease = 10 * time.Second
+	m := New(testEpoch, 2, options, Recovered{Roster: []RosterEntry{entry(1), entry(2)}})
+	earliest := testEpoch.Add(options.LeaderTTL + options.MaxLease)
+	if bound := m.worker(model.Incarnation{ID: "w", StartedMs: 2}).leaseBound; bound.Before(earliest) {
+		t.Errorf("leases end %s after the takeover, want at least %s", bound.Sub(testEpoch), earliest.Sub(testEpoch))
+	}
+}
--- a/core/jobsched/orders.go
+++ b/core/jobsched/orders.go
@@ -123,8 +123,11 @@
 	if a == nil {
 		return
 	}
-	m.noteOtherClock(w, a, ev.ClockMs)
-	w.sampleClock(m.now, ev.ClockMs)
+	if w.isOtherClock(a.sentAt, ev.ClockMs) {
+		m.handleOtherClock(w, a, ev.ClockMs)
+	} else {
+		w.sampleClock(m.now, ev.ClockMs)
+	}
 	if a.phase != phaseStarting && ev.Verdict != VerdictFenced {
 		return
 	}
@@ -161,16 +164,6 @@
 	m.endAttempt(a, endLost, "")
 }
 
-// noteOtherClock notes an answer to a start whose clock shows that another incarnation
-// gave it.
-func (m *Machine) noteOtherClock(w *worker, a *attempt, clockMs int64) {
-	if !w.isOtherClock(a.sentAt, clockMs) {
-		return
-	}
-	m.noteAttempt(joblog.MessageOtherClock, a, fmt.Sprintf("its answer tells %d ms; the clock was at %d ms, read %s before the start was sent",
-		clockMs, w.clockMs, a.sentAt.Sub(w.clockAt).Round(time.Millisecond)))
-}
-
 // acceptStart handles the verdict that a start was, or may have been, carried out.
 func (m *Machine) acceptStart(a *attempt, v Verdict) {
 	switch {
--- a/core/jobsched/recoverroster.go
+++ b/core/jobsched/recoverroster.go
@@ -24,7 +24,7 @@
 	}
 	m.addIncarnation(w)
 	m.startTimesReported = m.startTimesReported || w.id.StartedMs != 0
-	w.leaseBound = m.earlierLeasesEnd()
+	w.leaseBound = later(w.leaseBound, m.earlierLeasesEnd())
 	if valid && e.LeaseLeft != nil {
 		w.leaseBound = m.recoveredAt.Add(*e.LeaseLeft - age)
 	}
--- a/core/jobsched/workerclock.go
+++ b/core/jobsched/workerclock.go
@@ -30,13 +30,15 @@
 		return 0
 	}
 	since := now.Sub(w.clockAt)
-	bound := now.Add(lease + w.drift(since+lease) + leaseSlack)
-	if bound.After(w.leaseBound) {
-		w.leaseBound = bound
-	}
+	w.extendLeaseBound(now.Add(w.drift(since)), lease)
 	return w.clockMs + (since + lease).Milliseconds()
 }
 
+// extendLeaseBound notes that a lease of the given length may begin at the given time.
+func (w *worker) extendLeaseBound(from time.Time, lease time.Duration) {
+	w.leaseBound = later(w.leaseBound, from.Add(lease+w.drift(lease)+leaseSlack))
+}
+
 // drift returns how much longer than d it may take until d has passed on the worker's
 // clock, which may run slow.
 func (w *worker) drift(d time.Duration) time.Duration { return time.Duration(float64(d) * clockDrift) }
