core/jobsched: an end that was seen is not taken for a missing crash

Cause: a task is given up after three crashes if one may be missing before them and another start has followed. That one is missing was told from the number of the first counted attempt alone. The earlier attempt had been preempted, and the leader that started it had seen its end.

Why this works: the leader records with the first counted crash that none precedes it, in the field that a count which begins anew has, if it took the job in itself and no attempt of the task has ended without it knowing how. After a take-over, or once an attempt was lost, a crash may be missing as before. The bound of two starts after three crashes stays.

TestKnownEndsAreNotMissedCrashes failed before: "the job is failed after three crashes, want completed".

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -158,8 +158,8 @@
 	// Shared is whether other tasks under which workers had crashed were tried on
 	// the worker as well, so that any of them may be the cause.
 	Shared bool `json:"shared,omitempty"`
-	// CountsAnew is whether crashes before it were counted and dropped, so that none
-	// that was not counted precedes it.
+	// CountsAnew is whether no crash that was not counted precedes it: those before were
+	// counted and dropped, or the ends of all earlier attempts are known.
 	CountsAnew bool `json:"anew,omitempty"`
 	// Followed is whether a later attempt, before the next crash, ended otherwise than
 	// with its worker and before it had run for long.
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -168,6 +168,7 @@
 	if t.needsIsolation() && (crashes.IsSuspicious(c) || c.Shared) {
 		m.passedTrials = 0
 	}
+	c.CountsAnew = len(t.crashes) == 0 && t.allEndsKnown()
 	t.crashes = t.crashes.Add(c)
 	t.trial = trial{}
 	m.markDirty(j)
@@ -181,6 +182,10 @@
 	m.giveUpAfterCrashes(t)
 }
 
+// allEndsKnown reports whether this leader has seen how each attempt of the task ended, so
+// that no worker has crashed under the task unseen.
+func (t *task) allEndsKnown() bool { return !t.step.job().recovered && !t.endMissing }
+
 // giveUpAfterCrashes fails the job of a task under which too many workers have crashed. A
 // long-running task has to be started again however its attempts end.
 func (m *Machine) giveUpAfterCrashes(t *task) {
--- a/core/jobsched/crash_test.go
+++ b/core/jobsched/crash_test.go
@@ -336,3 +336,33 @@
 		})
 	}
 }
+
+// TestKnownEndsAreNotMissedCrashes guards against a job that is told as failed after three
+// crashes, because the preemption before them is taken for a crash that may be missing.
+func TestKnownEndsAreNotMissedCrashes(t *testing.T) {
+	c := newCluster(t, 1, 6)
+	c.run(200 * time.Millisecond)
+	id := c.submit(1, "batch", makeStep(1, 1000, 5*time.Second))
+	for _, crashes := range []bool{false, true, true, false, true} {
+		c.runUntilStarted(id)
+		c.run(time.Second)
+		if crashes {
+			c.restart(c.workers[c.firstWorkerOf(id)])
+			continue
+		}
+		a := c.machine.task(job.TaskKey{Job: id}).attempts[0]
+		c.machine.requestStop(a, stopPreempted, "")
+		c.run(time.Second)
+	}
+	c.run(20 * time.Second)
+	if s := c.state(id); s != job.Completed {
+		t.Errorf("the job is %s after three crashes, want completed: %s", s, c.describe(id))
+	}
+}
+
+// runUntilStarted runs until a task of the job is at work, for a minute at the most.
+func (c *cluster) runUntilStarted(id job.ID) {
+	for begun := c.now; c.runningOf(id) == 0 && c.now.Sub(begun) < time.Minute; {
+		c.tick()
+	}
+}
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -150,6 +150,8 @@
 	// attemptLost is set once an attempt was declared lost without its end being
 	// known.
 	attemptLost bool
+	// endMissing is set once an attempt has ended without this leader knowing how.
+	endMissing bool
 	// crashes lists the attempts that ended with their worker, since the last one
 	// that ran for stableRunTime.
 	crashes crashes.Evidence
--- a/core/jobsched/trial.go
+++ b/core/jobsched/trial.go
@@ -237,9 +237,11 @@
 		t.trial = trial{}
 	}
 	switch {
+	case cause == endLost:
+		t.endMissing = true
 	case crashesCleared:
 		t.crashes = nil
-	case cause != endLost && cause != EndDone:
+	case cause != EndDone:
 		t.crashes = t.crashes.AddOtherEnd()
 	}
 	if ofTrial || crashesCleared {
