core/jobsched: a crash is taken back when the worker tells how the attempt ended

Cause: the silence of a trial counts as a crash of its worker once the lease has run out. Workers that are cut off answer again, and tell that the attempt was stopped, or ended with its lease. The crash went on to count, for giving the job up and towards the three from which on a task is tried alone.

Why this works: a worker that reports the end of an attempt has outlived it, so the crash that was counted for the attempt is removed. The attempt counts as another start in its place, as one that ended otherwise does, and no crash is presumed missing that was not before. The bound of two starts after three crashes stays.

Tests that failed before: TestTasksOfWorkersThatWereCutOffRunAgainAtOnce ("21 tasks do not run 2.4s after all workers answer again", 0 with it) and TestCrashIsWithdrawnWhenItsWorkerAnswers ("2 crashes count once the worker has answered, want 1").

--- a/core/crashes/evidence.go
+++ b/core/crashes/evidence.go
@@ -60,6 +60,23 @@
 	return e
 }
 
+// Withdraw returns the evidence without the crash of an attempt that turned out to have
+// ended otherwise, which counts as another start then.
+func (e Evidence) Withdraw(attempt int) Evidence {
+	i := slices.IndexFunc(e, func(c job.Crash) bool { return c.Attempt == attempt })
+	if i < 0 {
+		return e
+	}
+	missesNone := !e.mayMissEarlier()
+	left := slices.Delete(slices.Clone(e), i, i+1)
+	if i > 0 {
+		left[i-1].Followed = true
+	} else if len(left) > 0 {
+		left[0].CountsAnew = missesNone
+	}
+	return left
+}
+
 // Latest returns the last Most crashes.
 func (e Evidence) Latest() Evidence { return e[max(len(e)-Most, 0):] }
 
--- a/core/crashes/evidence_test.go
+++ b/core/crashes/evidence_test.go
@@ -1,6 +1,7 @@
 package crashes
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -62,3 +63,26 @@
 		}
 	}
 }
+
+// TestWithdrawnCrashIsAnotherStart guards against starts that no longer count, and against
+// crashes that are presumed missing, once a crash before the others is withdrawn.
+func TestWithdrawnCrashIsAnotherStart(t *testing.T) {
+	crash := func(attempt int) job.Crash { return job.Crash{Attempt: attempt} }
+	followed, anew := crash(1), crash(18)
+	followed.Followed, anew.CountsAnew = true, true
+	for name, test := range map[string]struct {
+		crashes Evidence
+		attempt int
+		want    Evidence
+	}{
+		"not counted":            {Evidence{crash(1)}, 18, Evidence{crash(1)}},
+		"the only one":           {Evidence{crash(18)}, 18, Evidence{}},
+		"the last":               {Evidence{crash(1), crash(18)}, 18, Evidence{followed}},
+		"the first":              {Evidence{crash(1), crash(18)}, 1, Evidence{anew}},
+		"one that may miss some": {Evidence{crash(2), crash(18)}, 2, Evidence{crash(18)}},
+	} {
+		if got := test.crashes.Withdraw(test.attempt); !slices.Equal(got, test.want) {
+			t.Errorf("%s: %+v, want %+v", name, got, test.want)
+		}
+	}
+}
--- a/core/joblog/explain_attempts.go
+++ b/core/joblog/explain_attempts.go
@@ -83,6 +83,9 @@
 	}
 	e.explainFailures(e.withMessage(MessageAttemptEnded))
 	e.explainCrashes(e.withMessage(MessageCrashCounted))
+	if withdrawn := e.withMessage(MessageCrashWithdrawn); len(withdrawn) > 0 {
+		e.addFinding("crashes not counted any more, as their workers answered again: %d", len(withdrawn))
+	}
 }
 
 // explainCopies reports the copies of slow tasks that were done first, each with what
--- a/core/joblog/message.go
+++ b/core/joblog/message.go
@@ -43,6 +43,7 @@
 	MessageWorkerRestarted      = "worker started again"
 	MessageOtherClock           = "start answered by another incarnation"
 	MessageCrashCounted         = "crash counted"
+	MessageCrashWithdrawn       = "crash not counted any more"
 	MessageSizeOrderChanged     = "order of sizes changed"
 	MessageZoneCordoned         = "zone cordoned"
 	MessageCordonLifted         = "cordon lifted"
--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -206,6 +206,24 @@
 	}
 }
 
+// withdrawCrash takes back the crash that was counted for an attempt, if there is one,
+// because its worker has reported since how it ended.
+func (m *Machine) withdrawCrash(t *task, attempt int) {
+	left := t.crashes.Withdraw(attempt)
+	if len(left) == len(t.crashes) {
+		return
+	}
+	t.crashes = left
+	if t.crashes.Suspicious() < crashes.Most {
+		t.trialsPausedUntil = time.Time{}
+	}
+	m.markDirty(t.step.job())
+	m.emit(Note{
+		Decision: joblog.MessageCrashWithdrawn, Job: t.step.job().id, Task: t.key().String(), Attempt: attempt, Routine: true,
+		Reason: "its worker answers again; crashes since its last long run: " + t.crashes.String(),
+	})
+}
+
 // isCrashCounted reports whether the crash has been counted, or one of a later attempt,
 // unless that ran beside this one.
 func (m *Machine) isCrashCounted(t *task, c job.Crash) bool {
--- a/core/jobsched/crash_test.go
+++ b/core/jobsched/crash_test.go
@@ -366,3 +366,33 @@
 		c.tick()
 	}
 }
+
+// TestCrashIsWithdrawnWhenItsWorkerAnswers guards against jobs that are told as failed because
+// of crashes that were counted when workers fell silent, though these answer again.
+func TestCrashIsWithdrawnWhenItsWorkerAnswers(t *testing.T) {
+	c := newCluster(t, 1, 6)
+	c.run(200 * time.Millisecond)
+	id := c.submit(1, "batch", makeStep(1, 1000, 30*time.Second))
+	suspect := func() *task { return c.machine.task(job.TaskKey{Job: id}) }
+	c.runUntilStarted(id)
+	c.run(time.Second)
+	c.restart(c.workers[c.firstWorkerOf(id)])
+	c.run(20 * time.Millisecond)
+	for range crashes.Most {
+		c.runUntilStarted(id)
+		c.run(time.Second)
+		silent := c.workers[c.firstWorkerOf(id)]
+		silent.partitioned = true
+		for lost := suspect().attempts[0]; len(suspect().attempts) > 0 && suspect().attempts[0] == lost; {
+			c.tick()
+		}
+		if n := len(suspect().crashes); n != 2 {
+			t.Fatalf("%d crashes count while the worker is silent, want 2: %s", n, suspect().crashes)
+		}
+		silent.partitioned = false
+		c.run(2 * time.Second)
+		if n := len(suspect().crashes); n != 1 {
+			t.Fatalf("%d crashes count once the worker has answered, want 1: %s", n, suspect().crashes)
+		}
+	}
+}
--- a/core/jobsched/masscrash_test.go
+++ b/core/jobsched/masscrash_test.go
@@ -172,3 +172,37 @@
 		}
 	}
 }
+
+// TestTasksOfWorkersThatWereCutOffRunAgainAtOnce guards against long-running tasks that wait
+// for seconds to be tried alone, with room for them, because workers that crashed together
+// were cut off soon after and each cut went on to count as a crash.
+func TestTasksOfWorkersThatWereCutOffRunAgainAtOnce(t *testing.T) {
+	const cutOff, allowed = massCrashFleet / 2, 2400 * time.Millisecond
+	c := newCluster(t, 1, massCrashFleet)
+	c.keepIDs = true
+	c.run(200 * time.Millisecond)
+	var jobs []job.ID
+	for i := range massCrashFleet {
+		// They need three quarters of the room.
+		jobs = append(jobs, c.submit(1+i, "urgent", longRunning(3, 3500)))
+	}
+	c.run(time.Second)
+	for range 2 {
+		c.crashTogether(0, cutOff, 600*time.Millisecond)
+		c.run(2600 * time.Millisecond)
+		c.setPartitioned(cutOff, true)
+		c.run(9 * time.Second)
+		c.setPartitioned(cutOff, false)
+		c.run(allowed)
+		if n := c.waitingTasks(jobs); n > 0 {
+			t.Errorf("%d tasks do not run %s after all workers answer again", n, allowed)
+		}
+	}
+}
+
+// setPartitioned cuts the first n workers off, or ends that.
+func (c *cluster) setPartitioned(n int, partitioned bool) {
+	for _, id := range c.workerIDs()[:n] {
+		c.workers[id].partitioned = partitioned
+	}
+}
--- a/core/jobsched/reportedends.go
+++ b/core/jobsched/reportedends.go
@@ -40,6 +40,9 @@
 	key := attemptKey{task: e.Key, attempt: e.Attempt}
 	_, declared := w.lost[key]
 	delete(w.lost, key)
+	if t := m.task(e.Key); t != nil && !t.done {
+		m.withdrawCrash(t, e.Attempt)
+	}
 	if restart := m.sentRestart(e); e.Cause == EndDone && restart > 0 {
 		m.withholdEnd(w, e, restart)
 		return
