--- a/core/jobsched/crash.go
+++ b/core/jobsched/crash.go
@@ -168,6 +168,7 @@
 	if t.needsIsolation() && (crashes.IsSuspicious(c) || c.Shared) {
 		m.passedTrials = 0
 	}
+	c.CountsAnew = len(t.crashes) == 0 && t.allEndsKnown()
 	t.crashes = t.crashes.Add(c)
 	t.trial = trial{}
 	m.markDirty(j)
@@ -181,6 +182,10 @@
 	m.giveUpAfterCrashes(t)
 }
 
+// allEndsKnown reports whether this leader has seen how each attempt of the task ended, so
+// that no worker has crashed under the task unseen.
+func (t *task) allEndsKnown() bool { return !t.step.job().recovered && !t.endMissing }
+
 // giveUpAfterCrashes fails the job of a task under which too many workers have crashed. A
 // long-running task has to be started again however its attempts end.
 func (m *Machine) giveUpAfterCrashes(t *task) {
@@ -201,6 +206,24 @@
 	}
 }
 
+// withdrawCrash takes back the crash that was counted for an attempt, if there is one,
+// because its worker has reported since how it ended.
+func (m *Machine) withdrawCrash(t *task, attempt int) {
+	left := t.crashes.Withdraw(attempt)
+	if len(left) == len(t.crashes) {
+		return
+	}
+	t.crashes = left
+	if t.crashes.Suspicious() < crashes.Most {
+		t.trialsPausedUntil = time.Time{}
+	}
+	m.markDirty(t.step.job())
+	m.emit(Note{
+		Decision: joblog.MessageCrashWithdrawn, Job: t.step.job().id, Task: t.key().String(), Attempt: attempt, Routine: true,
+		Reason: "its worker answers again; crashes since its last long run: " + t.crashes.String(),
+	})
+}
+
 // isCrashCounted reports whether the crash has been counted, or one of a later attempt,
 // unless that ran beside this one.
 func (m *Machine) isCrashCounted(t *task, c job.Crash) bool {
