core/throttle: the shares of best-effort work leave core/jobsched

What decides the two shares of a worker's best-effort work by the pressure on its serving tasks is a controller of its own: it needs the worst reading, the share that predictions allow and whether any work is known to disturb. It is moved, with its bounds, from jobsched/throttle.go, which keeps what needs workers and attempts: the worst reading, the orders and the moves.

--- a/core/jobsched/filter.go
+++ b/core/jobsched/filter.go
@@ -99,7 +99,7 @@
 // would start at full speed.
 func filterInterference(m *Machine, t *task, w *worker) bool {
 	spec := t.step.spec
-	return !spec.BestEffort || w.throttle.pressure <= 1 && m.withinHeadroom(w, m.imageOf(t.step), spec.Size.MilliCPU) || m.starving(t.step)
+	return !spec.BestEffort || w.throttle.Pressure() <= 1 && m.withinHeadroom(w, m.imageOf(t.step), spec.Size.MilliCPU) || m.starving(t.step)
 }
 
 // filterTicket restricts tasks of advised queues to workers with a valid ticket.
--- a/core/jobsched/headroom.go
+++ b/core/jobsched/headroom.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/interference"
+	"github.com/guavarill/guavarill/core/throttle"
 )
 
 const (
@@ -169,7 +170,7 @@
 			share = min(share, (t.headroom(throttledTailLimit)-t.harmless)/t.disturbing)
 		}
 	}
-	if percent := int(share * fullSpeed); percent >= throttleFloor {
+	if percent := int(share * fullSpeed); percent >= throttle.Floor {
 		return percent
 	}
 	return 0
--- a/core/jobsched/headroom_test.go
+++ b/core/jobsched/headroom_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/guavarill/guavarill/core/interference"
 	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/throttle"
 )
 
 // learnedEffect returns what a new leader recovers about an image: how much it slows
@@ -106,7 +107,7 @@
 	c.machine.learner.Import(c.now, learnedEffect("loud", 2))
 	c.run(1200 * time.Millisecond)
 	for _, a := range c.workers["w000"].sortedAttempts() {
-		if a.step.BestEffort && (a.share < throttleFloor || a.share > 50) {
+		if a.step.BestEffort && (a.share < throttle.Floor || a.share > 50) {
 			t.Errorf("the task runs at a share of %d%%, want about 38", a.share)
 		}
 	}
--- a/core/jobsched/longtasks_test.go
+++ b/core/jobsched/longtasks_test.go
@@ -174,8 +174,7 @@
 // changes.
 func (c *cluster) throttleAll(percent int) {
 	for _, w := range c.machine.workers.All() {
-		w.throttle.disturbingPercent, w.throttle.otherPercent = percent, percent
-		w.throttle.changeAt = c.now.Add(time.Hour)
+		w.throttle.Hold(percent, c.now.Add(time.Hour))
 	}
 }
 
--- a/core/jobsched/score.go
+++ b/core/jobsched/score.go
@@ -96,7 +96,7 @@
 	spec := t.step.spec
 	switch {
 	case spec.BestEffort && w.hasServingTasks():
-		return servingScore * (w.throttle.pressure + m.worstEffect(w, m.imageOf(t.step), spec.Size.MilliCPU))
+		return servingScore * (w.throttle.Pressure() + m.worstEffect(w, m.imageOf(t.step), spec.Size.MilliCPU))
 	case spec.LatencyTargetMs > 0:
 		return sameImageScore * m.imageShare(w, m.imageOf(t.step))
 	}
--- a/core/jobsched/slowleader_test.go
+++ b/core/jobsched/slowleader_test.go
@@ -206,8 +206,7 @@
 	}
 	c.run(500 * time.Millisecond)
 	for _, w := range c.machine.workers.All() {
-		w.throttle.disturbingPercent, w.throttle.otherPercent = 0, 0
-		w.throttle.changeAt = c.now.Add(time.Hour)
+		w.throttle.Hold(0, c.now.Add(time.Hour))
 	}
 	c.run(2 * time.Second)
 	c.slow = newSlowLeader(t)
--- a/core/jobsched/speedmove.go
+++ b/core/jobsched/speedmove.go
@@ -130,7 +130,7 @@
 	m.pass.Spend(m.workers.Len())
 	return func(yield func(*worker) bool) {
 		for _, w := range m.workers.All() {
-			if w.maybeSlow(m.now) || m.slownessOf(w) >= workerspeed.NormalBelow || w.throttle.pressure > 1 {
+			if w.maybeSlow(m.now) || m.slownessOf(w) >= workerspeed.NormalBelow || w.throttle.Pressure() > 1 {
 				continue
 			}
 			if !yield(w) {
--- a/core/jobsched/throttle.go
+++ b/core/jobsched/throttle.go
@@ -1,52 +1,15 @@
 package jobsched
 
-import "time"
+import (
+	"time"
 
-// fullSpeed is the share, in percent, of an attempt that is not throttled.
-const fullSpeed = 100
+	"github.com/guavarill/guavarill/core/throttle"
+)
 
-// throttleState is how far the best-effort work of a worker is throttled to protect
-// its long-running tasks. Readings are late and imprecise, so shares are reduced at
-// once and raised slowly.
-type throttleState struct {
-	// disturbingPercent is the share of the attempts that are known to disturb.
-	// otherPercent is that of the other best-effort attempts, which is reduced only
-	// if that was not enough.
-	disturbingPercent, otherPercent int
-	// pressure is the worst ratio of a reading to its target, smoothed. overSince
-	// is since when it has been above 1; zero if it is not. changeAt is when the
-	// shares may be changed again.
-	pressure            float64
-	overSince, changeAt time.Time
-}
+// fullSpeed is the share, in percent, of an attempt that is not throttled.
+const fullSpeed = throttle.FullSpeed
 
 const (
-	// pressureHigh is the fraction of the latency target above which disturbing
-	// work is slowed at once; pressureLow is the one below which shares are raised.
-	pressureHigh = 1.05
-	pressureLow  = 0.93
-	// pressureAim is the fraction of the target that a reduction aims at.
-	pressureAim = 0.93
-	// pressureOver is the fraction above which work that is not known to disturb is
-	// slowed too.
-	pressureOver = 1.15
-	// sustainedOverTime is how long a task may be slightly above its target before
-	// work is slowed anyway: a quarter of what the platform allows, which leaves
-	// time for several reductions. Those aim at sustainedOverAim.
-	sustainedOverTime = time.Second
-	sustainedOverAim  = 0.75
-	// longOverTime is how long a task may be above its target before all best-effort work
-	// beside it is stopped, known to disturb or not: half of what the platform allows.
-	// Readings come up to a second late.
-	longOverTime = 2 * time.Second
-	// throttleStep is by how much a share is raised at a time, in percent.
-	throttleStep = 25
-	// throttleFloor is the share, in percent, below which work is stopped
-	// altogether: even at a very low speed it still disturbs.
-	throttleFloor = 10
-	// pressureWeight is the weight of a new reading that is lower than the smoothed
-	// value.
-	pressureWeight = 0.7
 	// moveAfter is how long disturbing work is held at a share of 0 before it is
 	// moved.
 	moveAfter = 600 * time.Millisecond
@@ -58,85 +21,29 @@
 // hasServingTasks reports whether a task with a latency target is on the worker.
 func (w *worker) hasServingTasks() bool { return w.servingTasks > 0 }
 
-// measurePressure updates the pressure from the readings of a new report. Tasks that the
-// worker alone keeps from their targets do not count: to throttle others would not help
-// them.
-func (m *Machine) measurePressure(w *worker) {
-	worst := 0.0
-	for _, a := range w.attempts.All() {
-		if a.serving() && !m.missesTargetAlone(a) {
-			worst = max(worst, float64(a.reading)/float64(a.step().spec.LatencyTargetMs))
-		}
-	}
-	t := &w.throttle
-	if worst > t.pressure {
-		t.pressure = worst
-	} else {
-		t.pressure += (worst - t.pressure) * pressureWeight
-	}
-	switch {
-	case t.pressure <= 1:
-		t.overSince = time.Time{}
-	case t.overSince.IsZero():
-		t.overSince = m.now
-	}
-}
-
-// isOverFor reports whether a task has been above its target for the given time.
-func (t *throttleState) isOverFor(now time.Time, duration time.Duration) bool {
-	return !t.overSince.IsZero() && now.Sub(t.overSince) >= duration
-}
-
-// limits returns the pressures above which known disturbing work and other
-// best-effort work are slowed, and the pressure that a reduction aims at.
-func (t *throttleState) limits(now time.Time) (disturbing, other, aim float64) {
-	if t.isOverFor(now, sustainedOverTime) {
-		return 1, 1, sustainedOverAim
-	}
-	return pressureHigh, pressureOver, pressureAim
-}
-
-// adjustThrottle updates the shares for the worker's best-effort work.
+// adjustThrottle updates the shares for the worker's best-effort work by the readings of a
+// new report.
 func (m *Machine) adjustThrottle(w *worker) {
-	m.measurePressure(w)
-	t := &w.throttle
-	if t.isOverFor(m.now, longOverTime) {
-		t.disturbingPercent, t.otherPercent = 0, 0
-		return
-	}
-	fitting := m.allowedShare(w)
-	t.disturbingPercent = min(t.disturbingPercent, fitting)
-	if m.now.Before(t.changeAt) {
-		return
-	}
-	before := *t
-	disturbingLimit, otherLimit, aim := t.limits(m.now)
-	switch {
-	case t.pressure > otherLimit && (t.disturbingPercent == 0 || !m.hasDisturbingWork(w)):
-		t.otherPercent = reduceShare(t.otherPercent, aim/t.pressure)
-	case t.pressure > disturbingLimit:
-		t.disturbingPercent = reduceShare(t.disturbingPercent, aim/t.pressure)
-	case t.pressure < pressureLow && t.otherPercent < fullSpeed:
-		t.otherPercent = min(t.otherPercent+throttleStep, fullSpeed)
-	case t.pressure < pressureLow:
-		t.disturbingPercent = min(t.disturbingPercent+throttleStep, fitting)
-	}
-	if t.disturbingPercent != before.disturbingPercent || t.otherPercent != before.otherPercent {
+	w.throttle.Measure(m.now, m.worstPressure(w))
+	w.throttle.Adjust(m.now, throttle.Work{
+		Allowed:  func() int { return m.allowedShare(w) },
+		Disturbs: func() bool { return m.hasDisturbingWork(w) },
 		// A reading covers the last half second, so the first one that shows the
 		// change comes after the throttle delay plus that time.
-		t.changeAt = m.now.Add(m.options.ThrottleDelay + renewWait)
-	}
+		ShownAfter: m.options.ThrottleDelay + renewWait,
+	})
 }
 
-// reduceShare returns a lower share, given the ratio of the intended to the present
-// pressure. Tails grow faster than the disturbance, so the share is multiplied by
-// the square of the ratio.
-func reduceShare(percent int, ratio float64) int {
-	percent = int(float64(percent) * ratio * ratio)
-	if percent < throttleFloor {
-		return 0
+// worstPressure returns the worst ratio of a reading to its target. Tasks that the worker
+// alone keeps from their targets do not count: to throttle others would not help them.
+func (m *Machine) worstPressure(w *worker) float64 {
+	worst := 0.0
+	for _, a := range w.attempts.All() {
+		if a.serving() && !m.missesTargetAlone(a) {
+			worst = max(worst, float64(a.reading)/float64(a.step().spec.LatencyTargetMs))
+		}
 	}
-	return percent
+	return worst
 }
 
 // hasDisturbingWork reports whether a best-effort attempt on w is known to disturb.
@@ -160,9 +67,9 @@
 
 // wantedShare returns the share, in percent, at which an attempt should run.
 func (m *Machine) wantedShare(a *attempt) int {
-	share := a.worker.throttle.otherPercent
+	share := a.worker.throttle.Other
 	if m.disturbs(a) {
-		share = a.worker.throttle.disturbingPercent
+		share = a.worker.throttle.Disturbing
 	}
 	if a.overcommitted {
 		share = min(share, overcommittedShare)
--- a/core/jobsched/worker.go
+++ b/core/jobsched/worker.go
@@ -6,6 +6,7 @@
 
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/ordered"
+	"github.com/guavarill/guavarill/core/throttle"
 	"github.com/guavarill/guavarill/core/workerhealth"
 )
 
@@ -94,7 +95,7 @@
 	// reserved holds the reservations of room on the worker.
 	reserved []reservation
 	health   workerhealth.Health
-	throttle throttleState
+	throttle throttle.Shares
 	tails    tailCache
 	speed    workerSpeed
 	// learnedAt is when its readings were last learned from.
@@ -103,7 +104,7 @@
 
 func newWorker(e WorkerEntry) *worker {
 	return &worker{
-		id: e.Incarnation, entry: e, full: e.Capacity, lost: make(map[attemptKey]struct{}), pendingStarts: make(map[attemptKey]struct{}), inheritedStalls: make(map[attemptKey]inheritedStall), inheritedRunTimes: make(map[attemptKey]inheritedRunTime), throttle: throttleState{disturbingPercent: fullSpeed, otherPercent: fullSpeed},
+		id: e.Incarnation, entry: e, full: e.Capacity, lost: make(map[attemptKey]struct{}), pendingStarts: make(map[attemptKey]struct{}), inheritedStalls: make(map[attemptKey]inheritedStall), inheritedRunTimes: make(map[attemptKey]inheritedRunTime), throttle: throttle.FullShares(),
 	}
 }
 
