core/runpace: the pace of runs and the limit of standing still leave core/jobsched

For how long a run may stand still follows from a few values: the slowest of its own percents, the pace of its step, that of its image, the estimate, the slowness of its worker and the doublings.

--- a/core/jobsched/copyruns.go
+++ b/core/jobsched/copyruns.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/guavarill/guavarill/core/runpace"
 	"github.com/guavarill/guavarill/core/speculation"
 )
 
@@ -21,7 +22,7 @@
 // usualRun returns how long a task of the step takes on a usual worker; 0 if unknown.
 func (m *Machine) usualRun(s *step) time.Duration {
 	if s.runs.usualAt.IsZero() || m.now.Sub(s.runs.usualAt) >= usualRunInterval {
-		estimate := scale(fullPercent*estimatedPercent(s.spec), m.imageRatio(s))
+		estimate := runpace.Scale(runpace.FullPercent*runpace.EstimatedPercent(s.spec), m.imageRatio(s))
 		s.runs.usual, s.runs.usualAt = speculation.Usual(m.expectedRuns(s), estimate), m.now
 	}
 	return s.runs.usual
@@ -51,7 +52,7 @@
 		}
 		a := t.attempts[0]
 		if p := m.copyProgress(a); a.phase == phaseRunning && p.Passed >= minProjectedPercent {
-			runs = append(runs, p.Took*fullPercent/time.Duration(p.Passed))
+			runs = append(runs, p.Took*runpace.FullPercent/time.Duration(p.Passed))
 		}
 	}
 	return runs
--- a/core/jobsched/longtasks_test.go
+++ b/core/jobsched/longtasks_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/runpace"
 )
 
 // runTimeOf returns how long a task of the step takes.
@@ -343,8 +344,8 @@
 		c.run(200 * time.Millisecond)
 		w := c.machine.worker(c.workers["w000"].entry.Incarnation)
 		for _, a := range w.attempts.All() {
-			a.pace.own = paceSum{percents: 10, took: test.took}
-			a.step().pace.sum = paceSum{percents: 100, took: 10 * time.Second}
+			a.pace.own = runpace.Sum{Percents: 10, Took: test.took}
+			a.step().pace.sum = runpace.Sum{Percents: 100, Took: 10 * time.Second}
 		}
 		if got := w.stallSlowness(); got != test.want {
 			t.Errorf("10 percents in %s instead of 1s: slowness %.2f, want %.2f", test.took, got, test.want)
--- a/core/jobsched/machine.go
+++ b/core/jobsched/machine.go
@@ -10,6 +10,7 @@
 	"github.com/guavarill/guavarill/core/model"
 	"github.com/guavarill/guavarill/core/ordered"
 	"github.com/guavarill/guavarill/core/placementpass"
+	"github.com/guavarill/guavarill/core/runpace"
 	"github.com/guavarill/guavarill/core/workerentry"
 	"github.com/guavarill/guavarill/core/workerspeed"
 )
@@ -133,7 +134,7 @@
 	// runTimes tells how much longer than estimated the jobs of each queue run.
 	runTimes joborder.RunTimes
 	// imagePaces tells how much longer than estimated the tasks of each image run.
-	imagePaces imagePaces
+	imagePaces runpace.Images
 	// sizeBalances holds the balance between small and large jobs by queue.
 	sizeBalances joborder.Balances
 	learner      *interference.Model
--- a/core/jobsched/pace.go
+++ b/core/jobsched/pace.go
@@ -3,15 +3,10 @@
 import (
 	"time"
 
-	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/runpace"
 	"github.com/guavarill/guavarill/core/workerspeed"
 )
 
-// A percent of a task's run is the smallest progress that a worker reports. How long
-// one takes differs by orders of magnitude between tasks, and the estimates of callers
-// are rough. So whether an attempt stands still is judged by what is known of its pace:
-// its own, that of its step, that of its image, else the estimate.
-
 const (
 	// untimedOnAdoption: the percent in which an attempt is adopted began before.
 	untimedOnAdoption = 1
@@ -33,33 +28,13 @@
 	advanced bool
 	// own sums the advances that were timed; slowest is the longest time that one of
 	// them took for a percent.
-	own     paceSum
+	own     runpace.Sum
 	slowest time.Duration
 	// doublings is how often the stall limit of the attempt is doubled.
 	doublings int
 	// recent sums the latest advances, those before with half their weight. It is kept
 	// while the speeds of workers are learned.
-	recent paceSum
-}
-
-// paceSum sums the percents that were seen to pass and the working time that they
-// took.
-type paceSum struct {
-	percents int
-	took     time.Duration
-}
-
-func (s *paceSum) add(percents int, took time.Duration) {
-	s.percents += percents
-	s.took += took
-}
-
-// perPercent returns the mean time of a percent, 0 if unknown.
-func (s paceSum) perPercent() time.Duration {
-	if s.percents == 0 {
-		return 0
-	}
-	return s.took / time.Duration(s.percents)
+	recent runpace.Sum
 }
 
 // work adds the time until now, at the attempt's share, to the time that it stands. Time
@@ -92,7 +67,7 @@
 		a.step().pace.note(a.worker, m.now)
 		return
 	}
-	a.pace.own.add(rise, stood)
+	a.pace.own.Add(rise, stood)
 	a.pace.slowest = max(a.pace.slowest, stood/time.Duration(rise))
 	m.notePace(a, rise, stood)
 }
@@ -102,35 +77,32 @@
 	if a.task == nil || a.step().spec.Gang {
 		return
 	}
-	seenWhole := a.pace.untimed == 0 && a.pace.own.percents == 0 && !a.startedAt.IsZero()
+	seenWhole := a.pace.untimed == 0 && a.pace.own.Percents == 0 && !a.startedAt.IsZero()
 	if !seenWhole || a.throttle < fullSpeed {
 		a.step().pace.note(a.worker, m.now)
 		return
 	}
-	m.notePace(a, fullPercent, m.now.Sub(a.startedAt))
+	m.notePace(a, runpace.FullPercent, m.now.Sub(a.startedAt))
 }
 
-// fullPercent is the percent of a whole run.
-const fullPercent = 100
-
 // notePace takes in that the attempt has passed some percents of its run in the given
 // working time.
 func (m *Machine) notePace(a *attempt, percents int, took time.Duration) {
 	s := a.step()
-	s.pace.sum.add(percents, took)
+	s.pace.sum.Add(percents, took)
 	s.pace.note(a.worker, m.now)
 	if d := s.doublingsOfPace(); d > s.pace.doublings && !s.job().state.Final() {
 		s.pace.doublings = d
 		m.markDirty(s.job())
 	}
-	m.imagePaces.observe(s.spec, took/time.Duration(percents))
+	m.imagePaces.Observe(s.spec, took/time.Duration(percents))
 	m.judgeSuspects(s, a.worker, took/time.Duration(percents))
 	m.learnSpeedFromPace(a, percents, took)
 }
 
 // stepPace is how the attempts of a step advance.
 type stepPace struct {
-	sum paceSum
+	sum runpace.Sum
 	// last and lastBeside are the last advances on two different workers.
 	last, lastBeside advance
 	// doublings is how often the stall limit is doubled without a pace: the greatest number
@@ -164,34 +136,3 @@
 	}
 	return p.lastBeside.at
 }
-
-// imagePaces holds, by image, how many times their estimate runs take.
-type imagePaces map[string]float64
-
-const (
-	// imagePaceWeight is the weight of one more observation.
-	imagePaceWeight = 0.1
-	// maxImagePaces bounds the images, whose names are the callers' choice.
-	maxImagePaces = 1000
-)
-
-// observe takes in how long a percent took.
-func (p imagePaces) observe(spec *job.Step, perPercent time.Duration) {
-	if spec.Image == "" || spec.EstimateMs <= 0 {
-		return
-	}
-	ratio := float64(perPercent) / float64(estimatedPercent(spec))
-	old, known := p[spec.Image]
-	switch {
-	case known:
-		p[spec.Image] = old + imagePaceWeight*(ratio-old)
-	case len(p) < maxImagePaces:
-		p[spec.Image] = ratio
-	}
-}
-
-// estimatedPercent returns how long a percent takes by the step's estimate, 0 without
-// one.
-func estimatedPercent(spec *job.Step) time.Duration {
-	return time.Duration(spec.EstimateMs) * time.Millisecond / fullPercent
-}
--- a/core/jobsched/recovered.go
+++ b/core/jobsched/recovered.go
@@ -12,6 +12,7 @@
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/joborder"
 	"github.com/guavarill/guavarill/core/model"
+	"github.com/guavarill/guavarill/core/runpace"
 )
 
 // Recovered is the state that a leader reads from the store when it takes over.
@@ -46,7 +47,7 @@
 	m := &Machine{
 		options: o, epoch: epoch, config: r.Config, now: now, recoveredAt: now, recoveredWall: r.Wall,
 		final: make(map[job.ID]time.Time), incarnations: make(map[model.WorkerID]*workerIncarnations), unreadable: make(map[job.ID]*unreadableJob), learner: interference.New(learnerOptions()),
-		images: images{Index: imageindex.New(maxImages)}, runTimes: make(joborder.RunTimes), imagePaces: make(imagePaces), sizeBalances: make(joborder.Balances), shares: newShareState(),
+		images: images{Index: imageindex.New(maxImages)}, runTimes: make(joborder.RunTimes), imagePaces: make(runpace.Images), sizeBalances: make(joborder.Balances), shares: newShareState(),
 	}
 	m.cordonLimits = cordon.LimitsFor(o.CordonWithin)
 	m.options.MaxLease = cmp.Or(o.MaxLease, o.Lease)
--- a/core/jobsched/rosterlines.go
+++ b/core/jobsched/rosterlines.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/guavarill/guavarill/core/runpace"
 	"github.com/guavarill/guavarill/core/workerspeed"
 )
 
@@ -82,7 +83,7 @@
 // stalledFor returns for how much working time an attempt has made no progress; 0 if
 // less than minReportedStall.
 func (a *attempt) stalledFor(now time.Time) time.Duration {
-	if a.phase != phaseRunning || a.percent >= fullPercent {
+	if a.phase != phaseRunning || a.percent >= runpace.FullPercent {
 		return 0
 	}
 	a.work(now)
--- a/core/jobsched/speculate.go
+++ b/core/jobsched/speculate.go
@@ -7,6 +7,7 @@
 
 	"github.com/guavarill/guavarill/core/joborder"
 	"github.com/guavarill/guavarill/core/ordered"
+	"github.com/guavarill/guavarill/core/runpace"
 	"github.com/guavarill/guavarill/core/speculation"
 )
 
@@ -114,7 +115,7 @@
 		// The task may have crashed it, and would crash the worker of the copy too.
 		return false
 	}
-	return a.percent < fullPercent && !m.startsHeldBack(t.step, m.now)
+	return a.percent < runpace.FullPercent && !m.startsHeldBack(t.step, m.now)
 }
 
 // copyMatters reports whether a copy of a task of the step matters to its job. It sets
@@ -139,7 +140,7 @@
 	switch {
 	case a.adopted:
 		a.work(m.now)
-		p.Passed, p.Took = a.pace.own.percents, a.pace.own.took+a.pace.stood
+		p.Passed, p.Took = a.pace.own.Percents, a.pace.own.Took+a.pace.stood
 	case a.listed:
 		p.SinceReport = m.now.Sub(w.lastReportAt)
 		p.Took = max(w.lastReportAt.Sub(a.startedAt), 0)
--- a/core/jobsched/speedmove.go
+++ b/core/jobsched/speedmove.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/joblog"
+	"github.com/guavarill/guavarill/core/runpace"
 	"github.com/guavarill/guavarill/core/workerspeed"
 )
 
@@ -117,7 +118,7 @@
 func (m *Machine) workingAttempt(t *task) *attempt {
 	for _, a := range t.attempts {
 		w := a.worker
-		if a.phase == phaseRunning && a.percent >= fullPercent && w.unreachableSince.IsZero() && m.now.Sub(a.readAt) <= maxReportAge {
+		if a.phase == phaseRunning && a.percent >= runpace.FullPercent && w.unreachableSince.IsZero() && m.now.Sub(a.readAt) <= maxReportAge {
 			return a
 		}
 	}
--- a/core/jobsched/speedpace.go
+++ b/core/jobsched/speedpace.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/job"
+	"github.com/guavarill/guavarill/core/runpace"
 	"github.com/guavarill/guavarill/core/workerspeed"
 )
 
@@ -25,11 +26,11 @@
 		return
 	}
 	recent := &a.pace.recent
-	recent.add(percents, took)
-	if recent.percents > maxRecentPercents {
-		recent.percents, recent.took = recent.percents/2, recent.took/2
+	recent.Add(percents, took)
+	if recent.Percents > maxRecentPercents {
+		recent.Percents, recent.Took = recent.Percents/2, recent.Took/2
 	}
-	perPercent := float64(recent.took) / float64(recent.percents)
+	perPercent := float64(recent.Took) / float64(recent.Percents)
 	usual, known := m.usualPace(a, perPercent)
 	if !known {
 		return
@@ -58,7 +59,7 @@
 		s.pace.reference.Observe(m.now, on, a.source(), perPercent)
 	}
 	usual, known := s.pace.reference.Elsewhere(m.now, on)
-	image, estimated := m.imageReference(s.spec), float64(estimatedPercent(s.spec))
+	image, estimated := m.imageReference(s.spec), float64(runpace.EstimatedPercent(s.spec))
 	if image == nil {
 		return usual, known
 	}
@@ -75,11 +76,11 @@
 // imageReference returns the paces of the step's image as multiples of the estimate; nil
 // if the step has no image or no estimate, or there are too many images.
 func (m *Machine) imageReference(spec *job.Step) *workerspeed.Reference {
-	if spec.Image == "" || estimatedPercent(spec) == 0 {
+	if spec.Image == "" || runpace.EstimatedPercent(spec) == 0 {
 		return nil
 	}
 	r := m.imageReferences[spec.Image]
-	if r == nil && len(m.imageReferences) < maxImagePaces {
+	if r == nil && len(m.imageReferences) < runpace.MaxImages {
 		if m.imageReferences == nil {
 			m.imageReferences = make(map[string]*workerspeed.Reference)
 		}
--- a/core/jobsched/stall.go
+++ b/core/jobsched/stall.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/guavarill/guavarill/core/runpace"
 )
 
 const (
@@ -37,13 +39,13 @@
 // showsLife reports whether the attempt has made progress under this leader, as far as
 // its reports can tell.
 func (a *attempt) showsLife() bool {
-	return a.pace.advanced || a.percent >= fullPercent || a.task == nil || a.step().spec.Gang
+	return a.pace.advanced || a.percent >= runpace.FullPercent || a.task == nil || a.step().spec.Gang
 }
 
 // isStalled reports whether the attempt has made no progress for too long although
 // its worker is reachable.
 func (m *Machine) isStalled(a *attempt) bool {
-	if a.phase != phaseRunning || a.task == nil || a.percent >= fullPercent || a.step().spec.Gang {
+	if a.phase != phaseRunning || a.task == nil || a.percent >= runpace.FullPercent || a.step().spec.Gang {
 		return false
 	}
 	a.work(m.now)
--- a/core/jobsched/suspectworker.go
+++ b/core/jobsched/suspectworker.go
@@ -1,9 +1,11 @@
 package jobsched
 
 import (
-	"github.com/guavarill/guavarill/core/workerhealth"
 	"slices"
 	"time"
+
+	"github.com/guavarill/guavarill/core/runpace"
+	"github.com/guavarill/guavarill/core/workerhealth"
 )
 
 // suspectWorker is a worker on which an attempt of a step was stopped because it made no
@@ -22,7 +24,7 @@
 // stand still everywhere is at fault itself.
 func (m *Machine) suspectWorker(a *attempt) {
 	p := &a.step().pace
-	if p.lastOutside(a.worker).After(a.lastAdvance()) && contradicts(p.sum.perPercent(), a.pace.stood) {
+	if p.lastOutside(a.worker).After(a.lastAdvance()) && runpace.ShouldHaveAdvanced(p.sum.PerPercent(), a.pace.stood) {
 		a.worker.health.RecordFailure(m.now)
 		return
 	}
@@ -30,12 +32,6 @@
 	p.suspects = append(p.suspects, suspectWorker{worker: a.worker, stood: a.pace.stood, at: m.now})
 }
 
-// contradicts reports whether an attempt that has stood for the given time should have
-// advanced, as others take perPercent.
-func contradicts(perPercent, stood time.Duration) bool {
-	return perPercent > 0 && stood >= observedPercents*perPercent
-}
-
 // counts reports whether a failure of that time still counts against the worker.
 func (s *suspectWorker) counts(now time.Time) bool {
 	return now.Sub(s.at) <= workerhealth.FailureRetention
@@ -48,7 +44,7 @@
 		if suspect.worker == on {
 			return false
 		}
-		if suspect.counts(m.now) && contradicts(perPercent, suspect.stood) {
+		if suspect.counts(m.now) && runpace.ShouldHaveAdvanced(perPercent, suspect.stood) {
 			suspect.worker.health.RecordFailure(m.now)
 		}
 		return true
