core/jobsched: how jobs end and how they are recovered in files of their own

jobs.go held three parts: how a job is taken in and its occurrences begin, what completes or fails it, and what a leader recovers of it. The second is moved, unchanged, to jobend.go and the third to recoverjob.go.

--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -2,20 +2,13 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/joblog"
 	"github.com/guavarill/guavarill/core/jobmemory"
-	"github.com/guavarill/guavarill/core/joborder"
 )
 
-// attemptGap is added to the attempt numbers of tasks at a takeover. It is more
-// than the number of attempts that an earlier leader can have made of a task
-// between two commits.
-const attemptGap = 16
-
 func (m *Machine) jobAccepted(ev JobAccepted) {
 	m.memory.revision = max(m.memory.revision, ev.Revision)
 	if _, over := m.final[ev.ID]; over || m.unreadable[ev.ID] != nil {
@@ -63,45 +56,6 @@
 	}
 }
 
-// recoverJob adds a job in the state that an earlier leader recorded. progress is
-// nil if no progress was recorded.
-func (m *Machine) recoverJob(id job.ID, record *job.Accepted, progress *job.Progress) {
-	j := m.addJob(id, record)
-	j.recovered = true
-	m.applyLimits(j)
-	if j.state.Final() {
-		return
-	}
-	if progress != nil {
-		j.state = progress.State
-		j.begun = progress.State == job.Running
-		m.recoverOccurrences(j, progress)
-	}
-	j.recoveredEnd = m.recoveredEnd(j)
-	if record.Canceled {
-		m.cancel(j, record)
-		return
-	}
-	if record.Spec.Schedule == nil && j.next == 0 {
-		// An earlier leader may have begun it without recording that.
-		m.beginOccurrence(j, attemptGap)
-	}
-	m.concludeIfDone(j)
-}
-
-func (m *Machine) recoverOccurrences(j *jobState, progress *job.Progress) {
-	begun, open := progress.Open()
-	j.done = begun - len(open)
-	j.storedDone = j.done
-	for _, number := range open {
-		j.next = number
-		o := m.beginOccurrence(j, 0)
-		o.restore(progress.Occurrences[number], attemptGap)
-		m.finishOccurrence(o)
-	}
-	j.next = begun
-}
-
 // beginOccurrence begins the next occurrence. gap is the attempt number that counts
 // as used for all of its tasks.
 func (m *Machine) beginOccurrence(j *jobState, gap int) *occurrence {
@@ -123,31 +77,6 @@
 	return o
 }
 
-// claimOrphans assigns orphaned attempts to the tasks of an occurrence that has
-// just begun. An earlier leader, which learned of the job first, started them, and
-// this leader is stopping them. Their tasks must not start again before they have
-// ended.
-func (m *Machine) claimOrphans(o *occurrence) {
-	for _, w := range m.workers.All() {
-		for _, a := range w.attempts.All() {
-			key := a.key.task
-			if a.task != nil || key.Job != o.job.id || key.Occurrence != o.number {
-				continue
-			}
-			if key.Step >= len(o.steps) || key.Index >= len(o.steps[key.Step].tasks) {
-				continue
-			}
-			t := o.steps[key.Step].tasks[key.Index]
-			a.task = t
-			t.attempts = append(t.attempts, a)
-			t.last = max(t.last, a.key.attempt)
-			o.job.attempts++
-			m.countVictim(a, 1)
-			m.orphans--
-		}
-	}
-}
-
 // beginDueOccurrences begins the occurrences that have become due.
 func (m *Machine) beginDueOccurrences() {
 	for _, j := range m.jobs.All() {
@@ -171,68 +100,6 @@
 	return s == nil || !m.wall.Before(s.Due(j.next))
 }
 
-// finishOccurrence removes an occurrence if all its steps are done.
-func (m *Machine) finishOccurrence(o *occurrence) {
-	if o.left > 0 || o.job.occurrences[o.number] != o {
-		return
-	}
-	delete(o.job.occurrences, o.number)
-	m.countMemory(o.job)
-	o.job.done++
-	m.observeRunTime(o)
-	m.countOutcome(o, m.lateness(o) != joborder.TooLate)
-	m.markDirty(o.job)
-}
-
-func (m *Machine) concludeIfDone(j *jobState) {
-	if !j.state.Final() && j.done == j.total() {
-		m.conclude(j, job.Completed, "all tasks are done", 0)
-	}
-}
-
-// cancel concludes a job that its caller canceled.
-func (m *Machine) cancel(j *jobState, record *job.Accepted) {
-	if record.CanceledAtMs == 0 {
-		m.conclude(j, job.Canceled, "the caller canceled it", 0)
-		return
-	}
-	lag := m.since(record.CanceledAtMs)
-	m.conclude(j, job.Canceled, fmt.Sprintf("the caller canceled it %s ago", lag), lag)
-}
-
-// conclude moves a job to a final state and stops its attempts. lag is the lag of
-// the emitted note.
-func (m *Machine) conclude(j *jobState, state job.State, reason string, lag time.Duration) {
-	j.state = state
-	if !m.wall.IsZero() {
-		j.overAtMs = m.wall.UnixMilli()
-	}
-	m.emit(Note{Decision: joblog.JobFinalMessage(state), Job: j.id, Lag: lag, Reason: fmt.Sprintf("%s; accepted %s ago%s",
-		reason, m.age(j), m.describeTally(j))})
-	for _, o := range j.openOccurrences() {
-		for _, s := range o.steps {
-			m.pending.Delete(s)
-			for _, t := range s.tasks {
-				for _, a := range slices.Clone(t.attempts) {
-					m.requestStop(a, stopUnneeded, "job "+string(state))
-				}
-			}
-		}
-	}
-	m.markDirty(j)
-	m.retainFinal(j.id)
-	m.dropIfFinal(j)
-}
-
-// dropIfFinal removes a job that is final, stored and without attempts.
-func (m *Machine) dropIfFinal(j *jobState) {
-	unstored := m.dirty.Has(j.id) || m.commit.inFlight && slices.Contains(m.commit.jobs, j.id)
-	if j.state.Final() && j.attempts == 0 && !unstored {
-		m.jobs.Delete(j.id)
-		m.memory.used -= j.memoryBytes
-	}
-}
-
 func (m *Machine) markDirty(j *jobState) { m.dirty.Set(j.id, struct{}{}) }
 
 // task returns the task with the given key. It returns nil if the job is over or
@@ -254,53 +121,6 @@
 	return o.steps[key.Step].tasks[key.Index]
 }
 
-// finishTask marks a task as done and stops its other attempts.
-func (m *Machine) finishTask(t *task) {
-	for _, a := range slices.Clone(t.attempts) {
-		m.requestStop(a, stopSuperseded, "another attempt is done")
-	}
-	m.markDone(t)
-}
-
-// markDone marks a task as done, and with it whatever that completes: its step,
-// occurrence and job.
-func (m *Machine) markDone(t *task) {
-	o := t.step.occurrence
-	for _, s := range o.taskDone(t) {
-		s.times.readyAt = m.now
-		m.pending.Set(s, struct{}{})
-	}
-	if t.step.left == 0 {
-		o.job.tally.noteStepDone(t.step, m.now)
-	}
-	m.markDirty(o.job)
-	m.changed = true
-	m.finishOccurrence(o)
-	m.concludeIfDone(o.job)
-}
-
-// countFailure counts a failed attempt against a task, or against all members of
-// its gang. Each attempt is counted once. The job fails when a task has used up its
-// attempts.
-func (m *Machine) countFailure(t *task, attempt int) {
-	s := t.step
-	if s.spec.LongRunning || slices.Contains(t.failed, attempt) {
-		return
-	}
-	failed := []*task{t}
-	if s.spec.Gang {
-		failed = s.tasks
-	}
-	for _, member := range failed {
-		member.failed = append(member.failed, attempt)
-	}
-	m.markDirty(s.job())
-	if limit := m.queue(s.job()).MaxAttempts; len(t.failed) >= limit {
-		reason := fmt.Sprintf("task %s failed %d times of %d", t.key(), len(t.failed), limit)
-		m.conclude(s.job(), job.Failed, reason, 0)
-	}
-}
-
 // waiting counts, by queue, the unscheduled jobs that have not begun.
 func (m *Machine) waiting() map[string]int {
 	counts := make(map[string]int)
