--- a/core/jobsched/jobs.go
+++ b/core/jobsched/jobs.go
@@ -114,11 +114,10 @@
 		// recording that.
 		m.beginOccurrence(j, attemptGap)
 	}
-	o := j.occurrences[key.Occurrence]
-	if o == nil || key.Step >= len(o.steps) || key.Index >= len(o.steps[key.Step].tasks) {
-		return nil
+	if o := j.occurrences[key.Occurrence]; o != nil {
+		return o.task(key)
 	}
-	return o.steps[key.Step].tasks[key.Index]
+	return nil
 }
 
 // waiting counts, by queue, the unscheduled jobs that have not begun.
--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -221,6 +221,14 @@
 	return s
 }
 
+// task returns the task of a key of this occurrence; nil if it has no such task.
+func (o *occurrence) task(key job.TaskKey) *task {
+	if key.Step >= len(o.steps) || key.Index >= len(o.steps[key.Step].tasks) {
+		return nil
+	}
+	return o.steps[key.Step].tasks[key.Index]
+}
+
 // taskDone marks a task as done and returns the steps that become ready.
 func (o *occurrence) taskDone(t *task) []*step {
 	if t.done {
--- a/core/jobsched/recoverjob.go
+++ b/core/jobsched/recoverjob.go
@@ -57,10 +57,10 @@
 			if a.task != nil || key.Job != o.job.id || key.Occurrence != o.number {
 				continue
 			}
-			if key.Step >= len(o.steps) || key.Index >= len(o.steps[key.Step].tasks) {
+			t := o.task(key)
+			if t == nil {
 				continue
 			}
-			t := o.steps[key.Step].tasks[key.Index]
 			a.task = t
 			t.attempts = append(t.attempts, a)
 			t.last = max(t.last, a.key.attempt)
