--- a/core/jobsched/speedmove.go
+++ b/core/jobsched/speedmove.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/guavarill/guavarill/core/joblog"
+	"github.com/guavarill/guavarill/core/runpace"
 	"github.com/guavarill/guavarill/core/workerspeed"
 )
 
@@ -117,7 +118,7 @@
 func (m *Machine) workingAttempt(t *task) *attempt {
 	for _, a := range t.attempts {
 		w := a.worker
-		if a.phase == phaseRunning && a.percent >= fullPercent && w.unreachableSince.IsZero() && m.now.Sub(a.readAt) <= maxReportAge {
+		if a.phase == phaseRunning && a.percent >= runpace.FullPercent && w.unreachableSince.IsZero() && m.now.Sub(a.readAt) <= maxReportAge {
 			return a
 		}
 	}
@@ -130,7 +131,7 @@
 	m.pass.Spend(m.workers.Len())
 	return func(yield func(*worker) bool) {
 		for _, w := range m.workers.All() {
-			if w.maybeSlow(m.now) || m.slownessOf(w) >= workerspeed.NormalBelow || w.throttle.pressure > 1 {
+			if w.maybeSlow(m.now) || m.slownessOf(w) >= workerspeed.NormalBelow || w.throttle.Pressure() > 1 {
 				continue
 			}
 			if !yield(w) {
