core/faultsearch: the search for the entry that the store refuses leaves core/jobsched

Which records the next commit of the search holds, and which entry is at fault, follows from the refused and the stored commits alone. That is moved from jobsched/commitrefused.go, which keeps how entries return to those that wait and how one is set aside.

--- a/core/jobsched/commit.go
+++ b/core/jobsched/commit.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/guavarill/guavarill/core/faultsearch"
 	"github.com/guavarill/guavarill/core/job"
 	"github.com/guavarill/guavarill/core/model"
 )
@@ -46,7 +47,7 @@
 	// sent is the commit in flight. search is the search for the entry at fault after
 	// the store has refused one; no commit is sent before retryAt then.
 	sent    Commit
-	search  commitSearch
+	search  faultsearch.Search
 	retryAt time.Time
 	// learnedAt is when the interference estimates were last committed.
 	learnedAt time.Time
@@ -75,7 +76,7 @@
 	if c.inFlight || gathering || m.now.Before(c.retryAt) {
 		return
 	}
-	if c.search.isOn() {
+	if c.search.IsOn() {
 		commit := m.newCommit()
 		m.addRosterAge(&commit)
 		m.dispatchCommit(commit)
@@ -134,7 +135,7 @@
 // fillCommit moves records from the dirty set into the commit, those of final jobs
 // first because their callers are waiting for them. It returns the ids of the jobs.
 func (m *Machine) fillCommit(commit *Commit) []job.ID {
-	if m.commit.search.isOn() {
+	if m.commit.search.IsOn() {
 		return m.fillSuspects(commit)
 	}
 	room := maxCommitEntries
@@ -227,7 +228,9 @@
 		mergeRestarts(&m.restarts.stored, id, stored)
 		m.changed = true
 	}
-	m.searchCommitStored()
+	for _, fault := range c.search.Stored(c.jobs, m.dirty.Has) {
+		m.setAsideFault(fault)
+	}
 	c.clearSent()
 }
 
--- a/core/jobsched/handover.go
+++ b/core/jobsched/handover.go
@@ -1,6 +1,10 @@
 package jobsched
 
-import "time"
+import (
+	"time"
+
+	"github.com/guavarill/guavarill/core/faultsearch"
+)
 
 // HandOver returns the last commit of a leader that hands over the leadership. Its
 // roster closes every worker whose attempts are known, so that the next leader
@@ -10,7 +14,7 @@
 func (m *Machine) HandOver(now, wall time.Time) (Commit, []Note) {
 	m.now, m.wall = now, wall
 	m.dropTrials()
-	m.commit.search = commitSearch{}
+	m.commit.search = faultsearch.Search{}
 	commit := m.newCommit()
 	commit.Learned = m.learner.Export()
 	for _, l := range m.rosterLines(m.handoverStatusOf) {
