--- a/adapter/grpcrelay/failuredetector.go
+++ b/adapter/grpcrelay/failuredetector.go
@@ -48,7 +48,6 @@
 	return false
 }
 
-// refusesConnections reports whether a connection to an address is refused.
 func refusesConnections(ctx context.Context, address string) bool {
 	dialer := net.Dialer{Timeout: probeTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
--- a/core/config/delta.go
+++ b/core/config/delta.go
@@ -7,7 +7,6 @@
 	"github.com/guavarill/guavarill/core/model"
 )
 
-// wholeDelta returns a delta that holds the whole of a.
 func wholeDelta(a *Accepted) *peerv1.ConfigDelta {
 	return &peerv1.ConfigDelta{
 		Revision: uint64(a.Revision),
--- a/core/jobsched/clustercordons_test.go
+++ b/core/jobsched/clustercordons_test.go
@@ -22,7 +22,6 @@
 
 func zoneOfWorker(i int) model.Zone { return model.Zone(fmt.Sprintf("z%d", i%clusterZones)) }
 
-// clusterCordons holds the cordons of a cluster.
 type clusterCordons struct {
 	zones cordon.Zones
 	// since is when each zone was cordoned.
--- a/core/jobsched/declarations_test.go
+++ b/core/jobsched/declarations_test.go
@@ -43,7 +43,6 @@
 	return int(b)
 }
 
-// draw returns one of the values.
 func draw[T any](s *byteSource, values ...T) T { return values[s.next()%len(values)] }
 
 // drawUsual returns one of the usual values, and seldom one of the others.
--- a/core/jobsched/entry_test.go
+++ b/core/jobsched/entry_test.go
@@ -37,7 +37,6 @@
 // entryDamage draws damaged entries.
 type entryDamage struct{ rnd *rand.Rand }
 
-// randomFault returns a random fault.
 func (d *entryDamage) randomFault() workerentry.Fault {
 	faults := workerentry.Faults()
 	return faults[d.rnd.IntN(len(faults))]
--- a/core/quarantine/weights.go
+++ b/core/quarantine/weights.go
@@ -39,7 +39,6 @@
 // maxUnprovenShare is the share of a threshold that unproven evidence can reach.
 const maxUnprovenShare = 2.0 / 3
 
-// evidenceAgainst returns the evidence against a worker.
 func (ev *Evaluator) evidenceAgainst(w model.WorkerID, r *workerRecord) evidence {
 	var e evidence
 	byWorkload := make(map[string]float64)
--- a/core/workerspeed/speed.go
+++ b/core/workerspeed/speed.go
@@ -160,7 +160,6 @@
 	return 1 + (s.slowness-1)*max(left, 0)
 }
 
-// weighted is a slowness with its weight.
 type weighted struct{ slowness, weight float64 }
 
 // lowerMedian returns the lower weighted median.
