core/jobsched: four names that needed their comments

lastBeside and lastOutside were two words for the last advance on another worker; occurrence.waited and counted did not say for what and as what, nor jobTally.waited for whom.

--- a/core/jobsched/jobstate.go
+++ b/core/jobsched/jobstate.go
@@ -74,11 +74,11 @@
 	// in thousandths of a core times milliseconds.
 	work, workLeft float64
 	// firstStartAt is when this machine started its first attempt; zero if it has
-	// not. waited is set once no worker was found for a part of it.
-	firstStartAt time.Time
-	waited       bool
-	// counted is set once its outcome counts in the balance of its queue.
-	counted bool
+	// not. waitedForWorker is set once no worker was found for a part of it.
+	firstStartAt    time.Time
+	waitedForWorker bool
+	// outcomeCounted is set once its outcome counts in the balance of its queue.
+	outcomeCounted bool
 }
 
 // step is one step of an occurrence.
--- a/core/jobsched/pace.go
+++ b/core/jobsched/pace.go
@@ -103,8 +103,8 @@
 // stepPace is how the attempts of a step advance.
 type stepPace struct {
 	sum runpace.Sum
-	// last and lastBeside are the last advances on two different workers.
-	last, lastBeside advance
+	// last is the last advance, lastElsewhere the last one on another worker than that.
+	last, lastElsewhere advance
 	// doublings is how often the stall limit is doubled without a pace: the greatest number
 	// of stops of any of the tasks, or what their pace requires. It is stored, so that
 	// a new leader, which knows no pace, lets attempts run long enough to learn it.
@@ -123,16 +123,16 @@
 // note records that an attempt on the worker has advanced.
 func (p *stepPace) note(w *worker, now time.Time) {
 	if p.last.worker != w {
-		p.lastBeside = p.last
+		p.lastElsewhere = p.last
 	}
 	p.last = advance{worker: w, at: now}
 }
 
-// lastOutside returns when an attempt on another worker has last advanced; zero if
+// lastElsewhereThan returns when an attempt on another worker has last advanced; zero if
 // none has.
-func (p *stepPace) lastOutside(w *worker) time.Time {
+func (p *stepPace) lastElsewhereThan(w *worker) time.Time {
 	if p.last.worker != w {
 		return p.last.at
 	}
-	return p.lastBeside.at
+	return p.lastElsewhere.at
 }
--- a/core/jobsched/suspectworker.go
+++ b/core/jobsched/suspectworker.go
@@ -24,7 +24,7 @@
 // stand still everywhere is at fault itself.
 func (m *Machine) suspectWorker(a *attempt) {
 	p := &a.step().pace
-	if p.lastOutside(a.worker).After(a.lastAdvance()) && runpace.ShouldHaveAdvanced(p.sum.PerPercent(), a.pace.stood) {
+	if p.lastElsewhereThan(a.worker).After(a.lastAdvance()) && runpace.ShouldHaveAdvanced(p.sum.PerPercent(), a.pace.stood) {
 		a.worker.health.RecordFailure(m.now)
 		return
 	}
--- a/core/jobsched/tally.go
+++ b/core/jobsched/tally.go
@@ -37,9 +37,9 @@
 	// copies counts the copies of slow tasks that were started, copiesWon those that
 	// were done first.
 	copies, copiesWon int
-	// waited sums, over the steps, the time in which no worker was found for a part
-	// of the step.
-	waited time.Duration
+	// waitedForWorkers sums, over the steps, the time in which no worker was found for a
+	// part of the step.
+	waitedForWorkers time.Duration
 	// starting, ending and unasked sum the times of the steps that are done.
 	starting, ending, unasked time.Duration
 }
@@ -109,7 +109,7 @@
 	allowed := time.Duration(allowanceMs(q, spec.CriticalPathMs())) * time.Millisecond
 	tasks, work := spec.Work()
 	return fmt.Sprintf("; queue %s, allowed %s, %d tasks of %.1f core-s; %s; waited %s for workers; steps started in %s, ended in %s, of which workers were not asked for %s; %d starts, %d failed, stopped: %s; %.1f core-s lost",
-		q.Name, allowed, tasks, coreSeconds(work), m.describeFirstStart(j), t.waited.Round(time.Millisecond),
+		q.Name, allowed, tasks, coreSeconds(work), m.describeFirstStart(j), t.waitedForWorkers.Round(time.Millisecond),
 		t.starting.Round(time.Millisecond), t.ending.Round(time.Millisecond), t.unasked.Round(time.Millisecond),
 		t.starts, t.failures, t.describeStops(), coreSeconds(float64(t.lostCPUMs))) + t.describeCopies()
 }
--- a/core/jobsched/waitingorder.go
+++ b/core/jobsched/waitingorder.go
@@ -103,10 +103,10 @@
 // countOutcome counts an occurrence whose outcome for its caller is decided: it is
 // done, or too late to be of use. Each is counted once.
 func (m *Machine) countOutcome(o *occurrence, served bool) {
-	if o.counted || o.untilCanceled {
+	if o.outcomeCounted || o.untilCanceled {
 		return
 	}
-	o.counted = true
+	o.outcomeCounted = true
 	queue := m.queue(o.job).Name
 	b := m.sizeBalances.Observe(queue, o.work, served)
 	if b == nil {
@@ -121,7 +121,7 @@
 // observeRunTime counts an occurrence that is done, unless the time that it took is
 // not known or was spent waiting.
 func (m *Machine) observeRunTime(o *occurrence) {
-	if o.waited || o.firstStartAt.IsZero() || o.job.recovered {
+	if o.waitedForWorker || o.firstStartAt.IsZero() || o.job.recovered {
 		return
 	}
 	m.runTimes.Observe(m.queue(o.job).Name, m.now.Sub(o.firstStartAt), o.criticalPathMs)
--- a/core/jobsched/waitingorder_test.go
+++ b/core/jobsched/waitingorder_test.go
@@ -23,7 +23,7 @@
 	if o.firstStartAt != (time.Time{}) {
 		t.Fatal("the job found room")
 	}
-	if l := c.machine.lateness(o); l != joborder.InTime || o.counted {
-		t.Errorf("lateness %d, counted as not served %t", l, o.counted)
+	if l := c.machine.lateness(o); l != joborder.InTime || o.outcomeCounted {
+		t.Errorf("lateness %d, counted as not served %t", l, o.outcomeCounted)
 	}
 }
--- a/core/jobsched/waitnote.go
+++ b/core/jobsched/waitnote.go
@@ -34,7 +34,7 @@
 	switch {
 	case s.waitingSince.IsZero():
 		s.waitingSince = m.now
-		s.occurrence.waited = true
+		s.occurrence.waitedForWorker = true
 	case m.now.Sub(s.waitingSince) >= waitNoteDelay && !m.now.Before(s.nextNoteAt) && m.pass.TakeNote():
 		s.nextNoteAt = m.now.Add(waitNoteInterval)
 		counts := m.countRuledOut(s)
@@ -62,7 +62,7 @@
 // noteFoundWorkers ends the step's wait for workers, if it waits.
 func (m *Machine) noteFoundWorkers(s *step) {
 	if !s.waitingSince.IsZero() {
-		s.job().tally.waited += m.now.Sub(s.waitingSince)
+		s.job().tally.waitedForWorkers += m.now.Sub(s.waitingSince)
 		s.waitedSince = s.waitingSince
 		s.waitingSince, s.waitReason = time.Time{}, ""
 	}
