--- a/core/interference/term.go
+++ b/core/interference/term.go
@@ -46,3 +46,12 @@
 	t.mean += gain * residual
 	t.variance -= gain * weight * t.variance
 }
+
+func getOrAddTerm[K comparable](terms map[K]*term, key K, now time.Time, mean, std float64) *term {
+	t, ok := terms[key]
+	if !ok {
+		t = newTerm(now, mean, std)
+		terms[key] = t
+	}
+	return t
+}
