core/jobsched: an attempt before a task's trial does not count as that trial

What callers saw: in virtual time a crash was counted under a task though no worker had ended, so that its next starts were trials and, with others, tried alone.

Cause: an attempt on an unreachable worker counts as crashed when its leases end if its task is on trial. That was asked of the task, not of the attempt. A roster is not stored again when an attempt on a silent worker is declared lost, so the next leader may read one that still lists it. If the leases there have ended by then, it loses the attempt at once, before the trial that runs elsewhere since is adopted, and takes that trial for the lost attempt.

Change: an attempt is its task's trial only from the number on that the record names, as was asked already when an attempt ends.

Evidence: TestAttemptBeforeATrialIsNoCrash failed before ("1 crashes count though no worker ended: attempt 1 at a time not known") and passes.

--- a/core/jobsched/trial.go
+++ b/core/jobsched/trial.go
@@ -79,10 +79,16 @@
 // by earlier leaders.
 func (t *task) maybeStartedEarlier() bool { return t.idle() && !t.known }
 
+// isTrial reports whether the attempt is its task's trial, and not one before it that a
+// roster still lists.
+func (a *attempt) isTrial() bool {
+	return a.task != nil && a.task.trial.number > 0 && a.key.attempt >= a.task.trial.number
+}
+
 // mayHaveCrashed reports whether an attempt on an unreachable worker must count as
 // ended by a crash: it is a trial that had run for less than stableRunTime.
 func (a *attempt) mayHaveCrashed() bool {
-	return a.task != nil && a.task.trial.number > 0 && a.observedRunTime() < stableRunTime
+	return a.isTrial() && a.observedRunTime() < stableRunTime
 }
 
 // resolveInheritedTrial resolves a trial of an earlier leader that no worker has
@@ -228,7 +234,7 @@
 // endTrial updates the trial and the crashes of a task after the end of an attempt.
 // The end is not a crash, or the crash has been counted already.
 func (m *Machine) endTrial(t *task, a *attempt, cause EndCause) {
-	ofTrial := t.trial.number > 0 && a.key.attempt >= t.trial.number
+	ofTrial := a.isTrial()
 	if cause == EndDone || cause == EndFailed {
 		m.notePassedTrial(a)
 	}
--- a/core/jobsched/trialresume_test.go
+++ b/core/jobsched/trialresume_test.go
@@ -47,3 +47,27 @@
 		c.tick()
 	}
 }
+
+// TestAttemptBeforeATrialIsNoCrash guards against a crash that is counted for a worker that
+// was cut off: the roster still lists an attempt there, and the task's trial that began
+// elsewhere since is taken for that attempt.
+func TestAttemptBeforeATrialIsNoCrash(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	c.run(200 * time.Millisecond)
+	id := c.submit(1, "urgent", longRunning(1, 2000))
+	c.run(time.Second)
+	first := c.workers[c.firstWorkerOf(id)]
+	first.partitioned = true
+	c.run(1500 * time.Millisecond)
+	c.replaceLeader()
+	task := func() *task { return c.machine.task(job.TaskKey{Job: id}) }
+	c.runUntil(func() bool {
+		return len(task().attempts) == 1 && task().attempts[0].phase == phaseRunning && task().attempts[0].worker.id.ID != first.entry.ID
+	})
+	c.run(100 * time.Millisecond)
+	c.replaceLeader()
+	c.run(time.Second)
+	if n := len(task().crashes); n != 0 {
+		t.Errorf("%d crashes count though no worker ended: %s", n, task().crashes)
+	}
+}
