--- a/core/jobsched/incarnation.go
+++ b/core/jobsched/incarnation.go
@@ -12,10 +12,11 @@
 
 // A worker may restart with the same id at the same address. The new incarnation
 // knows nothing of the previous one and numbers its ends from 1, and orders sent to
-// the previous incarnation may reach it. Only its entry and its reports show that
-// it is a different one. If it were taken for the previous one, its first ends
-// would look as if they had been processed already; this shows as attempts that are
-// "not there" although their worker is healthy, and as tasks that are done twice.
+// the previous incarnation by a daemon of an earlier version may reach it. Only its
+// entry and its reports show that it is a different one. If it were taken for the
+// previous one, its first ends would look as if they had been processed already; this
+// shows as attempts that are "not there" although their worker is healthy, and as
+// tasks that are done twice.
 //
 // So the machine keeps a separate worker for each incarnation. If another
 // incarnation answers than the one a report was requested from, the requested one
--- a/port/jobs.go
+++ b/port/jobs.go
@@ -12,6 +12,10 @@
 // TaskWorkers sends orders to the workers that run the tasks of jobs. The calls
 // return no errors: a failure is reported as a verdict, and a lost response as
 // VerdictUnknown.
+//
+// An order for a worker whose start time is known reaches no other incarnation than that
+// one. If another one is there, the verdict is VerdictOtherIncarnation, and for a renewal
+// VerdictDone with the report of the other one.
 type TaskWorkers interface {
 	Renew(ctx context.Context, r jobsched.Renew) (jobsched.Verdict, jobsched.Report)
 	// Start also returns the worker's clock in milliseconds, or 0 if the worker did
