--- a/core/jobsched/workerclock.go
+++ b/core/jobsched/workerclock.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// A worker judges leases by its own monotonic clock, which begins anew with each
+// A worker judges leases by its own monotonic clock, which is another one with each
 // incarnation and may run slow. An order names the end of the lease by that clock.
 
 const (
